Add the seams: clock, request, configuration, platform types and settings

Cause: every part needs the same types before it can be written beside the others. Conclusion: the packages build; nothing is served yet.

--- /dev/null
+++ b/pkg/caravan/doc.go
@@ -0,0 +1,2 @@
+// Package caravan has the membership of the entry instances and the exchange between them.
+package caravan
--- /dev/null
+++ b/pkg/courier/doc.go
@@ -0,0 +1,2 @@
+// Package courier has the sending of requests to upstreams and the passing on of their answers.
+package courier
--- /dev/null
+++ b/pkg/desk/doc.go
@@ -0,0 +1,2 @@
+// Package desk has the HTTP interfaces for callers and operators.
+package desk
--- /dev/null
+++ b/pkg/enquiry/doc.go
@@ -0,0 +1,2 @@
+// Package enquiry has the data of a request on its way through an instance: request, call, answer and refusal.
+package enquiry
--- /dev/null
+++ b/pkg/enquiry/request.go
@@ -0,0 +1,90 @@
+package enquiry
+
+import (
+	"net/http"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+)
+
+// Message is one turn of a conversation.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Request is what a caller asked for, checked and complete; it does not change on its way.
+type Request struct {
+	// ID names the request everywhere: upstream, bill and logs.
+	ID string
+	// Workspace is the name of the caller's workspace.
+	Workspace string
+	// Profile is the name of the profile the caller picked.
+	Profile string
+	// Session is empty when the request belongs to no session.
+	Session string
+	// Pin is the signed session pin the caller sent along, if any.
+	Pin string
+	// Key is the caller's idempotency key; it is required when Repeatable is false.
+	Key string
+	// Repeatable is false for a request that must run at most once.
+	Repeatable bool
+	// ArrivedAt is the monotonic time at which the request was read.
+	ArrivedAt clock.Millis
+	// Deadline is the monotonic time after which the caller has no use for an answer.
+	Deadline clock.Millis
+	// Stream is true when the caller reads the answer as it is generated.
+	Stream bool
+	// Messages is the conversation of a chat completion.
+	Messages []Message
+	// MaxTokens bounds the answer; 0 leaves it to the engine.
+	MaxTokens int
+	// Service is the name of a plain service; it is empty for a chat completion.
+	Service string
+	// Method, Path and Header are those of a plain service call.
+	Method string
+	Path   string
+	Header http.Header
+	// Body is the body of a plain service call.
+	Body []byte
+}
+
+// Call is a request on its way through the filters; each filter fills in the fields it decides.
+type Call struct {
+	Request   *Request
+	Workspace *catalogue.Workspace
+	Profile   *catalogue.Profile
+	Service   *catalogue.Service
+	// Version is the chosen version, or nil for a plain service.
+	Version *catalogue.Version
+	// Upstream is the chosen upstream.
+	Upstream *catalogue.Upstream
+	// ViewAt is the monotonic time of the proof of freshness of the snapshot decided on.
+	ViewAt clock.Millis
+	// Attempts counts the sends to upstreams.
+	Attempts int
+	// Excluded names upstreams that failed this call.
+	Excluded []string
+	// Usage adds up what upstreams did for this call, over all cascade steps.
+	Usage []Usage
+	// Writer takes the answer.
+	Writer Writer
+}
+
+// Usage is the work of one upstream for one attempt.
+type Usage struct {
+	Version      catalogue.VersionID
+	Upstream     string
+	InputTokens  int
+	OutputTokens int
+	Cost         catalogue.Micros
+}
+
+// Cost returns the summed cost of the call.
+func (c *Call) Cost() catalogue.Micros {
+	var sum catalogue.Micros
+	for _, u := range c.Usage {
+		sum += u.Cost
+	}
+	return sum
+}
--- /dev/null
+++ b/pkg/guestbook/doc.go
@@ -0,0 +1,2 @@
+// Package guestbook has the pins that keep a session on its version.
+package guestbook
--- /dev/null
+++ b/pkg/settings/common.go
@@ -0,0 +1,14 @@
+package settings
+
+import (
+	"github.com/go-logr/logr"
+
+	"carawayknot.example/carawayknot/pkg/clock"
+)
+
+// Common is what all parts of a daemon share.
+type Common struct {
+	Log      logr.Logger
+	Settings *Settings
+	Clock    clock.Clock
+}
--- /dev/null
+++ b/pkg/tasting/doc.go
@@ -0,0 +1,2 @@
+// Package tasting has the ratings of answers and the detection of versions that turn bad.
+package tasting
