--- /dev/null
+++ b/pkg/enquiry/sample.go
@@ -0,0 +1,33 @@
+package enquiry
+
+import (
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+)
+
+// Result classifies what became of one attempt at an upstream.
+type Result string
+
+// The results of attempts.
+const (
+	ResultComplete  Result = "Complete"
+	ResultRefused   Result = "Refused"
+	ResultFailed    Result = "Failed"
+	ResultCut       Result = "Cut"
+	ResultMismatch  Result = "Mismatch"
+	ResultCancelled Result = "Cancelled"
+)
+
+// Sample is what one attempt at an upstream showed; times are in milliseconds.
+type Sample struct {
+	At         clock.Millis
+	RequestID  string
+	Workspace  string
+	Task       string
+	Version    catalogue.VersionID
+	Upstream   string
+	Result     Result
+	FirstToken clock.Millis
+	Total      clock.Millis
+	Tokens     int
+}
