Add admission, choice of version and upstream, cold start inference and version health

Thin but whole: the filters Admit, Choose and Place are shells over pure decisions (Admission.Enter, tariff.Pick, concierge.Pick), so that replays can call the same code in an event loop.

--- a/pkg/catalogue/snapshot.go
+++ b/pkg/catalogue/snapshot.go
@@ -80,13 +80,20 @@
 	Rated int
 	Mean  float64
 	Lower float64
+	// Scores counts the ratings by score, in steps of equal width from 0 to 1.
+	Scores [ScoreSteps]int32
 	// Suspect is true when the sequential test has found the version to be bad.
 	Suspect bool
 	// FirstTokenTime and TokenTime are what callers saw, in milliseconds.
 	FirstTokenTime float64
 	TokenTime      float64
+	// Tokens is the mean length of an answer.
+	Tokens float64
 }
 
+// ScoreSteps is the number of steps in which scores are counted.
+const ScoreSteps = 20
+
 // HealthKey names the health of a version for a task.
 type HealthKey struct {
 	Version VersionID
@@ -162,11 +169,16 @@
 	if u == nil {
 		return &ForbiddenError{Rule: "upstream not listed", Name: name}
 	}
+	return s.PermitListed(u)
+}
+
+// PermitListed is PermitUpstream for an upstream of the snapshot.
+func (s *Snapshot) PermitListed(u *Upstream) error {
 	if u.Leaving {
-		return &ForbiddenError{Rule: "leaving upstream", Name: name}
+		return &ForbiddenError{Rule: "leaving upstream", Name: u.Name}
 	}
 	if u.Rule.Drained {
-		return &ForbiddenError{Rule: "drained upstream", Name: name}
+		return &ForbiddenError{Rule: "drained upstream", Name: u.Name}
 	}
 	if s.Config.ZoneOut(u.Zone) {
 		return &ForbiddenError{Rule: "availability zone out", Name: u.Zone}
--- /dev/null
+++ b/pkg/concierge/place.go
@@ -0,0 +1,212 @@
+package concierge
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+	"carawayknot.example/carawayknot/pkg/settings"
+)
+
+const (
+	// MaxWait bounds the wait for room at an upstream, in milliseconds.
+	MaxWait clock.Millis = 1000
+	// waitCheck is the period in which a waiting request looks at a newer snapshot, in milliseconds.
+	waitCheck clock.Millis = 100
+)
+
+// Place is the filter that chooses the upstream of each attempt.
+type Place struct {
+	settings.Common
+	Snapshot func() *catalogue.Snapshot
+	Flights  *Flights
+	Budget   *RetryBudget
+	Queue    *Queue
+	// Prefixes may be nil.
+	Prefixes *Prefixes
+
+	index atomic.Pointer[Index]
+}
+
+// Filter sends the call to one upstream after another until one answers or it may not be sent again.
+func (f *Place) Filter(ctx context.Context, c *enquiry.Call, next enquiry.Handler) error {
+	f.Budget.Add()
+	shown := &shownWriter{Writer: c.Writer}
+	c.Writer = shown
+	defer func() { c.Writer = shown.Writer }()
+	for {
+		u, refusal := f.acquire(ctx, c)
+		if refusal != nil {
+			return refusal
+		}
+		err := f.send(ctx, c, u, next)
+		if err == nil || shown.shown || !MayRetry(err, c.Request.Repeatable) {
+			return err
+		}
+		c.Excluded = append(c.Excluded, u.Name)
+		if !f.hasOther(c) || !f.Budget.Take() {
+			return err
+		}
+	}
+}
+
+func (f *Place) send(ctx context.Context, c *enquiry.Call, u *catalogue.Upstream, next enquiry.Handler) error {
+	defer f.Flights.Release(u.Name)
+	c.Upstream = u
+	return next.Handle(ctx, c)
+}
+
+// MayRetry tells whether an attempt that ended with err may be followed by another one.
+func MayRetry(err error, repeatable bool) bool {
+	var r *enquiry.Refusal
+	if !errors.As(err, &r) {
+		return false
+	}
+	switch r.Reason {
+	case enquiry.ReasonUpstreamRefused, enquiry.ReasonUpstreamFailed, enquiry.ReasonNoUpstream,
+		enquiry.ReasonAnswerIncomplete, enquiry.ReasonAnswerMismatch, enquiry.ReasonForbidden:
+	default:
+		return false
+	}
+	return r.Outcome == enquiry.NotRun || (r.Outcome == enquiry.MayHaveRun && repeatable)
+}
+
+// acquire takes room at an upstream, waiting for a short time when all shares are taken.
+func (f *Place) acquire(ctx context.Context, c *enquiry.Call) (*catalogue.Upstream, *enquiry.Refusal) {
+	start := f.Clock.Now()
+	until := WaitUntil(start, c.Request.Deadline)
+	for {
+		now := f.Clock.Now()
+		x := f.current()
+		from := f.candidates(x, c)
+		if len(from) == 0 {
+			return nil, NoUpstream(c)
+		}
+		if u := Pick(f.query(c, x, now), from, f.Flights, prefixSet(f.Prefixes)); u != nil {
+			if f.Flights.Acquire(u.Name, u.Share) {
+				return u, nil
+			}
+			continue
+		}
+		if now >= until {
+			return nil, NoRoom(c, until-start)
+		}
+		if r := f.wait(ctx, c, min(waitCheck, until-now)); r != nil {
+			return nil, r
+		}
+	}
+}
+
+// wait returns when room may have come up or after d; it refuses when the queue is full or the caller is gone.
+func (f *Place) wait(ctx context.Context, c *enquiry.Call, d clock.Millis) *enquiry.Refusal {
+	ready := make(chan struct{})
+	t := &Ticket{Priority: callPriority(c), At: f.Clock.Now(), Ready: func() { close(ready) }}
+	if !f.Queue.Push(t) {
+		return NoRoom(c, MaxWait)
+	}
+	defer f.Queue.Drop(t)
+	timer, stop := f.Clock.Timer(d)
+	defer stop()
+	select {
+	case <-ready:
+	case <-timer:
+	case <-ctx.Done():
+		return enquiry.Refuse(enquiry.ReasonCallerGone, 0, "the caller left while the request waited for room")
+	}
+	return nil
+}
+
+func (f *Place) current() *Index {
+	s := f.Snapshot()
+	if x := f.index.Load(); x != nil && x.Snapshot == s {
+		return x
+	}
+	x := NewIndex(s)
+	f.index.Store(x)
+	return x
+}
+
+func (f *Place) candidates(x *Index, c *enquiry.Call) []*catalogue.Upstream {
+	if c.Service != nil {
+		return x.Services(c.Service.Name)
+	}
+	if c.Version == nil || x.Snapshot.PermitVersion(c.Request.Workspace, c.Version.ID) != nil {
+		return nil
+	}
+	return x.Versions(c.Version.ID)
+}
+
+func (f *Place) hasOther(c *enquiry.Call) bool {
+	q := &Query{Excluded: c.Excluded}
+	for _, u := range f.candidates(f.current(), c) {
+		if !q.excludes(u.Name) {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Place) query(c *enquiry.Call, x *Index, now clock.Millis) *Query {
+	return &Query{
+		Now:       now,
+		RequestID: c.Request.ID,
+		Attempt:   len(c.Excluded),
+		Zone:      f.Settings.Zone,
+		Members:   len(x.Snapshot.Members),
+		Prefix:    PrefixOf(c.Request),
+		Excluded:  c.Excluded,
+	}
+}
+
+// WaitUntil returns until when a request may wait for room: for a short time, and half its time at most.
+func WaitUntil(now, deadline clock.Millis) clock.Millis {
+	if deadline <= 0 {
+		return now + MaxWait
+	}
+	return now + min(MaxWait, (deadline-now)/2)
+}
+
+// NoRoom refuses a call because all shares of its upstreams are taken; waited is in milliseconds.
+func NoRoom(c *enquiry.Call, waited clock.Millis) *enquiry.Refusal {
+	wait := jitter(c.Request.ID, max(waited, minRetryAfter))
+	return enquiry.Refuse(enquiry.ReasonOverloaded, wait, "the upstreams have no room")
+}
+
+// NoUpstream refuses a call because nothing that may get new work serves it.
+func NoUpstream(c *enquiry.Call) *enquiry.Refusal {
+	wait := jitter(c.Request.ID, clock.Second)
+	return enquiry.Refuse(enquiry.ReasonNoUpstream, wait, "no upstream that may get new work serves this")
+}
+
+// shownWriter notes whether anything of an answer was passed on.
+type shownWriter struct {
+	enquiry.Writer
+	shown bool
+}
+
+// WriteHead passes the head on.
+func (w *shownWriter) WriteHead(ctx context.Context, c *enquiry.Call, h enquiry.Head) error {
+	w.shown = true
+	return w.Writer.WriteHead(ctx, c, h)
+}
+
+// WriteChunk passes the chunk on.
+func (w *shownWriter) WriteChunk(ctx context.Context, c *enquiry.Call, k enquiry.Chunk) error {
+	w.shown = true
+	return w.Writer.WriteChunk(ctx, c, k)
+}
+
+// WriteBytes passes the bytes on.
+func (w *shownWriter) WriteBytes(ctx context.Context, c *enquiry.Call, b []byte) error {
+	w.shown = true
+	return w.Writer.WriteBytes(ctx, c, b)
+}
+
+// WriteEnd passes the end on.
+func (w *shownWriter) WriteEnd(ctx context.Context, c *enquiry.Call, e enquiry.End) error {
+	w.shown = true
+	return w.Writer.WriteEnd(ctx, c, e)
+}
--- /dev/null
+++ b/pkg/enquiry/fraction.go
@@ -0,0 +1,18 @@
+package enquiry
+
+import "github.com/cespare/xxhash/v2"
+
+// Fraction maps a key to a number from 0 up to 1 that looks random but is the same everywhere; salt keeps uses apart.
+func Fraction(salt, key string) float64 {
+	return float64(HashKey(salt, key)>>11) / (1 << 53)
+}
+
+// HashKey returns the hash of a key; salt keeps uses apart.
+func HashKey(salt, key string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(salt)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(key)
+	return d.Sum64()
+}
--- /dev/null
+++ b/pkg/tariff/choose.go
@@ -0,0 +1,156 @@
+package tariff
+
+import (
+	"context"
+	"errors"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+	"carawayknot.example/carawayknot/pkg/platform"
+	"carawayknot.example/carawayknot/pkg/settings"
+)
+
+// PinHeader is the response header that carries the signed session pin.
+const PinHeader = "Carawayknot-Pin"
+
+// charactersPerToken estimates the tokens of a prompt from its bytes.
+const charactersPerToken = 4
+
+// Pins keeps the versions of sessions.
+type Pins interface {
+	// Pinned returns the version that the call's session keeps.
+	Pinned(ctx context.Context, c *enquiry.Call) (catalogue.VersionID, bool)
+	// Pin pins the call's session to the version and returns the signed pin for the caller.
+	Pin(ctx context.Context, c *enquiry.Call, id catalogue.VersionID) string
+}
+
+// Rater gives a verdict on an answer at once.
+type Rater interface {
+	Rate(ctx context.Context, r platform.RateRequest) (float64, error)
+}
+
+// Choose is the filter that chooses the version of a chat completion, and runs cascades.
+type Choose struct {
+	settings.Common
+	Snapshot func() *catalogue.Snapshot
+	Pins     Pins
+	Rater    Rater
+	// Rated, if set, is told each verdict on a cascade's answer.
+	Rated func(platform.Rating)
+}
+
+// Filter sets the version of the call and passes it on, once a step of the plan.
+func (f *Choose) Filter(ctx context.Context, c *enquiry.Call, next enquiry.Handler) error {
+	if c.Service != nil || c.Profile == nil {
+		return next.Handle(ctx, c)
+	}
+	choice, refusal := Pick(f.query(ctx, c))
+	if refusal != nil {
+		return refusal
+	}
+	if choice.Repin {
+		pin := f.Pins.Pin(ctx, c, choice.Plan.Steps[0].Version.ID)
+		c.Writer = &pinWriter{Writer: c.Writer, pin: pin}
+	}
+	for _, step := range choice.Plan.Steps[:len(choice.Plan.Steps)-1] {
+		if done, err := f.try(ctx, c, step, next); done {
+			return err
+		}
+	}
+	c.Version = choice.Plan.Steps[len(choice.Plan.Steps)-1].Version
+	return next.Handle(ctx, c)
+}
+
+func (f *Choose) query(ctx context.Context, c *enquiry.Call) *Query {
+	s := f.Snapshot()
+	q := &Query{
+		Snapshot:    s,
+		Now:         f.Clock.Now(),
+		Request:     c.Request,
+		Profile:     c.Profile,
+		Serves:      func(id catalogue.VersionID) bool { return serves(s, id) },
+		InputTokens: inputTokens(c.Request),
+	}
+	if c.Request.Session != "" {
+		if id, ok := f.Pins.Pinned(ctx, c); ok {
+			q.Pinned = id
+		}
+	}
+	return q
+}
+
+// try runs a step whose answer is held back until it is rated; it is done when the answer was good enough
+// or when nothing more may be tried.
+func (f *Choose) try(ctx context.Context, c *enquiry.Call, step Step, next enquiry.Handler) (done bool, err error) {
+	held := &holdWriter{Limit: f.Settings.Limits.RequestBytes}
+	w := c.Writer
+	c.Writer, c.Version = held, step.Version
+	err = next.Handle(ctx, c)
+	c.Writer = w
+	if ctx.Err() != nil {
+		return true, err
+	}
+	if err != nil || !held.complete() {
+		return isFinal(err), err
+	}
+	score, err := f.rate(ctx, c, step, held)
+	if err != nil || score < step.Threshold {
+		return false, nil
+	}
+	return true, held.passOn(ctx, c)
+}
+
+// isFinal tells whether an error of one step holds for the steps after it as well.
+func isFinal(err error) bool {
+	var r *enquiry.Refusal
+	if !errors.As(err, &r) {
+		return false
+	}
+	switch r.Reason {
+	case enquiry.ReasonDeadline, enquiry.ReasonCallerGone, enquiry.ReasonStaleView, enquiry.ReasonDraining:
+		return true
+	}
+	return false
+}
+
+func (f *Choose) rate(ctx context.Context, c *enquiry.Call, step Step, held *holdWriter) (float64, error) {
+	score, err := f.Rater.Rate(ctx, platform.RateRequest{
+		RequestID: c.Request.ID,
+		Version:   step.Version.ID,
+		Task:      c.Profile.Task,
+		Prompt:    prompt(c.Request),
+		Answer:    held.text(),
+	})
+	if err != nil {
+		f.Log.V(1).Info("The answer was not rated, the next version is asked.", "request", c.Request.ID, "error", err.Error())
+		return 0, err
+	}
+	if f.Rated != nil {
+		f.Rated(platform.Rating{RequestID: c.Request.ID, Version: step.Version.ID, Task: c.Profile.Task, Score: score})
+	}
+	return score, nil
+}
+
+func serves(s *catalogue.Snapshot, id catalogue.VersionID) bool {
+	for _, u := range s.Upstreams {
+		if u.Serves(id) && s.PermitListed(u) == nil {
+			return true
+		}
+	}
+	return false
+}
+
+func inputTokens(r *enquiry.Request) float64 {
+	n := 0
+	for i := range r.Messages {
+		n += len(r.Messages[i].Content)
+	}
+	return float64(n) / charactersPerToken
+}
+
+func prompt(r *enquiry.Request) string {
+	if len(r.Messages) == 0 {
+		return ""
+	}
+	return r.Messages[len(r.Messages)-1].Content
+}
--- /dev/null
+++ b/pkg/tariff/hold.go
@@ -0,0 +1,96 @@
+package tariff
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"carawayknot.example/carawayknot/pkg/enquiry"
+)
+
+// heldTooLongError says that a held answer outgrew the bytes allowed for it.
+type heldTooLongError struct {
+	limit int64
+}
+
+// Error says what was outgrown.
+func (e *heldTooLongError) Error() string { return "the held answer is too long" }
+
+// holdWriter holds an answer back until it is rated.
+type holdWriter struct {
+	// Limit bounds the bytes held.
+	Limit int64
+
+	head   *enquiry.Head
+	chunks []enquiry.Chunk
+	end    *enquiry.End
+	size   int64
+}
+
+// WriteHead holds the head.
+func (w *holdWriter) WriteHead(_ context.Context, _ *enquiry.Call, h enquiry.Head) error {
+	w.head = &h
+	return nil
+}
+
+// WriteChunk holds the chunk, unless too much is held already.
+func (w *holdWriter) WriteChunk(_ context.Context, _ *enquiry.Call, k enquiry.Chunk) error {
+	if w.size += int64(len(k.Text)); w.size > w.Limit {
+		return &heldTooLongError{limit: w.Limit}
+	}
+	w.chunks = append(w.chunks, k)
+	return nil
+}
+
+// WriteBytes holds the bytes as a chunk.
+func (w *holdWriter) WriteBytes(ctx context.Context, c *enquiry.Call, b []byte) error {
+	return w.WriteChunk(ctx, c, enquiry.Chunk{Text: string(b)})
+}
+
+// WriteEnd holds the end.
+func (w *holdWriter) WriteEnd(_ context.Context, _ *enquiry.Call, e enquiry.End) error {
+	w.end = &e
+	return nil
+}
+
+func (w *holdWriter) complete() bool { return w.head != nil && w.end != nil }
+
+func (w *holdWriter) text() string {
+	var b strings.Builder
+	for i := range w.chunks {
+		b.WriteString(w.chunks[i].Text)
+	}
+	return b.String()
+}
+
+// passOn writes the held answer to the call's writer.
+func (w *holdWriter) passOn(ctx context.Context, c *enquiry.Call) error {
+	if err := c.Writer.WriteHead(ctx, c, *w.head); err != nil {
+		return err
+	}
+	for _, k := range w.chunks {
+		if err := c.Writer.WriteChunk(ctx, c, k); err != nil {
+			return err
+		}
+	}
+	return c.Writer.WriteEnd(ctx, c, *w.end)
+}
+
+// pinWriter puts the session pin into the head of the answer.
+type pinWriter struct {
+	enquiry.Writer
+	pin string
+}
+
+// WriteHead adds the pin and passes the head on.
+func (w *pinWriter) WriteHead(ctx context.Context, c *enquiry.Call, h enquiry.Head) error {
+	if w.pin == "" {
+		return w.Writer.WriteHead(ctx, c, h)
+	}
+	h.Header = h.Header.Clone()
+	if h.Header == nil {
+		h.Header = http.Header{}
+	}
+	h.Header.Set(PinHeader, w.pin)
+	return w.Writer.WriteHead(ctx, c, h)
+}
--- /dev/null
+++ b/pkg/tasting/detect.go
@@ -0,0 +1,156 @@
+package tasting
+
+import (
+	"fmt"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+)
+
+// observe adds d to the health and, unless it is history, to the tests.
+func (b *Book) observe(k catalogue.HealthKey, d *Counter, test bool) {
+	e := b.entry(k)
+	e.recent.take(d)
+	if now := b.versionRevision(k.Version); now != e.revision {
+		e.restart(now)
+	}
+	if test {
+		b.test(k, e, d)
+	}
+	e.learn(d)
+}
+
+// restart begins the tests anew for a version that operators have put again.
+func (e *entry) restart(now catalogue.Revision) {
+	e.revision = now
+	e.score, e.failures, e.slow = scoreTest{}, shareTest{}, shareTest{}
+	e.pending = recent{}
+}
+
+func (b *Book) test(k catalogue.HealthKey, e *entry, d *Counter) {
+	if expected, known := b.expected(k, e); known && d.Rated > 0 {
+		e.score.take(d.Rated, d.ScoreSum, expected)
+		if e.score.level() >= alarmLevel {
+			b.suspect(k, e, fmt.Sprintf("ratings: mean %.2f of the last %d, expected %.2f",
+				e.score.total/float64(e.score.n), e.score.n, expected))
+		}
+	}
+	others := b.others(k)
+	if n := d.Answers + d.Failures; n > 0 {
+		e.failures.take(n, d.Failures, others.failureShare())
+		if e.failures.sum >= alarmLevel {
+			b.suspect(k, e, fmt.Sprintf("failures: %d of the last %d attempts, other versions %.1f%%",
+				e.failures.bad, e.failures.n, 100*others.failureShare()))
+		}
+	}
+	if d.Answers > 0 {
+		e.slow.take(d.Answers, d.Slow, others.slowShare())
+		if e.slow.sum >= alarmLevel {
+			b.suspect(k, e, fmt.Sprintf("latency: %d of the last %d answers over %.0f times the usual %.1f ms between tokens",
+				e.slow.bad, e.slow.n, slowFactor, e.usual.tokenTime()))
+		}
+	}
+}
+
+// expected returns the mean rating that the version must keep up: its own usual one, or for the new version
+// of a roll-out the lower of the old version's and of the operator's estimate.
+func (b *Book) expected(k catalogue.HealthKey, e *entry) (float64, bool) {
+	cfg := b.config()
+	if cfg == nil {
+		return e.expectedOwn()
+	}
+	r := cfg.Rollouts[k.Version.Model()]
+	if r == nil || r.To != k.Version || r.From == r.To {
+		return e.expectedOwn()
+	}
+	stated, isStated := 0.0, false
+	if v := cfg.Versions[k.Version]; v != nil {
+		stated, isStated = v.Quality[k.Task]
+	}
+	if old := b.entries[catalogue.HealthKey{Version: r.From, Task: k.Task}]; old != nil {
+		if mean, known := old.expectedOwn(); known {
+			if isStated {
+				mean = min(mean, stated)
+			}
+			return mean, true
+		}
+	}
+	if isStated {
+		return stated, true
+	}
+	return e.expectedOwn()
+}
+
+func (e *entry) expectedOwn() (float64, bool) {
+	return e.usual.mean(), e.usual.rated >= learnRatings
+}
+
+// learn moves what came in while the tests were quiet into what is usual.
+func (e *entry) learn(d *Counter) {
+	e.pending.take(d)
+	if e.score.level() > quietLevel || e.failures.sum > quietLevel || e.slow.sum > quietLevel {
+		return
+	}
+	e.usual.add(&e.pending)
+	e.pending = recent{}
+}
+
+func (e *entry) isSlow(d *Counter) bool {
+	if e.usual.answers < learnAnswers || d.Tokens == 0 {
+		return false
+	}
+	return float64(d.Generation)/float64(d.Tokens) > slowFactor*e.usual.tokenTime()
+}
+
+// others adds up what is known of the other versions, so that a fault of the upstreams is not put down to one version.
+func (b *Book) others(k catalogue.HealthKey) *recent {
+	var sum recent
+	for other, e := range b.entries {
+		if other.Version != k.Version {
+			sum.answers += e.recent.answers
+			sum.failures += e.recent.failures
+			sum.slow += e.recent.slow
+		}
+	}
+	return &sum
+}
+
+func (b *Book) suspect(k catalogue.HealthKey, e *entry, evidence string) {
+	if b.isSuspect(k, e) {
+		return
+	}
+	e.suspect, e.suspected, e.evidence = true, e.revision, evidence
+	if c := b.own[k]; c != nil {
+		c.Suspected, c.Evidence = e.revision+1, evidence
+	}
+}
+
+// believe takes over the finding of another instance.
+func (b *Book) believe(c *Counter) {
+	if c.Suspected == 0 {
+		return
+	}
+	e := b.entry(c.key())
+	if found := c.Suspected - 1; !e.suspect || found > e.suspected {
+		e.suspect, e.suspected, e.evidence = true, found, c.Evidence
+	}
+}
+
+// isSuspect tells whether the finding is about the version as operators have last put it.
+func (b *Book) isSuspect(k catalogue.HealthKey, e *entry) bool {
+	return e.suspect && e.suspected >= b.versionRevision(k.Version)
+}
+
+func (b *Book) versionRevision(id catalogue.VersionID) catalogue.Revision {
+	cfg := b.config()
+	if cfg == nil {
+		return 0
+	}
+	return cfg.ObjectRevision(catalogue.ObjectKey{Kind: catalogue.KindVersion, Name: string(id)})
+}
+
+func (b *Book) config() *catalogue.State {
+	if b.Config == nil {
+		return nil
+	}
+	return b.Config()
+}
