--- a/pkg/concierge/place.go
+++ b/pkg/concierge/place.go
@@ -27,6 +27,8 @@
 	Queue    *Queue
 	// Prefixes may be nil.
 	Prefixes *Prefixes
+	// Waiter makes the waits for room; nil means on Clock.
+	Waiter Waiter
 
 	index atomic.Pointer[Index]
 }
@@ -102,23 +104,25 @@
 
 // wait returns when room may have come up or after d; it refuses when the queue is full or the caller is gone.
 func (f *Place) wait(ctx context.Context, c *enquiry.Call, d clock.Millis) *enquiry.Refusal {
-	ready := make(chan struct{})
-	t := &Ticket{Priority: callPriority(c), At: f.Clock.Now(), Ready: func() { close(ready) }}
+	ready, wait := f.waiter().Wait(ctx)
+	t := &Ticket{Priority: callPriority(c), At: f.Clock.Now(), Ready: ready}
 	if !f.Queue.Push(t) {
 		return NoRoom(c, MaxWait)
 	}
 	defer f.Queue.Drop(t)
-	timer, stop := f.Clock.Timer(d)
-	defer stop()
-	select {
-	case <-ready:
-	case <-timer:
-	case <-ctx.Done():
+	if err := wait(d); err != nil {
 		return enquiry.Refuse(enquiry.ReasonCallerGone, 0, "the caller left while the request waited for room")
 	}
 	return nil
 }
 
+func (f *Place) waiter() Waiter {
+	if f.Waiter != nil {
+		return f.Waiter
+	}
+	return ClockWaiter{Clock: f.Clock}
+}
+
 func (f *Place) current() *Index {
 	s := f.Snapshot()
 	if x := f.index.Load(); x != nil && x.Snapshot == s {
