--- /dev/null
+++ b/pkg/platform/clients.go
@@ -0,0 +1,75 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+)
+
+// List is the HTTP client of the list of instances; it is safe for concurrent use.
+type List struct {
+	// BaseURL has no slash at its end.
+	BaseURL string
+	// HTTP is optional.
+	HTTP *http.Client
+}
+
+// Instances returns the list, which lags; its errors are *UnavailableError, *ReplyError and *StatusError.
+func (l *List) Instances(ctx context.Context) (Listing, error) {
+	c := &call{service: "list", client: l.HTTP, method: http.MethodGet, url: l.BaseURL + "/instances"}
+	var out Listing
+	err := c.decode(ctx, http.StatusOK, &out)
+	return out, err
+}
+
+// Ratings is the HTTP client of the service that rates answers; it is safe for concurrent use.
+type Ratings struct {
+	// BaseURL has no slash at its end.
+	BaseURL string
+	// HTTP is optional.
+	HTTP *http.Client
+}
+
+const ratingService = "ratings"
+
+// Ratings returns at most limit ratings from a position on; its errors are *UnavailableError, *ReplyError and *StatusError.
+func (r *Ratings) Ratings(ctx context.Context, from int64, limit int) (RatingBatch, error) {
+	query := url.Values{"from": {strconv.FormatInt(from, 10)}, "max": {strconv.Itoa(limit)}}
+	c := &call{service: ratingService, client: r.HTTP, method: http.MethodGet, url: r.BaseURL + "/ratings?" + query.Encode()}
+	var out RatingBatch
+	err := c.decode(ctx, http.StatusOK, &out)
+	return out, err
+}
+
+// Rate returns the score of one answer, from 0 to 1; its errors are *UnavailableError and *StatusError.
+func (r *Ratings) Rate(ctx context.Context, in RateRequest) (float64, error) {
+	c := &call{service: ratingService, client: r.HTTP, method: http.MethodPost, url: r.BaseURL + "/rate", in: in}
+	var out RateReply
+	err := c.decode(ctx, http.StatusOK, &out)
+	return out.Score, err
+}
+
+// Weights is the HTTP client of the weight store; it is safe for concurrent use.
+type Weights struct {
+	// BaseURL has no slash at its end.
+	BaseURL string
+	// HTTP is optional.
+	HTTP *http.Client
+}
+
+// Fetch asks the store for the weights of a version; over the rate of the store its error matches *LimitedError.
+func (w *Weights) Fetch(ctx context.Context, version catalogue.VersionID) error {
+	in := struct{ Version catalogue.VersionID }{version}
+	c := &call{service: "weights", client: w.HTTP, method: http.MethodPost, url: w.BaseURL + "/fetches", in: in}
+	rep, err := c.do(ctx)
+	if err != nil {
+		return err
+	}
+	if rep.status != http.StatusAccepted {
+		return c.unexpected(rep)
+	}
+	return nil
+}
