--- a/pkg/platform/log.go
+++ b/pkg/platform/log.go
@@ -39,6 +39,8 @@
 	Stream string
 	From   int64
 	Oldest int64
+	// End is the offset that the next append will get.
+	End int64
 }
 
 // Error tells the offsets.
--- a/pkg/platform/loghttp.go
+++ b/pkg/platform/loghttp.go
@@ -68,7 +68,7 @@
 	}
 	switch rep.status {
 	case http.StatusGone:
-		return Batch{}, &TrimmedError{Stream: stream, From: from, Oldest: b.Oldest}
+		return Batch{}, &TrimmedError{Stream: stream, From: from, Oldest: b.Oldest, End: b.End}
 	case http.StatusConflict:
 		return Batch{}, &AheadError{Stream: stream, From: from, Oldest: b.Oldest, End: b.End}
 	}
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -10,6 +10,7 @@
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/platform"
+	"carawayknot.example/carawayknot/pkg/platform/fake"
 )
 
 // EngineFaults are the properties and switches of an engine.
@@ -65,15 +66,14 @@
 type Engine struct {
 	Switches Switches[EngineFaults, *EngineFaults]
 	// OnAnswer is optional; it is told of each complete answer.
-	OnAnswer func(Answer)
+	OnAnswer func(fake.Answer)
 
 	mu        sync.Mutex
 	coldSince clock.Millis
 	jobs      map[string]*job
 	stats     EngineStats
 	starts    []Start
-	fence     int64
-	orders    []platform.Order
+	orders    fake.OrderBook
 	events    []platform.CacheEvent
 	report    platform.LoadReport
 	reportAt  clock.Millis
--- a/pkg/standin/enginecontrol.go
+++ b/pkg/standin/enginecontrol.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
@@ -101,12 +102,12 @@
 }
 
 func (e *Engine) getOrders(w http.ResponseWriter, _ *http.Request) {
-	e.mu.Lock()
-	orders := slices.Clone(e.orders)
-	e.mu.Unlock()
-	writeJSON(w, http.StatusOK, orders)
+	writeJSON(w, http.StatusOK, e.Orders())
 }
 
+// Orders returns the orders that the engine took, each once.
+func (e *Engine) Orders() []platform.Order { return e.orders.Orders() }
+
 func (e *Engine) becomeCold(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -169,24 +170,22 @@
 	if !readJSON(w, r, &o) {
 		return
 	}
-	f := e.Switches.Get()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if o.Fence < e.fence && !f.IgnoreFence {
-		writeJSON(w, http.StatusConflict, struct{ Newest int64 }{e.fence})
+	added, err := e.orders.Take(o, e.Switches.Get().IgnoreFence)
+	var fenced *platform.FencedError
+	if errors.As(err, &fenced) {
+		writeJSON(w, http.StatusConflict, struct{ Newest int64 }{fenced.Newest})
 		return
 	}
-	e.fence = max(e.fence, o.Fence)
-	known := slices.ContainsFunc(e.orders, func(old platform.Order) bool { return old.ID == o.ID })
-	if !known {
-		e.orders = append(e.orders, o)
+	if added {
 		e.obey(o)
 	}
 	w.WriteHeader(http.StatusAccepted)
 }
 
-// obey carries out an order; e.mu is held.
+// obey carries out an order.
 func (e *Engine) obey(o platform.Order) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	switch o.Kind {
 	case platform.OrderLoad:
 		e.coldSince = realClock.Now()
--- a/pkg/standin/faults.go
+++ b/pkg/standin/faults.go
@@ -30,6 +30,9 @@
 
 // Switches holds the faults of one stand-in, which may be changed while it serves.
 type Switches[F any, P faults[F]] struct {
+	// OnChange is optional; it is told of the faults after a change.
+	OnChange func(F)
+
 	mu  sync.Mutex
 	now F
 }
@@ -45,7 +48,15 @@
 func (s *Switches[F, P]) Update(change func(*F)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.set(change)
+}
+
+// set changes the faults; s.mu is held.
+func (s *Switches[F, P]) set(change func(*F)) {
 	change(&s.now)
+	if s.OnChange != nil {
+		s.OnChange(s.now)
+	}
 }
 
 // take lowers a counter of the faults and tells whether it was above 0.
@@ -93,7 +104,7 @@
 	if err := json.Unmarshal(raw, &next); err != nil {
 		return err
 	}
-	s.now = next
+	s.set(func(now *F) { *now = next })
 	return nil
 }
 
--- a/pkg/standin/job.go
+++ b/pkg/standin/job.go
@@ -12,6 +12,7 @@
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/platform/fake"
 )
 
 const (
@@ -219,7 +220,7 @@
 	if last {
 		e.release(j, true)
 		if e.OnAnswer != nil {
-			e.OnAnswer(Answer{RequestID: j.id, Version: j.version})
+			e.OnAnswer(fake.Answer{RequestID: j.id, Version: j.version})
 		}
 	}
 	event := "data: " + string(j.event(i, f.Crossed)) + "\n\n"
--- a/pkg/standin/list.go
+++ b/pkg/standin/list.go
@@ -1,14 +1,11 @@
 package standin
 
 import (
-	"maps"
 	"net/http"
-	"slices"
-	"strings"
-	"sync"
 
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/platform"
+	"carawayknot.example/carawayknot/pkg/platform/fake"
 )
 
 // ListFaults are the switches of the list.
@@ -20,17 +17,25 @@
 	Freeze bool
 }
 
-// List is a stand-in for the list of instances.
+// List serves a fake of the list by HTTP.
 type List struct {
 	Switches Switches[ListFaults, *ListFaults]
 
-	mu sync.Mutex
-	// listings are the states of the list, oldest first; all but the newest may be dropped once they are stale.
-	listings []platform.Listing
-	frozen   *platform.Listing
+	store fake.List
 }
 
-// Handler returns the protocol of the list and the control path /faults.
+// NewList returns an empty list.
+func NewList() *List {
+	l := &List{store: fake.List{Clock: realClock}}
+	l.Switches.OnChange = func(f ListFaults) {
+		l.store.SetLag(f.StaleMillis)
+		l.store.Freeze(f.Freeze)
+	}
+	return l
+}
+
+// Handler returns the protocol of the list, and the control paths /faults, PUT /instances/{name} and
+// DELETE /instances/{name}.
 func (l *List) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/faults", &l.Switches)
@@ -40,65 +45,19 @@
 	return mux
 }
 
-func (l *List) get(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, l.shown())
-}
-
-// shown returns the list as it is shown now.
-func (l *List) shown() platform.Listing {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.shownLocked()
-}
-
-func (l *List) shownLocked() platform.Listing {
-	f := l.Switches.Get()
-	if !f.Freeze {
-		l.frozen = nil
-	}
-	if l.frozen != nil {
-		return *l.frozen
-	}
-	asOf := realClock.Wall() - f.StaleMillis
-	for len(l.listings) > 1 && l.listings[1].AsOf <= asOf {
-		l.listings = l.listings[1:]
-	}
-	shown := platform.Listing{AsOf: asOf}
-	if len(l.listings) > 0 && l.listings[0].AsOf <= asOf {
-		shown.Instances = l.listings[0].Instances
-	}
-	if f.Freeze {
-		l.frozen = &shown
-	}
-	return shown
-}
-
-// change adds a state to the list.
-func (l *List) change(edit func(map[string]platform.Instance)) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.shownLocked()
-	byName := map[string]platform.Instance{}
-	if n := len(l.listings); n > 0 {
-		for _, in := range l.listings[n-1].Instances {
-			byName[in.Name] = in
-		}
-	}
-	edit(byName)
-	instances := slices.SortedFunc(maps.Values(byName), func(a, b platform.Instance) int {
-		return strings.Compare(a.Name, b.Name)
-	})
-	l.listings = append(l.listings, platform.Listing{AsOf: realClock.Wall(), Instances: instances})
-}
-
 // Put adds or replaces an instance.
-func (l *List) Put(in platform.Instance) {
-	l.change(func(byName map[string]platform.Instance) { byName[in.Name] = in })
-}
+func (l *List) Put(in platform.Instance) { l.store.Put(in) }
 
 // Remove drops an instance.
-func (l *List) Remove(name string) {
-	l.change(func(byName map[string]platform.Instance) { delete(byName, name) })
+func (l *List) Remove(name string) { l.store.Remove(name) }
+
+func (l *List) get(w http.ResponseWriter, r *http.Request) {
+	listing, err := l.store.Instances(r.Context())
+	if err != nil {
+		refuse(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, listing)
 }
 
 func (l *List) put(w http.ResponseWriter, r *http.Request) {
--- a/pkg/standin/log.go
+++ b/pkg/standin/log.go
@@ -1,14 +1,15 @@
 package standin
 
 import (
-	"context"
 	"net/http"
 	"sync"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/platform"
+	"carawayknot.example/carawayknot/pkg/platform/fake"
 )
 
 // LogFaults are the switches of the log.
@@ -20,34 +21,17 @@
 	AppendsPerSecond float64
 }
 
-// Log is a stand-in for the log service.
+// Log serves a fake of the log by HTTP.
 type Log struct {
 	Switches Switches[LogFaults, *LogFaults]
 
+	store   fake.Log
 	mu      sync.Mutex
-	streams map[string]*stream
 	limiter *rate.Limiter
 }
 
-// stream is one stream of the log; grown is closed at the next append.
-type stream struct {
-	oldest  int64
-	entries []platform.Entry
-	grown   chan struct{}
-}
-
-func (s *stream) end() int64 { return s.oldest + int64(len(s.entries)) }
-
-func (s *stream) trim(before int64) {
-	if n := min(before, s.end()) - s.oldest; n > 0 {
-		s.entries, s.oldest = s.entries[n:], s.oldest+n
-	}
-}
-
-func (s *stream) wake() {
-	close(s.grown)
-	s.grown = make(chan struct{})
-}
+// NewLog returns an empty log.
+func NewLog() *Log { return &Log{store: fake.Log{Clock: realClock}} }
 
 // Handler returns the protocol of the log, and the control paths /faults, POST /streams/{stream}/trim?before=n and
 // POST /streams/{stream}/truncate?end=n, which drop the head or the tail of a stream.
@@ -61,51 +45,33 @@
 	return mux
 }
 
-// stream returns the stream of that name; l.mu is held.
-func (l *Log) stream(name string) *stream {
-	if l.streams == nil {
-		l.streams = map[string]*stream{}
-	}
-	s := l.streams[name]
-	if s == nil {
-		s = &stream{grown: make(chan struct{})}
-		l.streams[name] = s
-	}
-	return s
-}
-
 func (l *Log) append(w http.ResponseWriter, r *http.Request) {
 	var in platform.AppendRequest
 	if !readJSON(w, r, &in) {
 		return
 	}
-	if !l.allow() {
+	f := l.Switches.Get()
+	if !l.allow(f.AppendsPerSecond) {
 		refuse(w, http.StatusTooManyRequests, "over the rate of appends")
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.stream(r.PathValue("stream"))
-	first := s.end()
-	for i, data := range in.Records {
-		s.entries = append(s.entries, platform.Entry{Offset: first + int64(i), At: realClock.Wall(), Data: data})
-	}
-	if keep := l.Switches.Get().RetainRecords; keep > 0 {
-		s.trim(s.end() - int64(keep))
+	l.store.Retain(f.RetainRecords)
+	first, err := l.store.Append(r.Context(), r.PathValue("stream"), in.Records)
+	if err != nil {
+		refuse(w, http.StatusServiceUnavailable, err.Error())
+		return
 	}
-	s.wake()
 	writeJSON(w, http.StatusOK, platform.AppendReply{First: first})
 }
 
-func (l *Log) allow() bool {
-	limit := l.Switches.Get().AppendsPerSecond
-	if limit <= 0 {
+func (l *Log) allow(perSecond float64) bool {
+	if perSecond <= 0 {
 		return true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.limiter == nil || l.limiter.Limit() != rate.Limit(limit) {
-		l.limiter = rate.NewLimiter(rate.Limit(limit), int(limit)+1)
+	if l.limiter == nil || l.limiter.Limit() != rate.Limit(perSecond) {
+		l.limiter = rate.NewLimiter(rate.Limit(perSecond), int(perSecond)+1)
 	}
 	return l.limiter.Allow()
 }
@@ -118,68 +84,31 @@
 )
 
 func (l *Log) read(w http.ResponseWriter, r *http.Request) {
-	name, from := r.PathValue("stream"), number(r, "from", 0)
-	limit := max(1, number(r, "max", defaultMax))
-	l.awaitEntry(r.Context(), name, from, min(maxWait, clock.Millis(number(r, "wait", 0))))
-	if l.Switches.Get().Down {
-		refuse(w, http.StatusServiceUnavailable, "down")
-		return
-	}
-	l.mu.Lock()
-	s := l.stream(name)
-	b := platform.Batch{Oldest: s.oldest, End: s.end()}
-	status := http.StatusOK
+	limit := int(max(1, number(r, "max", defaultMax)))
+	pause := min(maxWait, clock.Millis(number(r, "wait", 0)))
+	b, err := l.store.Read(r.Context(), r.PathValue("stream"), number(r, "from", 0), limit, pause)
+	var trimmed *platform.TrimmedError
+	var ahead *platform.AheadError
 	switch {
-	case from < b.Oldest:
-		status = http.StatusGone
-	case from > b.End:
-		status = http.StatusConflict
+	case l.Switches.Get().Down:
+		refuse(w, http.StatusServiceUnavailable, "down")
+	case errors.As(err, &trimmed):
+		writeJSON(w, http.StatusGone, platform.Batch{Oldest: trimmed.Oldest, End: trimmed.End})
+	case errors.As(err, &ahead):
+		writeJSON(w, http.StatusConflict, platform.Batch{Oldest: ahead.Oldest, End: ahead.End})
+	case err != nil:
+		refuse(w, http.StatusServiceUnavailable, err.Error())
 	default:
-		b.Entries = s.entries[from-b.Oldest:][:min(limit, b.End-from)]
-	}
-	l.mu.Unlock()
-	writeJSON(w, status, b)
-}
-
-// awaitEntry returns once the stream has something at the offset, or is not there yet, or after wait milliseconds.
-func (l *Log) awaitEntry(ctx context.Context, name string, from int64, wait clock.Millis) {
-	if wait <= 0 {
-		return
-	}
-	due, stop := realClock.Timer(wait)
-	defer stop()
-	for {
-		l.mu.Lock()
-		s := l.stream(name)
-		end, grown := s.end(), s.grown
-		l.mu.Unlock()
-		if from != end {
-			return
-		}
-		select {
-		case <-grown:
-		case <-due:
-			return
-		case <-ctx.Done():
-			return
-		}
+		writeJSON(w, http.StatusOK, b)
 	}
 }
 
 func (l *Log) trim(w http.ResponseWriter, r *http.Request) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.stream(r.PathValue("stream")).trim(number(r, "before", 0))
+	l.store.Trim(r.PathValue("stream"), number(r, "before", 0))
 	w.WriteHeader(http.StatusNoContent)
 }
 
 func (l *Log) truncate(w http.ResponseWriter, r *http.Request) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.stream(r.PathValue("stream"))
-	if keep := number(r, "end", 0) - s.oldest; keep >= 0 && keep < int64(len(s.entries)) {
-		s.entries = s.entries[:keep:keep]
-	}
-	s.wake()
+	l.store.Truncate(r.PathValue("stream"), number(r, "end", 0))
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/pkg/standin/new.go
+++ b/pkg/standin/new.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"carawayknot.example/carawayknot/pkg/platform/fake"
 )
 
 // reportTimeout bounds telling the ratings stand-in of an answer.
@@ -21,14 +23,13 @@
 func New(name, faults, ratingsURL string) (StandIn, error) {
 	switch name {
 	case "log":
-		s := &Log{}
+		s := NewLog()
 		return s, s.Switches.Apply([]byte(faults))
 	case "list":
-		s := &List{}
+		s := NewList()
 		return s, s.Switches.Apply([]byte(faults))
 	case "ratings":
-		s := &Ratings{}
-		s.Switches.Update(func(f *RatingsFaults) { f.DefaultMean, f.Share = 0.8, 1 })
+		s := NewRatings()
 		return s, s.Switches.Apply([]byte(faults))
 	case "weights":
 		s := &Weights{}
@@ -47,8 +48,8 @@
 }
 
 // reporter returns a function that tells the ratings stand-in of an answer, in a goroutine of its own.
-func reporter(baseURL string) func(Answer) {
-	return func(a Answer) {
+func reporter(baseURL string) func(fake.Answer) {
+	return func(a fake.Answer) {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 			defer cancel()
