--- a/pkg/standin/job.go
+++ b/pkg/standin/job.go
@@ -196,6 +196,7 @@
 		}
 		for ; i < ready; i++ {
 			if f.CutAfter > 0 && i >= f.CutAfter {
+				_ = control.Flush()
 				panic(http.ErrAbortHandler)
 			}
 			if e.sendToken(w, j, f, i) != nil {
--- /dev/null
+++ b/pkg/standin/service_test.go
@@ -0,0 +1,59 @@
+package standin
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestServiceBreaks(t *testing.T) {
+	type seen struct {
+		Status int
+		Whole  bool
+		Runs   int
+	}
+	cases := []struct {
+		name   string
+		faults ServiceFaults
+		want   seen
+	}{
+		{name: "none", want: seen{200, true, 1}},
+		{name: "before read", faults: ServiceFaults{Break: PlaceBeforeRead, Breaks: 1}},
+		{name: "after header", faults: ServiceFaults{Break: PlaceAfterHeader, Breaks: 1}},
+		{name: "after body", faults: ServiceFaults{Break: PlaceAfterBody, Breaks: 1}},
+		{name: "after run", faults: ServiceFaults{Break: PlaceAfterRun, Breaks: 1}, want: seen{0, false, 1}},
+		{name: "in answer", faults: ServiceFaults{Break: PlaceInAnswer, Breaks: 1}, want: seen{200, false, 1}},
+		{name: "refused", faults: ServiceFaults{Status: 503}, want: seen{503, true, 0}},
+		{name: "refused after the run", faults: ServiceFaults{Status: 503, RunRefused: true}, want: seen{503, true, 1}},
+		{name: "answer lost", faults: ServiceFaults{Faults: Faults{LoseAnswers: 1}}, want: seen{0, false, 1}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := &Service{}
+			s.Switches.Update(func(f *ServiceFaults) { *f = c.faults })
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			srv := &httptest.Server{Listener: s.Listener(ln), Config: &http.Server{Handler: s.Handler()}}
+			srv.Start()
+			defer srv.Close()
+			got := seen{}
+			resp, err := http.Post(srv.URL+"/book", "text/plain", strings.NewReader("table 4"))
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+				got.Status, got.Whole = resp.StatusCode, err == nil
+			}
+			got.Runs = len(s.Runs().Runs)
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("seen (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
