--- /dev/null
+++ b/pkg/proctest/config.go
@@ -0,0 +1,126 @@
+package proctest
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	"github.com/google/uuid"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+)
+
+// The versions of the base configuration; VersionLarge is better and dearer.
+const (
+	VersionOne   catalogue.VersionID = "leaf@1"
+	VersionTwo   catalogue.VersionID = "leaf@2"
+	VersionLarge catalogue.VersionID = "estate@3"
+)
+
+// Config is the configuration that a set begins with.
+type Config struct {
+	Workspaces []*catalogue.Workspace
+	Profiles   []*catalogue.Profile
+	Versions   []*catalogue.Version
+	Zones      []*catalogue.Zone
+	Upstreams  []*catalogue.UpstreamRule
+	Services   []*catalogue.Service
+}
+
+// Base returns the configuration that Configure applies: profile "reply" for short answers and "dossier" with a cascade.
+func (s *Set) Base() *Config {
+	digest := sha256.Sum256([]byte(WorkspaceKey))
+	cfg := &Config{
+		Workspaces: []*catalogue.Workspace{{
+			Name: Workspace, KeyDigest: hex.EncodeToString(digest[:]),
+			Profiles: []string{"reply", "dossier"}, Services: []string{ServiceName},
+			Versions: []catalogue.VersionID{VersionOne, VersionTwo, VersionLarge},
+		}},
+		Profiles: []*catalogue.Profile{
+			{Name: "reply", Task: "chat", Quality: 0.5, Deadline: 30 * clock.Second, Priority: 8},
+			{Name: "dossier", Task: "dossier", Quality: 0.7, Deadline: 30 * clock.Second, Priority: 3, Cascade: true},
+		},
+		Versions: []*catalogue.Version{
+			{ID: VersionOne, InputCost: 100_000, OutputCost: 400_000, Quality: map[string]float64{"chat": 0.8, "dossier": 0.5}},
+			{ID: VersionTwo, InputCost: 120_000, OutputCost: 500_000, Quality: map[string]float64{"chat": 0.8, "dossier": 0.5}},
+			{ID: VersionLarge, InputCost: 1_000_000, OutputCost: 4_000_000, Quality: map[string]float64{"chat": 0.95, "dossier": 0.95}},
+		},
+		Services: []*catalogue.Service{
+			{Name: ServiceName, RepeatableMethods: []string{http.MethodGet}, Priority: 10, Deadline: 30 * clock.Second},
+		},
+	}
+	for _, zone := range Zones {
+		cfg.Zones = append(cfg.Zones, &catalogue.Zone{Name: zone})
+	}
+	for _, u := range append(append([]Upstream{}, s.options.Engines...), s.options.Services...) {
+		cfg.Upstreams = append(cfg.Upstreams, &catalogue.UpstreamRule{Name: u.Name, ColdLimit: 2, WarmLimit: 32, RefusalIsNotRun: true})
+	}
+	return cfg
+}
+
+// Change returns one change that puts all objects whatever their revision is.
+func (c *Config) Change() *catalogue.Change {
+	ch := &catalogue.Change{ID: uuid.NewString(), Author: "test"}
+	for _, v := range c.Versions {
+		ch.Edits = append(ch.Edits, edit(catalogue.KindVersion, string(v.ID), v))
+	}
+	for _, v := range c.Profiles {
+		ch.Edits = append(ch.Edits, edit(catalogue.KindProfile, v.Name, v))
+	}
+	for _, v := range c.Services {
+		ch.Edits = append(ch.Edits, edit(catalogue.KindService, v.Name, v))
+	}
+	for _, v := range c.Zones {
+		ch.Edits = append(ch.Edits, edit(catalogue.KindZone, v.Name, v))
+	}
+	for _, v := range c.Upstreams {
+		ch.Edits = append(ch.Edits, edit(catalogue.KindUpstream, v.Name, v))
+	}
+	for _, v := range c.Workspaces {
+		ch.Edits = append(ch.Edits, edit(catalogue.KindWorkspace, v.Name, v))
+	}
+	return ch
+}
+
+// Put returns a change that puts one object whatever its revision is.
+func Put(kind catalogue.Kind, name string, object any) *catalogue.Change {
+	return &catalogue.Change{ID: uuid.NewString(), Author: "test", Edits: []catalogue.Edit{edit(kind, name, object)}}
+}
+
+func edit(kind catalogue.Kind, name string, object any) catalogue.Edit {
+	raw, err := json.Marshal(object)
+	if err != nil {
+		panic(err)
+	}
+	return catalogue.Edit{Kind: kind, Name: name, AnyBase: true, Object: raw}
+}
+
+// Configure applies the base configuration at the first daemon and waits until all daemons have it and serve.
+func (s *Set) Configure() {
+	s.T.Helper()
+	cfg := s.Base()
+	if s.options.Config != nil {
+		s.options.Config(cfg)
+	}
+	receipt := s.Daemons[0].MustApply(s.T, cfg.Change())
+	for _, d := range s.Daemons {
+		d.AwaitReady()
+		d.AwaitRevision(receipt.Revision)
+		d.AwaitUpstreams(len(s.Upstreams))
+	}
+}
+
+// MustApply applies a change and repeats it under the same id while the daemon is not yet able to.
+func (d *Daemon) MustApply(t testing.TB, ch *catalogue.Change) catalogue.Receipt {
+	t.Helper()
+	var receipt catalogue.Receipt
+	Eventually(t, readyTime, "change accepted by "+d.Settings.Name, func() bool {
+		status, got, err := d.Apply(ch)
+		receipt = got
+		return err == nil && (status == http.StatusOK || status == http.StatusAccepted)
+	})
+	return receipt
+}
