--- /dev/null
+++ b/pkg/caravan/freshness.go
@@ -0,0 +1,77 @@
+package caravan
+
+import (
+	"slices"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+)
+
+// Freshness proves by the answers of other members that no newer revision was known to a majority; it is used by one thread only.
+type Freshness struct {
+	// Self is the name of this instance.
+	Self string
+
+	heard   map[string]clock.Millis
+	highest catalogue.Revision
+	proved  clock.Millis
+}
+
+// Heard notes that a member held no revision above r at the monotonic time at or later.
+func (f *Freshness) Heard(member string, at clock.Millis, r catalogue.Revision) {
+	if f.heard == nil {
+		f.heard = map[string]clock.Millis{}
+	}
+	f.highest = max(f.highest, r)
+	f.heard[member] = max(f.heard[member], at)
+}
+
+// At returns the monotonic time at which the member is known to have held no revision above Highest; 0 means never.
+func (f *Freshness) At(member string) clock.Millis { return f.heard[member] }
+
+// Highest returns the highest revision that any member was heard to hold.
+func (f *Freshness) Highest() catalogue.Revision { return f.highest }
+
+// ProvedAt returns the monotonic time at which a majority of the members held no revision above own; 0 means never.
+// An instance that knows of no other member has no proof.
+func (f *Freshness) ProvedAt(members []catalogue.Member, own catalogue.Revision) clock.Millis {
+	if f.highest > own || len(members) < 2 {
+		return f.proved
+	}
+	times := make([]clock.Millis, 0, len(members))
+	for _, m := range members {
+		if m.Name != f.Self {
+			times = append(times, f.heard[m.Name])
+		}
+	}
+	slices.Sort(times)
+	// This instance and needed others make a majority.
+	needed := len(members) / 2
+	f.proved = max(f.proved, times[len(times)-needed])
+	return f.proved
+}
+
+// Retain forgets everyone but the members.
+func (f *Freshness) Retain(members []catalogue.Member) {
+	if len(f.heard) <= len(members) {
+		return
+	}
+	kept := make(map[string]clock.Millis, len(members))
+	for _, m := range members {
+		if at, known := f.heard[m.Name]; known {
+			kept[m.Name] = at
+		}
+	}
+	f.heard = kept
+}
+
+// count returns how many of the other members were heard at all.
+func (f *Freshness) count(members []catalogue.Member) int {
+	n := 0
+	for _, m := range members {
+		if m.Name != f.Self && f.heard[m.Name] > 0 {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/caravan/gossip.go
@@ -0,0 +1,177 @@
+package caravan
+
+import (
+	"bytes"
+	"encoding/binary"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+)
+
+const (
+	// deltaBytes bounds the data of one delta.
+	deltaBytes = 8 << 10
+	// itemOverhead is counted for each item beside its data, in bytes.
+	itemOverhead = 16
+)
+
+// Item is a datum that an instance, its origin, publishes to all others; each origin writes its own items only.
+type Item struct {
+	Origin      string
+	Incarnation int64
+	Topic       string
+	Key         string
+	Data        []byte
+}
+
+// Gossip keeps the items of all origins and finds out what another instance lacks; it is used by one thread only.
+type Gossip struct {
+	// Self is the origin of the items that are put here.
+	Self catalogue.Member
+
+	origins map[string]*origin
+	members []catalogue.Member
+	view    uint64
+	turn    int
+}
+
+// origin holds the items of one incarnation of an instance; head is the highest sequence number held.
+type origin struct {
+	name        string
+	incarnation int64
+	head        uint64
+	items       map[itemKey]*itemState
+}
+
+type itemKey struct{ topic, key string }
+
+type itemState struct {
+	seq  uint64
+	data []byte
+}
+
+// SetMembers sets the instances whose items are kept; members are sorted by name.
+func (g *Gossip) SetMembers(members []catalogue.Member) {
+	g.members = members
+	g.view = viewOf(members)
+	kept := make(map[string]*origin, len(members))
+	for _, m := range members {
+		if o := g.origins[m.Name]; o != nil {
+			kept[m.Name] = o
+		}
+	}
+	if o := g.origins[g.Self.Name]; o != nil {
+		kept[g.Self.Name] = o
+	}
+	g.origins = kept
+}
+
+// viewOf returns a hash of the names and incarnations, by which two instances notice that they see the same members.
+func viewOf(members []catalogue.Member) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, m := range members {
+		_, _ = d.WriteString(m.Name)
+		_, _ = d.Write(binary.LittleEndian.AppendUint64([]byte{0}, uint64(m.Incarnation)))
+	}
+	return d.Sum64()
+}
+
+// Put publishes an item of this instance; nil data withdraws it.
+func (g *Gossip) Put(topic, key string, data []byte) {
+	o := g.own()
+	k := itemKey{topic, key}
+	if s := o.items[k]; s != nil && bytes.Equal(s.data, data) {
+		return
+	}
+	o.head++
+	o.items[k] = &itemState{seq: o.head, data: slices.Clone(data)}
+}
+
+func (g *Gossip) own() *origin {
+	if g.origins == nil {
+		g.origins = map[string]*origin{}
+	}
+	o := g.origins[g.Self.Name]
+	if o == nil {
+		o = &origin{name: g.Self.Name, incarnation: g.Self.Incarnation, items: map[itemKey]*itemState{}}
+		g.origins[o.name] = o
+	}
+	return o
+}
+
+// Items returns the items of a topic, sorted by origin and key; their data must not be changed.
+func (g *Gossip) Items(topic string) []Item {
+	var out []Item
+	for _, o := range g.origins {
+		for k, s := range o.items {
+			if k.topic == topic && len(s.data) > 0 {
+				out = append(out, Item{Origin: o.name, Incarnation: o.incarnation, Topic: topic, Key: k.key, Data: s.data})
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b Item) int {
+		if c := strings.Compare(a.Origin, b.Origin); c != 0 {
+			return c
+		}
+		return strings.Compare(a.Key, b.Key)
+	})
+	return out
+}
+
+// Item returns the data of one item of the member's present incarnation, or nil.
+func (g *Gossip) Item(m catalogue.Member, topic, key string) []byte {
+	o := g.origins[m.Name]
+	if o == nil || o.incarnation != m.Incarnation {
+		return nil
+	}
+	if s := o.items[itemKey{topic, key}]; s != nil {
+		return s.data
+	}
+	return nil
+}
+
+// Merge takes in a delta and tells whether an item changed.
+func (g *Gossip) Merge(d Delta) (changed bool) {
+	for i := range d.Origins {
+		if g.mergeOrigin(&d.Origins[i]) {
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (g *Gossip) mergeOrigin(d *OriginDelta) bool {
+	if d.Name == g.Self.Name || !g.isMember(d.Name) {
+		return false
+	}
+	if g.origins == nil {
+		g.origins = map[string]*origin{}
+	}
+	o := g.origins[d.Name]
+	if o != nil && o.incarnation > d.Incarnation {
+		return false
+	}
+	if o == nil || o.incarnation < d.Incarnation {
+		o = &origin{name: d.Name, incarnation: d.Incarnation, items: map[itemKey]*itemState{}}
+	}
+	if o.head < d.After || o.head >= d.Head {
+		return false
+	}
+	g.origins[d.Name] = o
+	for _, it := range d.Items {
+		if it.Seq > o.head {
+			o.items[itemKey{it.Topic, it.Key}] = &itemState{seq: it.Seq, data: it.Data}
+		}
+	}
+	o.head = d.Head
+	return true
+}
+
+func (g *Gossip) isMember(name string) bool {
+	_, found := slices.BinarySearchFunc(g.members, name, func(m catalogue.Member, n string) int { return strings.Compare(m.Name, n) })
+	return found
+}
--- /dev/null
+++ b/pkg/caravan/network_test.go
@@ -0,0 +1,90 @@
+package caravan
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"go.uber.org/goleak"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/settings"
+)
+
+// Echo is a receiver that answers what it was asked.
+type Echo struct{}
+
+// Say returns its argument.
+func (Echo) Say(in string, out *string) error {
+	if in == "fail" {
+		return errors.New("told to fail")
+	}
+	*out = in
+	return nil
+}
+
+func startNetwork(t *testing.T, name, key string) (*Network, catalogue.Member) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := settings.Default()
+	self := catalogue.Member{Name: name, PeerAddress: l.Addr().String(), Zone: "a", Incarnation: 1}
+	n := &Network{Common: settings.Common{Log: logr.Discard(), Settings: &cfg, Clock: clock.NewReal()}, Key: []byte(key), Self: self}
+	if err := n.Register("Echo", Echo{}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- n.Serve(ctx, l) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return n, self
+}
+
+func TestNetworkCall(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	tests := []struct {
+		name string
+		key  string
+		say  string
+		// sent tells whether a failed call may have had an effect.
+		ok, sent bool
+	}{
+		{name: "answered", key: "k", say: "hello", ok: true},
+		{name: "refused by the receiver", key: "k", say: "fail", sent: true},
+		{name: "other key", key: "other", say: "hello"},
+		{name: "message over the bound", key: "k", say: strings.Repeat("x", messageBytes+1), sent: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a, _ := startNetwork(t, "a", "k")
+			_, b := startNetwork(t, "b", tt.key)
+			a.SetMembers([]catalogue.Member{b})
+			var out string
+			err := a.Call(t.Context(), "b", "Echo.Say", tt.say, &out)
+			var failed *CallError
+			if got := err == nil; got != tt.ok {
+				t.Fatalf("call returned %v, want success %t", err, tt.ok)
+			}
+			if errors.As(err, &failed) && failed.Sent != tt.sent {
+				t.Errorf("sent is %t, want %t", failed.Sent, tt.sent)
+			}
+			if tt.ok && out != tt.say {
+				t.Errorf("reply %q, want %q", out, tt.say)
+			}
+			if sent, received := a.Traffic(); tt.ok && (sent == 0 || received == 0) {
+				t.Errorf("traffic is %d sent and %d received", sent, received)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/caravan/shares.go
@@ -0,0 +1,100 @@
+package caravan
+
+import (
+	"slices"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+)
+
+// ColdShares tells how many requests this instance may have in flight at a cold upstream; it is used by one thread only.
+// docs/design/cold-start.md shows why the shares of all instances never add up to more than the limit.
+type ColdShares struct {
+	// Self is the name of this instance.
+	Self string
+	// Lag bounds the age of a list at the time at which it was asked for, in milliseconds.
+	Lag clock.Millis
+	// Lease is the age at which the last list is too old to hold a share, in milliseconds.
+	Lease clock.Millis
+	// Hold bounds the time for which a request stays at a cold upstream, in milliseconds.
+	Hold clock.Millis
+
+	views []shareView
+	// since is the monotonic time from which lists were seen without a gap of a lease.
+	since clock.Millis
+}
+
+// shareView is a list of members and the times at which it was seen first and last.
+type shareView struct {
+	members []catalogue.Member
+	first   clock.Millis
+	last    clock.Millis
+}
+
+// See takes the entry instances of a list that was asked for at the monotonic time at.
+func (s *ColdShares) See(listed []catalogue.Member, at clock.Millis) {
+	var members []catalogue.Member
+	for _, m := range listed {
+		if !m.Leaving {
+			members = append(members, m)
+		}
+	}
+	n := len(s.views)
+	if n == 0 || at-s.views[n-1].last >= s.Lease {
+		s.views = nil
+		s.since = at
+	}
+	if n = len(s.views); n > 0 && sameNames(s.views[n-1].members, members) {
+		s.views[n-1].last = max(s.views[n-1].last, at)
+		return
+	}
+	s.views = append(s.views, shareView{members: members, first: at, last: at})
+	for len(s.views) > 1 && at-s.views[0].last > s.window() {
+		s.views = s.views[1:]
+	}
+}
+
+// window is the time for which an instance must have seen itself rank high before it uses its share.
+func (s *ColdShares) window() clock.Millis { return s.Lag + 3*s.Lease + s.Hold }
+
+// Share returns how many requests this instance may have in flight at the upstream, which bears limit over all instances.
+func (s *ColdShares) Share(upstream string, limit int, now clock.Millis) int {
+	n := len(s.views)
+	if n == 0 || now-s.views[n-1].last >= s.Lease || now-s.since < s.window() {
+		return 0
+	}
+	least := limit
+	for i := n - 1; i >= 0 && now-s.views[i].last <= s.window(); i-- {
+		least = min(least, PartOf(upstream, s.Self, limit, s.views[i].members))
+	}
+	return least
+}
+
+// PartOf returns the part of limit that the member has by its rendezvous rank for the upstream; the parts add up to limit.
+func PartOf(upstream, member string, limit int, members []catalogue.Member) int {
+	rank, found := RankOf(upstream, member, members)
+	if !found || rank >= limit {
+		return 0
+	}
+	return (limit - rank + len(members) - 1) / len(members)
+}
+
+// RankOf returns the rendezvous rank of a member for a key, from 0, and whether it is one of the members.
+func RankOf(key, member string, members []catalogue.Member) (int, bool) {
+	own := Weight(key, member)
+	rank, found := 0, false
+	for _, m := range members {
+		if m.Name == member {
+			found = true
+			continue
+		}
+		if w := Weight(key, m.Name); w > own || w == own && m.Name < member {
+			rank++
+		}
+	}
+	return rank, found
+}
+
+func sameNames(a, b []catalogue.Member) bool {
+	return slices.EqualFunc(a, b, func(x, y catalogue.Member) bool { return x.Name == y.Name })
+}
--- /dev/null
+++ b/pkg/caravan/shares_test.go
@@ -0,0 +1,62 @@
+package caravan
+
+import (
+	"testing"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+)
+
+func TestP05PartsAddUp(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 7, 9, 60} {
+		members := namedMembers(n)
+		for _, limit := range []int{0, 1, 2, 5, 9, 10, 64, 200} {
+			cold, warm := 0, 0
+			for _, m := range members {
+				cold += PartOf("u", m.Name, limit, members)
+				warm += WarmPart("u", m.Name, limit, members)
+			}
+			if cold != limit {
+				t.Errorf("cold parts of %d members add up to %d, want %d", n, cold, limit)
+			}
+			if limit > 0 && warm != limit {
+				t.Errorf("warm parts of %d members add up to %d, want %d", n, warm, limit)
+			}
+		}
+	}
+}
+
+func TestP05ShareWaits(t *testing.T) {
+	members := namedMembers(4)
+	s := &ColdShares{Self: "entry-000", Lag: 2000, Lease: 5000, Hold: 10_000}
+	share := func(now clock.Millis) int { return s.Share("u", 8, now) }
+	at := clock.Millis(1000)
+	see := func(m []catalogue.Member, span clock.Millis) {
+		for end := at + span; at < end; at += 1000 {
+			s.See(m, at)
+		}
+	}
+	see(members, 26_000)
+	if got := share(at - 1000); got != 0 {
+		t.Errorf("share %d before the window has passed", got)
+	}
+	see(members, 5000)
+	if got := share(at); got != 2 {
+		t.Errorf("share %d of 8 among 4, want 2", got)
+	}
+	if got := share(at + 5000); got != 0 {
+		t.Errorf("share %d by a list that is too old", got)
+	}
+	see(namedMembers(8), 1000)
+	if got := share(at); got != 1 {
+		t.Errorf("share %d right after more members came, want 1", got)
+	}
+	see(members, 20_000)
+	if got := share(at); got != 1 {
+		t.Errorf("share %d soon after the members went, want 1", got)
+	}
+	see(members, 20_000)
+	if got := share(at); got != 2 {
+		t.Errorf("share %d long after the members went, want 2", got)
+	}
+}
--- a/pkg/catalogue/change.go
+++ b/pkg/catalogue/change.go
@@ -40,7 +40,9 @@
 	Author string
 	At     clock.Millis
 	Note   string
-	Edits  []Edit
+	// AsOf is the revision that the sender held; a change from before the kept history can't be proved new and is refused.
+	AsOf  Revision `json:",omitempty"`
+	Edits []Edit
 }
 
 // Edit puts or removes one object.
@@ -78,6 +80,17 @@
 	Refused string `json:",omitempty"`
 }
 
+// ExpiredError says that a change is older than the kept history, so that it may be a duplicate.
+type ExpiredError struct {
+	AsOf  Revision
+	Floor Revision
+}
+
+// Error tells the revisions.
+func (e *ExpiredError) Error() string {
+	return fmt.Sprintf("the change was sent at revision %d, the history up to %d is no longer kept", e.AsOf, e.Floor)
+}
+
 // ConflictError says that an object was changed since the revision a change was based on.
 type ConflictError struct {
 	Key  ObjectKey
--- a/pkg/catalogue/state.go
+++ b/pkg/catalogue/state.go
@@ -1,13 +1,9 @@
 package catalogue
 
-import (
-	"encoding/json"
-	"maps"
-	"slices"
-)
+import "encoding/json"
 
 // historyLimit bounds the change results that a state keeps, and so how late a duplicate change is noticed.
-const historyLimit = 4096
+const historyLimit = 1024
 
 // State is the configuration as of a revision. It is never changed once published; Fold returns a new one.
 type State struct {
@@ -23,6 +19,10 @@
 	Objects map[string]Revision
 	// History holds the results of the latest changes, oldest first.
 	History []ChangeResult
+	// Floor is the revision of the newest change that History no longer has.
+	Floor Revision
+	// Last is the xxhash of the record at Revision, by which a replaced log is noticed; 0 when no record is known.
+	Last uint64
 }
 
 // NewState returns the empty configuration at revision 0.
@@ -61,58 +61,14 @@
 	return z != nil && z.Out
 }
 
-func (s *State) clone() *State {
-	c := *s
-	c.Workspaces = maps.Clone(s.Workspaces)
-	c.Profiles = maps.Clone(s.Profiles)
-	c.Versions = maps.Clone(s.Versions)
-	c.Rollouts = maps.Clone(s.Rollouts)
-	c.Zones = maps.Clone(s.Zones)
-	c.Upstreams = maps.Clone(s.Upstreams)
-	c.Services = maps.Clone(s.Services)
-	c.Objects = maps.Clone(s.Objects)
-	c.History = slices.Clone(s.History)
-	return &c
-}
-
-// Fold returns the state after the record at the revision; s itself stays as it is.
-// A record at or before s.Revision changes nothing, so that no state ever reverts.
-func (s *State) Fold(at Revision, r *Record) *State {
-	if at <= s.Revision {
-		return s
-	}
-	c := s.clone()
-	c.Revision = at
-	if r == nil || r.Change == nil {
-		return c
-	}
-	c.foldChange(at, r.Change)
-	return c
-}
-
-func (s *State) foldChange(at Revision, ch *Change) {
-	if _, known := s.Result(ch.ID); known {
-		return
-	}
-	res := ChangeResult{ID: ch.ID, Revision: at, Author: ch.Author, At: ch.At, Note: ch.Note}
-	if err := s.Check(ch); err != nil {
-		res.Refused = err.Error()
-	} else {
-		for i := range ch.Edits {
-			s.apply(at, &ch.Edits[i])
-		}
-	}
-	s.History = append(s.History, res)
-	if n := len(s.History) - historyLimit; n > 0 {
-		s.History = s.History[n:]
-	}
-}
-
-// Check returns the *ConflictError or *InvalidError for which the fold would refuse the change.
+// Check returns the *ConflictError, *ExpiredError or *InvalidError for which the fold would refuse the change.
 func (s *State) Check(ch *Change) error {
 	if ch.ID == "" {
 		return &InvalidError{Field: "ID", Want: "a unique id"}
 	}
+	if ch.AsOf < s.Floor {
+		return &ExpiredError{AsOf: ch.AsOf, Floor: s.Floor}
+	}
 	for i := range ch.Edits {
 		e := &ch.Edits[i]
 		k := ObjectKey{Kind: e.Kind, Name: e.Name}
