Add at-most-once claims over the log, with group commit and following of streams

The first claim of a key in log order wins; its holder sends once and records the outcome. A call asks Call.MaySend right before the first byte.

--- a/pkg/enquiry/outcome.go
+++ b/pkg/enquiry/outcome.go
@@ -31,6 +31,8 @@
 	ReasonKeyReused        Reason = "KeyReused"
 	ReasonKeyTooOld        Reason = "KeyTooOld"
 	ReasonKeyInUse         Reason = "KeyInUse"
+	ReasonAlreadyRan       Reason = "AlreadyRan"
+	ReasonClaimExpired     Reason = "ClaimExpired"
 	ReasonWorkspaceLimit   Reason = "WorkspaceLimit"
 	ReasonOverloaded       Reason = "Overloaded"
 	ReasonMemory           Reason = "Memory"
--- a/pkg/enquiry/request.go
+++ b/pkg/enquiry/request.go
@@ -67,10 +67,20 @@
 	Excluded []string
 	// Usage adds up what upstreams did for this call, over all cascade steps.
 	Usage []Usage
+	// BeforeSend, when set, is asked as the last thing before the first byte of each attempt; its error stops the send.
+	BeforeSend func(now clock.Millis) *Refusal
 	// Writer takes the answer.
 	Writer Writer
 }
 
+// MaySend returns the refusal for which the call may not be sent at now, or nil.
+func (c *Call) MaySend(now clock.Millis) *Refusal {
+	if c.BeforeSend == nil {
+		return nil
+	}
+	return c.BeforeSend(now)
+}
+
 // Usage is the work of one upstream for one attempt.
 type Usage struct {
 	Version      catalogue.VersionID
--- /dev/null
+++ b/pkg/ledger/bill.go
@@ -0,0 +1,38 @@
+package ledger
+
+import (
+	"encoding/json"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+)
+
+// BillingStream is the log stream that carries the bills.
+const BillingStream = "billing"
+
+// Bill is the one line for a request, however many attempts and cascade steps it took.
+type Bill struct {
+	RequestID string
+	Workspace string
+	Profile   string `json:",omitempty"`
+	Service   string `json:",omitempty"`
+	Outcome   enquiry.Outcome
+	Usage     []enquiry.Usage `json:",omitempty"`
+	Cost      catalogue.Micros
+	// At is the wall time of the end of the request, in milliseconds.
+	At clock.Millis
+	// Instance served the request.
+	Instance string
+}
+
+func encodeBill(l *Bill) ([]byte, error) { return json.Marshal(l) }
+
+// DecodeBill reads a record of the billing stream.
+func DecodeBill(data []byte) (*Bill, error) {
+	l := &Bill{}
+	if err := json.Unmarshal(data, l); err != nil {
+		return nil, err
+	}
+	return l, nil
+}
--- a/pkg/ledger/doc.go
+++ b/pkg/ledger/doc.go
@@ -1,2 +1,2 @@
-// Package ledger has the client of the platform's log service and the billing of requests through it.
+// Package ledger has group commit to the platform's log, the following of its streams, and the billing of requests.
 package ledger
--- /dev/null
+++ b/pkg/ledger/tail.go
@@ -0,0 +1,82 @@
+package ledger
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/platform"
+	"carawayknot.example/carawayknot/pkg/settings"
+)
+
+const (
+	// readLimit bounds the entries of one read.
+	readLimit = 1000
+	// readGrace is what a read may take beyond the wait it asked for.
+	readGrace = 5 * clock.Second
+)
+
+// Reader is the log service as a Tail needs it.
+type Reader interface {
+	Read(ctx context.Context, stream string, from int64, limit int, wait clock.Millis) (platform.Batch, error)
+}
+
+// Tail follows one stream of the log.
+type Tail struct {
+	Common settings.Common
+	Log    Reader
+	Stream string
+	// From is the first offset to read; after a trim the oldest kept offset follows.
+	From int64
+}
+
+// Run calls take with each batch, also with empty ones, and with the monotonic time from before the read was sent.
+// A batch that goes up to its End proves that the stream was read to its end as of that time, and a first offset or an
+// Oldest above the expected offset shows a gap. Outages are waited out with back-off; Run ends with ctx.
+func (t *Tail) Run(ctx context.Context, take func(sentAt clock.Millis, b platform.Batch)) error {
+	log := t.Common.Log.WithName("ledger")
+	pause := newBackOff()
+	for ctx.Err() == nil {
+		sentAt := t.Common.Clock.Now()
+		b, err := t.read(ctx)
+		if err == nil {
+			pause.Reset()
+			if n := len(b.Entries); n > 0 {
+				t.From = b.Entries[n-1].Offset + 1
+			}
+			take(sentAt, b)
+			continue
+		}
+		if t.skipTrimmed(err) {
+			log.Info("stream was trimmed", "stream", t.Stream, "oldest", t.From)
+			continue
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		wait := clock.FromDuration(pause.NextBackOff())
+		log.Info("read failed", "stream", t.Stream, "from", t.From, "retryAfter", wait, "err", err.Error())
+		if err := clock.Sleep(ctx, t.Common.Clock, wait); err != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (t *Tail) read(ctx context.Context) (platform.Batch, error) {
+	wait := t.Common.Settings.Times.LogWait
+	ctx, cancel := clock.WithTimeout(ctx, t.Common.Clock, wait+readGrace)
+	defer cancel()
+	return t.Log.Read(ctx, t.Stream, t.From, readLimit, wait)
+}
+
+// skipTrimmed moves to the oldest kept offset when err says that the next one is dropped.
+func (t *Tail) skipTrimmed(err error) bool {
+	var trimmed *platform.TrimmedError
+	if !errors.As(err, &trimmed) || trimmed.Oldest <= t.From {
+		return false
+	}
+	t.From = trimmed.Oldest
+	return true
+}
--- /dev/null
+++ b/pkg/reservation/sim_test.go
@@ -0,0 +1,391 @@
+package reservation
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+	"carawayknot.example/carawayknot/pkg/ledger"
+	"carawayknot.example/carawayknot/pkg/platform"
+	"carawayknot.example/carawayknot/pkg/settings"
+)
+
+// sim is a log, a few instances and an upstream in one bubble of fake time. All chance comes from the seed.
+type sim struct {
+	seed uint64
+	clk  clock.Clock
+	// chaos is the share of log calls that fail, in percent.
+	chaos int
+
+	mu      sync.Mutex
+	entries []platform.Entry
+	oldest  int64
+	grown   chan struct{}
+	down    bool
+	// runs are the request ids that ran at the upstream, by key.
+	runs map[string][]string
+}
+
+func newSim(seed uint64) *sim {
+	return &sim{seed: seed, clk: clock.NewReal(), grown: make(chan struct{}), runs: map[string][]string{}}
+}
+
+// roll returns a number below n that depends on the seed and the name alone, so that it is the same in every run.
+func (s *sim) roll(n int, name string, args ...any) int {
+	b := binary.LittleEndian.AppendUint64(nil, s.seed)
+	b = fmt.Appendf(b, name, args...)
+	return int(xxhash.Sum64(b) % uint64(n))
+}
+
+func (s *sim) sleep(d int) { time.Sleep(time.Duration(d) * time.Millisecond) }
+
+func (s *sim) append(records [][]byte) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := s.oldest + int64(len(s.entries))
+	for i, r := range records {
+		s.entries = append(s.entries, platform.Entry{Offset: first + int64(i), At: s.clk.Wall(), Data: r})
+	}
+	close(s.grown)
+	s.grown = make(chan struct{})
+	return first
+}
+
+// trim drops all but the last n entries.
+func (s *sim) trim(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if drop := len(s.entries) - n; drop > 0 {
+		s.entries = s.entries[drop:]
+		s.oldest += int64(drop)
+	}
+}
+
+func (s *sim) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *sim) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
+func (s *sim) read(from int64, limit int) (platform.Batch, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := platform.Batch{Oldest: s.oldest, End: s.oldest + int64(len(s.entries))}
+	if from < s.oldest {
+		return b, nil, &platform.TrimmedError{From: from, Oldest: s.oldest}
+	}
+	b.Entries = s.entries[from-s.oldest:]
+	b.Entries = b.Entries[:min(len(b.Entries), limit)]
+	return b, s.grown, nil
+}
+
+// instance is one process: its goroutines stop at each gate while it is frozen, and for good once it is dead.
+type instance struct {
+	sim     *sim
+	name    string
+	book    *Book
+	batcher *ledger.Batcher
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+
+	mu      sync.Mutex
+	thaw    chan struct{}
+	dead    bool
+	killed  chan struct{}
+	appends int
+	reads   int
+}
+
+func (s *sim) start(name string, incarnation int64) *instance {
+	cfg := settings.Default()
+	cfg.Name = name
+	common := settings.Common{Log: logr.Discard(), Settings: &cfg, Clock: s.clk}
+	i := &instance{sim: s, name: fmt.Sprintf("%s/%d", name, incarnation), killed: make(chan struct{})}
+	i.batcher = &ledger.Batcher{Common: common, Log: i, Stream: StreamName}
+	tail := &ledger.Tail{Common: common, Log: i, Stream: StreamName}
+	i.book = &Book{Common: common, Log: i.batcher, Tail: tail, Incarnation: incarnation}
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	i.wg.Go(func() { _ = i.batcher.Run(ctx) })
+	i.wg.Go(func() { _ = i.book.Run(ctx) })
+	return i
+}
+
+// freeze stops the process for d milliseconds.
+func (i *instance) freeze(d int) {
+	thaw := make(chan struct{})
+	i.mu.Lock()
+	if i.thaw != nil || i.dead {
+		i.mu.Unlock()
+		return
+	}
+	i.thaw = thaw
+	i.mu.Unlock()
+	i.sim.sleep(d)
+	i.mu.Lock()
+	i.thaw = nil
+	i.mu.Unlock()
+	close(thaw)
+}
+
+func (i *instance) kill() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.dead {
+		i.dead = true
+		close(i.killed)
+	}
+}
+
+// gate blocks while the process is frozen and returns false once it is dead.
+func (i *instance) gate() bool {
+	for {
+		i.mu.Lock()
+		thaw, dead := i.thaw, i.dead
+		i.mu.Unlock()
+		if dead {
+			return false
+		}
+		if thaw == nil {
+			return true
+		}
+		select {
+		case <-thaw:
+		case <-i.killed:
+		}
+	}
+}
+
+var errBroken = errors.New("connection broke")
+
+func lost() error       { return &platform.UnavailableError{Service: "log", Unknown: true, Cause: errBroken} }
+func refused() error    { return &platform.UnavailableError{Service: "log", Cause: errBroken} }
+func isDead() error     { return lost() }
+func (s *sim) lag() int { return 1 + s.roll(8, "lag") }
+
+// Append is the log as this instance reaches it: answers are lost, records arrive late or twice, or not at all.
+func (i *instance) Append(ctx context.Context, _ string, records [][]byte) (int64, error) {
+	i.appends++
+	fault := i.sim.roll(100, "append %s %d", i.name, i.appends)
+	i.sim.sleep(i.sim.lag())
+	if !i.gate() {
+		return 0, isDead()
+	}
+	if i.sim.isDown() {
+		return 0, refused()
+	}
+	if fault >= i.sim.chaos {
+		first := i.sim.append(records)
+		i.sim.sleep(i.sim.lag())
+		if !i.gate() {
+			return 0, isDead()
+		}
+		return first, nil
+	}
+	switch fault % 5 {
+	case 0: // refused
+		return 0, refused()
+	case 1: // the answer is lost after the append
+		i.sim.append(records)
+		return 0, lost()
+	case 2: // the answer never comes
+		i.sim.append(records)
+		<-ctx.Done()
+		return 0, lost()
+	case 3: // the records arrive late
+		late := i.sim.roll(20000, "late %s %d", i.name, i.appends)
+		i.wg.Go(func() {
+			i.sim.sleep(late)
+			i.sim.append(records)
+		})
+		return 0, lost()
+	default: // the records arrive twice
+		first := i.sim.append(records)
+		i.sim.append(records)
+		return first, nil
+	}
+}
+
+// Read is the log as this instance reaches it.
+func (i *instance) Read(ctx context.Context, _ string, from int64, limit int, wait clock.Millis) (platform.Batch, error) {
+	i.reads++
+	i.sim.sleep(i.sim.lag())
+	if !i.gate() || i.sim.isDown() || i.sim.roll(100, "read %s %d", i.name, i.reads) < i.sim.chaos/2 {
+		return platform.Batch{}, refused()
+	}
+	b, grown, err := i.sim.read(from, limit)
+	if err == nil && len(b.Entries) == 0 {
+		late, stop := i.sim.clk.Timer(wait)
+		defer stop()
+		select {
+		case <-grown:
+		case <-late:
+		case <-ctx.Done():
+		}
+		b, _, err = i.sim.read(from, limit)
+	}
+	i.sim.sleep(i.sim.lag())
+	if !i.gate() {
+		return platform.Batch{}, refused()
+	}
+	return b, err
+}
+
+// send is what a request does at the upstream.
+type send int
+
+const (
+	sendRuns send = iota
+	sendRefusedUnrun
+	sendRunsAnswerLost
+	sendLost
+)
+
+// upstream returns the handler that stands for the upstream of one request; pause is how long it waits before it asks
+// for the permission to send.
+func (i *instance) upstream(what send, pause int) enquiry.Handler {
+	return enquiry.HandlerFunc(func(ctx context.Context, c *enquiry.Call) error {
+		i.sim.sleep(pause)
+		if !i.gate() {
+			return errBroken
+		}
+		if r := c.MaySend(i.sim.clk.Now()); r != nil {
+			return r
+		}
+		if !i.gate() {
+			return errBroken
+		}
+		if what == sendRefusedUnrun {
+			return enquiry.Refuse(enquiry.ReasonUpstreamRefused, 0, "refused by contract")
+		}
+		if what == sendLost {
+			return &enquiry.Refusal{Outcome: enquiry.MayHaveRun, Reason: enquiry.ReasonUpstreamFailed}
+		}
+		i.sim.mu.Lock()
+		i.sim.runs[c.Request.Key] = append(i.sim.runs[c.Request.Key], c.Request.ID)
+		i.sim.mu.Unlock()
+		i.sim.sleep(i.sim.lag())
+		if !i.gate() {
+			return errBroken
+		}
+		if what == sendRunsAnswerLost {
+			return &enquiry.Refusal{Outcome: enquiry.MayHaveRun, Reason: enquiry.ReasonUpstreamFailed}
+		}
+		if err := c.Writer.WriteHead(ctx, c, enquiry.Head{Status: 201}); err != nil {
+			return err
+		}
+		if err := c.Writer.WriteBytes(ctx, c, []byte(c.Request.ID)); err != nil {
+			return err
+		}
+		return c.Writer.WriteEnd(ctx, c, enquiry.End{})
+	})
+}
+
+// told is what a caller got.
+type told struct {
+	// Answer is the id of the run that answered, when there was a whole answer.
+	Answer   string
+	Replayed bool
+	Outcome  enquiry.Outcome
+	Reason   enquiry.Reason
+	// Dead is true when the instance died before it could answer.
+	Dead bool
+}
+
+// page is the caller's end of an answer.
+type page struct {
+	head  enquiry.Head
+	body  []byte
+	ended bool
+	// gone makes every write fail.
+	gone bool
+}
+
+func (p *page) write() error {
+	if p.gone {
+		return errBroken
+	}
+	return nil
+}
+
+func (p *page) WriteHead(_ context.Context, _ *enquiry.Call, h enquiry.Head) error {
+	p.head = h
+	return p.write()
+}
+
+func (p *page) WriteChunk(_ context.Context, _ *enquiry.Call, k enquiry.Chunk) error {
+	p.body = append(p.body, k.Text...)
+	return p.write()
+}
+
+func (p *page) WriteBytes(_ context.Context, _ *enquiry.Call, b []byte) error {
+	p.body = append(p.body, b...)
+	return p.write()
+}
+
+func (p *page) WriteEnd(context.Context, *enquiry.Call, enquiry.End) error {
+	p.ended = true
+	return p.write()
+}
+
+func (i *instance) call(id, key, body string) *enquiry.Call {
+	now := i.sim.clk.Now()
+	return &enquiry.Call{
+		Request: &enquiry.Request{ID: id, Workspace: "chai", Service: "bookings", Method: "POST", Path: "/tables",
+			Key: key, Body: []byte(body), ArrivedAt: now, Deadline: now + 30*clock.Second},
+		Writer: &page{},
+	}
+}
+
+// ask sends one request through the filter and tells what the caller got.
+func (i *instance) ask(ctx context.Context, id, key, body string, next enquiry.Handler) told {
+	c := i.call(id, key, body)
+	return i.askCall(ctx, c, next)
+}
+
+func (i *instance) askCall(ctx context.Context, c *enquiry.Call, next enquiry.Handler) told {
+	p := c.Writer.(*page)
+	if !i.gate() {
+		return told{Dead: true}
+	}
+	err := i.book.Filter(ctx, c, next)
+	if !i.gate() {
+		return told{Dead: true}
+	}
+	var r *enquiry.Refusal
+	if errors.As(err, &r) {
+		return told{Outcome: r.Outcome, Reason: r.Reason}
+	}
+	if err != nil || !p.ended {
+		return told{Outcome: enquiry.MayHaveRun}
+	}
+	return told{Answer: string(p.body), Replayed: p.head.Header.Get(ReplayedHeader) != "", Outcome: enquiry.Ran}
+}
+
+// stop ends the goroutines of the instances, so that the bubble can end.
+func stop(instances ...*instance) {
+	for _, i := range instances {
+		i.kill()
+		i.cancel()
+	}
+	for _, i := range instances {
+		i.wg.Wait()
+	}
+}
+
+// keyNow returns a key of this moment.
+func (s *sim) keyNow(text string) string { return fmt.Sprintf("%d-%s", s.clk.Wall(), text) }
