--- /dev/null
+++ b/pkg/ledger/handover.go
@@ -0,0 +1,112 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"carawayknot.example/carawayknot/pkg/clock"
+)
+
+const (
+	// handoverLogWait is how much of a shutdown is left to the log before peers are asked, in milliseconds.
+	handoverLogWait = 5 * clock.Second
+	// handoverBatch is how many bills one call to a peer carries.
+	handoverBatch = 500
+	// dropBatch is how many request ids one call to a keeper carries, dropLimit how many wait for it.
+	dropBatch = 1000
+	dropLimit = 20000
+)
+
+// LeftError says that bills are neither in the log nor with a peer.
+type LeftError struct {
+	Bills int
+}
+
+// Error tells how many bills are left.
+func (e *LeftError) Error() string {
+	return fmt.Sprintf("%d bills are neither in the log nor with a peer", e.Bills)
+}
+
+// Run appends what is owed and tells keepers what the log has, until ctx ends.
+func (b *Biller) Run(ctx context.Context) error {
+	b.init()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { _ = b.outbox.Run(ctx) })
+	for clock.Sleep(ctx, b.Common.Clock, dropEvery) == nil {
+		b.tellKeepers(ctx)
+	}
+	return nil
+}
+
+// tellKeepers lets keepers drop what the log has. One that can't be told appends doubles, which the fold removes.
+func (b *Biller) tellKeepers(ctx context.Context) {
+	b.mu.Lock()
+	drops := b.drops
+	b.drops = map[string][]string{}
+	b.mu.Unlock()
+	for keeper, ids := range drops {
+		ids = ids[:min(len(ids), dropLimit)]
+		for len(ids) > 0 {
+			n := min(len(ids), dropBatch)
+			args := &DropArgs{RequestIDs: ids[:n]}
+			if err := b.call(ctx, keeper, "BillKeeper.Drop", args, &DropReply{}); err != nil {
+				break
+			}
+			ids = ids[n:]
+		}
+	}
+}
+
+// Handover brings all bills into the log, those held for others included, or to peers when the log does not take them.
+// It needs Run to be running, and returns a *LeftError when some stay behind.
+func (b *Biller) Handover(ctx context.Context) error {
+	b.init()
+	if b.Keeper != nil {
+		b.Keeper.post(b.Common.Clock.Now())
+	}
+	logCtx, cancel := clock.WithTimeout(ctx, b.Common.Clock, handoverLogWait)
+	err := b.outbox.Wait(logCtx)
+	if b.Keeper != nil {
+		err = errors.CombineErrors(err, b.Keeper.outbox.Wait(logCtx))
+	}
+	cancel()
+	if err == nil {
+		b.tellKeepers(ctx)
+		return nil
+	}
+	left := 0
+	for bills := b.remaining(); len(bills) > 0; {
+		n := min(len(bills), handoverBatch)
+		if ctx.Err() != nil || b.hold(ctx, bills[:n]) == "" {
+			left += n
+		}
+		bills = bills[n:]
+	}
+	if left > 0 {
+		return &LeftError{Bills: left}
+	}
+	return nil
+}
+
+// remaining returns the bills that would go with this instance.
+func (b *Biller) remaining() []*Bill {
+	var bills []*Bill
+	if b.Keeper != nil {
+		bills = b.Keeper.Bills()
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, o := range b.owed {
+		if o.keeper == "" {
+			bills = append(bills, o.bill)
+		}
+	}
+	return bills
+}
+
+func (b *Biller) logger() logr.Logger { return b.Common.Log.WithName("ledger") }
--- /dev/null
+++ b/pkg/ledger/keeper.go
@@ -0,0 +1,159 @@
+package ledger
+
+import (
+	"context"
+	"sync"
+
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/settings"
+)
+
+const (
+	// holdFor is how long a keeper leaves a bill to its origin before it appends the bill itself, in milliseconds.
+	holdFor = 30 * clock.Second
+	// keepEvery is the period in which a keeper looks for such bills, in milliseconds.
+	keepEvery        = 1 * clock.Second
+	defaultMaxHeld   = 20000
+	defaultHeldBytes = 8 << 20
+)
+
+// HoldArgs are the bills that a peer is asked to hold.
+type HoldArgs struct {
+	Bills []*Bill
+}
+
+// HoldReply tells whether the peer holds all of them.
+type HoldReply struct {
+	Held bool
+}
+
+// DropArgs are the requests whose bills the log has.
+type DropArgs struct {
+	RequestIDs []string
+}
+
+// DropReply is empty.
+type DropReply struct{}
+
+// BillKeeper holds bills of other instances while the log does not take them, and appends those that their origin
+// has not appended in time. It is a net/rpc receiver and safe for concurrent use.
+type BillKeeper struct {
+	Common settings.Common
+	Log    RecordAppender
+	// MaxHeld and MaxBytes bound what is held; 0 means a default.
+	MaxHeld  int
+	MaxBytes int
+
+	once   sync.Once
+	mu     sync.Mutex
+	held   map[string]*heldBill
+	bytes  int
+	outbox Outbox
+}
+
+type heldBill struct {
+	bill   *Bill
+	data   []byte
+	since  clock.Millis
+	posted bool
+}
+
+func (k *BillKeeper) init() {
+	k.once.Do(func() {
+		k.held = map[string]*heldBill{}
+		limit := orDefault(k.MaxHeld, defaultMaxHeld)
+		k.outbox = Outbox{Common: k.Common, Log: k.Log, Limit: limit, Appended: k.appended}
+		k.outbox.init()
+	})
+}
+
+// Hold takes all of the bills or none of them.
+func (k *BillKeeper) Hold(args *HoldArgs, reply *HoldReply) error {
+	k.init()
+	fresh := make(map[string]*heldBill, len(args.Bills))
+	size := 0
+	for _, l := range args.Bills {
+		data, err := encodeBill(l)
+		if err != nil {
+			return err
+		}
+		fresh[l.RequestID] = &heldBill{bill: l, data: data, since: k.Common.Clock.Now()}
+		size += len(data)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.held)+len(fresh) > orDefault(k.MaxHeld, defaultMaxHeld) || k.bytes+size > orDefault(k.MaxBytes, defaultHeldBytes) {
+		return nil
+	}
+	for id, h := range fresh {
+		if k.held[id] == nil {
+			k.held[id] = h
+			k.bytes += len(h.data)
+		}
+	}
+	reply.Held = true
+	return nil
+}
+
+// Drop forgets bills that the log has.
+func (k *BillKeeper) Drop(args *DropArgs, _ *DropReply) error {
+	k.init()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, id := range args.RequestIDs {
+		k.forget(id)
+	}
+	return nil
+}
+
+// Run appends bills that their origin has not appended in time, until ctx ends.
+func (k *BillKeeper) Run(ctx context.Context) error {
+	k.init()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { _ = k.outbox.Run(ctx) })
+	for clock.Sleep(ctx, k.Common.Clock, keepEvery) == nil {
+		k.post(k.Common.Clock.Now() - holdFor)
+	}
+	return nil
+}
+
+// post hands the bills that are held since before a time to the log.
+func (k *BillKeeper) post(before clock.Millis) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, h := range k.held {
+		if !h.posted && h.since <= before {
+			h.posted = k.outbox.Add(h.data) != nil
+		}
+	}
+}
+
+func (k *BillKeeper) appended(p *Posted) {
+	l, err := DecodeBill(p.data)
+	if err != nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.forget(l.RequestID)
+}
+
+func (k *BillKeeper) forget(id string) {
+	if h := k.held[id]; h != nil {
+		delete(k.held, id)
+		k.bytes -= len(h.data)
+	}
+}
+
+// Bills returns the bills held for other instances.
+func (k *BillKeeper) Bills() []*Bill {
+	k.init()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	bills := make([]*Bill, 0, len(k.held))
+	for _, h := range k.held {
+		bills = append(bills, h.bill)
+	}
+	return bills
+}
--- a/pkg/reservation/book.go
+++ b/pkg/reservation/book.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 
 	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/ledger"
 	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
@@ -23,6 +24,9 @@
 	// runGrace is what a call may take beyond its deadline until its outcome is taken as unknown.
 	runGrace = 10 * clock.Second
 
+	// owedLimit bounds the outcomes and releases that wait for the log.
+	owedLimit = 10000
+
 	defaultSkew           = 60 * clock.Second
 	defaultMaxAge         = 24 * 3600 * clock.Second
 	defaultMaxKeys        = 20000
@@ -66,7 +70,8 @@
 	own map[string]*Held
 	// changed has a channel for each key somebody waits for; it is closed when the key's slot changes.
 	changed map[string]chan struct{}
-	owed    owedRecords
+	// outbox has the outcomes and releases that the log doesn't have yet.
+	outbox ledger.Outbox
 }
 
 func (b *Book) init() {
@@ -79,7 +84,7 @@
 		}
 		b.own = map[string]*Held{}
 		b.changed = map[string]chan struct{}{}
-		b.owed.init()
+		b.outbox = ledger.Outbox{Common: b.Common, Log: b.Log, Limit: owedLimit}
 	})
 }
 
@@ -93,14 +98,10 @@
 // Run follows the claims stream and appends outcomes and releases until ctx ends.
 func (b *Book) Run(ctx context.Context) error {
 	b.init()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		b.payOwed(ctx)
-	}()
-	err := b.Tail.Run(ctx, b.take)
-	<-done
-	return err
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { _ = b.outbox.Run(ctx) })
+	return b.Tail.Run(ctx, b.take)
 }
 
 // Ready tells whether the stream was read to its end within the horizon, so that new claims are possible.
@@ -134,7 +135,7 @@
 	} else if !b.asked {
 		// An empty record makes the log show its time, which tells from when on keys can be proved new.
 		b.asked = true
-		b.owed.add(&Record{})
+		b.owe(&Record{})
 	}
 }
 
@@ -163,7 +164,7 @@
 	h.tooOld = s == nil || first && !b.table.Provable(c.KeyAt)
 	h.won = first && !h.tooOld && !h.abandoned
 	if first && !h.won {
-		b.owed.add(&Record{Release: &Release{ID: c.ID, Key: c.Key}})
+		b.owe(&Record{Release: &Release{ID: c.ID, Key: c.Key}})
 	}
 	close(h.decided)
 }
@@ -207,8 +208,16 @@
 	delete(b.own, h.id)
 }
 
+// owe appends a record in the background. One that finds no room is dropped; its key stays claimed, which is safe.
+func (b *Book) owe(r *Record) {
+	data, err := encode(r)
+	if err != nil || b.outbox.Add(data) == nil {
+		b.Common.Log.WithName("reservation").Info("outcome not recorded, too many wait for the log", "record", r.name())
+	}
+}
+
 // Flush returns once all outcomes and releases are in the log, or the cause for which ctx ended.
 func (b *Book) Flush(ctx context.Context) error {
 	b.init()
-	return b.owed.wait(ctx)
+	return b.outbox.Wait(ctx)
 }
--- a/pkg/reservation/claim_test.go
+++ b/pkg/reservation/claim_test.go
@@ -2,35 +2,344 @@
 
 import (
 	"context"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 
 	"github.com/google/go-cmp/cmp"
 
+	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/enquiry"
 )
 
-func TestP09SecondAskerGetsTheRecordedAnswer(t *testing.T) {
+var (
+	ran        = func(id string) told { return told{Answer: id, Outcome: enquiry.Ran} }
+	replayed   = func(id string) told { return told{Answer: id, Replayed: true, Outcome: enquiry.Ran} }
+	notRun     = func(why enquiry.Reason) told { return told{Outcome: enquiry.NotRun, Reason: why} }
+	mayHaveRun = func(why enquiry.Reason) told { return told{Outcome: enquiry.MayHaveRun, Reason: why} }
+	background = context.Background()
+)
+
+// pair has two instances that follow the log, and a key of this moment.
+type pair struct {
+	*sim
+	a, b *instance
+	key  string
+}
+
+func (p *pair) ask(i *instance, id string) told { return p.askPaused(i, id, 0) }
+
+func (p *pair) askPaused(i *instance, id string, pause int) told {
+	return i.ask(background, id, p.key, "for six", i.upstream(sendRuns, pause))
+}
+
+// later asks in the background and returns a function that waits for what was told.
+func (p *pair) later(i *instance, id string, pause int) func() told {
+	var wg sync.WaitGroup
+	var got told
+	wg.Go(func() { got = p.askPaused(i, id, pause) })
+	return func() told {
+		wg.Wait()
+		return got
+	}
+}
+
+// failing makes every append of the instance fail in one way while ask runs.
+func (p *pair) failing(i *instance, f fault, ask func() told) told {
+	i.fault = &f
+	defer func() { i.fault = nil }()
+	return ask()
+}
+
+func TestP09ClaimsUnderFaults(t *testing.T) {
+	scenarios := []struct {
+		name string
+		play func(p *pair) []told
+		want []told
+		runs []string
+	}{
+		{
+			name: "second asker gets the recorded answer",
+			play: func(p *pair) []told {
+				first := p.ask(p.a, "r1")
+				p.sleep(2000)
+				other := p.b.ask(background, "r3", p.key, "for seven", p.b.upstream(sendRuns, 0))
+				return []told{first, p.ask(p.b, "r2"), other}
+			},
+			want: []told{ran("r1"), replayed("r1"), notRun(enquiry.ReasonKeyReused)},
+			runs: []string{"r1"},
+		},
+		{
+			name: "second asker waits for the one in flight at another instance",
+			play: func(p *pair) []told {
+				first := p.later(p.a, "r1", 2000)
+				p.sleep(1000)
+				return []told{p.ask(p.b, "r2"), first()}
+			},
+			want: []told{replayed("r1"), ran("r1")},
+			runs: []string{"r1"},
+		},
+		{
+			name: "claim refused by the log",
+			play: func(p *pair) []told {
+				return []told{p.failing(p.a, faultRefused, func() told { return p.ask(p.a, "r1") }), p.ask(p.b, "r2")}
+			},
+			want: []told{notRun(enquiry.ReasonLogUnavailable), ran("r2")},
+			runs: []string{"r2"},
+		},
+		{
+			name: "claim's answer lost after it took effect",
+			play: func(p *pair) []told {
+				first := p.failing(p.a, faultAnswerLost, func() told { return p.ask(p.a, "r1") })
+				return []told{first, p.ask(p.b, "r2")}
+			},
+			want: []told{ran("r1"), replayed("r1")},
+			runs: []string{"r1"},
+		},
+		{
+			name: "claim appended twice",
+			play: func(p *pair) []told {
+				first := p.failing(p.a, faultTwice, func() told { return p.ask(p.a, "r1") })
+				return []told{first, p.ask(p.b, "r2")}
+			},
+			want: []told{ran("r1"), replayed("r1")},
+			runs: []string{"r1"},
+		},
+		{
+			name: "claim lands after it was given up",
+			play: func(p *pair) []told {
+				first := p.failing(p.a, faultLate, func() told { return p.ask(p.a, "r1") })
+				p.sleep(20000)
+				return []told{first, p.ask(p.b, "r2")}
+			},
+			want: []told{notRun(enquiry.ReasonLogUnavailable), ran("r2")},
+			runs: []string{"r2"},
+		},
+		{
+			name: "holder killed between claim and send",
+			play: func(p *pair) []told {
+				first := p.later(p.a, "r1", 1000)
+				p.sleep(500)
+				p.a.kill()
+				return []told{first(), p.ask(p.b, "r2")}
+			},
+			want: []told{{Dead: true}, mayHaveRun(enquiry.ReasonKeyInUse)},
+		},
+		{
+			name: "holder killed between claim and send and replaced",
+			play: func(p *pair) []told {
+				first := p.later(p.a, "r1", 1000)
+				p.sleep(500)
+				p.a.kill()
+				again := p.start("a", 2)
+				p.sleep(1000)
+				before := p.clk.Now()
+				second := p.ask(again, "r2")
+				if p.clk.Now() != before {
+					second.Reason = "waited for a holder that is known to be dead"
+				}
+				stop(again)
+				return []told{first(), second}
+			},
+			want: []told{{Dead: true}, mayHaveRun(enquiry.ReasonKeyInUse)},
+		},
+		{
+			name: "holder frozen past everything and woken before the send",
+			play: func(p *pair) []told {
+				first := p.later(p.a, "r1", 100)
+				p.sleep(50)
+				frozen := make(chan struct{})
+				go func() {
+					defer close(frozen)
+					p.a.freeze(60000)
+				}()
+				p.sleep(1000)
+				second := p.ask(p.b, "r2")
+				<-frozen
+				woken := first()
+				p.sleep(2000)
+				return []told{second, woken, p.ask(p.b, "r3")}
+			},
+			want: []told{mayHaveRun(enquiry.ReasonKeyInUse), notRun(enquiry.ReasonClaimExpired), ran("r3")},
+			runs: []string{"r3"},
+		},
+		{
+			name: "refused by the upstream, and asked again under the same key",
+			play: func(p *pair) []told {
+				first := p.a.ask(background, "r1", p.key, "for six", p.a.upstream(sendRefusedUnrun, 0))
+				return []told{first, p.ask(p.b, "r2")}
+			},
+			want: []told{notRun(enquiry.ReasonUpstreamRefused), ran("r2")},
+			runs: []string{"r2"},
+		},
+		{
+			name: "answer of the upstream lost",
+			play: func(p *pair) []told {
+				first := p.a.ask(background, "r1", p.key, "for six", p.a.upstream(sendRunsAnswerLost, 0))
+				p.sleep(1000)
+				return []told{first, p.ask(p.b, "r2"), p.ask(p.a, "r3")}
+			},
+			want: []told{mayHaveRun(enquiry.ReasonUpstreamFailed), mayHaveRun(enquiry.ReasonUpstreamFailed), mayHaveRun(enquiry.ReasonUpstreamFailed)},
+			runs: []string{"r1"},
+		},
+		{
+			name: "log down",
+			play: func(p *pair) []told {
+				first := p.ask(p.a, "r1")
+				p.sleep(1000)
+				p.setDown(true)
+				p.sleep(10000)
+				recorded := p.ask(p.b, "r2")
+				p.key = p.keyNow("rug")
+				return []told{first, recorded, p.ask(p.b, "r3")}
+			},
+			want: []told{ran("r1"), replayed("r1"), notRun(enquiry.ReasonLogUnavailable)},
+			runs: []string{"r1"},
+		},
+		{
+			name: "log trimmed and everybody replaced",
+			play: func(p *pair) []told {
+				first := p.ask(p.a, "r1")
+				p.sleep(1000)
+				stop(p.a, p.b)
+				p.trim(0)
+				fresh := p.start("a", 2)
+				p.sleep(2000)
+				second := p.ask(fresh, "r2")
+				p.sleep(2 * int(defaultSkew))
+				p.key = p.keyNow("rug")
+				third := p.ask(fresh, "r3")
+				stop(fresh)
+				return []told{first, second, third}
+			},
+			want: []told{ran("r1"), notRun(enquiry.ReasonKeyTooOld), ran("r3")},
+			runs: []string{"r1"},
+		},
+		{
+			name: "instance that has not read the log to its end",
+			play: func(p *pair) []told {
+				first := p.ask(p.a, "r1")
+				fresh := p.start("c", 1)
+				early := p.ask(fresh, "r2")
+				stop(fresh)
+				return []told{first, early}
+			},
+			want: []told{ran("r1"), notRun(enquiry.ReasonLogUnavailable)},
+			runs: []string{"r1"},
+		},
+		{
+			name: "key of the future",
+			play: func(p *pair) []told {
+				p.key = "99999999999999-table"
+				return []told{p.ask(p.a, "r1")}
+			},
+			want: []told{notRun(enquiry.ReasonKeyTooOld)},
+		},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSim(firstSeed)
+				p := &pair{sim: s, a: s.start("a", 1), b: s.start("b", 1)}
+				defer stop(p.a, p.b)
+				s.sleep(2000)
+				p.key = s.keyNow("table")
+				first := p.key
+				if diff := cmp.Diff(sc.want, sc.play(p)); diff != "" {
+					t.Errorf("told (-want +got):\n%s", diff)
+				}
+				if diff := cmp.Diff(sc.runs, s.runs[first]); diff != "" {
+					t.Errorf("runs (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
+func TestP09CallerGoneAfterTheSend(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSim(1)
-		a, b := s.start("a", 1), s.start("b", 1)
-		defer stop(a, b)
+		s := newSim(firstSeed)
+		p := &pair{sim: s, a: s.start("a", 1), b: s.start("b", 1)}
+		defer stop(p.a, p.b)
 		s.sleep(2000)
-		key := s.keyNow("table")
-		first := a.ask(context.Background(), "r1", key, "for six", a.upstream(sendRuns, 0))
+		p.key = s.keyNow("table")
+		c := p.a.call("r1", p.key, "for six")
+		c.Writer.(*page).gone = true
+		ctx, leave := context.WithCancel(background)
+		first := p.a.askCall(ctx, c, enquiry.HandlerFunc(func(ctx context.Context, c *enquiry.Call) error {
+			if r := c.MaySend(s.clk.Now()); r != nil {
+				return r
+			}
+			leave()
+			s.sleep(2000)
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			return p.a.upstream(sendRuns, 0).Handle(ctx, &enquiry.Call{Request: c.Request, Writer: c.Writer})
+		}))
+		want := []told{{Outcome: enquiry.Ran, Reason: enquiry.ReasonCallerGone}, replayed("r1")}
+		if diff := cmp.Diff(want, []told{first, p.ask(p.b, "r2")}); diff != "" {
+			t.Errorf("told (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestP08LogDownRefusalsSpreadTheirReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSim(firstSeed)
+		a := s.start("a", 1)
+		defer stop(a)
 		s.sleep(2000)
-		second := b.ask(context.Background(), "r2", key, "for six", b.upstream(sendRuns, 0))
-		third := b.ask(context.Background(), "r3", key, "for seven", b.upstream(sendRuns, 0))
-		want := []told{
-			{Answer: "r1", Outcome: enquiry.Ran},
-			{Answer: "r1", Outcome: enquiry.Ran, Replayed: true},
-			{Outcome: enquiry.NotRun, Reason: enquiry.ReasonKeyReused},
+		s.setDown(true)
+		s.sleep(10000)
+		times := map[clock.Millis]bool{}
+		for range 50 {
+			_, err := a.book.Claim(background, a.call("r1", s.keyNow("table"), "for six"))
+			r, ok := err.(*enquiry.Refusal)
+			if !ok || r.Outcome != enquiry.NotRun || r.RetryAfter < retryBase || r.RetryAfter >= 2*retryBase {
+				t.Fatalf("refusal is %v", err)
+			}
+			times[r.RetryAfter] = true
 		}
-		if diff := cmp.Diff(want, []told{first, second, third}); diff != "" {
-			t.Errorf("told (-want +got):\n%s", diff)
+		if len(times) < 25 {
+			t.Errorf("50 refusals name %d times to return", len(times))
 		}
-		if diff := cmp.Diff(map[string][]string{key: {"r1"}}, s.runs); diff != "" {
-			t.Errorf("runs (-want +got):\n%s", diff)
+	})
+}
+
+func TestP09LargeAnswerIsToldAsRan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSim(firstSeed)
+		a := s.start("a", 1)
+		defer stop(a)
+		s.sleep(2000)
+		id, key := strings.Repeat("r", defaultAnswerLimit+1), s.keyNow("table")
+		first := a.ask(background, id, key, "for six", a.upstream(sendRuns, 0))
+		second := a.ask(background, "r2", key, "for six", a.upstream(sendRuns, 0))
+		want := []told{ran(id), {Outcome: enquiry.Ran, Reason: enquiry.ReasonAlreadyRan}}
+		if diff := cmp.Diff(want, []told{first, second}); diff != "" {
+			t.Errorf("told (-want +got):\n%s", diff)
 		}
 	})
 }
+
+func TestP09KeyTime(t *testing.T) {
+	for _, sc := range []struct {
+		key  string
+		want clock.Millis
+		ok   bool
+	}{
+		{key: "1796243523000-table-7", want: 1796243523000, ok: true},
+		{key: "017f22e2-79b0-7cc3-98c4-dc0c0c07398f", want: 1645557742000, ok: true},
+		{key: "919108f7-52d1-4320-9bac-f847db4148a8"},
+		{key: "1796243523000"},
+		{key: "1796243523000-"},
+		{key: "-5-table"},
+		{key: "table"},
+	} {
+		if got, ok := KeyTime(sc.key); got != sc.want || ok != sc.ok {
+			t.Errorf("KeyTime(%q) = %d, %v, want %d, %v", sc.key, got, ok, sc.want, sc.ok)
+		}
+	}
+}
--- a/pkg/reservation/filter.go
+++ b/pkg/reservation/filter.go
@@ -71,12 +71,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if d.Outcome == enquiry.NotRun {
-		b.owed.add(&Record{Release: &Release{ID: d.ID, Key: d.Key}})
+		b.owe(&Record{Release: &Release{ID: d.ID, Key: d.Key}})
 		return
 	}
 	b.table.Finish(d)
 	b.notify(d.Key)
-	b.owed.add(&Record{Done: d})
+	b.owe(&Record{Done: d})
 }
 
 // replay answers a second asker with what is recorded.
--- a/pkg/reservation/record.go
+++ b/pkg/reservation/record.go
@@ -72,6 +72,19 @@
 	return n
 }
 
+// name is the id of the claim that the record is about.
+func (r *Record) name() string {
+	switch {
+	case r.Claim != nil:
+		return r.Claim.ID
+	case r.Release != nil:
+		return r.Release.ID
+	case r.Done != nil:
+		return r.Done.ID
+	}
+	return ""
+}
+
 func encode(r *Record) ([]byte, error) { return json.Marshal(r) }
 
 // decode returns an empty record for bytes that are none, since every reader must make the same of them.
--- a/pkg/reservation/sim_test.go
+++ b/pkg/reservation/sim_test.go
@@ -108,6 +108,8 @@
 	killed  chan struct{}
 	appends int
 	reads   int
+	// fault is the kind of failure of each append, or nil for chance.
+	fault *fault
 }
 
 func (s *sim) start(name string, incarnation int64) *instance {
@@ -174,46 +176,65 @@
 
 func lost() error       { return &platform.UnavailableError{Service: "log", Unknown: true, Cause: errBroken} }
 func refused() error    { return &platform.UnavailableError{Service: "log", Cause: errBroken} }
-func isDead() error     { return lost() }
 func (s *sim) lag() int { return 1 + s.roll(8, "lag") }
 
+// fault is a failure of one append.
+type fault int
+
+const (
+	faultNone fault = iota
+	faultRefused
+	// faultAnswerLost appends, and tells that the answer was lost.
+	faultAnswerLost
+	// faultHangs appends, and does not answer.
+	faultHangs
+	// faultLate appends after a time, and tells that the answer was lost.
+	faultLate
+	// faultTwice appends twice.
+	faultTwice
+)
+
 // Append is the log as this instance reaches it: answers are lost, records arrive late or twice, or not at all.
 func (i *instance) Append(ctx context.Context, _ string, records [][]byte) (int64, error) {
 	i.appends++
-	fault := i.sim.roll(100, "append %s %d", i.name, i.appends)
 	i.sim.sleep(i.sim.lag())
 	if !i.gate() {
-		return 0, isDead()
+		return 0, lost()
 	}
 	if i.sim.isDown() {
 		return 0, refused()
 	}
-	if fault >= i.sim.chaos {
+	kind := faultNone
+	if i.fault != nil {
+		kind = *i.fault
+	} else if i.sim.roll(100, "append %s %d", i.name, i.appends) < i.sim.chaos {
+		kind = fault(1 + i.sim.roll(5, "fault %s %d", i.name, i.appends))
+	}
+	switch kind {
+	case faultNone:
 		first := i.sim.append(records)
 		i.sim.sleep(i.sim.lag())
 		if !i.gate() {
-			return 0, isDead()
+			return 0, lost()
 		}
 		return first, nil
-	}
-	switch fault % 5 {
-	case 0: // refused
+	case faultRefused:
 		return 0, refused()
-	case 1: // the answer is lost after the append
+	case faultAnswerLost:
 		i.sim.append(records)
 		return 0, lost()
-	case 2: // the answer never comes
+	case faultHangs:
 		i.sim.append(records)
 		<-ctx.Done()
 		return 0, lost()
-	case 3: // the records arrive late
+	case faultLate:
 		late := i.sim.roll(20000, "late %s %d", i.name, i.appends)
 		i.wg.Go(func() {
 			i.sim.sleep(late)
 			i.sim.append(records)
 		})
 		return 0, lost()
-	default: // the records arrive twice
+	default:
 		first := i.sim.append(records)
 		i.sim.append(records)
 		return first, nil
