Send requests, serve callers and operators, load settings, and add the command lines

courier sends a call once and passes a whole answer on; a gated connection asks the gate right before the first byte and knows whether any byte left. desk has the HTTP interfaces. enquiry.Request gains Options (further fields of a chat body), enquiry.Call gains Pin (the signed pin for the caller) and Shown (set by the writer at the caller's connection).

--- /dev/null
+++ b/cmd/carawayknot/main.go
@@ -0,0 +1,12 @@
+// Command carawayknot is the command-line tool of operators.
+package main
+
+import (
+	"os"
+
+	"carawayknot.example/carawayknot/pkg/app"
+)
+
+func main() {
+	os.Exit(app.RunTool(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/pkg/app/tool.go
@@ -0,0 +1,64 @@
+package app
+
+import (
+	"context"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// Replay plays a trace file; target is empty for the built-in stand-ins, or the URL of a running set.
+type Replay func(ctx context.Context, trace, target string, asJSON bool, stdout io.Writer) error
+
+// Tool is the command-line tool of operators.
+type Tool struct {
+	Stdin  io.Reader
+	Stdout io.Writer
+	Stderr io.Writer
+	// Replay carries out the command of that name; without it the command says that it is not built in.
+	Replay Replay
+
+	admin  client
+	asJSON bool
+}
+
+// RunTool carries out the command line of the tool and returns the exit code.
+func RunTool(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	t := &Tool{Stdin: stdin, Stdout: stdout, Stderr: stderr}
+	return t.Run(args)
+}
+
+// Run carries out a command line and returns the exit code.
+func (t *Tool) Run(args []string) int {
+	k := newParser("carawayknot", toolHelp, t.Stdout, t.Stderr)
+	k.Flag("admin", "URL of the admin API of any instance.").Envar("CARAWAYKNOT_ADMIN").
+		Default("http://127.0.0.1:8081").StringVar(&t.admin.base)
+	k.Flag("key-file", "File that holds the admin key.").Envar("CARAWAYKNOT_KEY_FILE").StringVar(&t.admin.keyFile)
+	k.Flag("author", "Name that stands in the history of changes.").Envar("USER").StringVar(&t.admin.author)
+	k.Flag("json", "Print JSON in place of tables.").BoolVar(&t.asJSON)
+	t.configCommands(k)
+	t.zoneCommands(k)
+	t.versionCommands(k)
+	t.upstreamCommands(k)
+	t.stateCommand(k)
+	t.billCommand(k)
+	t.requestCommand(k)
+	t.replayCommand(k)
+	return run(k, args, t.Stderr)
+}
+
+const toolHelp = `Operate a running carawayknot through the admin API of any of its instances.
+
+Exit codes: 0 done, 1 refused or failed, 2 wrong command line or file, 3 no instance answered, 4 the change is in the log
+but not yet known to be in force on a majority. Shell completion: eval "$(carawayknot --completion-script-bash)".`
+
+// action is what a command does; its context ends with SIGINT and SIGTERM.
+func action(f func(ctx context.Context) error) kingpin.Action {
+	return func(*kingpin.ParseContext) error {
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+		defer stop()
+		return f(ctx)
+	}
+}
--- /dev/null
+++ b/pkg/courier/attempt.go
@@ -0,0 +1,124 @@
+package courier
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+)
+
+// requestIDHeader carries the request id to the upstream and back.
+const requestIDHeader = "X-Request-Id"
+
+// attempt is one try of a call at one upstream; a resumed stream belongs to the same attempt.
+type attempt struct {
+	*Send
+	call *enquiry.Call
+	// asked is the call as it was when the attempt began.
+	asked enquiry.Call
+	ctx   context.Context
+	stop  context.CancelCauseFunc
+	watch *watch
+	wg    sync.WaitGroup
+
+	mu       sync.Mutex
+	exchange *exchange
+
+	began clock.Millis
+	// wrote is true once a byte of the request may have left.
+	wrote bool
+	// offset counts the tokens received in order.
+	offset int
+	// firstToken is the time to the first token, in milliseconds; 0 while there is none.
+	firstToken clock.Millis
+	// headed is true once the writer got the head.
+	headed bool
+	// end is set once the answer is complete.
+	end *enquiry.End
+	// charged is true once the attempt stands in the usage of the call.
+	charged bool
+}
+
+func (s *Send) newAttempt(ctx context.Context, c *enquiry.Call) *attempt {
+	a := &attempt{Send: s, call: c, asked: *c, began: s.Clock.Now()}
+	a.ctx, a.stop = context.WithCancelCause(context.WithoutCancel(ctx))
+	unhook := context.AfterFunc(ctx, func() { a.giveUp(context.Cause(ctx)) })
+	a.watch = &watch{clock: s.Clock, stall: s.Settings.Times.Stall, deadline: c.Request.Deadline, stalled: a.stop, late: a.giveUp}
+	a.watch.touch()
+	a.wg.Go(func() {
+		defer unhook()
+		a.watch.run(a.ctx)
+	})
+	return a
+}
+
+// close ends what the attempt started.
+func (a *attempt) close() {
+	a.stop(context.Canceled)
+	a.wg.Wait()
+}
+
+// giveUp ends the attempt because nobody waits for it any more.
+// A request that must not run twice is seen to its end once a byte of it has left.
+func (a *attempt) giveUp(cause error) {
+	if !a.call.Request.Repeatable && a.sealed() {
+		return
+	}
+	a.stop(cause)
+}
+
+// sealed stops the exchange if it is unwritten, and tells whether bytes of it may have left.
+func (a *attempt) sealed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.exchange == nil {
+		return false
+	}
+	wrote, _ := a.exchange.seal()
+	return wrote
+}
+
+// do sends one request of the attempt; permit is asked right before its first byte.
+func (a *attempt) do(req *http.Request, permit func() error) (*http.Response, error) {
+	ex := &exchange{permit: permit}
+	a.mu.Lock()
+	a.exchange = ex
+	a.mu.Unlock()
+	resp, err := a.transports.roundTrip(req, ex, a.call.Request.Repeatable)
+	wrote, denied := ex.seal()
+	a.wrote = a.wrote || wrote
+	if denied != nil {
+		return nil, &deniedError{cause: denied}
+	}
+	if err != nil {
+		return nil, err
+	}
+	a.watch.touch()
+	resp.Body = &watchedBody{ReadCloser: resp.Body, watch: a.watch}
+	return resp, nil
+}
+
+// permitted asks the gate on a copy of the call, since the transport asks it on a goroutine of its own that may outlive
+// the attempt.
+func (a *attempt) permitted() error {
+	c := a.asked
+	return a.Gate.Permit(&c)
+}
+
+// watchedBody tells the watch of each byte that comes.
+type watchedBody struct {
+	io.ReadCloser
+	watch *watch
+}
+
+// Read reads and notes that bytes have come.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.watch.touch()
+	}
+	return n, err
+}
--- /dev/null
+++ b/pkg/courier/fakes_test.go
@@ -0,0 +1,223 @@
+package courier
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+	"carawayknot.example/carawayknot/pkg/settings"
+)
+
+const (
+	testID      = "r-1"
+	testVersion = catalogue.VersionID("chai@2")
+)
+
+// recorder is a writer that keeps what a caller would see.
+type recorder struct {
+	mu     sync.Mutex
+	status int
+	text   strings.Builder
+	next   int
+	end    *enquiry.End
+	// fail is returned by each write once more than failAfter bytes were taken; it is nil for a caller that stays.
+	fail      error
+	failAfter int
+	// pace is called with the length of each write before it is taken.
+	pace func(n int)
+}
+
+func (r *recorder) WriteHead(_ context.Context, _ *enquiry.Call, h enquiry.Head) error {
+	r.status = h.Status
+	return nil
+}
+
+func (r *recorder) WriteChunk(_ context.Context, c *enquiry.Call, k enquiry.Chunk) error {
+	if k.Offset != r.next {
+		return fmt.Errorf("chunk at offset %d in place of %d", k.Offset, r.next)
+	}
+	r.next += k.Tokens
+	c.Shown = true
+	return r.take(k.Text)
+}
+
+func (r *recorder) WriteBytes(_ context.Context, c *enquiry.Call, b []byte) error {
+	c.Shown = true
+	return r.take(string(b))
+}
+
+func (r *recorder) take(s string) error {
+	if r.pace != nil {
+		r.pace(len(s))
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.text.WriteString(s)
+	if r.fail != nil && r.text.Len() > r.failAfter {
+		return r.fail
+	}
+	return nil
+}
+
+func (r *recorder) WriteEnd(_ context.Context, _ *enquiry.Call, e enquiry.End) error {
+	r.end = &e
+	return nil
+}
+
+// openGate permits everything.
+type openGate struct{}
+
+func (openGate) Permit(*enquiry.Call) error { return nil }
+
+// cancels notes the requests that were cancelled.
+type cancels struct {
+	mu   sync.Mutex
+	kept []string
+	gone []string
+}
+
+func (c *cancels) Cancel(_ context.Context, _, id string, keep bool) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if keep {
+		c.kept = append(c.kept, id)
+	} else {
+		c.gone = append(c.gone, id)
+	}
+	return nil
+}
+
+// script plays an upstream for one request on a connection; n counts the requests from 0.
+type script func(n int, req *http.Request, conn net.Conn)
+
+// upstream is a scripted upstream behind pipes in place of sockets.
+type upstream struct {
+	play script
+
+	mu    sync.Mutex
+	seen  []*http.Request
+	dials int
+}
+
+// dial connects to the upstream.
+func (u *upstream) dial(context.Context, string, string) (net.Conn, error) {
+	u.mu.Lock()
+	u.dials++
+	u.mu.Unlock()
+	near, far := net.Pipe()
+	go u.serve(far)
+	return near, nil
+}
+
+func (u *upstream) serve(conn net.Conn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		u.mu.Lock()
+		n := len(u.seen)
+		u.seen = append(u.seen, req)
+		u.mu.Unlock()
+		u.play(n, req, conn)
+		if req.Close {
+			return
+		}
+	}
+}
+
+func (u *upstream) requests() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.seen)
+}
+
+// testSend returns a Send with a budget that is large enough for small answers.
+func testSend(dial dialFunc) *Send {
+	s := settings.Default()
+	return &Send{
+		Common: settings.Common{Log: logr.Discard(), Settings: &s, Clock: clock.NewReal()},
+		Gate:   openGate{},
+		Budget: &Budget{Total: 1 << 20, PerRequest: 128 << 10},
+		Cancel: &cancels{},
+		Dial:   dial,
+	}
+}
+
+func chatCall(s *Send, w enquiry.Writer) *enquiry.Call {
+	return &enquiry.Call{
+		Request: &enquiry.Request{
+			ID: testID, Workspace: "guests", Repeatable: true, Stream: true,
+			Deadline: s.Clock.Now() + 60*clock.Second,
+			Messages: []enquiry.Message{{Role: "user", Content: "a table for six"}},
+		},
+		Profile:  &catalogue.Profile{Name: "chat", Task: "chat"},
+		Version:  &catalogue.Version{ID: testVersion, InputCost: 1_000_000, OutputCost: 2_000_000},
+		Upstream: &catalogue.Upstream{Name: "engine-1", Role: catalogue.RoleEngine, Address: "10.0.0.1:9000", Rule: catalogue.UpstreamRule{RefusalIsNotRun: true}},
+		Writer:   w,
+	}
+}
+
+func serviceCall(s *Send, w enquiry.Writer, method string, repeatable bool) *enquiry.Call {
+	return &enquiry.Call{
+		Request: &enquiry.Request{
+			ID: testID, Workspace: "guests", Repeatable: repeatable, Key: "k-1",
+			Deadline: s.Clock.Now() + 60*clock.Second,
+			Service:  "booking", Method: method, Path: "/tables", Header: http.Header{}, Body: []byte("six at noon"),
+		},
+		Service:  &catalogue.Service{Name: "booking"},
+		Upstream: &catalogue.Upstream{Name: "desk-1", Role: catalogue.RoleService, Address: "10.0.0.2:9000", Rule: catalogue.UpstreamRule{RefusalIsNotRun: true}},
+		Writer:   w,
+	}
+}
+
+const streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: r-1\r\nConnection: close\r\n\r\n"
+
+// tokenEvent is one event with a token.
+func tokenEvent(offset int, text string) string {
+	return fmt.Sprintf("data: {\"id\":\"r-1\",\"model\":\"chai@2\",\"offset\":%d,\"choices\":[{\"index\":0,\"delta\":{\"content\":%q},\"finish_reason\":null}]}\n\n", offset, text)
+}
+
+// endEvent is the last event before the end mark.
+func endEvent(offset int) string {
+	return fmt.Sprintf("data: {\"id\":\"r-1\",\"model\":\"chai@2\",\"offset\":%d,\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":5,\"completion_tokens\":%d}}\n\n", offset, offset)
+}
+
+const doneEvent = "data: [DONE]\n\n"
+
+// raw returns a script that writes text and closes the connection.
+func raw(text string) script {
+	return func(_ int, _ *http.Request, conn net.Conn) {
+		_, _ = io.WriteString(conn, text)
+		conn.Close()
+	}
+}
+
+// refusalOf returns the refusal in err, nil when there is none.
+func refusalOf(t *testing.T, err error) *enquiry.Refusal {
+	t.Helper()
+	if err == nil {
+		return nil
+	}
+	r, ok := err.(*enquiry.Refusal)
+	if !ok {
+		t.Fatalf("got %T %v, want a refusal", err, err)
+	}
+	return r
+}
--- /dev/null
+++ b/pkg/courier/refusal.go
@@ -0,0 +1,163 @@
+package courier
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+)
+
+const (
+	// retrySoon is the wait that is told after a failure of one upstream, in milliseconds.
+	retrySoon = 500
+	// retryLimit bounds the wait that an upstream may ask for.
+	retryLimit = 60 * clock.Second
+)
+
+// deniedError says that the gate stopped the request before its first byte.
+type deniedError struct{ cause error }
+
+// Error describes the denial.
+func (e *deniedError) Error() string { return "stopped before the first byte: " + e.cause.Error() }
+
+// Unwrap returns what the gate said.
+func (e *deniedError) Unwrap() error { return e.cause }
+
+// statusError is an answer of an upstream that is no result.
+type statusError struct {
+	Status     int
+	RetryAfter clock.Millis
+	// proved is true when the answer proves that the request did not run.
+	proved bool
+}
+
+// Error tells the status.
+func (e *statusError) Error() string { return fmt.Sprintf("the upstream answered %d", e.Status) }
+
+// mismatchError says that an answer belongs to another request or version, or is out of order.
+type mismatchError struct {
+	Field string
+	Want  string
+	Got   string
+}
+
+// Error tells what differs.
+func (e *mismatchError) Error() string {
+	return fmt.Sprintf("the answer has %s %q in place of %q", e.Field, e.Got, e.Want)
+}
+
+// cutError says that an answer ended before it was complete.
+type cutError struct{ cause error }
+
+// Error tells where the answer ended.
+func (e *cutError) Error() string { return "the answer is not whole: " + e.cause.Error() }
+
+// Unwrap returns the cause of the cut.
+func (e *cutError) Unwrap() error { return e.cause }
+
+// writeError says that the caller could not be written to.
+type writeError struct{ cause error }
+
+// Error tells the cause.
+func (e *writeError) Error() string { return "the caller has gone: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *writeError) Unwrap() error { return e.cause }
+
+// outcome tells what is known of the running of the request after err.
+func (a *attempt) outcome(err error) enquiry.Outcome {
+	if !a.wrote {
+		return enquiry.NotRun
+	}
+	var status *statusError
+	if errors.As(err, &status) && status.proved && a.offset == 0 {
+		return enquiry.NotRun
+	}
+	if a.end != nil {
+		return enquiry.Ran
+	}
+	return enquiry.MayHaveRun
+}
+
+// refusal turns what went wrong into the error of the caller.
+func (a *attempt) refusal(err error) *enquiry.Refusal {
+	r := &enquiry.Refusal{Outcome: a.outcome(err), Detail: "upstream " + a.call.Upstream.Name, Cause: err}
+	r.Reason, r.RetryAfter = a.reason(err)
+	var told *enquiry.Refusal
+	if errors.As(err, &told) {
+		r.Reason, r.RetryAfter, r.Field, r.Detail = told.Reason, told.RetryAfter, told.Field, told.Detail
+		r.Cause = told.Cause
+	}
+	return r
+}
+
+func (a *attempt) reason(err error) (enquiry.Reason, clock.Millis) {
+	var (
+		status    *statusError
+		mismatch  *mismatchError
+		cut       *cutError
+		write     *writeError
+		stale     *catalogue.StaleError
+		forbidden *catalogue.ForbiddenError
+	)
+	switch {
+	case errors.As(err, &stale):
+		return enquiry.ReasonStaleView, clock.Second
+	case errors.As(err, &forbidden):
+		return enquiry.ReasonNoUpstream, retrySoon
+	case errors.Is(err, errDeadline):
+		return enquiry.ReasonDeadline, 0
+	case errors.Is(err, errSlowReader):
+		return enquiry.ReasonMemory, retrySoon
+	case errors.As(err, &write), errors.Is(err, errReaderGone), errors.Is(err, context.Canceled):
+		return enquiry.ReasonCallerGone, 0
+	case errors.As(err, &cut):
+		return enquiry.ReasonAnswerIncomplete, retrySoon
+	case errors.As(err, &mismatch):
+		return enquiry.ReasonAnswerMismatch, retrySoon
+	case errors.As(err, &status):
+		if status.Status == http.StatusTooManyRequests || status.Status == http.StatusServiceUnavailable || status.proved {
+			return enquiry.ReasonUpstreamRefused, max(status.RetryAfter, retrySoon)
+		}
+		return enquiry.ReasonUpstreamFailed, retrySoon
+	}
+	return enquiry.ReasonUpstreamFailed, retrySoon
+}
+
+// result classifies the attempt for its sample.
+func (a *attempt) result(err error) enquiry.Result {
+	if err == nil {
+		return enquiry.ResultComplete
+	}
+	reason, _ := a.reason(err)
+	switch reason {
+	case enquiry.ReasonUpstreamRefused:
+		return enquiry.ResultRefused
+	case enquiry.ReasonAnswerIncomplete:
+		return enquiry.ResultCut
+	case enquiry.ReasonAnswerMismatch:
+		return enquiry.ResultMismatch
+	case enquiry.ReasonCallerGone, enquiry.ReasonStaleView, enquiry.ReasonNoUpstream:
+		return enquiry.ResultCancelled
+	case enquiry.ReasonDeadline:
+		if !a.wrote {
+			return enquiry.ResultCancelled
+		}
+	}
+	return enquiry.ResultFailed
+}
+
+// retryAfter reads the header of that name, in seconds, as milliseconds; 0 when there is none.
+func retryAfter(h http.Header) clock.Millis {
+	n, err := strconv.ParseInt(h.Get("Retry-After"), 10, 32)
+	if err != nil || n < 0 {
+		return 0
+	}
+	return min(clock.Millis(n)*clock.Second, retryLimit)
+}
--- /dev/null
+++ b/pkg/courier/report.go
@@ -0,0 +1,68 @@
+package courier
+
+import (
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+)
+
+// tokensPerPrice is the number of tokens that a version's price stands for.
+const tokensPerPrice = 1_000_000
+
+// report tells what the attempt showed and ends the engine's work on an answer that is not passed on.
+func (a *attempt) report(err error) {
+	if a.wrote && a.offset > 0 {
+		a.chargeUsage(enquiry.End{OutputTokens: a.offset})
+	}
+	if err != nil && a.wrote && a.end == nil && a.call.Request.Repeatable && a.call.Version != nil {
+		a.cancelWork(a.call.Upstream.Address, a.call.Request.ID)
+	}
+	if err != nil {
+		a.Log.V(1).Info("attempt failed", "request", a.call.Request.ID, "upstream", a.call.Upstream.Name,
+			"outcome", a.outcome(err), "error", err.Error())
+	}
+	if a.Observe != nil {
+		a.Observe(a.sample(err))
+	}
+}
+
+func (a *attempt) sample(err error) enquiry.Sample {
+	now := a.Clock.Now()
+	s := enquiry.Sample{
+		At:         now,
+		RequestID:  a.call.Request.ID,
+		Workspace:  a.call.Request.Workspace,
+		Upstream:   a.call.Upstream.Name,
+		Result:     a.result(err),
+		FirstToken: a.firstToken,
+		Total:      now - a.began,
+		Tokens:     a.offset,
+	}
+	if a.call.Version != nil {
+		s.Version = a.call.Version.ID
+	}
+	if a.call.Profile != nil {
+		s.Task = a.call.Profile.Task
+	}
+	return s
+}
+
+// chargeUsage adds the work of the attempt to the call, once.
+func (a *attempt) chargeUsage(end enquiry.End) {
+	if a.charged || a.call.Version == nil {
+		return
+	}
+	a.charged = true
+	a.call.Usage = append(a.call.Usage, enquiry.Usage{
+		Version:      a.call.Version.ID,
+		Upstream:     a.call.Upstream.Name,
+		InputTokens:  end.InputTokens,
+		OutputTokens: end.OutputTokens,
+		Cost:         cost(a.call.Version, end.InputTokens, end.OutputTokens),
+	})
+}
+
+// cost returns the price of the tokens, rounded up.
+func cost(v *catalogue.Version, input, output int) catalogue.Micros {
+	sum := v.InputCost*catalogue.Micros(input) + v.OutputCost*catalogue.Micros(output)
+	return (sum + tokensPerPrice - 1) / tokensPerPrice
+}
--- /dev/null
+++ b/pkg/desk/caller.go
@@ -0,0 +1,189 @@
+package desk
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+	"carawayknot.example/carawayknot/pkg/settings"
+)
+
+const (
+	chatPath      = "/v1/chat/completions"
+	servicePrefix = "/services/"
+	// retrySoon is the wait that is told when this instance can't serve now, in milliseconds.
+	retrySoon = 1 * clock.Second
+)
+
+// Budget bounds the bytes that are held for callers.
+type Budget interface {
+	// Take reserves n bytes for a request that holds own already, and tells whether there was room.
+	Take(own, n int64) bool
+	// Give returns n reserved bytes.
+	Give(n int64)
+}
+
+// Caller is the HTTP interface for callers.
+type Caller struct {
+	settings.Common
+	// Line answers the calls.
+	Line enquiry.Handler
+	// Snapshot returns the newest snapshot, nil before the first.
+	Snapshot func() *catalogue.Snapshot
+	// Ready returns why the instance should get no requests, or nil.
+	Ready func() error
+	// InFlight counts the requests being served.
+	InFlight *InFlight
+	// Budget bounds the answers that are held to be sent as a whole; without it they are not bounded.
+	Budget Budget
+	// Metrics counts what callers see; it is optional.
+	Metrics *Metrics
+
+	keys keyIndex
+}
+
+// ServeHTTP answers a caller.
+func (d *Caller) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/healthz":
+		writeText(w, http.StatusOK, "alive\n")
+	case r.URL.Path == "/readyz":
+		d.serveReady(w)
+	case r.URL.Path == "/metrics" && d.Metrics != nil:
+		d.Metrics.ServeHTTP(w, r)
+	case r.URL.Path == chatPath && r.Method != http.MethodPost:
+		w.Header().Set("Allow", http.MethodPost)
+		writeText(w, http.StatusMethodNotAllowed, "use POST\n")
+	case r.URL.Path == chatPath:
+		d.serve(w, r, d.readChat)
+	case strings.HasPrefix(r.URL.Path, servicePrefix):
+		d.serve(w, r, d.readService)
+	default:
+		writeError(w, enquiry.Refuse(enquiry.ReasonNotFound, 0, "no such path; use %s or %s{name}/", chatPath, servicePrefix))
+	}
+}
+
+func (d *Caller) serveReady(w http.ResponseWriter) {
+	if err := d.Ready(); err != nil {
+		writeText(w, http.StatusServiceUnavailable, err.Error()+"\n")
+		return
+	}
+	writeText(w, http.StatusOK, "ready\n")
+}
+
+func writeText(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(text))
+}
+
+// reader fills in a request from what a caller sent; workspace and id are known.
+type reader func(w http.ResponseWriter, r *http.Request, snap *catalogue.Snapshot, q *enquiry.Request) error
+
+// serve takes one request through the line.
+func (d *Caller) serve(w http.ResponseWriter, r *http.Request, read reader) {
+	began := d.Clock.Now()
+	if !d.InFlight.Enter(d.Settings.Limits.InFlight) {
+		d.refuse(w, enquiry.Refuse(enquiry.ReasonOverloaded, retrySoon, "the instance serves as many requests as it may"))
+		return
+	}
+	defer d.InFlight.Leave()
+	q, err := d.read(w, r, read)
+	if err != nil {
+		d.refuse(w, err)
+		return
+	}
+	c := &enquiry.Call{Request: q}
+	out := d.writer(w, q)
+	c.Writer = out
+	err = d.Line.Handle(r.Context(), c)
+	d.Metrics.observe(c, err, d.Clock.Now()-began)
+	d.note(c, err)
+	if err != nil {
+		out.fail(c, err)
+	}
+}
+
+func (d *Caller) refuse(w http.ResponseWriter, err error) {
+	d.Metrics.refused("", err)
+	writeError(w, err)
+}
+
+func (d *Caller) note(c *enquiry.Call, err error) {
+	log := d.Log.WithValues("request", c.Request.ID, "workspace", c.Request.Workspace, "attempts", c.Attempts, "cost", c.Cost())
+	if c.Upstream != nil {
+		log = log.WithValues("upstream", c.Upstream.Name)
+	}
+	if c.Version != nil {
+		log = log.WithValues("version", c.Version.ID)
+	}
+	if err != nil {
+		log.Info("refused", "error", err.Error())
+		return
+	}
+	log.V(1).Info("answered")
+}
+
+// read checks who asks and what for.
+func (d *Caller) read(w http.ResponseWriter, r *http.Request, read reader) (*enquiry.Request, error) {
+	snap := d.Snapshot()
+	if snap == nil {
+		return nil, enquiry.Refuse(enquiry.ReasonStaleView, retrySoon, "the configuration is not known yet")
+	}
+	if snap.Draining {
+		return nil, enquiry.Refuse(enquiry.ReasonDraining, retrySoon, "the instance is shutting down, ask another")
+	}
+	if err := snap.Fresh(d.Clock.Now(), d.Settings.Times.Horizon); err != nil {
+		return nil, staleRefusal(err)
+	}
+	ws := d.keys.workspace(snap.Config, bearer(r))
+	if ws == nil {
+		return nil, enquiry.Refuse(enquiry.ReasonUnauthorized, 0, "send the workspace key as Authorization: Bearer <key>")
+	}
+	q := &enquiry.Request{Workspace: ws.Name, ArrivedAt: d.Clock.Now(), Repeatable: true}
+	if err := readHeaders(r.Header, q); err != nil {
+		return nil, err
+	}
+	w.Header().Set(HeaderRequestID, q.ID)
+	if err := read(w, r, snap, q); err != nil {
+		return nil, err
+	}
+	if !q.Repeatable && q.Key == "" {
+		return nil, refuseField(HeaderRequestKey, "a request that must not run twice needs a key of its own in this header")
+	}
+	return q, nil
+}
+
+func staleRefusal(err error) *enquiry.Refusal {
+	r := enquiry.Refuse(enquiry.ReasonStaleView, retrySoon, "this instance is cut off, ask another")
+	r.Cause = err
+	return r
+}
+
+// answerWriter takes an answer, or the error in its place.
+type answerWriter interface {
+	enquiry.Writer
+	fail(c *enquiry.Call, err error)
+}
+
+func (d *Caller) writer(w http.ResponseWriter, q *enquiry.Request) answerWriter {
+	out := &output{w: w, rc: http.NewResponseController(w), clock: d.Clock}
+	switch {
+	case q.Service != "":
+		return &serviceWriter{output: out}
+	case q.Stream:
+		return &streamWriter{output: out}
+	default:
+		return &wholeWriter{output: out, budget: d.Budget}
+	}
+}
+
+// writeJSON writes v as the whole answer.
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/pkg/desk/identify.go
@@ -0,0 +1,79 @@
+package desk
+
+import (
+	"context"
+	"slices"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+	"carawayknot.example/carawayknot/pkg/settings"
+)
+
+// defaultDeadline is used where neither the caller nor the configuration states one.
+const defaultDeadline = 60 * clock.Second
+
+// Identify is the filter that finds the workspace and the profile or service of a call.
+type Identify struct {
+	settings.Common
+	// Snapshot returns the newest snapshot, nil before the first.
+	Snapshot func() *catalogue.Snapshot
+}
+
+// Filter refuses a call that its workspace may not make.
+func (f *Identify) Filter(ctx context.Context, c *enquiry.Call, next enquiry.Handler) error {
+	snap := f.Snapshot()
+	if snap == nil {
+		return enquiry.Refuse(enquiry.ReasonStaleView, retrySoon, "the configuration is not known yet")
+	}
+	if err := snap.Fresh(f.Clock.Now(), f.Settings.Times.Horizon); err != nil {
+		return staleRefusal(err)
+	}
+	c.ViewAt = snap.At
+	c.Workspace = snap.Config.Workspaces[c.Request.Workspace]
+	if c.Workspace == nil {
+		return enquiry.Refuse(enquiry.ReasonUnauthorized, 0, "the workspace is not known")
+	}
+	limit, err := f.identify(snap.Config, c)
+	if err != nil {
+		return err
+	}
+	if c.Request.Deadline == 0 {
+		if limit == 0 {
+			limit = defaultDeadline
+		}
+		c.Request.Deadline = c.Request.ArrivedAt + limit
+	}
+	if f.Clock.Now() >= c.Request.Deadline {
+		return enquiry.Refuse(enquiry.ReasonDeadline, 0, "the deadline has passed")
+	}
+	return next.Handle(ctx, c)
+}
+
+// identify sets the profile or the service of the call and returns the time that it has by default.
+func (f *Identify) identify(config *catalogue.State, c *enquiry.Call) (clock.Millis, error) {
+	if c.Request.Service != "" {
+		return f.service(config, c)
+	}
+	name := c.Request.Profile
+	c.Profile = config.Profiles[name]
+	if c.Profile == nil || !slices.Contains(c.Workspace.Profiles, name) {
+		return 0, forbid(HeaderProfile, "workspace %s may not use profile %s", c.Workspace.Name, name)
+	}
+	return c.Profile.Deadline, nil
+}
+
+func (f *Identify) service(config *catalogue.State, c *enquiry.Call) (clock.Millis, error) {
+	name := c.Request.Service
+	c.Service = config.Services[name]
+	if c.Service == nil || !slices.Contains(c.Workspace.Services, name) {
+		return 0, forbid("service", "workspace %s may not use service %s", c.Workspace.Name, name)
+	}
+	return c.Service.Deadline, nil
+}
+
+func forbid(field, format string, args ...any) *enquiry.Refusal {
+	r := enquiry.Refuse(enquiry.ReasonForbidden, 0, format, args...)
+	r.Field = field
+	return r
+}
--- /dev/null
+++ b/pkg/desk/output.go
@@ -0,0 +1,56 @@
+package desk
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+)
+
+// writeGrace is added to the deadline of a request for the writing of its last bytes, in milliseconds.
+const writeGrace = 1 * clock.Second
+
+// output is the connection to the caller.
+type output struct {
+	w     http.ResponseWriter
+	rc    *http.ResponseController
+	clock clock.Clock
+	// started is true once the head is on its way.
+	started bool
+}
+
+// start writes the head; from here on the caller has seen a part of the answer.
+func (o *output) start(c *enquiry.Call, status int) {
+	o.started = true
+	c.Shown = true
+	if c.Request.Deadline > 0 {
+		left := c.Request.Deadline - o.clock.Now() + writeGrace
+		_ = o.rc.SetWriteDeadline(time.Now().Add(left.Duration()))
+	}
+	o.describe(c)
+	o.w.WriteHeader(status)
+}
+
+// describe sets the headers that tell how the call was served.
+func (o *output) describe(c *enquiry.Call) {
+	h := o.w.Header()
+	h.Set(HeaderRequestID, c.Request.ID)
+	if c.Version != nil {
+		h.Set(HeaderVersion, string(c.Version.ID))
+	}
+	if c.Upstream != nil {
+		h.Set(HeaderUpstream, c.Upstream.Name)
+	}
+	if c.Pin != "" {
+		h.Set(HeaderPin, c.Pin)
+	}
+}
+
+// setResult sets the headers, or the trailers, that are known only at the end.
+func (o *output) setResult(c *enquiry.Call, outcome enquiry.Outcome) {
+	h := o.w.Header()
+	h.Set(HeaderCost, strconv.FormatInt(int64(c.Cost()), 10))
+	h.Set(HeaderOutcome, string(outcome))
+}
--- /dev/null
+++ b/pkg/desk/read.go
@@ -0,0 +1,124 @@
+package desk
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+)
+
+const (
+	maxIDLength      = 128
+	maxKeyLength     = 256
+	maxSessionLength = 256
+	maxPinLength     = 4096
+	// maxDeadline bounds the time a caller may state, in milliseconds.
+	maxDeadline = 24 * 60 * 60 * clock.Second
+	// bodyTime bounds the reading of a body.
+	bodyTime = 30 * clock.Second
+)
+
+// readHeaders fills in what the headers say of a request.
+func readHeaders(h http.Header, q *enquiry.Request) error {
+	for _, f := range []struct {
+		name string
+		max  int
+		into *string
+	}{
+		{HeaderRequestID, maxIDLength, &q.ID},
+		{HeaderRequestKey, maxKeyLength, &q.Key},
+		{HeaderSession, maxSessionLength, &q.Session},
+		{HeaderPin, maxPinLength, &q.Pin},
+		{HeaderProfile, maxIDLength, &q.Profile},
+	} {
+		v := h.Get(f.name)
+		if !isToken(v, f.max) {
+			return refuseField(f.name, "want at most %d visible ASCII characters without blanks", f.max)
+		}
+		*f.into = v
+	}
+	if q.ID == "" {
+		q.ID = uuid.NewString()
+	}
+	if err := readDeadline(h.Get(HeaderDeadline), q); err != nil {
+		return err
+	}
+	return readRepeatable(h.Get(HeaderRepeatable), q)
+}
+
+func isToken(v string, limit int) bool {
+	if len(v) > limit {
+		return false
+	}
+	for i := range len(v) {
+		if v[i] <= ' ' || v[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+func readDeadline(v string, q *enquiry.Request) error {
+	if v == "" {
+		return nil
+	}
+	ms, err := strconv.ParseInt(v, 10, 64)
+	if err != nil || ms <= 0 || clock.Millis(ms) > maxDeadline {
+		return refuseField(HeaderDeadline, "want a whole number of milliseconds from 1 to %d", maxDeadline)
+	}
+	q.Deadline = q.ArrivedAt + clock.Millis(ms)
+	return nil
+}
+
+func readRepeatable(v string, q *enquiry.Request) error {
+	switch v {
+	case "", "true":
+	case "false":
+		q.Repeatable = false
+	default:
+		return refuseField(HeaderRepeatable, "want true or false")
+	}
+	return nil
+}
+
+// readService fills in a call of a plain service.
+func (d *Caller) readService(w http.ResponseWriter, r *http.Request, snap *catalogue.Snapshot, q *enquiry.Request) error {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), servicePrefix), "/")
+	s := snap.Config.Services[name]
+	if s == nil {
+		return enquiry.Refuse(enquiry.ReasonNotFound, 0, "no such service")
+	}
+	q.Service, q.Method, q.Header = name, r.Method, r.Header
+	q.Path = "/" + rest
+	if r.URL.RawQuery != "" {
+		q.Path += "?" + r.URL.RawQuery
+	}
+	q.Repeatable = q.Repeatable && s.Repeatable(r.Method)
+	body, err := d.readBody(w, r)
+	q.Body = body
+	return err
+}
+
+// readBody reads the body within its bounds of size and time.
+func (d *Caller) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTime.Duration()))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, d.Settings.Limits.BodyBytes))
+	_ = rc.SetReadDeadline(time.Time{})
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, enquiry.Refuse(enquiry.ReasonTooLarge, 0, "the body may have at most %d bytes", large.Limit)
+	}
+	if err != nil {
+		return nil, refuseField("body", "the body could not be read to its end")
+	}
+	return body, nil
+}
--- a/pkg/enquiry/request.go
+++ b/pkg/enquiry/request.go
@@ -1,6 +1,7 @@
 package enquiry
 
 import (
+	"encoding/json"
 	"net/http"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
@@ -39,6 +40,8 @@
 	Messages []Message
 	// MaxTokens bounds the answer; 0 leaves it to the engine.
 	MaxTokens int
+	// Options are further fields of a chat completion, which the engine gets as they are.
+	Options map[string]json.RawMessage
 	// Service is the name of a plain service; it is empty for a chat completion.
 	Service string
 	// Method, Path and Header are those of a plain service call.
@@ -65,6 +68,10 @@
 	Attempts int
 	// Excluded names upstreams that failed this call.
 	Excluded []string
+	// Pin is the signed session pin to hand to the caller; it is empty when there is none.
+	Pin string
+	// Shown is true once the caller has seen a part of the answer; the writer at the caller's connection sets it.
+	Shown bool
 	// Usage adds up what upstreams did for this call, over all cascade steps.
 	Usage []Usage
 	// Writer takes the answer.
