Join the parts into a daemon: control actor, loops, filter line, drain, dump

Cause: the parts stood side by side and nothing was served. Upstream verdicts and health counters travel between instances as gossip items, since most instances have no share of a cold upstream and would never learn that it has become warm. Excluded: trusting a load report alone to end a cold start, because reports lag.

--- a/pkg/app/serve.go
+++ b/pkg/app/serve.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 
-	"github.com/cockroachdb/errors"
-
+	"carawayknot.example/carawayknot/pkg/house"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
-// ServeCallers runs an entry instance until ctx ends.
-func ServeCallers(_ context.Context, _ settings.Common) error {
-	return errors.New("the parts of an instance are not joined yet")
+// ServeCallers runs an entry instance until ctx ends, then drains it.
+func ServeCallers(ctx context.Context, common settings.Common) error {
+	h := &house.House{Common: common}
+	return h.Run(ctx)
 }
--- a/pkg/concierge/coldwatch.go
+++ b/pkg/concierge/coldwatch.go
@@ -37,6 +37,8 @@
 // It needs no announcement: reports, refusals and times to the first token are enough.
 type ColdWatch struct {
 	upstreams map[string]*warmth
+	// joined is what the other instances found out.
+	joined map[string]Verdict
 }
 
 // warmth is what is known of one upstream.
@@ -44,6 +46,10 @@
 	incarnation int64
 	seen        bool
 	cold        bool
+	// reportedCold is what the last load report said.
+	reportedCold bool
+	// own is true once requests of this instance have shown what the present incarnation is like.
+	own         bool
 	quick       int
 	warmReports int
 	signs       int
@@ -61,6 +67,7 @@
 		u.restart(incarnation)
 	}
 	u.bearable, u.inFlight = r.Bearable, r.InFlight
+	u.reportedCold = r.Cold
 	if r.Cold {
 		u.turnCold()
 		return
@@ -87,7 +94,13 @@
 // Cold tells whether the upstream is taken to be in cold start; an unknown one is.
 func (w *ColdWatch) Cold(name string) bool {
 	u := w.upstreams[name]
-	return u == nil || u.cold
+	if u == nil {
+		return true
+	}
+	if v, ok := w.heard(name, u); ok {
+		return v.Cold || u.cold && (u.own || u.reportedCold)
+	}
+	return u.cold
 }
 
 // WarmLimit returns how many requests the upstream bears at once over all instances when it is warm.
@@ -96,6 +109,9 @@
 	if u == nil {
 		return firstWarmLimit
 	}
+	if v, ok := w.heard(name, u); ok && !u.own {
+		return min(max(1, v.Limit), u.max())
+	}
 	return max(1, int(u.limit))
 }
 
@@ -116,7 +132,7 @@
 
 // restart begins a cold start; the usual times stay, since the machine is the same.
 func (u *warmth) restart(incarnation int64) {
-	u.seen, u.incarnation = true, incarnation
+	u.seen, u.incarnation, u.own = true, incarnation, false
 	u.turnCold()
 }
 
@@ -127,7 +143,7 @@
 }
 
 func (u *warmth) turnWarm() {
-	u.cold, u.signs = false, 0
+	u.cold, u.signs, u.own = false, 0, true
 }
 
 func (u *warmth) takeWarmReport() {
@@ -151,6 +167,7 @@
 	u.signs++
 	if u.signs >= coldSigns {
 		u.turnCold()
+		u.own = true
 	}
 }
 
--- /dev/null
+++ b/pkg/concierge/verdict_test.go
@@ -0,0 +1,62 @@
+package concierge
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carawayknot.example/carawayknot/pkg/enquiry"
+	"carawayknot.example/carawayknot/pkg/platform"
+)
+
+func TestP05VerdictsOfOthers(t *testing.T) {
+	warm := Verdict{Upstream: "engine-a", Incarnation: 2, Limit: 12}
+	cold := Verdict{Upstream: "engine-a", Incarnation: 2, Cold: true, Limit: 4}
+	old := Verdict{Upstream: "engine-a", Incarnation: 1, Limit: 30}
+	type result struct {
+		Cold  bool
+		Limit int
+	}
+	for _, tc := range []struct {
+		name     string
+		verdicts []Verdict
+		report   platform.LoadReport
+		want     result
+	}{
+		{"nobody asked it yet", nil, platform.LoadReport{Bearable: 20}, result{Cold: true, Limit: firstWarmLimit}},
+		{"another instance warmed it", []Verdict{warm}, platform.LoadReport{Bearable: 20}, result{Limit: 12}},
+		{"one of two finds it cold", []Verdict{warm, cold}, platform.LoadReport{Bearable: 20}, result{Cold: true, Limit: 12}},
+		{"it restarted since", []Verdict{old}, platform.LoadReport{Bearable: 20}, result{Cold: true, Limit: firstWarmLimit}},
+		{"it reports to be cold", []Verdict{warm}, platform.LoadReport{Bearable: 20, Cold: true}, result{Cold: true, Limit: 12}},
+		{"it bears less", []Verdict{warm}, platform.LoadReport{Bearable: 6}, result{Limit: 6}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var w ColdWatch
+			w.TakeLoad("engine-a", 2, tc.report, 1000)
+			w.TakeVerdicts(tc.verdicts)
+			got := result{Cold: w.Cold("engine-a"), Limit: w.WarmLimit("engine-a")}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("view of engine-a (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestP05OwnVerdict(t *testing.T) {
+	var w ColdWatch
+	w.TakeLoad("engine-a", 1, platform.LoadReport{Bearable: 20}, 1000)
+	if diff := cmp.Diff([]Verdict(nil), w.Verdicts()); diff != "" {
+		t.Errorf("Verdicts() before a request (-want +got):\n%s", diff)
+	}
+	for range warmAnswers {
+		w.TakeSample(enquiry.Sample{Upstream: "engine-a", Result: enquiry.ResultComplete, FirstToken: 50, At: 2000})
+	}
+	want := []Verdict{{Upstream: "engine-a", Incarnation: 1, Limit: firstWarmLimit + 1}}
+	if diff := cmp.Diff(want, w.Verdicts()); diff != "" {
+		t.Errorf("Verdicts() after quick answers (-want +got):\n%s", diff)
+	}
+	w.TakeLoad("engine-a", 2, platform.LoadReport{Bearable: 20}, 3000)
+	if diff := cmp.Diff([]Verdict(nil), w.Verdicts()); diff != "" {
+		t.Errorf("Verdicts() after a restart (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/pkg/house/control.go
@@ -0,0 +1,176 @@
+package house
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/cockroachdb/errors"
+
+	"carawayknot.example/carawayknot/pkg/archive"
+	"carawayknot.example/carawayknot/pkg/caravan"
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/concierge"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+	"carawayknot.example/carawayknot/pkg/platform"
+	"carawayknot.example/carawayknot/pkg/settings"
+	"carawayknot.example/carawayknot/pkg/tasting"
+)
+
+// sampleBacklog is how many samples may wait for the control thread before further ones are dropped.
+const sampleBacklog = 4096
+
+// errStopped says that the control thread has ended.
+var errStopped = errors.New("the control thread has ended")
+
+// Control owns the control state of an instance and publishes snapshots of it.
+// One actor alone uses its parts; traffic reads the published snapshot.
+type Control struct {
+	Common    settings.Common
+	Journal   *archive.Journal
+	Knowledge *caravan.Knowledge
+	Shares    *caravan.ColdShares
+	ColdWatch *concierge.ColdWatch
+	Ratings   *tasting.Book
+	// Forget, when set, is told of upstreams that are gone.
+	Forget func(upstream string)
+
+	system    *actor.ActorSystem
+	pid       *actor.PID
+	stopped   chan struct{}
+	snapshot  atomic.Pointer[catalogue.Snapshot]
+	backlog   atomic.Int64
+	dropped   atomic.Int64
+	upstreams []platform.Instance
+	loads     map[string]catalogue.Load
+	health    map[catalogue.HealthKey]catalogue.Health
+	published publication
+	draining  bool
+}
+
+// Run starts the actor; Stop ends it.
+func (c *Control) Run() {
+	c.loads = map[string]catalogue.Load{}
+	c.stopped = make(chan struct{})
+	c.publish()
+	c.system = actor.NewActorSystem()
+	c.pid = c.system.Root.Spawn(actor.PropsFromFunc(c.receive))
+}
+
+// Stop ends the actor after the messages that are waiting.
+func (c *Control) Stop() {
+	_ = c.system.Root.PoisonFuture(c.pid).Wait()
+	close(c.stopped)
+	c.system.Shutdown()
+}
+
+// Snapshot returns the newest snapshot, which is never nil after Run.
+func (c *Control) Snapshot() *catalogue.Snapshot { return c.snapshot.Load() }
+
+// Dropped returns how many samples were dropped because the control thread was behind.
+func (c *Control) Dropped() int64 { return c.dropped.Load() }
+
+// Tell passes a fact to the control thread; facts are never dropped.
+func (c *Control) Tell(message any) { c.system.Root.Send(c.pid, message) }
+
+// Observe passes a sample to the control thread, or drops it when too many wait.
+func (c *Control) Observe(s enquiry.Sample) {
+	if c.backlog.Add(1) > sampleBacklog {
+		c.backlog.Add(-1)
+		c.dropped.Add(1)
+		return
+	}
+	c.Tell(&sampleTaken{Sample: s})
+}
+
+// Do calls f in the control thread and returns after it; with an error f may run later or never.
+func (c *Control) Do(ctx context.Context, f func()) error {
+	m := &run{F: f, Done: make(chan struct{})}
+	c.Tell(m)
+	select {
+	case <-m.Done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-c.stopped:
+		return errStopped
+	}
+}
+
+// receive is the control thread.
+func (c *Control) receive(ctx actor.Context) {
+	switch m := ctx.Message().(type) {
+	case *run:
+		m.F()
+		close(m.Done)
+	case *listRead:
+		c.takeList(m)
+	case *loadRead:
+		c.takeLoad(m)
+	case *sampleTaken:
+		c.backlog.Add(-1)
+		c.ColdWatch.TakeSample(m.Sample)
+		c.Ratings.TakeSample(m.Sample)
+	case *ratingsRead:
+		c.Ratings.TakeRatings(m.Ratings)
+	case *verdictGiven:
+		c.Ratings.TakeRatings([]platform.Rating{m.Rating})
+	case *drainBegun:
+		c.draining = true
+		c.publish()
+	case *tick:
+		c.age()
+	}
+}
+
+// takeList takes the list of instances; a list older than the last one is ignored.
+func (c *Control) takeList(m *listRead) {
+	if !c.Knowledge.Membership.SeeList(m.Listing, m.SentAt) {
+		return
+	}
+	c.Shares.See(c.Knowledge.Membership.Listed(), m.SentAt)
+	gone := map[string]bool{}
+	for _, u := range c.upstreams {
+		gone[u.Name] = true
+	}
+	c.upstreams = nil
+	for _, i := range m.Listing.Instances {
+		if i.Role != catalogue.RoleEntry {
+			c.upstreams = append(c.upstreams, i)
+			delete(gone, i.Name)
+		}
+	}
+	for name := range gone {
+		c.forget(name)
+	}
+	c.Knowledge.Refresh()
+	c.publish()
+}
+
+func (c *Control) forget(upstream string) {
+	delete(c.loads, upstream)
+	c.ColdWatch.Forget(upstream)
+	if c.Forget != nil {
+		c.Forget(upstream)
+	}
+}
+
+func (c *Control) takeLoad(m *loadRead) {
+	c.loads[m.Name] = catalogue.Load{
+		At:             m.At,
+		InFlight:       m.Report.InFlight,
+		Bearable:       m.Report.Bearable,
+		TokenTime:      m.Report.TokenTime,
+		FirstTokenTime: m.Report.FirstTokenTime,
+		Cold:           m.Report.Cold,
+	}
+	c.ColdWatch.TakeLoad(m.Name, m.Incarnation, m.Report, m.At)
+}
+
+// age lets time pass in all parts and publishes what it changed.
+func (c *Control) age() {
+	c.Knowledge.Refresh()
+	c.tellOthers(c.Common.Clock.Now())
+	c.health = c.Ratings.Health()
+	c.publish()
+}
--- a/pkg/house/doc.go
+++ b/pkg/house/doc.go
@@ -1,2 +1,2 @@
-// Package house assembles a daemon: control actor, request line and shutdown.
+// Package house assembles a daemon: control actor, loops that feed it, line of filters, listeners and shutdown.
 package house
--- /dev/null
+++ b/pkg/house/dump.go
@@ -0,0 +1,116 @@
+package house
+
+import (
+	"context"
+
+	"carawayknot.example/carawayknot/pkg/caravan"
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/concierge"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+	"carawayknot.example/carawayknot/pkg/ledger"
+	"carawayknot.example/carawayknot/pkg/tasting"
+)
+
+// Dump is everything an instance knows at one moment; times are monotonic milliseconds of the instance.
+type Dump struct {
+	Self      catalogue.Member
+	Now       clock.Millis
+	Ready     string
+	InFlight  int
+	Snapshot  *catalogue.Snapshot
+	Control   ControlDump
+	Flights   map[string]int
+	Refused   map[enquiry.Reason]int
+	HeldBytes int64
+	Claims    ClaimsDump
+	Bills     BillsDump
+	Sessions  int
+	Traffic   TrafficDump
+}
+
+// ControlDump is the control state.
+type ControlDump struct {
+	Revision     catalogue.Revision
+	Next         int64
+	LogProvedAt  clock.Millis
+	ProvedAt     clock.Millis
+	Whole        bool
+	Replaced     bool
+	HighestHeard catalogue.Revision
+	ListAt       clock.Millis
+	Listed       []catalogue.Member
+	Items        []caravan.Item
+	Verdicts     []concierge.Verdict
+	Counters     []tasting.Counter
+	Suspects     []tasting.Suspect
+	Dropped      int64
+}
+
+// ClaimsDump is the state of the claims.
+type ClaimsDump struct {
+	Ready bool
+}
+
+// BillsDump is the state of billing.
+type BillsDump struct {
+	// Unsafe counts the bills that only this instance has, Owed those that the log doesn't have.
+	Unsafe int
+	Owed   int
+	// Held are the bills held for other instances.
+	Held []*ledger.Bill
+}
+
+// TrafficDump counts the bytes between instances since the start.
+type TrafficDump struct {
+	Sent     int64
+	Received int64
+}
+
+// dump collects the dump of this instance.
+func (h *House) dump(ctx context.Context) (*Dump, error) {
+	control := make(chan ControlDump, 1)
+	if err := h.control.Do(ctx, func() { control <- h.control.dump() }); err != nil {
+		return nil, err
+	}
+	d := &Dump{
+		Self:      h.self,
+		Now:       h.now(),
+		Ready:     "ready",
+		InFlight:  h.inFlight.Count(),
+		Snapshot:  h.control.Snapshot(),
+		Control:   <-control,
+		Flights:   h.flights.Counts(),
+		Refused:   h.admission.Refused(),
+		HeldBytes: h.budget.Held(),
+		Claims:    ClaimsDump{Ready: h.claims.Ready()},
+		Bills:     BillsDump{Held: h.keeper.Bills()},
+		Sessions:  len(h.pinKeeper.Sessions()),
+	}
+	if err := h.ready(); err != nil {
+		d.Ready = err.Error()
+	}
+	d.Bills.Unsafe, d.Bills.Owed = h.biller.Owed()
+	d.Traffic.Sent, d.Traffic.Received = h.network.Traffic()
+	return d, nil
+}
+
+func (c *Control) dump() ControlDump {
+	k := c.Knowledge
+	return ControlDump{
+		Revision:     c.Journal.State().Revision,
+		Next:         c.Journal.Next(),
+		LogProvedAt:  c.Journal.ProvedAt(),
+		ProvedAt:     k.ProvedAt(),
+		Whole:        c.Journal.Ready(),
+		Replaced:     c.Journal.Replaced(),
+		HighestHeard: k.Freshness.Highest(),
+		ListAt:       k.Membership.ListAt(),
+		Listed:       k.Membership.Listed(),
+		Items:        append(k.Gossip.Items(verdictTopic), k.Gossip.Items(healthTopic)...),
+		Verdicts:     c.ColdWatch.Verdicts(),
+		Counters:     c.Ratings.Own(),
+		Suspects:     c.Ratings.Suspects(),
+		Dropped:      c.Dropped(),
+	}
+}
--- /dev/null
+++ b/pkg/house/line.go
@@ -0,0 +1,53 @@
+package house
+
+import (
+	"carawayknot.example/carawayknot/pkg/concierge"
+	"carawayknot.example/carawayknot/pkg/courier"
+	"carawayknot.example/carawayknot/pkg/desk"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+	"carawayknot.example/carawayknot/pkg/platform"
+	"carawayknot.example/carawayknot/pkg/tariff"
+)
+
+// queuePerInFlight divides the limit of requests in flight into those that may wait for room.
+const queuePerInFlight = 4
+
+// line joins the filters that a request passes, in order.
+func (h *House) line() enquiry.Handler {
+	c := h.Common
+	snapshot := h.control.Snapshot
+	queue := &concierge.Queue{Limit: max(1, c.Settings.Limits.InFlight/queuePerInFlight)}
+	h.flights = &concierge.Flights{OnRelease: queue.Wake}
+	h.send = &courier.Send{
+		Common:  c,
+		Gate:    &courier.SnapshotGate{Common: c, Snapshot: snapshot},
+		Budget:  h.budget,
+		Cancel:  h.engines,
+		Observe: h.observe,
+	}
+	return enquiry.Line(
+		&desk.Identify{Common: c, Snapshot: snapshot},
+		&concierge.Admit{Common: c, Snapshot: snapshot, Admission: h.admission},
+		h.claims,
+		h.biller,
+		&tariff.Choose{Common: c, Snapshot: snapshot, Pins: h.pins, Rater: h.ratings, Rated: h.rated},
+		&concierge.Place{
+			Common:   c,
+			Snapshot: snapshot,
+			Flights:  h.flights,
+			Budget:   &concierge.RetryBudget{Share: c.Settings.Limits.RetryShare},
+			Queue:    queue,
+			Prefixes: h.prefixes,
+		},
+		h.send,
+	)
+}
+
+func (h *House) observe(s enquiry.Sample) {
+	h.control.Observe(s)
+	h.metrics.Observe(s)
+}
+
+func (h *House) rated(r platform.Rating) {
+	h.control.Tell(&verdictGiven{Rating: r})
+}
--- /dev/null
+++ b/pkg/house/metrics.go
@@ -0,0 +1,49 @@
+package house
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"carawayknot.example/carawayknot/pkg/platform"
+)
+
+// registerMetrics adds what the parts of a daemon spend and hold.
+func (h *House) registerMetrics() {
+	m := h.metrics
+	m.Gauge("carawayknot_in_flight", "Requests being served.", func() float64 { return float64(h.inFlight.Count()) })
+	m.Gauge("carawayknot_held_bytes", "Bytes of answers held for readers.", func() float64 { return float64(h.budget.Held()) })
+	m.Gauge("carawayknot_revision", "Revision of the configuration in force.", func() float64 {
+		return float64(h.control.Snapshot().Config.Revision)
+	})
+	m.Gauge("carawayknot_view_age_seconds", "Age of the last proof that the configuration is current.", func() float64 {
+		return (h.now() - h.control.Snapshot().At).Seconds()
+	})
+	m.Gauge("carawayknot_members", "Entry instances known.", func() float64 { return float64(len(h.control.Snapshot().Members)) })
+	m.Gauge("carawayknot_bills_owed", "Bills that the log doesn't have yet.", func() float64 {
+		_, owed := h.biller.Owed()
+		return float64(owed)
+	})
+	m.Gauge("carawayknot_bills_unsafe", "Bills that only this instance has.", func() float64 {
+		unsafe, _ := h.biller.Owed()
+		return float64(unsafe)
+	})
+	m.Counter("carawayknot_samples_dropped_total", "Samples dropped because the control thread was behind.", func() float64 {
+		return float64(h.control.Dropped())
+	})
+	m.Counter("carawayknot_peer_bytes_total", "Bytes between instances.", func() float64 {
+		sent, _ := h.network.Traffic()
+		return float64(sent)
+	}, "direction", "sent")
+	m.Counter("carawayknot_peer_bytes_total", "Bytes between instances.", func() float64 {
+		_, received := h.network.Traffic()
+		return float64(received)
+	}, "direction", "received")
+}
+
+// oldestKept returns the first offset that the log keeps, when err says that older ones are dropped.
+func oldestKept(err error) (int64, bool) {
+	var trimmed *platform.TrimmedError
+	if !errors.As(err, &trimmed) {
+		return 0, false
+	}
+	return trimmed.Oldest, true
+}
--- /dev/null
+++ b/pkg/house/publish.go
@@ -0,0 +1,78 @@
+package house
+
+import (
+	"cmp"
+	"slices"
+
+	"carawayknot.example/carawayknot/pkg/caravan"
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/platform"
+)
+
+// publish makes a new snapshot of the whole control state.
+func (c *Control) publish() {
+	now := c.Common.Clock.Now()
+	s := &catalogue.Snapshot{
+		At:       c.Knowledge.ProvedAt(),
+		Config:   c.Journal.State(),
+		Members:  c.Knowledge.Membership.Members(),
+		Health:   c.health,
+		Draining: c.draining,
+	}
+	s.Upstreams = make([]*catalogue.Upstream, 0, len(c.upstreams))
+	for i := range c.upstreams {
+		s.Upstreams = append(s.Upstreams, c.upstream(&c.upstreams[i], s, now))
+	}
+	slices.SortFunc(s.Upstreams, func(a, b *catalogue.Upstream) int { return cmp.Compare(a.Name, b.Name) })
+	c.snapshot.Store(s)
+}
+
+// renew publishes a newer proof of the same configuration, which is far cheaper than a whole snapshot.
+func (c *Control) renew() {
+	old := c.snapshot.Load()
+	if old.Config != c.Journal.State() {
+		c.publish()
+		return
+	}
+	s := *old
+	s.At = c.Knowledge.ProvedAt()
+	c.snapshot.Store(&s)
+}
+
+// upstream joins what the list, the configuration, the reports and the own samples say of an upstream.
+func (c *Control) upstream(i *platform.Instance, s *catalogue.Snapshot, now clock.Millis) *catalogue.Upstream {
+	u := &catalogue.Upstream{
+		Name:        i.Name,
+		Role:        i.Role,
+		Address:     i.Address,
+		Zone:        i.Zone,
+		Versions:    i.Versions,
+		Service:     i.Service,
+		Leaving:     i.Leaving,
+		Incarnation: i.Incarnation,
+		Load:        c.loads[i.Name],
+		Cold:        c.ColdWatch.Cold(i.Name),
+	}
+	if rule := s.Config.Upstreams[i.Name]; rule != nil {
+		u.Rule = *rule
+	}
+	u.Share = c.share(u, s.Members, now)
+	return u
+}
+
+// defaultColdLimit is what an upstream bears in cold start when operators state nothing.
+const defaultColdLimit = 1
+
+// share returns how many requests this instance may have in flight at the upstream.
+func (c *Control) share(u *catalogue.Upstream, members []catalogue.Member, now clock.Millis) int {
+	if u.Cold {
+		limit := cmp.Or(u.Rule.ColdLimit, defaultColdLimit)
+		return c.Shares.Share(u.Name, limit, now)
+	}
+	limit := c.ColdWatch.WarmLimit(u.Name)
+	if u.Rule.WarmLimit > 0 {
+		limit = min(limit, u.Rule.WarmLimit)
+	}
+	return caravan.WarmPart(u.Name, c.Common.Settings.Name, limit, members)
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -59,6 +59,12 @@
 	LogWait clock.Millis
 	// ListPoll is the period of reading the list of instances.
 	ListPoll clock.Millis
+	// ListLag bounds how far the list of instances lags behind.
+	ListLag clock.Millis
+	// ColdLease is the age of the list at which this instance gives up its share of upstreams in cold start.
+	ColdLease clock.Millis
+	// ColdHold bounds how long a request stays at an upstream in cold start.
+	ColdHold clock.Millis
 	// LoadPoll is the period of reading the load of an upstream.
 	LoadPoll clock.Millis
 	// RatingPoll is the period of reading ratings.
@@ -100,7 +106,10 @@
 			Horizon:    5 * clock.Second,
 			LogWait:    1 * clock.Second,
 			ListPoll:   1 * clock.Second,
-			LoadPoll:   500,
+			ListLag:    3 * clock.Second,
+			ColdLease:  3 * clock.Second,
+			ColdHold:   10 * clock.Second,
+			LoadPoll:   1 * clock.Second,
 			RatingPoll: 2 * clock.Second,
 			PeerTick:   1 * clock.Second,
 			Connect:    1 * clock.Second,
