Add process tests of the promises, to be run once the daemon is joined up

They start real daemons and stand-ins, cut them off by relays, kill and freeze them, and hold what callers were told against what the stand-ins have run. None has been run against a daemon yet.

--- a/pkg/proctest/caller.go
+++ b/pkg/proctest/caller.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/enquiry"
@@ -35,6 +37,9 @@
 	Deadline clock.Millis
 }
 
+// NewKey returns a request key of the present time, which ends with the text.
+func NewKey(text string) string { return fmt.Sprintf("%d-%s", time.Now().UnixMilli(), text) }
+
 // Reply is what a caller got.
 type Reply struct {
 	// Err is set when the connection broke before the end of the answer.
@@ -139,7 +144,7 @@
 }
 
 // Outcome returns the outcome that the caller was told; a whole answer says Ran.
-func (r *Reply) Outcome() enquiry.Outcome {
+func (r Reply) Outcome() enquiry.Outcome {
 	if r.Error.Outcome != "" {
 		return r.Error.Outcome
 	}
--- /dev/null
+++ b/pkg/proctest/logged.go
@@ -0,0 +1,48 @@
+package proctest
+
+import (
+	"context"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayknot.example/carawayknot/pkg/platform"
+)
+
+// Records returns all that the log keeps of a stream, oldest first.
+func (s *Set) Records(stream string) []platform.Entry {
+	s.T.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), readyTime)
+	defer cancel()
+	l := &platform.Log{BaseURL: s.Log.URL()}
+	oldest, err := l.Read(ctx, stream, 0, 1, 0)
+	from := oldest.Oldest
+	var trimmed *platform.TrimmedError
+	if errors.As(err, &trimmed) {
+		from = trimmed.Oldest
+	}
+	var out []platform.Entry
+	for {
+		b, err := l.Read(ctx, stream, from, 1000, 0)
+		if err != nil {
+			s.T.Fatalf("read stream %s: %v", stream, err)
+		}
+		if len(b.Entries) == 0 {
+			return out
+		}
+		out = append(out, b.Entries...)
+		from += int64(len(b.Entries))
+	}
+}
+
+// Logged counts the records of a stream that contain the text.
+func (s *Set) Logged(stream, text string) int {
+	s.T.Helper()
+	n := 0
+	for _, e := range s.Records(stream) {
+		if strings.Contains(string(e.Data), text) {
+			n++
+		}
+	}
+	return n
+}
--- a/pkg/proctest/set.go
+++ b/pkg/proctest/set.go
@@ -45,6 +45,9 @@
 	Config func(*Config)
 }
 
+// slots bounds the sets that run at the same time.
+var slots = make(chan struct{}, 3)
+
 // Zones are the availability zones of a set.
 var Zones = []string{"zone-a", "zone-b", "zone-c"}
 
@@ -105,6 +108,8 @@
 	if o.Services == nil {
 		o.Services = DefaultServices()
 	}
+	slots <- struct{}{}
+	t.Cleanup(func() { <-slots })
 	s := &Set{T: t, options: o, dir: t.TempDir(), Upstreams: map[string]*StandIn{}}
 	s.writeKeys()
 	s.Log = StartStandIn(t, "log", "log", o.Log)
--- /dev/null
+++ b/test/main_test.go
@@ -0,0 +1,82 @@
+//go:build process
+
+// Package test proves the promises with real processes, sockets and signals.
+package test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"carawayknot.example/carawayknot/pkg/enquiry"
+	"carawayknot.example/carawayknot/pkg/proctest"
+	"carawayknot.example/carawayknot/pkg/standin"
+)
+
+func TestMain(m *testing.M) { proctest.Main(m) }
+
+const (
+	// service is the name of the service replica of a set.
+	service = "booking-0"
+	// horizon is the age at which a daemon's view is too old, by default.
+	horizon = 5 * time.Second
+	// settle is within how long a fact must be in force everywhere.
+	settle = 16 * time.Second
+	// claimPast is longer than a claim may be sent under, and than the horizon.
+	claimPast = 12 * time.Second
+)
+
+// ask sends a booking and holds the reply against what the service has run under the key up to then.
+func ask(ctx context.Context, t *testing.T, s *proctest.Set, d *proctest.Daemon, b proctest.Booking) proctest.Reply {
+	t.Helper()
+	r := d.Send(ctx, b)
+	checkBooking(t, s, b.Key, r)
+	return r
+}
+
+// checkBooking holds a reply against what the service has run under the key.
+func checkBooking(t *testing.T, s *proctest.Set, key string, r proctest.Reply) {
+	t.Helper()
+	n := s.Upstreams[service].Runs().ByKey[key]
+	if n > 1 {
+		t.Errorf("key %s ran %d times", key, n)
+	}
+	if r.Outcome() == enquiry.NotRun && n > 0 {
+		t.Errorf("key %s ran, and the caller was told NotRun: %+v", key, r.Error)
+	}
+	if r.Outcome() == enquiry.Ran && n == 0 {
+		t.Errorf("key %s did not run, and the caller was told Ran: %+v", key, r.Error)
+	}
+	if r.Err == nil && r.Outcome() == "" {
+		t.Errorf("key %s: the reply tells no outcome: status %d, body %q", key, r.Status, r.Body)
+	}
+}
+
+// wantRan fails the test when the reply is no whole answer.
+func wantRan(t *testing.T, r proctest.Reply) {
+	t.Helper()
+	if r.Err != nil || r.Status != 200 {
+		t.Fatalf("no whole answer: error %v, status %d, %+v", r.Err, r.Status, r.Error)
+	}
+}
+
+// wantChat fails the test when the reply is not the whole answer to content of n tokens.
+func wantChat(t *testing.T, r proctest.Reply, content string, n int) {
+	t.Helper()
+	if !r.Whole {
+		t.Fatalf("no whole answer: error %v, status %d, text %q, %+v", r.Err, r.Status, r.Text, r.Error)
+	}
+	if want := standin.AnswerText(content, n); r.Text != want {
+		t.Fatalf("answer %q, want %q", r.Text, want)
+	}
+}
+
+// background runs f in a goroutine and returns a channel with its result.
+func background[T any](f func() T) <-chan T {
+	out := make(chan T, 1)
+	go func() { out <- f() }()
+	return out
+}
+
+// pass lets real time pass, where a test is about a lapse.
+func pass(d time.Duration) { time.Sleep(d) }
--- /dev/null
+++ b/test/p07_test.go
@@ -0,0 +1,92 @@
+//go:build process
+
+package test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"carawayknot.example/carawayknot/pkg/proctest"
+	"carawayknot.example/carawayknot/pkg/standin"
+)
+
+func TestP07AnswerIsWholeAndOwnOrSaidNotToBe(t *testing.T) {
+	t.Parallel()
+	const tokens = 8
+	cases := []struct {
+		name string
+		// all is set at each engine, one at the first engine only.
+		all map[string]any
+		one map[string]any
+	}{
+		{name: "none"},
+		{name: "all crossed", all: map[string]any{"Crossed": true}},
+		{name: "one crossed", one: map[string]any{"Crossed": true}},
+		{name: "all cut", all: map[string]any{"CutAfter": 3}},
+		{name: "one cut", one: map[string]any{"CutAfter": 3}},
+		{name: "all without end mark", all: map[string]any{"SkipDone": true}},
+		{name: "one without end mark", one: map[string]any{"SkipDone": true}},
+		{name: "all repeated", all: map[string]any{"Repeat": true}},
+		{name: "one late", one: map[string]any{"LateMillis": 300}},
+		{name: "one loses answers", one: map[string]any{"LoseAnswers": 5}},
+		{name: "one down", one: map[string]any{"Down": true}},
+		{name: "one closes connections", one: map[string]any{"Cut": true}},
+	}
+	s := proctest.NewSet(t, proctest.Options{Instances: 2})
+	clean := map[string]any{
+		"Crossed": false, "CutAfter": 0, "SkipDone": false, "Repeat": false, "LateMillis": 0, "LoseAnswers": 0,
+		"Down": false, "Cut": false,
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for name, u := range s.Upstreams {
+				if name == service {
+					continue
+				}
+				u.SetFaults(clean)
+				u.SetFaults(c.all)
+			}
+			s.Upstreams["engine-0"].SetFaults(c.one)
+			var all sync.WaitGroup
+			for i := range 24 {
+				d := s.Daemons[i%len(s.Daemons)]
+				all.Go(func() {
+					content := fmt.Sprintf("%s %d", c.name, i)
+					checkAnswer(t, d.Chat(t.Context(), proctest.Chat{Content: content, Stream: i%4 < 2, Deadline: 8000}), content, tokens)
+				})
+			}
+			all.Wait()
+		})
+	}
+}
+
+// checkAnswer fails the test when the reply passes as whole and is not, or shows what belongs to another request.
+func checkAnswer(t *testing.T, r proctest.Reply, content string, tokens int) {
+	t.Helper()
+	want := standin.AnswerText(content, tokens)
+	if r.Whole && r.Text != want {
+		t.Errorf("answer %q passes as whole, want %q", r.Text, want)
+	}
+	if !strings.HasPrefix(want, r.Text) {
+		t.Errorf("text %q is no part of the answer %q", r.Text, want)
+	}
+	if !r.Whole && r.Error.Outcome == "" {
+		t.Errorf("no whole answer and no error: status %d, error %v, body %q", r.Status, r.Err, r.Body)
+	}
+}
+
+func TestP07OneFaultyEngineCostsNoAnswer(t *testing.T) {
+	t.Parallel()
+	for _, faults := range []map[string]any{{"Crossed": true}, {"Down": true}, {"Cut": true}} {
+		t.Run(fmt.Sprint(faults), func(t *testing.T) {
+			s := proctest.NewSet(t, proctest.Options{Instances: 2})
+			s.Upstreams["engine-0"].SetFaults(faults)
+			for i := range 20 {
+				content := fmt.Sprintf("hello %d", i)
+				wantChat(t, s.Daemons[i%2].Chat(t.Context(), proctest.Chat{Content: content, Stream: true}), content, 8)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/test/p12_test.go
@@ -0,0 +1,265 @@
+//go:build process
+
+package test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+	"carawayknot.example/carawayknot/pkg/proctest"
+)
+
+// watchRevisions fails the test when a daemon ever shows a lower revision than before, until the test ends.
+func watchRevisions(t *testing.T, s *proctest.Set) {
+	stop, done := make(chan struct{}), make(chan struct{})
+	daemons := append([]*proctest.Daemon(nil), s.Daemons...)
+	go func() {
+		defer close(done)
+		last := map[string]catalogue.Revision{}
+		for {
+			for _, d := range daemons {
+				r := d.Revision()
+				if r > 0 && r < last[d.Settings.Name] {
+					t.Errorf("%s went back from revision %d to %d", d.Settings.Name, last[d.Settings.Name], r)
+				}
+				last[d.Settings.Name] = max(r, last[d.Settings.Name])
+			}
+			select {
+			case <-stop:
+				return
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	}()
+	t.Cleanup(func() { close(stop); <-done })
+}
+
+// version returns a change that puts the cheap version, with a price by which a test tells changes apart.
+func price(cost catalogue.Micros) *catalogue.Change {
+	return proctest.Put(catalogue.KindVersion, string(proctest.VersionOne), &catalogue.Version{
+		ID: proctest.VersionOne, InputCost: cost, OutputCost: cost, Quality: map[string]float64{"chat": 0.8, "dossier": 0.5},
+	})
+}
+
+// inForce returns the price that the daemon has in force.
+func inForce(d *proctest.Daemon) catalogue.Micros {
+	c := d.Config()
+	if c == nil || c.Versions[proctest.VersionOne] == nil {
+		return -1
+	}
+	return c.Versions[proctest.VersionOne].InputCost
+}
+
+func TestP12OneInstanceCutOffWhileAChangeIsAccepted(t *testing.T) {
+	t.Parallel()
+	s := proctest.NewSet(t, proctest.Options{Instances: 3})
+	watchRevisions(t, s)
+	lone := s.Daemons[2]
+	lone.Isolate(true)
+	receipt := s.Daemons[0].MustApply(t, price(7))
+	if receipt.State != catalogue.ChangeAccepted {
+		t.Errorf("receipt %+v, want Accepted: two of three instances can hold it", receipt)
+	}
+	for _, d := range s.Daemons[:2] {
+		if got := inForce(d); receipt.State == catalogue.ChangeAccepted && got != 7 {
+			t.Errorf("price %d at %s after the change was accepted, want 7", got, d.Settings.Name)
+		}
+	}
+	proctest.Eventually(t, settle, "the instance that is cut off refuses", func() bool {
+		r := lone.Chat(t.Context(), proctest.Chat{Content: "hello"})
+		return r.Status >= 400
+	})
+	for range 20 {
+		r := lone.Chat(t.Context(), proctest.Chat{Content: "hello"})
+		if r.Outcome() != enquiry.NotRun || r.Error.RetryAfter <= 0 {
+			t.Errorf("cut off: outcome %q, status %d, %+v; want NotRun with RetryAfter", r.Outcome(), r.Status, r.Error)
+		}
+	}
+	if lone.Ready() {
+		t.Error("the instance that is cut off calls itself ready")
+	}
+	lone.Isolate(false)
+	proctest.Eventually(t, settle, "the change is in force where it was cut off", func() bool { return inForce(lone) == 7 })
+	lone.AwaitReady()
+	wantChat(t, lone.Chat(t.Context(), proctest.Chat{Content: "hello"}), "hello", 8)
+}
+
+func TestP12CutOffFromTheLogOnly(t *testing.T) {
+	t.Parallel()
+	s := proctest.NewSet(t, proctest.Options{Instances: 3})
+	watchRevisions(t, s)
+	lone := s.Daemons[2]
+	lone.Log.Cut(true, true)
+	receipt := s.Daemons[0].MustApply(t, price(8))
+	proctest.Eventually(t, settle, "the change comes by way of a peer", func() bool { return inForce(lone) == 8 })
+	wantChat(t, lone.Chat(t.Context(), proctest.Chat{Content: "hello"}), "hello", 8)
+	t.Logf("receipt %+v", receipt)
+}
+
+func TestP12MajorityCutOffIsNotAccepted(t *testing.T) {
+	t.Parallel()
+	s := proctest.NewSet(t, proctest.Options{Instances: 3})
+	watchRevisions(t, s)
+	s.Daemons[1].Isolate(true)
+	s.Daemons[2].Isolate(true)
+	_, receipt, err := s.Daemons[0].Apply(price(9))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if receipt.State != catalogue.ChangeRecorded {
+		t.Errorf("receipt %+v, want Recorded while two of three instances are cut off", receipt)
+	}
+	s.Daemons[1].Isolate(false)
+	s.Daemons[2].Isolate(false)
+	for _, d := range s.Daemons {
+		proctest.Eventually(t, settle, "the change is in force everywhere", func() bool { return inForce(d) == 9 })
+	}
+}
+
+func TestP12StartedWhileTheLogIsDown(t *testing.T) {
+	t.Parallel()
+	s := proctest.NewSet(t, proctest.Options{Instances: 3})
+	receipt := s.Daemons[0].MustApply(t, price(10))
+	for _, d := range s.Daemons {
+		d.AwaitRevision(receipt.Revision)
+	}
+	s.Log.SetFaults(map[string]any{"Down": true})
+	d := s.AddDaemon("entry-new", proctest.Zones[0])
+	proctest.Eventually(t, settle, "the new instance has the configuration of its peers", func() bool { return inForce(d) == 10 })
+	d.AwaitReady()
+	d.AwaitUpstreams(len(s.Upstreams))
+	wantChat(t, d.Chat(t.Context(), proctest.Chat{Content: "hello"}), "hello", 8)
+	s.Log.SetFaults(map[string]any{"Down": false})
+	receipt = d.MustApply(t, price(11))
+	for _, d := range s.Daemons {
+		d.AwaitRevision(receipt.Revision)
+	}
+}
+
+func TestP12StartedAloneWhileTheLogIsDown(t *testing.T) {
+	t.Parallel()
+	s := proctest.NewSet(t, proctest.Options{Instances: 2})
+	for _, d := range s.Daemons {
+		d.Kill()
+		s.List.Unlist(d.Settings.Name)
+	}
+	s.Log.SetFaults(map[string]any{"Down": true})
+	d := s.AddDaemon("entry-new", proctest.Zones[0])
+	pass(3 * time.Second)
+	if d.Ready() {
+		t.Error("an instance without configuration calls itself ready")
+	}
+	r := d.Chat(t.Context(), proctest.Chat{Content: "hello"})
+	if r.Err == nil && r.Outcome() != enquiry.NotRun {
+		t.Errorf("outcome %q, status %d, want NotRun", r.Outcome(), r.Status)
+	}
+	s.Log.SetFaults(map[string]any{"Down": false})
+	d.AwaitReady()
+	d.AwaitUpstreams(len(s.Upstreams))
+	wantChat(t, d.Chat(t.Context(), proctest.Chat{Content: "hello"}), "hello", 8)
+}
+
+func TestP12OperatorsRacing(t *testing.T) {
+	t.Parallel()
+	s := proctest.NewSet(t, proctest.Options{Instances: 3})
+	watchRevisions(t, s)
+	key := catalogue.ObjectKey{Kind: catalogue.KindVersion, Name: string(proctest.VersionOne)}
+	for round := range 10 {
+		base := s.Daemons[0].Config().ObjectRevision(key)
+		receipts := make([]catalogue.Receipt, len(s.Daemons))
+		changes := make([]*catalogue.Change, len(s.Daemons))
+		var all sync.WaitGroup
+		for i, d := range s.Daemons {
+			changes[i] = price(catalogue.Micros(1000*(round+1) + i))
+			changes[i].Edits[0].AnyBase, changes[i].Edits[0].Base = false, base
+			all.Go(func() { _, receipts[i], _ = d.Apply(changes[i]) })
+		}
+		all.Wait()
+		won := -1
+		for i, r := range receipts {
+			if r.State == catalogue.ChangeRefused || r.State == "" {
+				continue
+			}
+			if won >= 0 {
+				t.Errorf("two operators won: %+v", receipts)
+			}
+			won = i
+		}
+		if won < 0 {
+			t.Fatalf("no operator won: %+v", receipts)
+		}
+		for _, d := range s.Daemons {
+			d.AwaitRevision(receipts[won].Revision)
+			if got, want := inForce(d), catalogue.Micros(1000*(round+1)+won); got != want {
+				t.Errorf("price %d at %s, want that of the winner, %d", got, d.Settings.Name, want)
+			}
+		}
+	}
+	want := s.Daemons[0].Config()
+	for _, d := range s.Daemons[1:] {
+		if diff := cmp.Diff(want, d.Config()); diff != "" {
+			t.Errorf("%s differs (-entry-0 +%s):\n%s", d.Settings.Name, d.Settings.Name, diff)
+		}
+	}
+}
+
+func TestP12AnswerLost(t *testing.T) {
+	t.Parallel()
+	s := proctest.NewSet(t, proctest.Options{Instances: 3})
+	watchRevisions(t, s)
+	for i := range 5 {
+		s.Log.SetFaults(map[string]any{"LoseAnswers": 2})
+		ch := price(catalogue.Micros(100 + i))
+		status, receipt, err := s.Daemons[i%3].Apply(ch)
+		if err != nil || status >= 400 {
+			t.Errorf("status %d, receipt %+v, error %v; the change is in the log", status, receipt, err)
+		}
+		s.Log.SetFaults(map[string]any{"LoseAnswers": 0})
+		// An operator who heard nothing sends the same change again, elsewhere.
+		again := s.Daemons[(i+1)%3].MustApply(t, ch)
+		if again.Revision != receipt.Revision {
+			t.Errorf("the change took effect at revision %d and again at %d", receipt.Revision, again.Revision)
+		}
+		for _, d := range s.Daemons {
+			d.AwaitRevision(again.Revision)
+		}
+	}
+}
+
+func TestP12RetentionDropsTheHead(t *testing.T) {
+	t.Parallel()
+	s := proctest.NewSet(t, proctest.Options{Instances: 3})
+	watchRevisions(t, s)
+	s.Log.SetFaults(map[string]any{"RetainRecords": 20})
+	var last catalogue.Receipt
+	for i := range 60 {
+		last = s.Daemons[i%3].MustApply(t, price(catalogue.Micros(200+i)))
+	}
+	d := s.AddDaemon("entry-new", proctest.Zones[0])
+	proctest.Eventually(t, settle, "a new instance has the whole configuration", func() bool { return inForce(d) == 259 })
+	if got := d.Revision(); got < last.Revision {
+		t.Errorf("revision %d, want at least %d", got, last.Revision)
+	}
+	c := d.Config()
+	if c == nil || c.Workspaces[proctest.Workspace] == nil {
+		t.Error("the workspace was dropped with the head of the stream")
+	}
+	// All old instances leave, so that the log alone has the configuration.
+	for _, d := range s.Daemons {
+		d.Kill()
+		s.List.Unlist(d.Settings.Name)
+	}
+	alone := s.AddDaemon("entry-alone", proctest.Zones[1])
+	alone.AwaitReady()
+	if got := inForce(alone); got != 259 {
+		t.Errorf("price %d, want 259", got)
+	}
+	alone.AwaitUpstreams(len(s.Upstreams))
+	wantChat(t, alone.Chat(t.Context(), proctest.Chat{Content: fmt.Sprint(alone.Revision())}), fmt.Sprint(alone.Revision()), 8)
+}
