--- a/pkg/proctest/config.go
+++ b/pkg/proctest/config.go
@@ -118,6 +118,9 @@
 	t.Helper()
 	var receipt catalogue.Receipt
 	Eventually(t, readyTime, "change accepted by "+d.Settings.Name, func() bool {
+		if d.Ended() {
+			t.Fatalf("%s has ended: %v", d.Name, d.err)
+		}
 		status, got, err := d.Apply(ch)
 		receipt = got
 		return err == nil && (status == http.StatusOK || status == http.StatusAccepted)
--- /dev/null
+++ b/pkg/proctest/relay_test.go
@@ -0,0 +1,77 @@
+package proctest
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// echo answers each line with the same line.
+func echo(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(c, c)
+				_ = c.Close()
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func TestRelay(t *testing.T) {
+	cases := []struct {
+		name string
+		run  func(r *Relay, c net.Conn)
+		want string
+	}{
+		{name: "passes on", run: func(_ *Relay, c net.Conn) { _, _ = io.WriteString(c, "a\n") }, want: "a\n"},
+		{
+			name: "passes on late what was held back there",
+			run: func(r *Relay, c net.Conn) {
+				r.Cut(true, false)
+				_, _ = io.WriteString(c, "a\n")
+				r.Cut(false, false)
+			},
+			want: "a\n",
+		},
+		{
+			name: "passes on late what was held back on the way back",
+			run: func(r *Relay, c net.Conn) {
+				r.Cut(false, true)
+				_, _ = io.WriteString(c, "a\n")
+				r.Cut(false, false)
+			},
+			want: "a\n",
+		},
+		{name: "refuses", run: func(r *Relay, c net.Conn) { r.Refuse(true); _, _ = io.WriteString(c, "a\n") }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := NewRelay(t, echo(t))
+			conn, err := net.Dial("tcp", r.Address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			c.run(r, conn)
+			got, _ := bufio.NewReader(conn).ReadString('\n')
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("line (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
