--- a/pkg/caravan/membership.go
+++ b/pkg/caravan/membership.go
@@ -28,11 +28,13 @@
 	known    map[string]*memberState
 	listed   []catalogue.Member
 	listAsOf clock.Millis
-	listAt   clock.Millis
-	seen     bool
-	now      clock.Millis
-	drops    []clock.Millis
-	members  []catalogue.Member
+	// readAt is the monotonic time at which the last list was asked for, offset the least difference of that time and AsOf.
+	readAt  clock.Millis
+	offset  clock.Millis
+	seen    bool
+	now     clock.Millis
+	drops   []clock.Millis
+	members []catalogue.Member
 }
 
 type memberState struct {
@@ -45,11 +47,15 @@
 // SeeList takes a list that was asked for at the monotonic time at, and tells whether it was used.
 // A list that is older than the last one is ignored.
 func (m *Membership) SeeList(l platform.Listing, at clock.Millis) bool {
-	if m.seen && l.AsOf < m.listAsOf && at-m.listAt < staleList {
+	older := m.seen && l.AsOf < m.listAsOf
+	if older && at-m.readAt < staleList {
 		return false
 	}
+	if !m.seen || older || at-l.AsOf < m.offset {
+		m.offset = at - l.AsOf
+	}
 	m.seen = true
-	m.listAsOf, m.listAt = l.AsOf, at
+	m.listAsOf, m.readAt = l.AsOf, at
 	m.now = max(m.now, at)
 	for _, s := range m.known {
 		s.listed = false
@@ -165,6 +171,15 @@
 // Seen tells whether a list was taken yet.
 func (m *Membership) Seen() bool { return m.seen }
 
+// ListAt returns the monotonic time of the last list, by its AsOf and the least lag seen; 0 means that none was seen.
+// A list that is asked for again and shows the same AsOf grows older.
+func (m *Membership) ListAt() clock.Millis {
+	if !m.seen {
+		return 0
+	}
+	return m.listAsOf + m.offset
+}
+
 // Listed returns the entry instances of the last list alone, sorted by name.
 func (m *Membership) Listed() []catalogue.Member { return m.listed }
 
--- /dev/null
+++ b/pkg/caravan/mesh_test.go
@@ -0,0 +1,249 @@
+package caravan
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"math/rand/v2"
+	"net/rpc"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"carawayknot.example/carawayknot/pkg/archive"
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/platform"
+	"carawayknot.example/carawayknot/pkg/platform/fake"
+	"carawayknot.example/carawayknot/pkg/settings"
+)
+
+// mesh runs the control parts of many instances in one thread, with the encoding of the real connections.
+type mesh struct {
+	t      testing.TB
+	clock  *clock.Manual
+	log    *fake.Log
+	list   *fake.List
+	cfg    settings.Settings
+	nodes  []*meshNode
+	byName map[string]*meshNode
+	// cut tells whether messages from one member don't reach another one.
+	cut func(from, to *meshNode) bool
+}
+
+type meshNode struct {
+	mesh    *mesh
+	self    catalogue.Member
+	journal *archive.Journal
+	know    *Knowledge
+	ask     *Exchange
+	rand    *rand.Rand
+	view    *fake.LogView
+	// frozen stops the node, as a stopped process.
+	frozen bool
+	pipes  map[string]*pipe
+	// sent and received count the bytes of messages.
+	sent, received int64
+}
+
+// pipe is one direction of a connection, with the types that gob has sent already.
+type pipe struct {
+	buf bytes.Buffer
+	enc *gob.Encoder
+	dec *gob.Decoder
+}
+
+func (p *pipe) carry(header, body, outHeader, outBody any) (int64, error) {
+	if p.enc == nil {
+		p.enc, p.dec = gob.NewEncoder(&p.buf), gob.NewDecoder(&p.buf)
+	}
+	if err := errors.Join(p.enc.Encode(header), p.enc.Encode(body)); err != nil {
+		return 0, err
+	}
+	n := int64(p.buf.Len())
+	return n, errors.Join(p.dec.Decode(outHeader), p.dec.Decode(outBody))
+}
+
+func newMesh(t testing.TB, members []catalogue.Member) *mesh {
+	c := clock.NewManual(1_000_000)
+	m := &mesh{t: t, clock: c, log: &fake.Log{Clock: c}, list: &fake.List{Clock: c}, cfg: settings.Default(), byName: map[string]*meshNode{}}
+	for _, self := range members {
+		m.start(self)
+	}
+	return m
+}
+
+// start starts a node, which replaces one of the same name.
+func (m *mesh) start(self catalogue.Member) *meshNode {
+	n := &meshNode{mesh: m, self: self, pipes: map[string]*pipe{}, view: &fake.LogView{Log: m.log}}
+	n.journal = &archive.Journal{Clock: m.clock, Name: self.Name}
+	n.know = &Knowledge{
+		Clock: m.clock, Self: self, Tick: m.cfg.Times.PeerTick, Journal: n.journal,
+		Membership: &Membership{Self: self}, Freshness: &Freshness{Self: self.Name}, Gossip: &Gossip{Self: self},
+	}
+	n.ask = &Exchange{
+		Common: settings.Common{Log: logr.Discard(), Settings: &m.cfg, Clock: m.clock},
+		Self:   self, Caller: n, Knowledge: n.know,
+		Do: func(_ context.Context, f func()) error { f(); return nil },
+	}
+	n.rand = rand.New(rand.NewPCG(uint64(len(m.nodes)), uint64(self.Incarnation)))
+	if old := m.byName[self.Name]; old != nil {
+		m.nodes[m.indexOf(old)] = n
+	} else {
+		m.nodes = append(m.nodes, n)
+	}
+	m.byName[self.Name] = n
+	m.list.Put(platform.Instance{Name: self.Name, Role: catalogue.RoleEntry, PeerAddress: self.Name, Zone: self.Zone, Incarnation: self.Incarnation})
+	return n
+}
+
+func (m *mesh) indexOf(n *meshNode) int {
+	for i, other := range m.nodes {
+		if other == n {
+			return i
+		}
+	}
+	return -1
+}
+
+// Call carries a call to another node at once.
+func (n *meshNode) Call(_ context.Context, member, method string, args, reply any) error {
+	to := n.mesh.byName[member]
+	if to == nil || to.frozen || n.mesh.isCut(n, to) {
+		return errors.New("cut off")
+	}
+	there, back := n.pipe(to), to.pipe(n)
+	receiver := &Receiver{Exchange: to.ask}
+	var req rpc.Request
+	var rep rpc.Response
+	var k int64
+	var err error
+	switch a := args.(type) {
+	case *Ask:
+		var in Ask
+		var out Answer
+		if k, err = there.carry(&rpc.Request{ServiceMethod: method, Seq: 9}, a, &req, &in); err != nil {
+			return err
+		}
+		n.count(to, k)
+		if err = receiver.Ask(&in, &out); err != nil {
+			return err
+		}
+		k, err = back.carry(&rpc.Response{ServiceMethod: method, Seq: 9}, &out, &rep, reply)
+	case *StateAsk:
+		var in StateAsk
+		var out StateAnswer
+		if k, err = there.carry(&rpc.Request{ServiceMethod: method, Seq: 9}, a, &req, &in); err != nil {
+			return err
+		}
+		n.count(to, k)
+		if err = receiver.State(&in, &out); err != nil {
+			return err
+		}
+		k, err = back.carry(&rpc.Response{ServiceMethod: method, Seq: 9}, &out, &rep, reply)
+	}
+	to.count(n, k)
+	if n.mesh.isCut(to, n) {
+		return errors.New("answer lost")
+	}
+	return err
+}
+
+func (n *meshNode) count(to *meshNode, bytes int64) {
+	n.sent += bytes
+	to.received += bytes
+}
+
+func (m *mesh) isCut(from, to *meshNode) bool { return m.cut != nil && m.cut(from, to) }
+
+func (n *meshNode) pipe(to *meshNode) *pipe {
+	p := n.pipes[to.self.Name]
+	if p == nil {
+		p = &pipe{}
+		n.pipes[to.self.Name] = p
+	}
+	return p
+}
+
+// tick lets a node read the list and the log and exchange with its peers.
+func (n *meshNode) tick() {
+	if n.frozen {
+		return
+	}
+	n.readList()
+	n.readLog()
+	n.round()
+}
+
+func (n *meshNode) readList() {
+	if l, err := n.mesh.list.Instances(context.Background()); err == nil {
+		n.know.Membership.SeeList(l, n.mesh.clock.Now())
+	}
+}
+
+func (n *meshNode) round() {
+	for _, p := range n.know.Peers(n.rand) {
+		_ = n.ask.askPeer(context.Background(), p)
+	}
+}
+
+func (n *meshNode) readLog() {
+	for range 20 {
+		from, sentAt := n.journal.Next(), n.mesh.clock.Now()
+		b, err := n.view.Read(context.Background(), catalogue.StreamName, from, 100, 0)
+		var trimmed *platform.TrimmedError
+		var ahead *platform.AheadError
+		switch {
+		case errors.As(err, &trimmed):
+			n.journal.TakeTrimmed(trimmed)
+		case errors.As(err, &ahead):
+			n.journal.TakeAhead(sentAt, ahead)
+		case err != nil:
+			return
+		default:
+			_ = n.journal.Take(sentAt, b)
+		}
+		if n.journal.Next() == from {
+			return
+		}
+	}
+}
+
+// run lets time pass; each node ticks once a period, at times spread over it.
+func (m *mesh) run(span clock.Millis) {
+	period := m.cfg.Times.PeerTick
+	for end := m.clock.Now() + span; m.clock.Now() < end; {
+		step := max(period/clock.Millis(len(m.nodes)), 1)
+		for i, n := range append([]*meshNode(nil), m.nodes...) {
+			if clock.Millis(i)*step < period {
+				m.clock.Advance(step)
+			}
+			n.tick()
+		}
+		if rest := period - step*clock.Millis(min(len(m.nodes), int(period/step))); rest > 0 {
+			m.clock.Advance(rest)
+		}
+	}
+}
+
+func (m *mesh) change(ch *catalogue.Change) catalogue.Revision {
+	m.t.Helper()
+	data, err := catalogue.EncodeChange(ch)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	first, err := m.log.Append(context.Background(), catalogue.StreamName, [][]byte{data})
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	return catalogue.Revision(first) + 1
+}
+
+func zoneOut(zone string, out bool, id string) *catalogue.Change {
+	object := `{"Name":"` + zone + `","Out":false}`
+	if out {
+		object = `{"Name":"` + zone + `","Out":true}`
+	}
+	return &catalogue.Change{ID: id, Edits: []catalogue.Edit{{Kind: catalogue.KindZone, Name: zone, AnyBase: true, Object: []byte(object)}}}
+}
--- a/pkg/catalogue/state.go
+++ b/pkg/catalogue/state.go
@@ -66,6 +66,9 @@
 	if ch.ID == "" {
 		return &InvalidError{Field: "ID", Want: "a unique id"}
 	}
+	if ch.AsOf < 0 || ch.AsOf > s.Revision {
+		return &InvalidError{Field: "AsOf", Want: "a revision that the log has"}
+	}
 	if ch.AsOf < s.Floor {
 		return &ExpiredError{AsOf: ch.AsOf, Floor: s.Floor}
 	}
