Call an instance ready only once it could have a share of an upstream

Cause: a new instance may not send to a cold upstream until the list has shown it for the lag, lease and hold times, and the balancer sent it requests that it had to refuse: TestKillOneStillServes saw 503 Overloaded 2.3 s after start. Change: /readyz says not ready until the instance has had a share or has waited for long enough; the test harness uses short times. Excluded: using the share at once, because the sum over all instances would pass what a cold upstream bears. Before: ready at the first configuration.

--- a/pkg/caravan/shares.go
+++ b/pkg/caravan/shares.go
@@ -57,14 +57,19 @@
 // window is the time for which an instance must have seen itself rank high before it uses its share.
 func (s *ColdShares) window() clock.Millis { return s.Lag + 3*s.Lease + s.Hold }
 
+// Settled tells whether this instance has seen lists for long enough to use its shares.
+func (s *ColdShares) Settled(now clock.Millis) bool {
+	n := len(s.views)
+	return n > 0 && now-s.views[n-1].last < s.Lease && now-s.since >= s.window()
+}
+
 // Share returns how many requests this instance may have in flight at the upstream, which bears limit over all instances.
 func (s *ColdShares) Share(upstream string, limit int, now clock.Millis) int {
-	n := len(s.views)
-	if n == 0 || now-s.views[n-1].last >= s.Lease || now-s.since < s.window() {
+	if !s.Settled(now) {
 		return 0
 	}
 	least := limit
-	for i := n - 1; i >= 0 && now-s.views[i].last <= s.window(); i-- {
+	for i := len(s.views) - 1; i >= 0 && now-s.views[i].last <= s.window(); i-- {
 		least = min(least, PartOf(upstream, s.Self, limit, s.views[i].members))
 	}
 	return least
--- a/pkg/house/control.go
+++ b/pkg/house/control.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync/atomic"
 
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
 
 	"carawayknot.example/carawayknot/pkg/archive"
 	"carawayknot.example/carawayknot/pkg/caravan"
@@ -46,6 +48,8 @@
 	health    map[catalogue.HealthKey]catalogue.Health
 	published publication
 	draining  bool
+	// settled is true once this instance could send to an upstream, be it a cold one.
+	settled atomic.Bool
 }
 
 // Run starts the actor; Stop ends it.
@@ -53,7 +57,8 @@
 	c.loads = map[string]catalogue.Load{}
 	c.stopped = make(chan struct{})
 	c.publish()
-	c.system = actor.NewActorSystem()
+	logger := slog.New(logr.ToSlogHandler(c.Common.Log.WithName("control").V(1)))
+	c.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return logger }))
 	c.pid = c.system.Root.Spawn(actor.PropsFromFunc(c.receive))
 }
 
@@ -70,6 +75,9 @@
 // Dropped returns how many samples were dropped because the control thread was behind.
 func (c *Control) Dropped() int64 { return c.dropped.Load() }
 
+// Settled tells whether this instance has ever had a share of an upstream, or has waited for long enough to have one.
+func (c *Control) Settled() bool { return c.settled.Load() }
+
 // Tell passes a fact to the control thread; facts are never dropped.
 func (c *Control) Tell(message any) { c.system.Root.Send(c.pid, message) }
 
@@ -173,4 +181,17 @@
 	c.tellOthers(c.Common.Clock.Now())
 	c.health = c.Ratings.Health()
 	c.publish()
+	c.settle()
+}
+
+// settle notes that this instance may be of use to callers.
+func (c *Control) settle() {
+	if c.settled.Load() {
+		return
+	}
+	settled := c.Shares.Settled(c.Common.Clock.Now())
+	for _, u := range c.Snapshot().Upstreams {
+		settled = settled || u.Share > 0
+	}
+	c.settled.Store(settled)
 }
--- a/pkg/house/house.go
+++ b/pkg/house/house.go
@@ -152,6 +152,9 @@
 	if s.Config.Revision == 0 && len(s.Config.Workspaces) == 0 {
 		return errors.New("no configuration yet")
 	}
+	if !h.control.Settled() {
+		return errors.New("no share of any upstream yet")
+	}
 	return s.Fresh(h.Common.Clock.Now(), h.Common.Settings.Times.Horizon)
 }
 
--- a/pkg/proctest/daemon.go
+++ b/pkg/proctest/daemon.go
@@ -51,6 +51,8 @@
 	cfg.Keys = s.keys
 	cfg.Times.Drain = 60 * clock.Second
 	cfg.Times.ListPoll, cfg.Times.LoadPoll, cfg.Times.PeerTick, cfg.Times.RatingPoll = 200, 200, 200, 500
+	// A cold upstream gets work once an instance has seen the list for ListLag + 3 ColdLease + ColdHold.
+	cfg.Times.ListLag, cfg.Times.ColdLease, cfg.Times.ColdHold = 300, 600, 1000
 	if s.options.Settings != nil {
 		s.options.Settings(&cfg)
 	}
