--- a/pkg/trace/run.go
+++ b/pkg/trace/run.go
@@ -73,7 +73,7 @@
 		in.peers = append(in.peers, r.instances[i+1:]...)
 		if history {
 			in.book.Merge("history", t.history())
-			in.watch.TakeMarks(t.warm())
+			in.watch.TakeVerdicts(t.warm())
 		}
 		in.start(clock.Millis(37*i), t.Duration)
 	}
