--- /dev/null
+++ b/pkg/concierge/admission_test.go
@@ -0,0 +1,142 @@
+package concierge
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+)
+
+// admitted enters n calls at the times 0, step, 2*step and counts those that were let in, and the reasons of the others.
+func admitted(a *Admission, s *catalogue.Snapshot, w *catalogue.Workspace, priority, n int, step clock.Millis) (int, map[enquiry.Reason]int) {
+	in, reasons := 0, map[enquiry.Reason]int{}
+	for i := range n {
+		c := &enquiry.Call{
+			Request:   &enquiry.Request{ID: fmt.Sprint(w.Name, i), Workspace: w.Name},
+			Workspace: w,
+			Profile:   &catalogue.Profile{Priority: priority},
+		}
+		if r := a.Enter(s, c, clock.Millis(i)*step); r != nil {
+			reasons[r.Reason]++
+			continue
+		}
+		in++
+	}
+	return in, reasons
+}
+
+func TestAdmission(t *testing.T) {
+	members := func(n int) []catalogue.Member { return make([]catalogue.Member, n) }
+	for _, tc := range []struct {
+		name      string
+		limit     int
+		members   int
+		draining  bool
+		workspace catalogue.Workspace
+		priority  int
+		n         int
+		step      clock.Millis
+		want      int
+		reasons   map[enquiry.Reason]int
+	}{
+		{name: "no limits", limit: 100, members: 4, priority: 9, n: 20, want: 20, reasons: map[enquiry.Reason]int{}},
+		{
+			name: "part of the workspace's limit in flight", limit: 100, members: 4, priority: 9, n: 20,
+			workspace: catalogue.Workspace{MaxInFlight: 22},
+			want:      6, reasons: map[enquiry.Reason]int{enquiry.ReasonWorkspaceLimit: 14},
+		},
+		{
+			name: "no part is zero", limit: 100, members: 9, priority: 9, n: 3,
+			workspace: catalogue.Workspace{MaxInFlight: 2},
+			want:      1, reasons: map[enquiry.Reason]int{enquiry.ReasonWorkspaceLimit: 2},
+		},
+		{
+			name: "part of the workspace's rate", limit: 1000, members: 4, priority: 9, n: 101, step: 100,
+			workspace: catalogue.Workspace{RequestsPerSecond: 8},
+			want:      22, reasons: map[enquiry.Reason]int{enquiry.ReasonWorkspaceLimit: 79},
+		},
+		{
+			name: "highest priority fills the room", limit: 10, members: 1, priority: 9, n: 12,
+			want: 10, reasons: map[enquiry.Reason]int{enquiry.ReasonOverloaded: 2},
+		},
+		{
+			name: "lowest priority leaves the last part", limit: 10, members: 1, priority: 1, n: 12,
+			want: 7, reasons: map[enquiry.Reason]int{enquiry.ReasonOverloaded: 5},
+		},
+		{
+			name: "draining", limit: 10, members: 1, priority: 9, n: 2, draining: true,
+			want: 0, reasons: map[enquiry.Reason]int{enquiry.ReasonDraining: 2},
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			cfg := catalogue.NewState()
+			cfg.Profiles["low"] = &catalogue.Profile{Priority: 1}
+			cfg.Profiles["high"] = &catalogue.Profile{Priority: 9}
+			s := &catalogue.Snapshot{Config: cfg, Members: members(tc.members), Draining: tc.draining}
+			tc.workspace.Name = "desk"
+			in, reasons := admitted(&Admission{Limit: tc.limit}, s, &tc.workspace, tc.priority, tc.n, tc.step)
+			if in != tc.want {
+				t.Errorf("%d calls were let in, want %d", in, tc.want)
+			}
+			if diff := cmp.Diff(tc.reasons, reasons); diff != "" {
+				t.Errorf("refusals (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestAdmissionIsFairWhenBusy(t *testing.T) {
+	s := &catalogue.Snapshot{Config: catalogue.NewState(), Members: make([]catalogue.Member, 1)}
+	a := &Admission{Limit: 12}
+	large, _ := admitted(a, s, &catalogue.Workspace{Name: "large"}, 0, 6, 0)
+	small, _ := admitted(a, s, &catalogue.Workspace{Name: "small"}, 0, 2, 0)
+	more, _ := admitted(a, s, &catalogue.Workspace{Name: "large"}, 0, 6, 0)
+	if diff := cmp.Diff([]int{6, 2, 0}, []int{large, small, more}); diff != "" {
+		t.Errorf("let in (-want +got):\n%s", diff)
+	}
+}
+
+func TestRefusalsSpreadTheReturn(t *testing.T) {
+	s := &catalogue.Snapshot{Config: catalogue.NewState(), Draining: true}
+	a := &Admission{Limit: 1}
+	seen := map[clock.Millis]bool{}
+	for i := range 50 {
+		c := &enquiry.Call{Request: &enquiry.Request{ID: fmt.Sprint("r", i)}}
+		r := a.Enter(s, c, 0)
+		if r.RetryAfter < minRetryAfter || r.RetryAfter > 2*minRetryAfter {
+			t.Errorf("RetryAfter = %d ms", r.RetryAfter)
+		}
+		seen[r.RetryAfter] = true
+	}
+	if len(seen) < 20 {
+		t.Errorf("50 callers return at %d different times, want 20 or more", len(seen))
+	}
+}
+
+func TestQueueWakesByPriority(t *testing.T) {
+	q := &Queue{Limit: 4}
+	var woken []string
+	push := func(name string, priority int) *Ticket {
+		ticket := &Ticket{Priority: priority, Ready: func() { woken = append(woken, name) }}
+		if !q.Push(ticket) {
+			woken = append(woken, name+" refused")
+		}
+		return ticket
+	}
+	push("dossier", 1)
+	gone := push("gone", 9)
+	push("chat", 5)
+	push("booking", 9)
+	push("late", 9)
+	q.Drop(gone)
+	for range 4 {
+		q.Wake()
+	}
+	if diff := cmp.Diff([]string{"late refused", "booking", "chat", "dossier"}, woken); diff != "" {
+		t.Errorf("woken (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/pkg/concierge/coldwatch_test.go
@@ -0,0 +1,154 @@
+package concierge
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+	"carawayknot.example/carawayknot/pkg/platform"
+)
+
+const engine = "engine-a"
+
+// history is a ColdWatch that a test leads through a history.
+type history struct {
+	ColdWatch
+	at clock.Millis
+}
+
+func (h *history) answers(n int, firstToken clock.Millis) {
+	for range n {
+		h.at += 100
+		h.TakeSample(enquiry.Sample{At: h.at, Upstream: engine, Version: version, Result: enquiry.ResultComplete, FirstToken: firstToken})
+	}
+}
+
+func (h *history) fail(n int) {
+	for range n {
+		h.at += 100
+		h.TakeSample(enquiry.Sample{At: h.at, Upstream: engine, Version: version, Result: enquiry.ResultRefused})
+	}
+}
+
+func (h *history) report(incarnation int64, r platform.LoadReport) {
+	h.at += 500
+	r.Bearable = 20
+	h.TakeLoad(engine, incarnation, r, h.at)
+}
+
+func TestP05ColdStartIsInferred(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		live func(h *history)
+		want bool
+	}{
+		{"at first sight", func(*history) {}, true},
+		{"warm after quick answers", func(h *history) { h.answers(firstAnswers, 100) }, false},
+		{"new incarnation", func(h *history) { h.answers(firstAnswers, 100); h.report(2, platform.LoadReport{}) }, true},
+		{"report says so", func(h *history) { h.answers(firstAnswers, 100); h.report(1, platform.LoadReport{Cold: true}) }, true},
+		{"quick answers against the report", func(h *history) {
+			h.answers(firstAnswers, 100)
+			h.report(1, platform.LoadReport{Cold: true})
+			h.answers(firstAnswers, 100)
+		}, true},
+		{"slow first tokens without any announcement", func(h *history) { h.answers(firstAnswers, 100); h.answers(coldSigns, 600) }, true},
+		{"one slow first token", func(h *history) { h.answers(firstAnswers, 100); h.answers(1, 600) }, false},
+		{"slow answers with quick ones between", func(h *history) {
+			h.answers(firstAnswers, 100)
+			for range coldSigns {
+				h.answers(1, 600)
+				h.answers(1, 100)
+			}
+		}, false},
+		{"slow because it is full", func(h *history) {
+			h.answers(firstAnswers, 100)
+			h.report(1, platform.LoadReport{InFlight: 18})
+			h.answers(coldSigns, 600)
+		}, false},
+		{"refusals while it is not full", func(h *history) { h.answers(firstAnswers, 100); h.fail(coldSigns) }, true},
+		{"warm again after the second cold start", func(h *history) {
+			h.answers(firstAnswers, 100)
+			h.answers(coldSigns, 600)
+			h.answers(warmAnswers, 110)
+		}, false},
+		{"slow answers do not end a cold start", func(h *history) {
+			h.answers(firstAnswers, 100)
+			h.report(2, platform.LoadReport{})
+			h.answers(10*firstAnswers, 600)
+		}, true},
+		{"another instance noticed", func(h *history) {
+			h.answers(firstAnswers, 100)
+			h.TakeVerdicts([]Verdict{{Upstream: engine, Incarnation: 1, Episode: 2, Cold: true}})
+		}, true},
+		{"another instance noticed before the last change", func(h *history) {
+			h.answers(firstAnswers, 100)
+			h.answers(coldSigns, 600)
+			h.answers(warmAnswers, 100)
+			h.TakeVerdicts([]Verdict{{Upstream: engine, Incarnation: 1, Episode: 2, Cold: true}})
+		}, false},
+		{"no share, and another instance found it warm again", func(h *history) {
+			h.answers(firstAnswers, 100)
+			h.fail(coldSigns)
+			h.TakeVerdicts([]Verdict{{Upstream: engine, Incarnation: 1, Episode: 3, Limit: 4}})
+		}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := &history{}
+			h.report(1, platform.LoadReport{})
+			tc.live(h)
+			if diff := cmp.Diff(tc.want, h.Cold(engine)); diff != "" {
+				t.Errorf("Cold() (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestWarmLimitAdapts(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		live      func(h *history)
+		low, high int
+	}{
+		{"begins low", func(*history) {}, firstWarmLimit, firstWarmLimit},
+		{"grows to what the upstream bears", func(h *history) {
+			for range 20 {
+				h.report(1, platform.LoadReport{InFlight: 3})
+			}
+		}, 20, 20},
+		{"falls while refusals go on", func(h *history) {
+			for range 20 {
+				h.report(1, platform.LoadReport{InFlight: 19})
+			}
+			for range 5 {
+				h.at += cutPause
+				h.fail(1)
+			}
+		}, 4, 8},
+		{"a burst of refusals counts once", func(h *history) {
+			for range 20 {
+				h.report(1, platform.LoadReport{InFlight: 19})
+			}
+			h.fail(8)
+		}, 16, 16},
+		{"falls while requests queue at the upstream", func(h *history) {
+			for range 20 {
+				h.report(1, platform.LoadReport{})
+			}
+			for range 8 {
+				h.report(1, platform.LoadReport{InFlight: 20, Queued: 3})
+			}
+		}, 6, 12},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := &history{}
+			h.report(1, platform.LoadReport{})
+			h.answers(firstAnswers, 100)
+			tc.live(h)
+			if got := h.WarmLimit(engine); got < tc.low || got > tc.high {
+				t.Errorf("WarmLimit() = %d, want %d to %d", got, tc.low, tc.high)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/concierge/flights_test.go
@@ -0,0 +1,31 @@
+package concierge
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestP05OnlyTheShareIsAcquiredAtOnce(t *testing.T) {
+	const share = 5
+	var f Flights
+	var acquired atomic.Int64
+	var wg sync.WaitGroup
+	for range 200 {
+		wg.Go(func() {
+			if f.Acquire("engine-a", share) {
+				acquired.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	if diff := cmp.Diff(int64(share), acquired.Load()); diff != "" {
+		t.Errorf("acquired (-want +got):\n%s", diff)
+	}
+	f.Release("engine-a")
+	if !f.Acquire("engine-a", share) || f.Acquire("engine-a", share) {
+		t.Error("a release must make room for just one more")
+	}
+}
--- /dev/null
+++ b/pkg/concierge/place_test.go
@@ -0,0 +1,285 @@
+package concierge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+	"carawayknot.example/carawayknot/pkg/settings"
+)
+
+const version catalogue.VersionID = "model@1"
+
+// snapshot has three upstreams, one a zone, each with the share.
+func snapshot(share int) *catalogue.Snapshot {
+	cfg := catalogue.NewState()
+	cfg.Versions[version] = &catalogue.Version{ID: version}
+	cfg.Workspaces["desk"] = &catalogue.Workspace{Name: "desk", Versions: []catalogue.VersionID{version}}
+	s := &catalogue.Snapshot{Config: cfg, Members: []catalogue.Member{{Name: "entry-1"}}}
+	for _, zone := range []string{"a", "b", "c"} {
+		s.Upstreams = append(s.Upstreams, &catalogue.Upstream{
+			Name: "engine-" + zone, Zone: zone, Versions: []catalogue.VersionID{version}, Share: share,
+		})
+	}
+	return s
+}
+
+func newPlace(s func() *catalogue.Snapshot, c clock.Clock) *Place {
+	cfg := settings.Default()
+	cfg.Zone = "a"
+	queue := &Queue{Limit: 1000}
+	return &Place{
+		Common:   settings.Common{Log: logr.Discard(), Settings: &cfg, Clock: c},
+		Snapshot: s,
+		Flights:  &Flights{OnRelease: queue.Wake},
+		Budget:   &RetryBudget{Share: cfg.Limits.RetryShare},
+		Queue:    queue,
+	}
+}
+
+func newCall(id string) *enquiry.Call {
+	return &enquiry.Call{
+		Request: &enquiry.Request{ID: id, Workspace: "desk", Repeatable: true},
+		Profile: &catalogue.Profile{Priority: 1},
+		Version: &catalogue.Version{ID: version},
+		Writer:  discard{},
+	}
+}
+
+// discard is a writer that drops everything.
+type discard struct{}
+
+func (discard) WriteHead(context.Context, *enquiry.Call, enquiry.Head) error   { return nil }
+func (discard) WriteChunk(context.Context, *enquiry.Call, enquiry.Chunk) error { return nil }
+func (discard) WriteBytes(context.Context, *enquiry.Call, []byte) error        { return nil }
+func (discard) WriteEnd(context.Context, *enquiry.Call, enquiry.End) error     { return nil }
+
+// peak counts the requests in flight by upstream and the most there were.
+type peak struct {
+	mu        sync.Mutex
+	now, most map[string]int
+}
+
+func (p *peak) add(name string, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.now[name] += n
+	p.most[name] = max(p.most[name], p.now[name])
+}
+
+func TestP05SharesAreNeverExceeded(t *testing.T) {
+	for _, share := range []int{0, 1, 3} {
+		t.Run(fmt.Sprint("share ", share), func(t *testing.T) {
+			s := snapshot(share)
+			f := newPlace(func() *catalogue.Snapshot { return s }, clock.NewReal())
+			p := &peak{now: map[string]int{}, most: map[string]int{}}
+			start := make(chan struct{})
+			next := enquiry.HandlerFunc(func(_ context.Context, c *enquiry.Call) error {
+				p.add(c.Upstream.Name, 1)
+				defer p.add(c.Upstream.Name, -1)
+				<-start
+				return nil
+			})
+			var wg sync.WaitGroup
+			var entered atomic.Int64
+			for i := range 64 {
+				wg.Go(func() {
+					c := newCall(fmt.Sprint("r", i))
+					c.Request.Deadline = f.Clock.Now() + 20
+					if entered.Add(1) == 64 {
+						close(start)
+					}
+					_ = f.Filter(context.Background(), c, next)
+				})
+			}
+			wg.Wait()
+			for name, most := range p.most {
+				if most > share {
+					t.Errorf("%s had %d requests in flight, its share is %d", name, most, share)
+				}
+			}
+			if diff := cmp.Diff(map[string]int{}, f.Flights.Counts()); diff != "" {
+				t.Errorf("requests in flight at the end (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// targets sends many calls and returns the upstreams that got any.
+func targets(t *testing.T, s *catalogue.Snapshot) map[string]bool {
+	t.Helper()
+	f := newPlace(func() *catalogue.Snapshot { return s }, clock.NewManual(0))
+	got := map[string]bool{}
+	for i := range 200 {
+		err := f.Filter(context.Background(), newCall(fmt.Sprint("r", i)), enquiry.HandlerFunc(
+			func(_ context.Context, c *enquiry.Call) error {
+				got[c.Upstream.Name] = true
+				return nil
+			}))
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return got
+}
+
+func TestPlaceSpreadsOverAllUpstreams(t *testing.T) {
+	want := map[string]bool{"engine-a": true, "engine-b": true, "engine-c": true}
+	if diff := cmp.Diff(want, targets(t, snapshot(8))); diff != "" {
+		t.Errorf("upstreams that got work (-want +got):\n%s", diff)
+	}
+}
+
+func TestP06ZoneOutGetsNoNewWork(t *testing.T) {
+	s := snapshot(8)
+	s.Config.Zones["b"] = &catalogue.Zone{Name: "b", Out: true}
+	want := map[string]bool{"engine-a": true, "engine-c": true}
+	if diff := cmp.Diff(want, targets(t, s)); diff != "" {
+		t.Errorf("upstreams that got work (-want +got):\n%s", diff)
+	}
+}
+
+func TestP06ZoneOutWhileARequestWaits(t *testing.T) {
+	s := snapshot(1)
+	now := clock.NewManual(0)
+	f := newPlace(func() *catalogue.Snapshot { return s }, now)
+	for _, u := range s.Upstreams {
+		f.Flights.Acquire(u.Name, 1)
+	}
+	f.Waiter = waitFunc(func() {
+		out := snapshot(1)
+		for _, zone := range []string{"a", "b"} {
+			out.Config.Zones[zone] = &catalogue.Zone{Name: zone, Out: true}
+		}
+		s = out
+		for _, u := range out.Upstreams {
+			f.Flights.Release(u.Name)
+		}
+	})
+	var got string
+	err := f.Filter(context.Background(), newCall("r"), enquiry.HandlerFunc(func(_ context.Context, c *enquiry.Call) error {
+		got = c.Upstream.Name
+		return nil
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff("engine-c", got); diff != "" {
+		t.Errorf("upstream (-want +got):\n%s", diff)
+	}
+}
+
+// waitFunc is a waiter that calls a function in place of waiting.
+type waitFunc func()
+
+func (w waitFunc) Wait(context.Context) (func(), func(clock.Millis) error) {
+	return func() {}, func(clock.Millis) error { w(); return nil }
+}
+
+func TestP10LeavingUpstreamGetsNoNewWork(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		set  func(u *catalogue.Upstream)
+	}{
+		{"leaving", func(u *catalogue.Upstream) { u.Leaving = true }},
+		{"drained by operators", func(u *catalogue.Upstream) { u.Rule.Drained = true }},
+		{"no share", func(u *catalogue.Upstream) { u.Share = 0 }},
+		{"version unloaded", func(u *catalogue.Upstream) { u.Versions = nil }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := snapshot(8)
+			tc.set(s.Upstreams[1])
+			want := map[string]bool{"engine-a": true, "engine-c": true}
+			if diff := cmp.Diff(want, targets(t, s)); diff != "" {
+				t.Errorf("upstreams that got work (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestP02WithdrawnVersionIsNotPlaced(t *testing.T) {
+	s := snapshot(8)
+	s.Config.Versions[version].Withdrawn = true
+	f := newPlace(func() *catalogue.Snapshot { return s }, clock.NewManual(0))
+	err := f.Filter(context.Background(), newCall("r"), enquiry.HandlerFunc(func(context.Context, *enquiry.Call) error {
+		t.Error("a withdrawn version was sent work")
+		return nil
+	}))
+	var r *enquiry.Refusal
+	if !errors.As(err, &r) || r.Outcome != enquiry.NotRun {
+		t.Errorf("Filter() = %v, want a NotRun refusal", err)
+	}
+}
+
+func TestRetries(t *testing.T) {
+	refused := enquiry.Refuse(enquiry.ReasonUpstreamRefused, 0, "full")
+	cut := &enquiry.Refusal{Outcome: enquiry.MayHaveRun, Reason: enquiry.ReasonAnswerIncomplete}
+	stale := enquiry.Refuse(enquiry.ReasonStaleView, 0, "old")
+	for _, tc := range []struct {
+		name  string
+		err   *enquiry.Refusal
+		once  bool
+		shown bool
+		want  int
+	}{
+		{name: "refused", err: refused, want: 3},
+		{name: "refused, must not be repeated", err: refused, once: true, want: 3},
+		{name: "cut", err: cut, want: 3},
+		{name: "cut, must not be repeated", err: cut, once: true, want: 1},
+		{name: "cut after something was shown", err: cut, shown: true, want: 1},
+		{name: "stale view", err: stale, want: 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := snapshot(8)
+			f := newPlace(func() *catalogue.Snapshot { return s }, clock.NewManual(0))
+			for range 100 {
+				f.Budget.Add()
+			}
+			c := newCall("r")
+			c.Request.Repeatable = !tc.once
+			seen := map[string]bool{}
+			err := f.Filter(context.Background(), c, enquiry.HandlerFunc(func(ctx context.Context, c *enquiry.Call) error {
+				if seen[c.Upstream.Name] {
+					t.Errorf("%s was asked twice", c.Upstream.Name)
+				}
+				seen[c.Upstream.Name] = true
+				if tc.shown {
+					_ = c.Writer.WriteChunk(ctx, c, enquiry.Chunk{Text: "part"})
+				}
+				return tc.err
+			}))
+			if !errors.Is(err, error(tc.err)) {
+				t.Errorf("Filter() = %v, want %v", err, tc.err)
+			}
+			if len(seen) != tc.want {
+				t.Errorf("%d attempts, want %d", len(seen), tc.want)
+			}
+		})
+	}
+}
+
+func TestRetriesStayInBudgetWhenEverythingFails(t *testing.T) {
+	s := snapshot(8)
+	f := newPlace(func() *catalogue.Snapshot { return s }, clock.NewManual(0))
+	const requests = 1000
+	attempts := 0
+	for i := range requests {
+		_ = f.Filter(context.Background(), newCall(fmt.Sprint("r", i)), enquiry.HandlerFunc(
+			func(context.Context, *enquiry.Call) error {
+				attempts++
+				return enquiry.Refuse(enquiry.ReasonUpstreamFailed, 0, "no connection")
+			}))
+	}
+	if got := float64(attempts) / requests; got >= 1.1 {
+		t.Errorf("%.3f attempts a request, want less than 1.1", got)
+	}
+}
--- /dev/null
+++ b/pkg/tariff/choose_test.go
@@ -0,0 +1,126 @@
+package tariff
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+	"carawayknot.example/carawayknot/pkg/platform"
+	"carawayknot.example/carawayknot/pkg/settings"
+)
+
+type fakePins struct{ pinned catalogue.VersionID }
+
+func (p *fakePins) Pinned(context.Context, *enquiry.Call) (catalogue.VersionID, bool) {
+	return p.pinned, p.pinned != ""
+}
+
+func (p *fakePins) Pin(_ context.Context, _ *enquiry.Call, id catalogue.VersionID) string {
+	p.pinned = id
+	return "pin of " + string(id)
+}
+
+type fakeRater struct {
+	score float64
+	err   error
+}
+
+func (r fakeRater) Rate(context.Context, platform.RateRequest) (float64, error) {
+	return r.score, r.err
+}
+
+// shown is what the caller saw.
+type shown struct {
+	Pin   string
+	Text  string
+	Ended bool
+}
+
+func (s *shown) WriteHead(_ context.Context, _ *enquiry.Call, h enquiry.Head) error {
+	s.Pin = h.Header.Get(PinHeader)
+	return nil
+}
+
+func (s *shown) WriteChunk(_ context.Context, _ *enquiry.Call, k enquiry.Chunk) error {
+	s.Text += k.Text
+	return nil
+}
+
+func (s *shown) WriteBytes(context.Context, *enquiry.Call, []byte) error { return nil }
+
+func (s *shown) WriteEnd(context.Context, *enquiry.Call, enquiry.End) error {
+	s.Ended = true
+	return nil
+}
+
+// answer answers with the name of the version, and fails for the named one.
+func answer(failing catalogue.VersionID, padding int) enquiry.HandlerFunc {
+	return func(ctx context.Context, c *enquiry.Call) error {
+		if c.Version.ID == failing {
+			return enquiry.Refuse(enquiry.ReasonUpstreamFailed, 0, "no connection")
+		}
+		if err := c.Writer.WriteHead(ctx, c, enquiry.Head{Status: 200}); err != nil {
+			return err
+		}
+		text := string(c.Version.ID) + strings.Repeat("x", padding)
+		if err := c.Writer.WriteChunk(ctx, c, enquiry.Chunk{Text: text}); err != nil {
+			return err
+		}
+		return c.Writer.WriteEnd(ctx, c, enquiry.End{})
+	}
+}
+
+func TestChooseFilter(t *testing.T) {
+	good := fakeRater{score: 0.99}
+	for _, tc := range []struct {
+		name    string
+		session string
+		rater   Rater
+		failing catalogue.VersionID
+		padding int
+		want    shown
+	}{
+		{name: "good cheap answer is passed on", rater: good, want: shown{Text: "model-1@1", Ended: true}},
+		{name: "poor cheap answer is never shown", rater: fakeRater{score: 0.01}, want: shown{Text: "model-2@1", Ended: true}},
+		{name: "rating service down", rater: fakeRater{err: errors.New("down")}, want: shown{Text: "model-2@1", Ended: true}},
+		{name: "first step fails", rater: good, failing: "model-1@1", want: shown{Text: "model-2@1", Ended: true}},
+		{
+			name: "first answer outgrows the buffer", rater: good, padding: 100,
+			want: shown{Text: "model-2@1" + strings.Repeat("x", 100), Ended: true},
+		},
+		{
+			name: "session is pinned", rater: good, session: "s",
+			want: shown{Pin: "pin of model-2@1", Text: "model-2@1", Ended: true},
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			q := scene()
+			q.Profile.Quality, q.Profile.Cascade = 0.82, true
+			q.Request.Session = tc.session
+			q.Snapshot.Upstreams = []*catalogue.Upstream{{Name: "u", Versions: q.Snapshot.Config.Workspaces["desk"].Versions}}
+			cfg := settings.Default()
+			cfg.Limits.RequestBytes = 64
+			f := &Choose{
+				Common:   settings.Common{Log: logr.Discard(), Settings: &cfg, Clock: clock.NewManual(0)},
+				Snapshot: func() *catalogue.Snapshot { return q.Snapshot },
+				Pins:     &fakePins{},
+				Rater:    tc.rater,
+			}
+			var got shown
+			c := &enquiry.Call{Request: q.Request, Profile: q.Profile, Writer: &got}
+			if err := f.Filter(context.Background(), c, answer(tc.failing, tc.padding)); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("shown (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/tariff/main_test.go
@@ -0,0 +1,15 @@
+package tariff
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests; -rapid.seed on the command line goes before it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
--- a/pkg/tasting/book.go
+++ b/pkg/tasting/book.go
@@ -11,14 +11,16 @@
 
 const (
 	// learnRatings and learnAnswers are how many it takes to know what is usual for a version.
-	learnRatings = 30
+	learnRatings = 100
 	learnAnswers = 30
+	// learnErrors is how many standard errors below the usual mean rating the expected one is.
+	learnErrors = 1.5
 	// slowFactor is how many times slower than usual an attempt must be to count as slow.
 	slowFactor = 2.0
 	// historyRatings is the number of ratings from which on a counter of a new origin is taken as history.
 	historyRatings = 32
 	// quietLevel is the test level up to which new ratings count towards what is usual.
-	quietLevel = alarmLevel / 3
+	quietLevel = firstLevel / 3
 )
 
 // Book keeps the health of versions from ratings and attempts, here and on other instances.
@@ -37,6 +39,10 @@
 // entry is what is known of a version for a task over all origins.
 type entry struct {
 	recent recent
+	latest recent
+	// rated and attempts count all ratings and attempts.
+	rated    float64
+	attempts float64
 	// usual is the part of recent that was taken in while the tests were quiet.
 	usual    recent
 	pending  recent
@@ -184,7 +190,7 @@
 		if b.entries == nil {
 			b.entries = map[catalogue.HealthKey]*entry{}
 		}
-		e = &entry{}
+		e = &entry{latest: recent{most: latestMost}}
 		b.entries[k] = e
 	}
 	return e
--- a/pkg/tasting/cusum.go
+++ b/pkg/tasting/cusum.go
@@ -1,18 +1,27 @@
 package tasting
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 const (
-	// alarmLevel is the log likelihood ratio at which a version is found to be bad.
-	alarmLevel = 7.0
-	// scoreDeviation is the standard deviation of one rating that the test assumes.
-	scoreDeviation = 0.15
+	// firstLevel is the log likelihood ratio at which a version is found to be bad while it has few ratings.
+	firstLevel = 8.5
+	// levelRatings is how many ratings or attempts raise the level noticeably.
+	levelRatings = 1000
 )
 
-// scoreDrops are the drops of the mean rating that are tested for side by side.
-var scoreDrops = [...]float64{0.1, 0.2, 0.4}
+// alarmLevel returns the log likelihood ratio at which a version is found to be bad after n ratings or attempts.
+// It grows with n, so that a version with many ratings is not found to be bad by chance some day.
+func alarmLevel(n float64) float64 { return firstLevel + math.Log1p(n/levelRatings) }
+
+// scoreDrops are the drops of the ratings that are tested for side by side.
+var scoreDrops = [...]float64{0.1, 0.2, 0.3, 0.4}
 
-// scoreTest is a CUSUM test for a drop of the mean rating, for several sizes of drop.
+// scoreTest is a CUSUM test for a drop of the ratings, for several sizes of drop.
+// It weighs a rating by how likely it is with and without the drop, so that a rare bad answer that was
+// seen before, or that no drop explains, counts little.
 type scoreTest struct {
 	sums [len(scoreDrops)]float64
 	// n and total describe the ratings since the sums were last at zero.
@@ -20,13 +29,19 @@
 	total float64
 }
 
-// take adds n ratings with the sum total, against the mean expected.
-func (t *scoreTest) take(n int64, total, expected float64) {
-	t.n += n
-	t.total += total
+// take adds the ratings of d, against the usual distribution.
+func (t *scoreTest) take(d *Counter, usual *spread) {
+	t.n += d.Rated
+	t.total += d.ScoreSum
 	rest := true
 	for i, drop := range scoreDrops {
-		step := drop / (scoreDeviation * scoreDeviation) * (float64(n)*(expected-drop/2) - total)
+		dropped := usual.shifted(drop)
+		step := 0.0
+		for at, n := range d.Scores {
+			if n > 0 {
+				step += float64(n) * math.Log(dropped[at]/usual[at])
+			}
+		}
 		t.sums[i] = max(0, t.sums[i]+step)
 		rest = rest && t.sums[i] == 0
 	}
@@ -35,13 +50,7 @@
 	}
 }
 
-func (t *scoreTest) level() float64 {
-	level := 0.0
-	for _, s := range t.sums {
-		level = max(level, s)
-	}
-	return level
-}
+func (t *scoreTest) level() float64 { return slices.Max(t.sums[:]) }
 
 // shareTest is a CUSUM test for a rise of the share of attempts that are bad in some way.
 type shareTest struct {
@@ -54,16 +63,18 @@
 const (
 	// leastShare is the share of bad attempts that is always borne.
 	leastShare = 0.03
-	// shareRise is the factor of the rise that is tested for.
-	shareRise = 4.0
-	// mostShare bounds the shares that are compared.
+	// othersFactor is how much more often than with other versions attempts may be bad.
+	othersFactor = 2.0
+	// oddsRise is the factor of the rise of the odds that is tested for.
+	oddsRise = 4.0
+	// mostShare bounds the share that is expected.
 	mostShare = 0.9
 )
 
-// take adds n attempts of which bad were bad, against the share expected.
-func (t *shareTest) take(n, bad int64, expected float64) {
-	p0 := min(mostShare/shareRise, max(leastShare, expected))
-	p1 := p0 * shareRise
+// take adds n attempts of which bad were bad, against the share of bad attempts of other versions.
+func (t *shareTest) take(n, bad int64, others float64) {
+	p0 := min(mostShare, leastShare+othersFactor*others)
+	p1 := oddsRise * p0 / (1 + (oddsRise-1)*p0)
 	t.n += n
 	t.bad += bad
 	t.sum += float64(bad)*math.Log(p1/p0) + float64(n-bad)*math.Log((1-p1)/(1-p0))
--- a/pkg/tasting/detect.go
+++ b/pkg/tasting/detect.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
 )
@@ -10,6 +11,9 @@
 func (b *Book) observe(k catalogue.HealthKey, d *Counter, test bool) {
 	e := b.entry(k)
 	e.recent.take(d)
+	e.latest.take(d)
+	e.rated += float64(d.Rated)
+	e.attempts += float64(d.Answers + d.Failures)
 	if now := b.versionRevision(k.Version); now != e.revision {
 		e.restart(now)
 	}
@@ -27,61 +31,91 @@
 }
 
 func (b *Book) test(k catalogue.HealthKey, e *entry, d *Counter) {
-	if expected, known := b.expected(k, e); known && d.Rated > 0 {
-		e.score.take(d.Rated, d.ScoreSum, expected)
-		if e.score.level() >= alarmLevel {
-			b.suspect(k, e, fmt.Sprintf("ratings: mean %.2f of the last %d, expected %.2f",
-				e.score.total/float64(e.score.n), e.score.n, expected))
-		}
+	if d.Rated > 0 {
+		b.testScores(k, e, d)
 	}
 	others := b.others(k)
 	if n := d.Answers + d.Failures; n > 0 {
 		e.failures.take(n, d.Failures, others.failureShare())
-		if e.failures.sum >= alarmLevel {
+		if e.failures.sum >= alarmLevel(e.attempts) {
 			b.suspect(k, e, fmt.Sprintf("failures: %d of the last %d attempts, other versions %.1f%%",
 				e.failures.bad, e.failures.n, 100*others.failureShare()))
 		}
 	}
 	if d.Answers > 0 {
 		e.slow.take(d.Answers, d.Slow, others.slowShare())
-		if e.slow.sum >= alarmLevel {
+		if e.slow.sum >= alarmLevel(e.attempts) {
 			b.suspect(k, e, fmt.Sprintf("latency: %d of the last %d answers over %.0f times the usual %.1f ms between tokens",
 				e.slow.bad, e.slow.n, slowFactor, e.usual.tokenTime()))
 		}
 	}
 }
 
-// expected returns the mean rating that the version must keep up: its own usual one, or for the new version
-// of a roll-out the lower of the old version's and of the operator's estimate.
-func (b *Book) expected(k catalogue.HealthKey, e *entry) (float64, bool) {
-	cfg := b.config()
-	if cfg == nil {
-		return e.expectedOwn()
+func (b *Book) testScores(k catalogue.HealthKey, e *entry, d *Counter) {
+	expected := b.expected(k, e)
+	if expected == nil {
+		return
 	}
-	r := cfg.Rollouts[k.Version.Model()]
-	if r == nil || r.To != k.Version || r.From == r.To {
+	e.score.take(d, expected)
+	if e.score.level() < alarmLevel(e.rated) {
+		return
+	}
+	b.suspect(k, e, fmt.Sprintf("ratings: mean %.2f of the last %d, expected %.2f",
+		e.score.total/float64(e.score.n), e.score.n, expected.mean()))
+}
+
+// expected returns the distribution of ratings that the version must keep up, or nil while nothing is known:
+// its own usual one, or for the new version of a roll-out the old version's, unless the operator states less.
+func (b *Book) expected(k catalogue.HealthKey, e *entry) *spread {
+	r := b.rollOut(k.Version)
+	if r == nil {
 		return e.expectedOwn()
 	}
-	stated, isStated := 0.0, false
-	if v := cfg.Versions[k.Version]; v != nil {
-		stated, isStated = v.Quality[k.Task]
+	stated, isStated := b.stated(k)
+	var old *spread
+	if o := b.entries[catalogue.HealthKey{Version: r.From, Task: k.Task}]; o != nil {
+		old = o.expectedOwn()
 	}
-	if old := b.entries[catalogue.HealthKey{Version: r.From, Task: k.Task}]; old != nil {
-		if mean, known := old.expectedOwn(); known {
-			if isStated {
-				mean = min(mean, stated)
-			}
-			return mean, true
-		}
+	switch {
+	case old != nil && isStated:
+		return old.shifted(max(0, old.mean()-stated))
+	case old != nil:
+		return old
+	case isStated:
+		return bell(stated, assumedDeviation)
 	}
-	if isStated {
-		return stated, true
+	return nil
+}
+
+// rollOut returns the roll-out of which the version is the new one, or nil.
+func (b *Book) rollOut(id catalogue.VersionID) *catalogue.Rollout {
+	cfg := b.config()
+	if cfg == nil {
+		return nil
 	}
-	return e.expectedOwn()
+	if r := cfg.Rollouts[id.Model()]; r != nil && r.To == id && r.From != r.To {
+		return r
+	}
+	return nil
+}
+
+// stated returns the operator's estimate.
+func (b *Book) stated(k catalogue.HealthKey) (float64, bool) {
+	v := b.config().Versions[k.Version]
+	if v == nil {
+		return 0, false
+	}
+	q, ok := v.Quality[k.Task]
+	return q, ok
 }
 
-func (e *entry) expectedOwn() (float64, bool) {
-	return e.usual.mean(), e.usual.rated >= learnRatings
+// expectedOwn allows for the error of a mean of few ratings.
+func (e *entry) expectedOwn() *spread {
+	if e.usual.rated < learnRatings {
+		return nil
+	}
+	margin := learnErrors * e.usual.deviation() / math.Sqrt(e.usual.rated)
+	return e.usual.spread().shifted(margin)
 }
 
 // learn moves what came in while the tests were quiet into what is usual.
@@ -101,14 +135,14 @@
 	return float64(d.Generation)/float64(d.Tokens) > slowFactor*e.usual.tokenTime()
 }
 
-// others adds up what is known of the other versions, so that a fault of the upstreams is not put down to one version.
+// others adds up the latest attempts of the other versions, so that a fault of the upstreams is not put down to one version.
 func (b *Book) others(k catalogue.HealthKey) *recent {
 	var sum recent
 	for other, e := range b.entries {
 		if other.Version != k.Version {
-			sum.answers += e.recent.answers
-			sum.failures += e.recent.failures
-			sum.slow += e.recent.slow
+			sum.answers += e.latest.answers
+			sum.failures += e.latest.failures
+			sum.slow += e.latest.slow
 		}
 	}
 	return &sum
--- a/pkg/tasting/recent.go
+++ b/pkg/tasting/recent.go
@@ -1,19 +1,24 @@
 package tasting
 
 import (
+	"cmp"
 	"math"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
 )
 
 const (
-	// recentRatings and recentAnswers are how many count before older ones begin to fade.
-	recentRatings = 2000
-	recentAnswers = 2000
+	// recentMost is how many ratings and attempts count before older ones begin to fade.
+	recentMost = 2000
+	// latestMost is the same for the latest attempts, which tell a fault of the upstreams from one of a version.
+	latestMost = 20
 )
 
 // recent adds up the latest of what all origins saw of a version for a task; older parts fade.
 type recent struct {
+	// most is how many ratings and attempts count before older ones fade; 0 means recentMost.
+	most float64
+
 	rated    float64
 	scoreSum float64
 	scores   [catalogue.ScoreSteps]float64
@@ -61,8 +66,10 @@
 	r.tokens += o.tokens
 }
 
+func (r *recent) limit() float64 { return cmp.Or(r.most, recentMost) }
+
 func (r *recent) fadeRatings() {
-	if r.rated <= recentRatings {
+	if r.rated <= r.limit() {
 		return
 	}
 	r.rated /= 2
@@ -73,7 +80,7 @@
 }
 
 func (r *recent) fadeAttempts() {
-	if r.answers+r.failures <= recentAnswers {
+	if r.answers+r.failures <= r.limit() {
 		return
 	}
 	r.answers, r.failures, r.slow = r.answers/2, r.failures/2, r.slow/2
@@ -82,6 +89,17 @@
 
 func (r *recent) mean() float64 { return ratio(r.scoreSum, r.rated) }
 
+// deviation returns the standard deviation of the ratings.
+func (r *recent) deviation() float64 {
+	var sum float64
+	mean := r.mean()
+	for i, n := range r.scores {
+		d := middle(i) - mean
+		sum += n * d * d
+	}
+	return max(leastDeviation, math.Sqrt(ratio(sum, r.rated)))
+}
+
 func (r *recent) failureShare() float64 { return ratio(r.failures, r.answers+r.failures) }
 
 func (r *recent) slowShare() float64 { return ratio(r.slow, r.answers) }
@@ -105,7 +123,7 @@
 		h.Scores[i] = int32(math.Round(n))
 	}
 	if r.rated > 0 {
-		h.Lower = max(0, h.Mean-boundWidth*scoreDeviation/math.Sqrt(r.rated))
+		h.Lower = max(0, h.Mean-boundWidth*r.deviation()/math.Sqrt(r.rated))
 	}
 	return h
 }
--- a/pkg/trace/exposure.go
+++ b/pkg/trace/exposure.go
@@ -6,7 +6,7 @@
 )
 
 // idealLevel is the log likelihood ratio at which the ideal test decides; it is the router's own alarm level.
-const idealLevel = 7.0
+const idealLevel = 8.8
 
 // Exposure tells how much work a version got after it had turned bad.
 type Exposure struct {
@@ -82,7 +82,7 @@
 func (r *run) idealAt(id catalogue.VersionID, turned clock.Millis) clock.Millis {
 	sum := 0.0
 	for _, x := range r.world.ratings {
-		if x.rating.Version != id || r.sentAt(x.rating.RequestID, id) < turned {
+		if x.rating.Version != id || x.answered < turned {
 			continue
 		}
 		good, bad := r.before(x.rating.Version, x.rating.Task)
@@ -106,12 +106,3 @@
 	}
 	return r.world.unknown, r.world.unknown
 }
-
-func (r *run) sentAt(request string, id catalogue.VersionID) clock.Millis {
-	for _, s := range r.sends {
-		if s.request == request && s.version == id {
-			return s.at
-		}
-	}
-	return 0
-}
--- a/pkg/trace/world.go
+++ b/pkg/trace/world.go
@@ -45,9 +45,11 @@
 	pins            map[string]catalogue.VersionID
 }
 
+// timedRating is a rating, the time at which it was out, and the time of the answer.
 type timedRating struct {
-	at     clock.Millis
-	rating platform.Rating
+	at       clock.Millis
+	answered clock.Millis
+	rating   platform.Rating
 }
 
 func newWorld(t *Trace, l *loop) *world {
@@ -178,6 +180,7 @@
 	span := float64(t.Ratings.MaxDelay - t.Ratings.MinDelay)
 	delay := t.Ratings.MinDelay + clock.Millis(span*t.fraction("delay", r.ID))
 	rating := platform.Rating{RequestID: r.ID, Version: k.Version, Task: k.Task, Score: w.score(r, k)}
-	at := w.loop.clock.Now() + delay
-	w.loop.at(at, func() { w.ratings = append(w.ratings, timedRating{at: at, rating: rating}) })
+	now := w.loop.clock.Now()
+	late := timedRating{at: now + delay, answered: now, rating: rating}
+	w.loop.at(late.at, func() { w.ratings = append(w.ratings, late) })
 }
