Let requests wait for room by the time they have left, and share more room of upstreams far from full

Cause: a strict part of each upstream for each instance refused requests in bursts while others' parts stood empty; a wait of one second was too short for answers of ten. Leaving instances had lost their part in the replay although they still finish their work, so that the second step of a cascade found no room: the instances' list of the replay now shows them as leaving. Excluded: the wait alone and the overbooking alone; each left failed requests.

--- a/pkg/concierge/place.go
+++ b/pkg/concierge/place.go
@@ -13,7 +13,9 @@
 
 const (
 	// MaxWait bounds the wait for room at an upstream, in milliseconds.
-	MaxWait clock.Millis = 1000
+	MaxWait clock.Millis = 5000
+	// waitPart is the part of the time left that a request may wait for room.
+	waitPart = 8
 	// waitCheck is the period in which a waiting request looks at a newer snapshot, in milliseconds.
 	waitCheck clock.Millis = 100
 )
@@ -165,12 +167,12 @@
 	}
 }
 
-// WaitUntil returns until when a request may wait for room: for a short time, and half its time at most.
+// WaitUntil returns until when a request may wait for room: for a part of the time it has left.
 func WaitUntil(now, deadline clock.Millis) clock.Millis {
 	if deadline <= 0 {
-		return now + MaxWait
+		return now + MaxWait/waitPart
 	}
-	return now + min(MaxWait, (deadline-now)/2)
+	return now + min(MaxWait, (deadline-now)/waitPart)
 }
 
 // NoRoom refuses a call because all shares of its upstreams are taken; waited is in milliseconds.
--- a/pkg/trace/happen.go
+++ b/pkg/trace/happen.go
@@ -44,6 +44,7 @@
 }
 
 func (w *world) stopZone(zone string) {
+	w.zonesStopped[zone] = true
 	for _, n := range w.engines {
 		if n.spec.Zone == zone {
 			n.restart(0)
@@ -55,6 +56,7 @@
 }
 
 func (w *world) startZone(zone string) {
+	delete(w.zonesStopped, zone)
 	for _, n := range w.engines {
 		if n.spec.Zone == zone {
 			n.stopped = false
--- a/pkg/trace/instance.go
+++ b/pkg/trace/instance.go
@@ -154,7 +154,7 @@
 // publish makes the snapshot that requests are decided on.
 func (in *instance) publish() {
 	now := in.run.loop.clock.Now()
-	s := &catalogue.Snapshot{At: now, Config: in.world.inForce, Health: in.book.Health(), Members: in.members()}
+	s := &catalogue.Snapshot{At: now, Config: in.world.inForce, Health: in.book.Health(), Members: in.world.listedMembers}
 	if in.run.policy.truths != nil {
 		s.Health = in.run.policy.truths(in.world)
 	}
@@ -168,21 +168,13 @@
 	in.snapshot = s
 }
 
-func (in *instance) members() []catalogue.Member {
-	var members []catalogue.Member
-	for _, m := range in.world.members() {
-		members = append(members, catalogue.Member{Name: m.Name, Zone: m.Zone})
-	}
-	return members
-}
-
 // share is this instance's part of what the upstream bears.
 func (in *instance) share(u *catalogue.Upstream, members []catalogue.Member) int {
 	self := in.common.Settings.Name
 	if u.Cold {
 		return caravan.PartOf(u.Name, self, u.Rule.ColdLimit, members)
 	}
-	return caravan.WarmPart(u.Name, self, in.watch.WarmLimit(u.Name), members)
+	return caravan.WarmPart(u.Name, self, in.watch.WarmRoom(u.Name), members)
 }
 
 func (in *instance) readRatings() {
--- a/pkg/trace/world.go
+++ b/pkg/trace/world.go
@@ -37,12 +37,15 @@
 	// config is the newest configuration, inForce the one that all instances have.
 	config  *catalogue.State
 	inForce *catalogue.State
-	// listed is the list as instances see it.
-	listed []catalogue.Upstream
+	// listed is the list of upstreams as instances see it, and listedMembers that of the instances themselves.
+	listed        []catalogue.Upstream
+	listedMembers []catalogue.Member
 	// balancerStopped has the zones to whose instances the balancer sends nothing.
 	balancerStopped map[string]bool
-	ratings         []timedRating
-	pins            map[string]catalogue.VersionID
+	// zonesStopped has the zones in which nothing runs.
+	zonesStopped map[string]bool
+	ratings      []timedRating
+	pins         map[string]catalogue.VersionID
 }
 
 // timedRating is a rating, the time at which it was out, and the time of the answer.
@@ -63,6 +66,7 @@
 		tokens:          t.taskTokens(),
 		turned:          map[catalogue.VersionID]clock.Millis{},
 		balancerStopped: map[string]bool{},
+		zonesStopped:    map[string]bool{},
 		pins:            map[string]catalogue.VersionID{},
 	}
 	for i := range t.Upstreams {
@@ -156,6 +160,12 @@
 		return 1
 	})
 	w.listed = listed
+	w.listedMembers = nil
+	for _, m := range w.trace.Members {
+		if !w.zonesStopped[m.Zone] {
+			w.listedMembers = append(w.listedMembers, catalogue.Member{Name: m.Name, Zone: m.Zone, Leaving: w.balancerStopped[m.Zone]})
+		}
+	}
 }
 
 func (w *world) listLater() { w.loop.at(w.loop.clock.Now()+listDelay, w.list) }
