--- a/pkg/tariff/pick_test.go
+++ b/pkg/tariff/pick_test.go
@@ -50,8 +50,8 @@
 	q.Snapshot.Health[catalogue.HealthKey{Version: id, Task: task}] = h
 }
 
-// outcome is the plan's versions, or the reason of the refusal.
-func outcome(q *Query) string {
+// outcomeOf is the plan's versions, or the reason of the refusal.
+func outcomeOf(q *Query) string {
 	choice, refusal := Pick(q)
 	if refusal != nil {
 		return fmt.Sprintf("%s %s", refusal.Outcome, refusal.Reason)
@@ -75,7 +75,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			q := scene()
 			tc.set(q)
-			if diff := cmp.Diff(tc.want, outcome(q)); diff != "" {
+			if diff := cmp.Diff(tc.want, outcomeOf(q)); diff != "" {
 				t.Errorf("plan (-want +got):\n%s", diff)
 			}
 		})
@@ -190,7 +190,7 @@
 		n := 0
 		for i := range sessions {
 			q.Request.Session = fmt.Sprint("s", i)
-			if outcome(q) == "model-1@2 " {
+			if outcomeOf(q) == "model-1@2 " {
 				n++
 			}
 		}
--- a/pkg/tariff/plan.go
+++ b/pkg/tariff/plan.go
@@ -61,37 +61,6 @@
 	return e.Tokens
 }
 
-// cascade returns the cheapest plan that tries cheap first and meets the quality; false when none does.
-func cascade(cheap, good *Estimate, l *Limits) (Plan, bool) {
-	margin := max(cheap.Mean-cheap.Lower, good.Mean-good.Lower)
-	var below, belowScore float64
-	var total float64
-	for i, share := range cheap.Scores {
-		total += share * scoreMiddles[i]
-	}
-	for i, share := range cheap.Scores {
-		below += share
-		belowScore += share * scoreMiddles[i]
-		quality := total - belowScore + below*good.Mean - margin
-		if quality < l.Quality {
-			continue
-		}
-		return twoSteps(cheap, good, l, below, float64(i+1)/catalogue.ScoreSteps, quality), true
-	}
-	return Plan{}, false
-}
-
-func twoSteps(cheap, good *Estimate, l *Limits, below, threshold, quality float64) Plan {
-	one, two := Single(cheap, l), Single(good, l)
-	return Plan{
-		Steps:    []Step{{Version: cheap.Version, Threshold: threshold}, {Version: good.Version}},
-		Quality:  quality,
-		Cost:     one.Cost + below*two.Cost,
-		MostCost: one.MostCost + two.MostCost,
-		Time:     one.Time + rateTime + two.Time,
-	}
-}
-
 // fits tells whether the plan keeps to cost and time.
 func (l *Limits) fits(p *Plan) bool {
 	return l.affords(p) && (l.Time <= 0 || p.Time <= l.Time)
@@ -133,17 +102,3 @@
 	}
 	return p.Quality > than.Quality
 }
-
-func eachCascade(from []Estimate, l *Limits, consider func(Plan)) {
-	for i := range from {
-		for j := range from {
-			cheap, good := &from[i], &from[j]
-			if price(cheap, l.InputTokens, cheap.Tokens) >= price(good, l.InputTokens, good.Tokens) {
-				continue
-			}
-			if p, ok := cascade(cheap, good, l); ok {
-				consider(p)
-			}
-		}
-	}
-}
--- a/pkg/trace/makejemaa.go
+++ b/pkg/trace/makejemaa.go
@@ -43,12 +43,12 @@
 			{"dossier", 0.92, 0.92, 0.08, history}, {"stock", 0.93, 0.93, 0.08, history}, {"tags", 0.94, 0.94, 0.08, history},
 		}
 	}
-	m.version("kilim-s@1", 100_000, 400_000, 120, 8, small(300))
+	m.version("kilim-s@1", 100_000, 400_000, 120, 8, small(1000))
 	m.version("kilim-s@2", 100_000, 400_000, 120, 8, small(0))
 	m.version("kilim-m@4", 500_000, 1_500_000, 180, 14, []taskQuality{
-		{"dossier", 0.86, 0.82, 0.12, 300}, {"stock", 0.87, 0.88, 0.10, 300}, {"tags", 0.89, 0.89, 0.10, 300},
+		{"dossier", 0.86, 0.82, 0.12, 1000}, {"stock", 0.87, 0.88, 0.10, 1000}, {"tags", 0.89, 0.89, 0.10, 1000},
 	})
-	m.version("kilim-l@7", 2_000_000, 8_000_000, 260, 22, large(300))
+	m.version("kilim-l@7", 2_000_000, 8_000_000, 260, 22, large(1000))
 	m.version("kilim-l@8", 2_000_000, 8_000_000, 260, 22, large(0))
 }
 
@@ -82,7 +82,7 @@
 func (m *maker) jemaaProfiles() {
 	c := &m.trace.Configuration
 	c.Profiles = []catalogue.Profile{
-		{Name: "provenance", Task: "dossier", Quality: 0.86, MaxCost: 30000, Priority: 3, Cascade: true, Explore: 0.03},
+		{Name: "provenance", Task: "dossier", Quality: 0.90, MaxCost: 30000, Priority: 3, Cascade: true, Explore: 0.03},
 		{Name: "stall", Task: "stock", Quality: 0.78, MaxCost: 5000, Priority: 8, Explore: 0.03},
 		{Name: "tagging", Task: "tags", Quality: 0.78, MaxCost: 2000, Priority: 1, Cascade: true, Explore: 0.03},
 	}
