Raise the alarm level of served versions, notice cold starts by reports, cap nothing else

Change: level 8 for the new version of a roll-out, 11 for others. Cause 2: an instance sees an eighth of an upstream's slow answers. Change: two reports in a row of three times the usual time to the first token start a cold start.

--- a/pkg/concierge/coldwatch_test.go
+++ b/pkg/concierge/coldwatch_test.go
@@ -78,6 +78,26 @@
 			h.report(2, platform.LoadReport{})
 			h.answers(10*firstAnswers, 600)
 		}, true},
+		{"slow by its reports", func(h *history) {
+			h.answers(firstAnswers, 100)
+			h.report(1, platform.LoadReport{FirstTokenTime: 100})
+			h.report(1, platform.LoadReport{FirstTokenTime: 400})
+			h.report(1, platform.LoadReport{FirstTokenTime: 400})
+		}, true},
+		{"slower by its reports since it is asked for other versions", func(h *history) {
+			h.answers(firstAnswers, 100)
+			h.report(1, platform.LoadReport{FirstTokenTime: 100})
+			for range 10 {
+				h.report(1, platform.LoadReport{FirstTokenTime: 250})
+			}
+		}, false},
+		{"slow by its reports since it is full", func(h *history) {
+			h.answers(firstAnswers, 100)
+			h.report(1, platform.LoadReport{FirstTokenTime: 100})
+			for range 10 {
+				h.report(1, platform.LoadReport{FirstTokenTime: 400, InFlight: 15})
+			}
+		}, false},
 		{"another instance noticed", func(h *history) {
 			h.answers(firstAnswers, 100)
 			h.TakeVerdicts([]Verdict{{Upstream: engine, Incarnation: 1, Episode: 2, Cold: true}})
--- a/pkg/concierge/warmth.go
+++ b/pkg/concierge/warmth.go
@@ -16,6 +16,10 @@
 	coldFactor = 3.0
 	// quickFactor is how many times slower than usual a first token may be to count as quick.
 	quickFactor = 2.0
+	// reportFactor is how many times longer than usual a reported time to the first token is a sign of cold start,
+	// and reportSigns how many such reports in a row start it again.
+	reportFactor = 3.0
+	reportSigns  = 2
 	// usualWeight is the weight of the newest answer in the usual time to the first token.
 	usualWeight = 0.05
 	// growFactor raises the limit with each report of a warm upstream that has room.
@@ -47,6 +51,9 @@
 	quick   int
 	signs   int
 	limit   float64
+	// usualReport is the usual time to the first token as reported, and slowReports counts the slow ones in a row.
+	usualReport float64
+	slowReports int
 	// reported is true once a load report was read; bearable and inFlight are as reported.
 	reported bool
 	bearable int
@@ -57,7 +64,7 @@
 }
 
 func (u *warmth) restart(incarnation int64) {
-	*u = warmth{incarnation: incarnation, cold: true, limit: firstWarmLimit}
+	*u = warmth{incarnation: incarnation, cold: true, limit: firstWarmLimit, usualReport: u.usualReport}
 }
 
 // begin begins an episode that this instance has noticed.
@@ -71,7 +78,7 @@
 
 func (u *warmth) turn(episode int64, cold bool) {
 	u.episode, u.cold, u.known, u.own = episode, cold, true, false
-	u.answers, u.quick, u.signs = 0, 0, 0
+	u.answers, u.quick, u.signs, u.slowReports = 0, 0, 0, 0
 }
 
 func (u *warmth) takeReport(r *platform.LoadReport, at clock.Millis) {
@@ -83,6 +90,9 @@
 	if u.cold {
 		return
 	}
+	if u.takeReportedTime(r.FirstTokenTime); u.cold {
+		return
+	}
 	if r.InFlight > u.max() || r.Queued > 0 {
 		u.cut(at)
 		return
@@ -92,6 +102,23 @@
 	}
 }
 
+// takeReportedTime notices a cold start by the reported time to the first token, which all instances see alike.
+func (u *warmth) takeReportedTime(firstToken float64) {
+	switch {
+	case firstToken <= 0 || u.inFlight > u.max()/2:
+	case u.usualReport == 0:
+		u.usualReport = firstToken
+	case firstToken > reportFactor*u.usualReport:
+		u.slowReports++
+	default:
+		u.slowReports = 0
+		u.usualReport += usualWeight * (firstToken - u.usualReport)
+	}
+	if u.slowReports >= reportSigns {
+		u.begin(true)
+	}
+}
+
 func (u *warmth) takeFailure(at clock.Millis) {
 	u.quick = 0
 	u.cut(at)
--- a/pkg/tasting/book.go
+++ b/pkg/tasting/book.go
@@ -20,7 +20,7 @@
 	// historyRatings is the number of ratings from which on a counter of a new origin is taken as history.
 	historyRatings = 32
 	// quietLevel is the test level up to which new ratings count towards what is usual.
-	quietLevel = firstLevel / 3
+	quietLevel = newLevel / 3
 )
 
 // Book keeps the health of versions from ratings and attempts, here and on other instances.
--- a/pkg/tasting/cusum.go
+++ b/pkg/tasting/cusum.go
@@ -6,15 +6,17 @@
 )
 
 const (
-	// firstLevel is the log likelihood ratio at which a version is found to be bad while it has few ratings.
-	firstLevel = 8.5
-	// levelRatings is how many ratings or attempts raise the level noticeably.
+	// newLevel is the log likelihood ratio at which the new version of a roll-out is found to be bad while it has
+	// few ratings. servedLevel is that of other versions, which are bad less often and cost more when they are missed.
+	newLevel    = 8.0
+	servedLevel = 11.0
+	// levelRatings is how many ratings or attempts raise the levels noticeably.
 	levelRatings = 1000
 )
 
-// alarmLevel returns the log likelihood ratio at which a version is found to be bad after n ratings or attempts.
+// alarmLevel returns the level after n ratings or attempts.
 // It grows with n, so that a version with many ratings is not found to be bad by chance some day.
-func alarmLevel(n float64) float64 { return firstLevel + math.Log1p(n/levelRatings) }
+func alarmLevel(first, n float64) float64 { return first + math.Log1p(n/levelRatings) }
 
 // scoreDrops are the drops of the ratings that are tested for side by side.
 var scoreDrops = [...]float64{0.1, 0.2, 0.3, 0.4}
--- a/pkg/tasting/detect.go
+++ b/pkg/tasting/detect.go
@@ -37,27 +37,35 @@
 	others := b.others(k)
 	if n := d.Answers + d.Failures; n > 0 {
 		e.failures.take(n, d.Failures, others.failureShare())
-		if e.failures.sum >= alarmLevel(e.attempts) {
+		if e.failures.sum >= alarmLevel(b.level(k.Version), e.attempts) {
 			b.suspect(k, e, fmt.Sprintf("failures: %d of the last %d attempts, other versions %.1f%%",
 				e.failures.bad, e.failures.n, 100*others.failureShare()))
 		}
 	}
 	if d.Answers > 0 {
 		e.slow.take(d.Answers, d.Slow, others.slowShare())
-		if e.slow.sum >= alarmLevel(e.attempts) {
+		if e.slow.sum >= alarmLevel(b.level(k.Version), e.attempts) {
 			b.suspect(k, e, fmt.Sprintf("latency: %d of the last %d answers over %.0f times the usual %.1f ms between tokens",
 				e.slow.bad, e.slow.n, slowFactor, e.usual.tokenTime()))
 		}
 	}
 }
 
+// level returns the level at which the version is found to be bad while little is known of it.
+func (b *Book) level(id catalogue.VersionID) float64 {
+	if b.rollOut(id) != nil {
+		return newLevel
+	}
+	return servedLevel
+}
+
 func (b *Book) testScores(k catalogue.HealthKey, e *entry, d *Counter) {
 	expected := b.expected(k, e)
 	if expected == nil {
 		return
 	}
 	e.score.take(d, expected)
-	if e.score.level() < alarmLevel(e.rated) {
+	if e.score.level() < alarmLevel(b.level(k.Version), e.rated) {
 		return
 	}
 	b.suspect(k, e, fmt.Sprintf("ratings: mean %.2f of the last %d, expected %.2f",
--- a/pkg/trace/engine.go
+++ b/pkg/trace/engine.go
@@ -21,6 +21,8 @@
 	refuseFill = 1.5
 	// fullSlowness is how much slower tokens come when a warm upstream is as full as it bears.
 	fullSlowness = 0.4
+	// reportWeight is the weight of the newest request in the times that an engine reports.
+	reportWeight = 0.2
 	// cachedPrefixes is how many prompt prefixes an engine keeps, and prefixSaving the part of the first token's time saved.
 	cachedPrefixes = 12
 	prefixSaving   = 0.4
@@ -123,8 +125,11 @@
 	if prefix != 0 && e.cache(prefix) {
 		first *= 1 - prefixSaving
 	}
-	e.firstToken += 0.1 * (first - e.firstToken)
-	e.tokenTime += 0.1 * (each - e.tokenTime)
+	if e.firstToken == 0 {
+		e.firstToken, e.tokenTime = first, each
+	}
+	e.firstToken += reportWeight * (first - e.firstToken)
+	e.tokenTime += reportWeight * (each - e.tokenTime)
 	return first, each
 }
 
--- a/pkg/trace/exposure.go
+++ b/pkg/trace/exposure.go
@@ -6,7 +6,7 @@
 )
 
 // idealLevel is the log likelihood ratio at which the ideal test decides; it is the router's own alarm level.
-const idealLevel = 8.8
+const idealLevel = 8.0
 
 // Exposure tells how much work a version got after it had turned bad.
 type Exposure struct {
--- a/pkg/trace/makechai.go
+++ b/pkg/trace/makechai.go
@@ -90,7 +90,7 @@
 	}
 	c.Services = []catalogue.Service{{Name: "booking-desk", Priority: 10}}
 	m.workspaces(chaiLarge, 200, 60)
-	m.workspaces(chaiSmall, 40, 20)
+	m.workspaces(chaiSmall, 80, 40)
 }
 
 var (
--- a/pkg/trace/makejemaa.go
+++ b/pkg/trace/makejemaa.go
@@ -88,7 +88,7 @@
 	}
 	c.Services = []catalogue.Service{{Name: "shopfront", Priority: 10}}
 	m.workspaces(jemaaLarge, 200, 60)
-	m.workspaces(jemaaSmall, 40, 20)
+	m.workspaces(jemaaSmall, 80, 40)
 }
 
 var (
