--- a/pkg/archive/journal.go
+++ b/pkg/archive/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
@@ -87,6 +88,22 @@
 	return int64(s.Revision)
 }
 
+// TakeRead takes what a read of the stream returned; sentAt is the monotonic time before it was sent.
+// It returns the error of the read, or one of Take.
+func (j *Journal) TakeRead(sentAt clock.Millis, b platform.Batch, err error) error {
+	var trimmed *platform.TrimmedError
+	var ahead *platform.AheadError
+	switch {
+	case err == nil:
+		return j.Take(sentAt, b)
+	case errors.As(err, &trimmed):
+		j.TakeTrimmed(trimmed)
+	case errors.As(err, &ahead):
+		j.TakeAhead(sentAt, ahead)
+	}
+	return err
+}
+
 // Take folds a batch; sentAt is the monotonic time before the read was sent.
 // Its errors are *GapError and *ReplacedError.
 func (j *Journal) Take(sentAt clock.Millis, b platform.Batch) error {
--- /dev/null
+++ b/pkg/caravan/coldtotal_test.go
@@ -0,0 +1,209 @@
+package caravan
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+)
+
+// The seed is fixed, so that each run draws the same cases.
+func init() { _ = flag.Set("rapid.seed", "5") }
+
+const (
+	coldStep  clock.Millis = 500
+	coldLag                = 2 * clock.Second
+	coldLease              = 5 * clock.Second
+	coldHold               = 20 * clock.Second
+)
+
+// coldWorld has instances that send as much as they may to one cold upstream.
+type coldWorld struct {
+	now   clock.Millis
+	limit int
+	// listings are the true members at each step, newest last.
+	listings [][]catalogue.Member
+	nodes    []*coldNode
+	names    int
+}
+
+// coldNode is one entry instance with the published share that its traffic sends by.
+type coldNode struct {
+	name     string
+	shares   *ColdShares
+	lag      clock.Millis
+	listed   bool
+	since    clock.Millis
+	dead     bool
+	cut      bool
+	frozen   bool
+	share    int
+	shareAt  clock.Millis
+	inFlight []clock.Millis
+}
+
+func (w *coldWorld) join() {
+	w.names++
+	name := fmt.Sprintf("entry-%03d", w.names)
+	w.nodes = append(w.nodes, &coldNode{
+		name: name, listed: true, since: w.now,
+		shares: &ColdShares{Self: name, Lag: coldLag, Lease: coldLease, Hold: coldHold},
+	})
+}
+
+// step lets the list, the instances and their requests go on; it returns the requests in flight at the upstream.
+func (w *coldWorld) step() int {
+	w.now += coldStep
+	var members []catalogue.Member
+	for _, n := range w.nodes {
+		if n.listed {
+			members = append(members, catalogue.Member{Name: n.name})
+		}
+	}
+	w.listings = append(w.listings, members)
+	total := 0
+	for _, n := range w.nodes {
+		n.finish(w.now)
+		if !n.dead && !n.frozen {
+			n.act(w)
+		}
+		total += len(n.inFlight)
+	}
+	return total
+}
+
+// act polls the list as it was a lag ago, publishes the share and sends as much as it may.
+func (n *coldNode) act(w *coldWorld) {
+	if i := len(w.listings) - 1 - int(n.lag/coldStep); !n.cut && i >= 0 {
+		n.shares.See(w.listings[i], w.now)
+		n.shareAt = w.now
+		n.share = n.shares.Share("u", w.limit, w.now)
+	}
+	n.send(w.now)
+}
+
+// send checks the age of the share last, as the send of a request does.
+func (n *coldNode) send(now clock.Millis) {
+	for len(n.inFlight) < n.share && now-n.shareAt < coldLease {
+		n.inFlight = append(n.inFlight, now)
+	}
+}
+
+func (n *coldNode) finish(now clock.Millis) {
+	for len(n.inFlight) > 0 && now-n.inFlight[0] >= coldHold {
+		n.inFlight = n.inFlight[1:]
+	}
+}
+
+// change draws one event; a member stays on and off the list for longer than a lease.
+func (w *coldWorld) change(t *rapid.T) {
+	n := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")]
+	switch rapid.SampledFrom([]string{"join", "list", "kill", "cut", "freeze", "lag", "none"}).Draw(t, "event") {
+	case "join":
+		if len(w.nodes) < 14 {
+			w.join()
+		}
+	case "list":
+		if w.now-n.since > coldLease+coldLag {
+			n.listed, n.since = !n.listed, w.now
+		}
+	case "kill":
+		n.dead = true
+	case "cut":
+		n.cut = !n.cut
+	case "freeze":
+		n.frozen = !n.frozen
+		if !n.frozen && !n.dead {
+			// A stopped process wakes in the middle of a send.
+			n.send(w.now)
+		}
+	case "lag":
+		n.lag = clock.Millis(rapid.IntRange(0, int(coldLag/coldStep)).Draw(t, "lag")) * coldStep
+	}
+}
+
+// TestP05TotalInFlight draws joins, leaves, kills, cuts, freezes and lists that lag differently: the requests in flight at a
+// cold upstream, over all instances, never exceed its limit.
+func TestP05TotalInFlight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &coldWorld{now: 100_000, limit: rapid.IntRange(1, 12).Draw(t, "limit")}
+		for range rapid.IntRange(1, 7).Draw(t, "nodes") {
+			w.join()
+		}
+		for range 80 {
+			w.step()
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			w.change(t)
+			for range rapid.IntRange(1, 12).Draw(t, "steps") {
+				if total := w.step(); total > w.limit {
+					t.Fatalf("%d requests in flight at %d, the limit is %d", total, w.now, w.limit)
+				}
+			}
+		}
+	})
+}
+
+// TestP05ShareIsUsed shows that the limit is reached again some time after the last change of the members.
+func TestP05ShareIsUsed(t *testing.T) {
+	w := &coldWorld{now: 100_000, limit: 5}
+	for range 7 {
+		w.join()
+	}
+	for range 100 {
+		w.step()
+	}
+	w.nodes[2].listed, w.nodes[2].dead = false, true
+	w.join()
+	total := 0
+	for range 100 {
+		total = w.step()
+	}
+	if total != w.limit {
+		t.Errorf("%d requests in flight, want %d", total, w.limit)
+	}
+}
+
+// TestP05Displaced has an instance that is cut off just before another one takes its rank: its last request starts a lease
+// later and stays for the whole hold time.
+func TestP05Displaced(t *testing.T) {
+	w := &coldWorld{now: 100_000, limit: 1}
+	w.join()
+	old := w.nodes[0]
+	for range 100 {
+		w.step()
+	}
+	old.lag = coldLag
+	for range 10 {
+		w.step()
+	}
+	for {
+		w.join()
+		taker := w.nodes[len(w.nodes)-1]
+		if rank, _ := RankOf("u", taker.name, []catalogue.Member{{Name: old.name}, {Name: taker.name}}); rank == 0 {
+			break
+		}
+		w.nodes = w.nodes[:1]
+	}
+	for range coldLag / coldStep {
+		w.step()
+	}
+	old.cut = true
+	old.inFlight = nil
+	for range coldLease/coldStep - 1 {
+		old.inFlight = nil
+		w.step()
+	}
+	for range 200 {
+		if total := w.step(); total > w.limit {
+			t.Fatalf("%d requests in flight at %d, the limit is %d", total, w.now, w.limit)
+		}
+	}
+	if len(w.nodes[1].inFlight) != 1 {
+		t.Error("the instance that took the rank sends nothing")
+	}
+}
--- a/pkg/caravan/mesh_test.go
+++ b/pkg/caravan/mesh_test.go
@@ -192,17 +192,8 @@
 	for range 20 {
 		from, sentAt := n.journal.Next(), n.mesh.clock.Now()
 		b, err := n.view.Read(context.Background(), catalogue.StreamName, from, 100, 0)
-		var trimmed *platform.TrimmedError
-		var ahead *platform.AheadError
-		switch {
-		case errors.As(err, &trimmed):
-			n.journal.TakeTrimmed(trimmed)
-		case errors.As(err, &ahead):
-			n.journal.TakeAhead(sentAt, ahead)
-		case err != nil:
+		if n.journal.TakeRead(sentAt, b, err) != nil && n.journal.Next() == from {
 			return
-		default:
-			_ = n.journal.Take(sentAt, b)
 		}
 		if n.journal.Next() == from {
 			return
