--- a/pkg/caravan/freshness.go
+++ b/pkg/caravan/freshness.go
@@ -7,14 +7,19 @@
 	"carawayknot.example/carawayknot/pkg/clock"
 )
 
+// listSlack is how much newer the lists of others may be, since all of them read at different times, in milliseconds.
+const listSlack = 3 * clock.Second
+
 // Freshness proves by the answers of other members that no newer revision was known to a majority; it is used by one thread only.
 type Freshness struct {
 	// Self is the name of this instance.
 	Self string
 
-	heard   map[string]clock.Millis
-	highest catalogue.Revision
-	proved  clock.Millis
+	heard      map[string]clock.Millis
+	highest    catalogue.Revision
+	proved     clock.Millis
+	newestList clock.Millis
+	listProved clock.Millis
 }
 
 // Heard notes that a member held no revision above r at the monotonic time at or later.
@@ -38,6 +43,24 @@
 	if f.highest > own || len(members) < 2 {
 		return f.proved
 	}
+	f.proved = max(f.proved, f.majorityAt(members))
+	return f.proved
+}
+
+// HeardList notes that some member has seen a list as of the wall time asOf.
+func (f *Freshness) HeardList(asOf clock.Millis) { f.newestList = max(f.newestList, asOf) }
+
+// ListProvedAt returns the monotonic time at which a majority of the members had no list that is newer than asOf by more
+// than listSlack; 0 means never.
+func (f *Freshness) ListProvedAt(members []catalogue.Member, asOf clock.Millis) clock.Millis {
+	if f.newestList <= asOf+listSlack && len(members) >= 2 {
+		f.listProved = max(f.listProved, f.majorityAt(members))
+	}
+	return f.listProved
+}
+
+// majorityAt returns the earliest time among the newest statements of a majority, this instance included.
+func (f *Freshness) majorityAt(members []catalogue.Member) clock.Millis {
 	times := make([]clock.Millis, 0, len(members))
 	for _, m := range members {
 		if m.Name != f.Self {
@@ -47,8 +70,7 @@
 	slices.Sort(times)
 	// This instance and needed others make a majority.
 	needed := len(members) / 2
-	f.proved = max(f.proved, times[len(times)-needed])
-	return f.proved
+	return times[len(times)-needed]
 }
 
 // Retain forgets everyone but the members.
--- a/pkg/caravan/knowledge.go
+++ b/pkg/caravan/knowledge.go
@@ -39,6 +39,8 @@
 	Highest  catalogue.Revision
 	// ProofAge is the age of the log's proof that Revision is current, plus one, in milliseconds; 0 means no proof.
 	ProofAge clock.Millis
+	// ListAsOf is the wall time of the newest list that the sender knows to have been seen.
+	ListAsOf clock.Millis
 	// Ages tells when each member was known to hold no revision above Highest.
 	Ages  Ages
 	Delta Delta
@@ -99,10 +101,13 @@
 		Highest:     max(own, k.Freshness.Highest()),
 		Delta:       k.Gossip.Delta(a.Digest),
 	}
-	if at := k.Journal.ProvedAt(); at > 0 {
-		out.ProofAge = now - at + 1
+	out.ListAsOf = max(k.Membership.ListAsOf(), k.Freshness.newestList)
+	proved := k.Journal.ProvedAt()
+	if proved > 0 {
+		out.ProofAge = now - proved + 1
 	}
-	if out.Ready && (out.ProofAge == 0 || out.ProofAge > agingPeriods*k.Tick) {
+	// While log and list are up, nobody needs to know who was heard when.
+	if out.Ready && now-min(proved, k.Membership.ListAt()) > agingPeriods*k.Tick {
 		out.Ages = k.Freshness.ages(k.members, k.Gossip.view, now, a.Digest.IsSparse)
 	}
 	return out
@@ -115,6 +120,7 @@
 	}
 	k.Refresh()
 	k.Journal.TakeRevision(a.Highest)
+	k.Freshness.HeardList(a.ListAsOf)
 	if a.Ready {
 		k.Freshness.Heard(member, sentAt, a.Highest)
 		k.Freshness.learn(a.Ages, k.members, k.Gossip.view, sentAt)
@@ -148,6 +154,16 @@
 	return max(k.Journal.ProvedAt(), byMembers)
 }
 
+// ListProvedAt returns the monotonic time at which the list was last proved to be current, by itself or by members.
+// While nobody can read the list, the last one stays in use.
+func (k *Knowledge) ListProvedAt() clock.Millis {
+	if !k.Membership.Seen() {
+		return 0
+	}
+	byMembers := k.Freshness.ListProvedAt(k.Membership.Members(), k.Membership.ListAsOf())
+	return max(k.Membership.ListAt(), byMembers)
+}
+
 // Holders counts the members that hold the revision, this instance included, and names the others.
 func (k *Knowledge) Holders(r catalogue.Revision) (have int, missing []string) {
 	for _, m := range k.Membership.Members() {
--- a/pkg/caravan/membership.go
+++ b/pkg/caravan/membership.go
@@ -180,6 +180,9 @@
 	return m.listAsOf + m.offset
 }
 
+// ListAsOf returns the wall time of the last list.
+func (m *Membership) ListAsOf() clock.Millis { return m.listAsOf }
+
 // Listed returns the entry instances of the last list alone, sorted by name.
 func (m *Membership) Listed() []catalogue.Member { return m.listed }
 
--- /dev/null
+++ b/pkg/caravan/membership_test.go
@@ -0,0 +1,113 @@
+package caravan
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/platform"
+)
+
+func listing(asOf clock.Millis, members []catalogue.Member) platform.Listing {
+	l := platform.Listing{AsOf: asOf}
+	for _, m := range members {
+		l.Instances = append(l.Instances, platform.Instance{Name: m.Name, Role: catalogue.RoleEntry, Zone: m.Zone, Incarnation: m.Incarnation, Leaving: m.Leaving})
+	}
+	l.Instances = append(l.Instances, platform.Instance{Name: "engine", Role: catalogue.RoleEngine})
+	return l
+}
+
+func TestMembershipShrinkingList(t *testing.T) {
+	all := namedMembers(9)
+	tests := []struct {
+		name string
+		// shown is what the list shows from the fault on, heard are the members that go on answering.
+		shown, heard []catalogue.Member
+		after        clock.Millis
+		want         int
+	}{
+		{name: "one is gone", shown: all[:8], after: 20 * clock.Second, want: 8},
+		{name: "one is gone for a moment", shown: all[:8], after: 10 * clock.Second, want: 9},
+		{name: "one is not listed and answers", shown: all[:8], heard: all[8:], after: 600 * clock.Second, want: 9},
+		{name: "a zone is gone at once", shown: all[:6], after: 20 * clock.Second, want: 7},
+		{name: "a zone is gone for two minutes", shown: all[:6], after: 120 * clock.Second, want: 6},
+		{name: "the list shows only this instance", shown: all[:1], after: 30 * clock.Second, want: 7},
+		{name: "the list is empty", after: 30 * clock.Second, want: 7},
+		{name: "the list is empty and all answer", heard: all, after: 3600 * clock.Second, want: 9},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := &Membership{Self: all[0]}
+			m.SeeList(listing(1_000, all), 1_000)
+			for at := clock.Millis(2_000); at <= 1_000+tt.after; at += 1_000 {
+				m.SeeList(listing(at, tt.shown), at)
+				for _, h := range tt.heard {
+					m.Heard(h.Name, h.Incarnation, at)
+				}
+				m.Age(at)
+			}
+			if got := len(m.Members()); got != tt.want {
+				t.Errorf("%d members, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestMembershipIncarnations(t *testing.T) {
+	all := namedMembers(3)
+	m := &Membership{Self: all[0]}
+	m.SeeList(listing(1_000, all), 1_000)
+	if !m.Heard(all[1].Name, 2, 1_500) {
+		t.Error("a restarted member was not heard")
+	}
+	if m.Heard(all[1].Name, 1, 1_600) {
+		t.Error("the old incarnation was heard after the new one")
+	}
+	if m.Heard("stranger", 1, 1_600) {
+		t.Error("a stranger was heard")
+	}
+	// The list lags: it still shows the old incarnation, which was leaving.
+	lagging := append([]catalogue.Member(nil), all...)
+	lagging[1].Leaving = true
+	m.SeeList(listing(2_000, lagging), 2_000)
+	want := catalogue.Member{Name: all[1].Name, Zone: all[1].Zone, Incarnation: 2}
+	if diff := cmp.Diff(want, m.Members()[1]); diff != "" {
+		t.Errorf("restarted member (-want +got):\n%s", diff)
+	}
+}
+
+func TestMembershipListAge(t *testing.T) {
+	all := namedMembers(3)
+	tests := []struct {
+		name string
+		// asOf are the lists read at 10 s, 11 s and so on; want is the age of the list at the last read.
+		asOf []clock.Millis
+		want clock.Millis
+	}{
+		{name: "moves on", asOf: []clock.Millis{5000, 6000, 7000}},
+		{name: "stands still", asOf: []clock.Millis{5000, 5000, 5000}, want: 2000},
+		{name: "goes back", asOf: []clock.Millis{5000, 6000, 4000}, want: 1000},
+		{name: "lags more than before", asOf: []clock.Millis{5000, 6000, 6500}, want: 500},
+		{name: "its clock jumps forward", asOf: []clock.Millis{5000, 900_000, 901_000}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := &Membership{Self: all[0]}
+			at := 10 * clock.Second
+			for _, asOf := range tt.asOf {
+				m.SeeList(listing(asOf, all), at)
+				at += clock.Second
+			}
+			if got := at - clock.Second - m.ListAt(); got != tt.want {
+				t.Errorf("the list is %d ms old, want %d", got, tt.want)
+			}
+		})
+	}
+	m := &Membership{Self: all[0]}
+	m.SeeList(listing(100_000, all), 100_000)
+	if !m.SeeList(listing(50_000, all), 100_000+staleList) {
+		t.Error("a list whose clock was set back is ignored for ever")
+	}
+}
--- a/pkg/caravan/mesh_test.go
+++ b/pkg/caravan/mesh_test.go
@@ -42,7 +42,9 @@
 	view    *fake.LogView
 	// frozen stops the node, as a stopped process.
 	frozen bool
-	pipes  map[string]*pipe
+	// listDown hides the list from the node.
+	listDown bool
+	pipes    map[string]*pipe
 	// sent and received count the bytes of messages.
 	sent, received int64
 }
@@ -177,7 +179,7 @@
 }
 
 func (n *meshNode) readList() {
-	if l, err := n.mesh.list.Instances(context.Background()); err == nil {
+	if l, err := n.mesh.list.Instances(context.Background()); err == nil && !n.listDown {
 		n.know.Membership.SeeList(l, n.mesh.clock.Now())
 	}
 }
--- /dev/null
+++ b/pkg/caravan/permit_test.go
@@ -0,0 +1,172 @@
+package caravan
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/platform"
+	"carawayknot.example/carawayknot/pkg/platform/fake"
+)
+
+const permitted = catalogue.VersionID("chai@1")
+
+// snapshot is what the node publishes to its traffic.
+func (n *meshNode) snapshot() *catalogue.Snapshot {
+	s := &catalogue.Snapshot{At: min(n.know.ProvedAt(), n.know.ListProvedAt()), Config: n.journal.State()}
+	if n.frozen {
+		return s
+	}
+	l, err := n.mesh.list.Instances(n.mesh.t.Context())
+	if err != nil {
+		return s
+	}
+	for _, in := range l.Instances {
+		if in.Role == catalogue.RoleEngine {
+			s.Upstreams = append(s.Upstreams, &catalogue.Upstream{Name: in.Name, Zone: in.Zone, Leaving: in.Leaving, Versions: in.Versions})
+		}
+	}
+	return s
+}
+
+// send is the check before the first byte of a request.
+func (n *meshNode) send(s *catalogue.Snapshot) error {
+	if err := s.Fresh(n.mesh.clock.Now(), n.mesh.cfg.Times.Horizon); err != nil {
+		return err
+	}
+	if err := s.PermitVersion("w", permitted); err != nil {
+		return err
+	}
+	return s.PermitUpstream("engine")
+}
+
+func objectEdit(t testing.TB, kind catalogue.Kind, name string, object any) catalogue.Edit {
+	t.Helper()
+	raw, err := json.Marshal(object)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return catalogue.Edit{Kind: kind, Name: name, AnyBase: true, Object: raw}
+}
+
+func workspaceEdit(t testing.TB, versions ...catalogue.VersionID) catalogue.Edit {
+	digest := make([]byte, 64)
+	for i := range digest {
+		digest[i] = 'a'
+	}
+	return objectEdit(t, catalogue.KindWorkspace, "w", catalogue.Workspace{Name: "w", KeyDigest: string(digest), Versions: versions})
+}
+
+func engine(leaving bool) platform.Instance {
+	return platform.Instance{Name: "engine", Role: catalogue.RoleEngine, Zone: "zone-1", Leaving: leaving, Versions: []catalogue.VersionID{permitted}}
+}
+
+// ban makes the request of send forbidden.
+type ban func(t testing.TB, m *mesh)
+
+func changeBan(kind catalogue.Kind, name string, object any) ban {
+	return func(t testing.TB, m *mesh) {
+		m.change(&catalogue.Change{ID: "ban", Edits: []catalogue.Edit{objectEdit(t, kind, name, object)}})
+	}
+}
+
+// permitFaults are what may happen to the sending node; each hides the ban from it or lets it see it.
+var permitFaults = []struct {
+	name  string
+	begin func(m *mesh, n *meshNode)
+	// stale tells whether the send must fail because of the age of the view, or by the rule.
+	stale bool
+}{
+	{name: "no fault", begin: func(*mesh, *meshNode) {}},
+	{name: "cut off from the log", begin: func(_ *mesh, n *meshNode) { n.view.Cut(true, true) }},
+	{name: "cut off from the members", begin: func(m *mesh, n *meshNode) { m.isolate(n.self.Name) }},
+	{name: "cut off from log, list and members", stale: true, begin: func(m *mesh, n *meshNode) {
+		n.view.Cut(true, true)
+		n.listDown = true
+		m.isolate(n.self.Name)
+	}},
+	{name: "frozen", stale: true, begin: func(_ *mesh, n *meshNode) { n.frozen = true }},
+}
+
+func testPermit(t *testing.T, b ban) {
+	t.Helper()
+	for _, f := range permitFaults {
+		t.Run(f.name, func(t *testing.T) {
+			m := newMesh(t, namedMembers(5))
+			m.list.Put(engine(false))
+			m.change(&catalogue.Change{ID: "first", Edits: []catalogue.Edit{
+				objectEdit(t, catalogue.KindVersion, string(permitted), catalogue.Version{ID: permitted}),
+				workspaceEdit(t, permitted),
+			}})
+			m.run(10_000)
+			n := m.nodes[0]
+			before := n.snapshot()
+			if err := n.send(before); err != nil {
+				t.Fatalf("refused before the ban: %v", err)
+			}
+			f.begin(m, n)
+			m.clock.Advance(1)
+			b(t, m)
+			m.run(m.cfg.Times.Horizon + 1000)
+			s := before
+			if !n.frozen {
+				s = n.snapshot()
+			}
+			err := n.send(s)
+			var stale *catalogue.StaleError
+			var forbidden *catalogue.ForbiddenError
+			if isStale, isRule := errors.As(err, &stale), errors.As(err, &forbidden); isStale != f.stale || isRule == f.stale {
+				t.Errorf("send after the ban: %v, want a stale view %t", err, f.stale)
+			}
+		})
+	}
+}
+
+func TestP01VersionTakenFromWorkspace(t *testing.T) {
+	testPermit(t, func(t testing.TB, m *mesh) {
+		m.change(&catalogue.Change{ID: "ban", Edits: []catalogue.Edit{workspaceEdit(t, "chai@2")}})
+	})
+}
+
+func TestP02VersionWithdrawn(t *testing.T) {
+	testPermit(t, changeBan(catalogue.KindVersion, string(permitted), catalogue.Version{ID: permitted, Withdrawn: true}))
+}
+
+func TestP06ZoneOut(t *testing.T) {
+	testPermit(t, changeBan(catalogue.KindZone, "zone-1", catalogue.Zone{Name: "zone-1", Out: true}))
+}
+
+func TestP10UpstreamLeaving(t *testing.T) {
+	testPermit(t, func(_ testing.TB, m *mesh) { m.list.Put(engine(true)) })
+}
+
+func TestP10ListFaults(t *testing.T) {
+	tests := []struct {
+		name  string
+		begin func(m *mesh)
+		fresh bool
+	}{
+		{name: "one can't read the list", begin: func(m *mesh) { m.nodes[0].listDown = true }},
+		{name: "nobody can read the list", begin: func(m *mesh) { m.list.SetFaults(fake.Faults{Down: true}) }, fresh: true},
+		{name: "the list doesn't move on", begin: func(m *mesh) { m.list.Freeze(true) }, fresh: true},
+		{name: "one can't read the list, nor reach the members", begin: func(m *mesh) { m.nodes[0].listDown = true; m.isolate("entry-000") }},
+		{name: "nobody can read the list, one can't reach the members", begin: func(m *mesh) {
+			m.list.SetFaults(fake.Faults{Down: true})
+			m.isolate("entry-000")
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := newMesh(t, namedMembers(5))
+			m.change(zoneOut("y", true, "c1"))
+			m.run(10_000)
+			tt.begin(m)
+			m.run(30_000)
+			if age := m.clock.Now() - m.nodes[0].know.ListProvedAt(); (age <= m.cfg.Times.Horizon) != tt.fresh {
+				t.Errorf("the list was proved %d ms ago, want it fresh: %t", age, tt.fresh)
+			}
+		})
+	}
+}
