--- /dev/null
+++ b/pkg/caravan/capacity_test.go
@@ -0,0 +1,341 @@
+package caravan
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/platform"
+)
+
+// The benchmarks here give the slopes of docs/CAPACITY.md.
+
+// countersBytes is the size of one instance's version counters: 7 versions, 3 kinds of work, 12 bytes each.
+const countersBytes = 7 * 3 * 12
+
+// exchange lets all nodes exchange once and publish their counters in turn.
+func (m *mesh) exchange(round int) {
+	list, err := m.list.Instances(m.t.Context())
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	for i, n := range m.nodes {
+		if (round+i)%max(1, int(n.know.PublishPeriod()/m.cfg.Times.PeerTick)) == 0 {
+			data := make([]byte, countersBytes)
+			for k := range data {
+				data[k] = byte(n.rand.Uint32())
+			}
+			n.know.Gossip.Put("v", "", data)
+		}
+		n.know.Membership.SeeList(list, m.clock.Now())
+		n.readLog()
+		n.round()
+		m.clock.Advance(m.cfg.Times.PeerTick / clock.Millis(len(m.nodes)))
+	}
+	m.clock.Advance(m.cfg.Times.PeerTick % clock.Millis(len(m.nodes)))
+}
+
+func (m *mesh) bytes() int64 {
+	var sum int64
+	for _, n := range m.nodes {
+		sum += n.sent + n.received
+	}
+	return sum
+}
+
+func BenchmarkExchange(b *testing.B) {
+	scenarios := []struct {
+		name  string
+		begin func(m *mesh)
+		round func(m *mesh, i int)
+	}{
+		{name: "steady"},
+		{name: "logDown", begin: func(m *mesh) { m.logDown(true) }},
+		{name: "restarts", round: func(m *mesh, i int) {
+			// One instance is replaced every ten periods.
+			if i%10 == 0 {
+				self := m.nodes[i/10%len(m.nodes)].self
+				self.Incarnation++
+				m.start(self)
+			}
+		}},
+	}
+	for _, s := range scenarios {
+		for _, size := range []int{9, 60, 165, 330} {
+			b.Run(fmt.Sprintf("%s/nodes=%d", s.name, size), func(b *testing.B) {
+				m := newMesh(b, namedMembers(size))
+				m.change(zoneOut("z", true, "first"))
+				for _, n := range m.nodes {
+					n.readList()
+				}
+				for i := range 20 {
+					m.exchange(i)
+				}
+				if s.begin != nil {
+					s.begin(m)
+				}
+				for i := range 10 {
+					m.exchange(i)
+				}
+				before := m.bytes()
+				var oldest clock.Millis
+				b.ResetTimer()
+				for i := range b.N {
+					if s.round != nil {
+						s.round(m, i)
+					}
+					m.exchange(i)
+					for _, n := range m.nodes {
+						oldest = max(oldest, m.clock.Now()-n.know.ProvedAt())
+					}
+				}
+				nodePeriods := float64(b.N * size)
+				b.ReportMetric(float64(m.bytes()-before)/nodePeriods, "B/node/s")
+				b.ReportMetric(float64(b.Elapsed().Microseconds())/nodePeriods, "µs/node/s")
+				b.ReportMetric(float64(oldest), "ms-oldest-proof")
+			})
+		}
+	}
+}
+
+// BenchmarkKnowledgeMemory reports the heap of one instance's knowledge.
+func BenchmarkKnowledgeMemory(b *testing.B) {
+	for _, size := range []int{9, 60, 165, 330} {
+		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
+			for range b.N {
+				before := heap()
+				m := newMesh(b, namedMembers(size))
+				for _, n := range m.nodes {
+					n.readList()
+				}
+				for i := range 30 {
+					m.exchange(i)
+				}
+				for _, n := range m.nodes {
+					n.pipes = nil
+				}
+				b.ReportMetric(float64(heap()-before)/float64(size), "heap-B/node")
+				runtime.KeepAlive(m)
+			}
+		})
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return int64(s.HeapAlloc + s.StackInuse)
+}
+
+// BenchmarkCall measures one exchange over TCP on loopback, both sides together.
+func BenchmarkCall(b *testing.B) {
+	for _, size := range []int{9, 60, 165, 330} {
+		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
+			m := newMesh(b, namedMembers(size))
+			for _, n := range m.nodes {
+				n.readList()
+			}
+			m.logDown(true)
+			for i := range 10 {
+				m.exchange(i)
+			}
+			a, _ := startNetwork(b, "a", "k")
+			server, other := startNetwork(b, "b", "k")
+			if err := server.Register(ExchangeName, &Receiver{Exchange: m.nodes[1].ask}); err != nil {
+				b.Fatal(err)
+			}
+			a.SetMembers([]catalogue.Member{other})
+			ask := m.nodes[0].know.Ask(false)
+			sent, received := a.Traffic()
+			b.ResetTimer()
+			for range b.N {
+				var out Answer
+				if err := a.Call(b.Context(), "b", ExchangeName+".Ask", &ask, &out); err != nil {
+					b.Fatal(err)
+				}
+			}
+			sentAfter, receivedAfter := a.Traffic()
+			b.ReportMetric(float64(sentAfter-sent+receivedAfter-received)/float64(b.N), "B/call")
+		})
+	}
+}
+
+// BenchmarkLinks reports the memory of open connections, of both sides together.
+func BenchmarkLinks(b *testing.B) {
+	for _, links := range []int{8, 16, 32} {
+		b.Run(fmt.Sprintf("links=%d", links), func(b *testing.B) {
+			for range b.N {
+				a, _ := startNetwork(b, "a", "k")
+				_, other := startNetwork(b, "b", "k")
+				var members []catalogue.Member
+				for i := range links {
+					members = append(members, catalogue.Member{Name: fmt.Sprint(i), PeerAddress: other.PeerAddress})
+				}
+				a.SetMembers(members)
+				before := heap()
+				for _, m := range members {
+					var out string
+					if err := a.Call(b.Context(), m.Name, "Echo.Say", "hello", &out); err != nil {
+						b.Fatal(err)
+					}
+				}
+				b.ReportMetric(float64(heap()-before)/float64(links), "B/link")
+			}
+		})
+	}
+}
+
+// listOf returns the list of a deployment with that many entry instances and twice as many upstreams, less a tenth.
+func listOf(entries, upstreams int) platform.Listing {
+	l := platform.Listing{AsOf: 1_760_000_000_000}
+	for _, m := range namedMembers(entries) {
+		l.Instances = append(l.Instances, platform.Instance{
+			Name: m.Name, Role: catalogue.RoleEntry, Address: "10.20.30.40:8080", PeerAddress: "10.20.30.40:8082", Zone: m.Zone, Incarnation: 1_760_000_000_000,
+		})
+	}
+	for i := range upstreams {
+		l.Instances = append(l.Instances, platform.Instance{
+			Name: fmt.Sprintf("engine-%03d", i), Role: catalogue.RoleEngine, Address: "10.20.30.40:9000", Zone: fmt.Sprintf("zone-%d", i%6),
+			Incarnation: 1_760_000_000_000, Versions: []catalogue.VersionID{catalogue.VersionID(fmt.Sprintf("model-%d@2026-11-01", i%7))},
+		})
+	}
+	return l
+}
+
+// BenchmarkList measures decoding and taking one list.
+func BenchmarkList(b *testing.B) {
+	for _, size := range [][2]int{{9, 16}, {60, 113}, {165, 310}, {330, 620}} {
+		b.Run(fmt.Sprintf("instances=%d", size[0]+size[1]), func(b *testing.B) {
+			data, err := json.Marshal(listOf(size[0], size[1]))
+			if err != nil {
+				b.Fatal(err)
+			}
+			m := &Membership{Self: namedMembers(1)[0]}
+			for range b.N {
+				var l platform.Listing
+				if err := json.Unmarshal(data, &l); err != nil {
+					b.Fatal(err)
+				}
+				m.SeeList(l, l.AsOf)
+			}
+			b.ReportMetric(float64(len(data)), "B/list")
+		})
+	}
+}
+
+// BenchmarkWarmParts measures the warm parts of all upstreams for one instance, once for each change of the members.
+func BenchmarkWarmParts(b *testing.B) {
+	for _, size := range [][2]int{{9, 16}, {60, 113}, {165, 310}, {330, 620}} {
+		members := namedMembers(size[0])
+		b.Run(fmt.Sprintf("nodes=%d", size[0]), func(b *testing.B) {
+			for range b.N {
+				s := Subset{Self: members[0].Name}
+				s.SetMembers(members)
+				for u := range size[1] {
+					s.Part(fmt.Sprintf("engine-%03d", u), 64)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkSubset reports how even the subsets are: each instance gets the same load and spreads it over the upstreams of the
+// version in its subset by their parts; the load of an upstream is the sum over its instances.
+func BenchmarkSubset(b *testing.B) {
+	const nodes, upstreams, versions, limit = 330, 620, 7, 64
+	members := namedMembers(nodes)
+	for range b.N {
+		load := make([]float64, upstreams)
+		degree := make([]int, nodes)
+		fewest := upstreams
+		for n, m := range members {
+			s := Subset{Self: m.Name}
+			s.SetMembers(members)
+			parts := make([]int, upstreams)
+			var sums [versions]int
+			var reach [versions]int
+			for u := range upstreams {
+				parts[u] = s.Part(fmt.Sprintf("engine-%03d", u), limit)
+				sums[u%versions] += parts[u]
+				if parts[u] > 0 {
+					degree[n]++
+					reach[u%versions]++
+				}
+			}
+			for _, r := range reach {
+				fewest = min(fewest, r)
+			}
+			for u, part := range parts {
+				if sums[u%versions] > 0 {
+					load[u] += float64(part) / float64(sums[u%versions])
+				}
+			}
+		}
+		mean := float64(nodes*versions) / upstreams
+		b.ReportMetric(slices.Max(load)/mean, "worst/mean")
+		b.ReportMetric(float64(slices.Max(degree)), "most-upstreams/node")
+		b.ReportMetric(float64(slices.Min(degree)), "fewest-upstreams/node")
+		b.ReportMetric(float64(fewest), "fewest-of-a-version")
+	}
+}
+
+// BenchmarkSpread reports how many exchange periods an item takes until all instances hold it.
+func BenchmarkSpread(b *testing.B) {
+	for _, size := range []int{9, 60, 165, 330} {
+		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
+			worst := 0
+			for i := range b.N {
+				m := newMesh(b, namedMembers(size))
+				for _, n := range m.nodes {
+					n.readList()
+					n.rand = rand.New(rand.NewPCG(uint64(i), uint64(m.indexOf(n))))
+				}
+				m.nodes[0].know.Gossip.Put("t", "k", []byte("x"))
+				for round := 1; ; round++ {
+					for _, n := range m.nodes {
+						n.round()
+					}
+					held := 0
+					for _, n := range m.nodes {
+						held += len(n.know.Gossip.Items("t"))
+					}
+					if held == size {
+						worst = max(worst, round)
+						break
+					}
+				}
+			}
+			b.ReportMetric(float64(worst), "periods-to-all")
+		})
+	}
+}
+
+// BenchmarkAsk measures one exchange without its encoding.
+func BenchmarkAsk(b *testing.B) {
+	for _, size := range []int{9, 60, 165, 330} {
+		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
+			m := newMesh(b, namedMembers(size))
+			for _, n := range m.nodes {
+				n.readList()
+			}
+			for i := range 15 {
+				m.exchange(i)
+			}
+			start := time.Now()
+			for range b.N {
+				ask := m.nodes[0].know.Ask(false)
+				answer := m.nodes[1].know.Answer(ask)
+				m.nodes[0].know.Learn(m.nodes[1].self.Name, m.clock.Now(), answer)
+			}
+			b.ReportMetric(float64(time.Since(start).Nanoseconds())/float64(b.N), "ns/exchange")
+		})
+	}
+}
--- a/pkg/caravan/knowledge.go
+++ b/pkg/caravan/knowledge.go
@@ -107,7 +107,7 @@
 		out.ProofAge = now - proved + 1
 	}
 	// While log and list are up, nobody needs to know who was heard when.
-	if out.Ready && now-min(proved, k.Membership.ListAt()) > agingPeriods*k.Tick {
+	if out.Ready && k.alone() {
 		out.Ages = k.Freshness.ages(k.members, k.Gossip.view, now, a.Digest.IsSparse)
 	}
 	return out
--- a/pkg/caravan/network_test.go
+++ b/pkg/caravan/network_test.go
@@ -27,7 +27,7 @@
 	return nil
 }
 
-func startNetwork(t *testing.T, name, key string) (*Network, catalogue.Member) {
+func startNetwork(t testing.TB, name, key string) (*Network, catalogue.Member) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/pkg/caravan/shares.go
+++ b/pkg/caravan/shares.go
@@ -24,11 +24,10 @@
 	since clock.Millis
 }
 
-// shareView is a list of members and the times at which it was seen first and last.
+// shareView is a list of members and the time at which it was seen last.
 type shareView struct {
-	members []catalogue.Member
-	first   clock.Millis
-	last    clock.Millis
+	ranks ranks
+	last  clock.Millis
 }
 
 // See takes the entry instances of a list that was asked for at the monotonic time at.
@@ -44,11 +43,11 @@
 		s.views = nil
 		s.since = at
 	}
-	if n = len(s.views); n > 0 && sameNames(s.views[n-1].members, members) {
+	if n = len(s.views); n > 0 && sameNames(s.views[n-1].ranks.members, members) {
 		s.views[n-1].last = max(s.views[n-1].last, at)
 		return
 	}
-	s.views = append(s.views, shareView{members: members, first: at, last: at})
+	s.views = append(s.views, shareView{ranks: ranks{self: s.Self, members: members}, last: at})
 	for len(s.views) > 1 && at-s.views[0].last > s.window() {
 		s.views = s.views[1:]
 	}
@@ -65,34 +64,21 @@
 	}
 	least := limit
 	for i := n - 1; i >= 0 && now-s.views[i].last <= s.window(); i-- {
-		least = min(least, PartOf(upstream, s.Self, limit, s.views[i].members))
+		rank, found := s.views[i].ranks.of(upstream)
+		if !found {
+			return 0
+		}
+		least = min(least, partOf(rank, limit, len(s.views[i].ranks.members)))
 	}
 	return least
 }
 
-// PartOf returns the part of limit that the member has by its rendezvous rank for the upstream; the parts add up to limit.
-func PartOf(upstream, member string, limit int, members []catalogue.Member) int {
-	rank, found := RankOf(upstream, member, members)
-	if !found || rank >= limit {
+// partOf returns the part of limit that the holder of a rank has among n holders; the parts of all ranks add up to limit.
+func partOf(rank, limit, n int) int {
+	if rank >= min(limit, n) {
 		return 0
 	}
-	return (limit - rank + len(members) - 1) / len(members)
-}
-
-// RankOf returns the rendezvous rank of a member for a key, from 0, and whether it is one of the members.
-func RankOf(key, member string, members []catalogue.Member) (int, bool) {
-	own := Weight(key, member)
-	rank, found := 0, false
-	for _, m := range members {
-		if m.Name == member {
-			found = true
-			continue
-		}
-		if w := Weight(key, m.Name); w > own || w == own && m.Name < member {
-			rank++
-		}
-	}
-	return rank, found
+	return (limit - rank + n - 1) / n
 }
 
 func sameNames(a, b []catalogue.Member) bool {
--- a/pkg/caravan/shares_test.go
+++ b/pkg/caravan/shares_test.go
@@ -13,13 +13,16 @@
 		for _, limit := range []int{0, 1, 2, 5, 9, 10, 64, 200} {
 			cold, warm := 0, 0
 			for _, m := range members {
-				cold += PartOf("u", m.Name, limit, members)
-				warm += WarmPart("u", m.Name, limit, members)
+				rank, _ := RankOf("u", m.Name, members)
+				cold += partOf(rank, limit, n)
+				s := Subset{Self: m.Name}
+				s.SetMembers(members)
+				warm += s.Part("u", limit)
 			}
 			if cold != limit {
 				t.Errorf("cold parts of %d members add up to %d, want %d", n, cold, limit)
 			}
-			if limit > 0 && warm != limit {
+			if warm != limit {
 				t.Errorf("warm parts of %d members add up to %d, want %d", n, warm, limit)
 			}
 		}
--- a/pkg/caravan/subset.go
+++ b/pkg/caravan/subset.go
@@ -5,13 +5,27 @@
 // SubsetSize is how many instances send to one warm upstream.
 const SubsetSize = 48
 
-// WarmPart returns how many requests the member may have in flight at a warm upstream that bears limit; 0 outside its subset.
-// The parts of all members add up to limit.
-func WarmPart(upstream, member string, limit int, members []catalogue.Member) int {
-	rank, found := RankOf(upstream, member, members)
-	holders := min(SubsetSize, len(members), max(limit, 1))
-	if !found || rank >= holders {
+// Subset tells how many requests this instance may have in flight at warm upstreams; it is used by one thread only.
+type Subset struct {
+	// Self is the name of this instance.
+	Self string
+
+	ranks ranks
+}
+
+// SetMembers sets the entry instances that share the upstreams, sorted by name.
+func (s *Subset) SetMembers(members []catalogue.Member) {
+	if !sameNames(s.ranks.members, members) {
+		s.ranks = ranks{self: s.Self, members: members}
+	}
+}
+
+// Part returns how many requests this instance may have in flight at an upstream that bears limit; 0 outside its subset.
+// The parts of all instances add up to limit.
+func (s *Subset) Part(upstream string, limit int) int {
+	rank, found := s.ranks.of(upstream)
+	if !found {
 		return 0
 	}
-	return max(1, (limit-rank+holders-1)/holders)
+	return partOf(rank, limit, min(SubsetSize, len(s.ranks.members)))
 }
