--- a/pkg/reservation/claim_test.go
+++ b/pkg/reservation/claim_test.go
@@ -228,6 +228,23 @@
 			want: []told{ran("r1"), notRun(enquiry.ReasonLogUnavailable)},
 			runs: []string{"r1"},
 		},
+		{
+			name: "log trimmed between claim and verdict",
+			play: func(p *pair) []told {
+				unrun := p.a.ask(background, "r0", p.key, "for six", p.a.upstream(sendRefusedUnrun, 0))
+				p.sleep(1000)
+				p.b.deaf.Store(true)
+				p.sleep(1100)
+				first := p.ask(p.a, "r1")
+				p.trim(0)
+				second := p.later(p.b, "r2", 0)
+				p.sleep(500)
+				p.b.deaf.Store(false)
+				return []told{unrun, first, second()}
+			},
+			want: []told{notRun(enquiry.ReasonUpstreamRefused), ran("r1"), notRun(enquiry.ReasonKeyTooOld)},
+			runs: []string{"r1"},
+		},
 		{
 			name: "key of the future",
 			play: func(p *pair) []told {
@@ -324,6 +341,22 @@
 	})
 }
 
+func TestP08BegunAnswerIsNotToldAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSim(firstSeed)
+		a := s.start("a", 1)
+		defer stop(a)
+		s.sleep(2000)
+		got := a.ask(background, "r1", s.keyNow("table"), "for six", enquiry.HandlerFunc(func(ctx context.Context, c *enquiry.Call) error {
+			_ = c.Writer.WriteBytes(ctx, c, []byte("half an"))
+			return enquiry.Refuse(enquiry.ReasonUpstreamFailed, 0, "broke")
+		}))
+		if diff := cmp.Diff(mayHaveRun(enquiry.ReasonUpstreamFailed), got); diff != "" {
+			t.Errorf("told (-want +got):\n%s", diff)
+		}
+	})
+}
+
 func TestP09KeyTime(t *testing.T) {
 	for _, sc := range []struct {
 		key  string
--- a/pkg/reservation/sim_test.go
+++ b/pkg/reservation/sim_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -110,6 +111,8 @@
 	reads   int
 	// fault is the kind of failure of each append, or nil for chance.
 	fault *fault
+	// deaf is true while the instance can't read the log.
+	deaf atomic.Bool
 }
 
 func (s *sim) start(name string, incarnation int64) *instance {
@@ -245,7 +248,7 @@
 func (i *instance) Read(ctx context.Context, _ string, from int64, limit int, wait clock.Millis) (platform.Batch, error) {
 	i.reads++
 	i.sim.sleep(i.sim.lag())
-	if !i.gate() || i.sim.isDown() || i.sim.roll(100, "read %s %d", i.name, i.reads) < i.sim.chaos/2 {
+	if !i.gate() || i.deaf.Load() || i.sim.isDown() || i.sim.roll(100, "read %s %d", i.name, i.reads) < i.sim.chaos/2 {
 		return platform.Batch{}, refused()
 	}
 	b, grown, err := i.sim.read(from, limit)
