--- a/pkg/ledger/errors.go
+++ b/pkg/ledger/errors.go
@@ -51,6 +51,7 @@
 		down        *DownError
 		closed      *ClosedError
 		unavailable *platform.UnavailableError
+		status      *platform.StatusError
 	)
 	if errors.As(err, &full) || errors.As(err, &down) || errors.As(err, &closed) {
 		return false
@@ -58,5 +59,6 @@
 	if errors.As(err, &unavailable) {
 		return unavailable.Unknown
 	}
-	return true
+	// A status that refuses the call as wrong had no effect.
+	return !errors.As(err, &status)
 }
--- a/pkg/ledger/tail.go
+++ b/pkg/ledger/tail.go
@@ -27,13 +27,14 @@
 	Common settings.Common
 	Log    Reader
 	Stream string
-	// From is the first offset to read; after a trim the oldest kept offset follows.
+	// From is the next offset to read.
 	From int64
 }
 
 // Run calls take with each batch, also with empty ones, and with the monotonic time from before the read was sent.
-// A batch that goes up to its End proves that the stream was read to its end as of that time, and a first offset or an
-// Oldest above the expected offset shows a gap. Outages are waited out with back-off; Run ends with ctx.
+// A batch that goes up to its End proves that the stream was read to its end as of that time. An Oldest above the
+// expected offset shows that records were trimmed unread, and an End below it that the log lost its tail. Outages are
+// waited out with back-off; Run ends with ctx.
 func (t *Tail) Run(ctx context.Context, take func(sentAt clock.Millis, b platform.Batch)) error {
 	log := t.Common.Log.WithName("ledger")
 	pause := newBackOff()
@@ -48,8 +49,9 @@
 			take(sentAt, b)
 			continue
 		}
-		if t.skipTrimmed(err) {
-			log.Info("stream was trimmed", "stream", t.Stream, "oldest", t.From)
+		if b, moved := t.move(err); moved {
+			log.Info("stream does not go on where it was read", "stream", t.Stream, "from", t.From, "err", err.Error())
+			take(sentAt, b)
 			continue
 		}
 		if ctx.Err() != nil {
@@ -71,12 +73,19 @@
 	return t.Log.Read(ctx, t.Stream, t.From, readLimit, wait)
 }
 
-// skipTrimmed moves to the oldest kept offset when err says that the next one is dropped.
-func (t *Tail) skipTrimmed(err error) bool {
-	var trimmed *platform.TrimmedError
-	if !errors.As(err, &trimmed) || trimmed.Oldest <= t.From {
-		return false
+// move goes to an offset that the log has when err says that it doesn't have the next one.
+func (t *Tail) move(err error) (platform.Batch, bool) {
+	var (
+		trimmed *platform.TrimmedError
+		ahead   *platform.AheadError
+	)
+	switch {
+	case errors.As(err, &trimmed) && trimmed.Oldest > t.From:
+		t.From = trimmed.Oldest
+		return platform.Batch{Oldest: trimmed.Oldest, End: max(trimmed.End, trimmed.Oldest)}, true
+	case errors.As(err, &ahead) && ahead.End < t.From:
+		t.From = ahead.End
+		return platform.Batch{Oldest: ahead.Oldest, End: ahead.End}, true
 	}
-	t.From = trimmed.Oldest
-	return true
+	return platform.Batch{}, false
 }
--- a/pkg/reservation/book.go
+++ b/pkg/reservation/book.go
@@ -122,7 +122,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.Common.Clock.Now()
-	b.table.Skip(batch.Oldest)
+	b.table.Skip(batch.Oldest, batch.End)
 	for _, e := range batch.Entries {
 		b.fold(e, now)
 	}
--- a/pkg/reservation/table.go
+++ b/pkg/reservation/table.go
@@ -69,11 +69,14 @@
 	return r
 }
 
-// Skip tells that the log keeps nothing below oldest, so that records may have been missed.
-func (t *Table) Skip(oldest int64) {
+// Skip tells which offsets the log has: records may have been trimmed unread, or the log may have lost its tail.
+func (t *Table) Skip(oldest, end int64) {
 	if oldest > t.next {
 		t.next, t.gap = oldest, true
 	}
+	if end < t.next {
+		t.next, t.gap = end, true
+	}
 }
 
 // Missing tells whether a gap is not closed yet: no key can be proved new until an entry shows the log's time.
