--- a/pkg/house/gossip.go
+++ b/pkg/house/gossip.go
@@ -2,28 +2,28 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 
 	"carawayknot.example/carawayknot/pkg/caravan"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/concierge"
+	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/tasting"
 )
 
 const (
-	// verdictTopic has what each instance found out about upstreams, by upstream.
-	verdictTopic = "u"
+	// markTopic has what each instance knows of the cold starts of upstreams, by upstream.
+	markTopic = "u"
 	// healthTopic has the counters of each instance, by version and task.
 	healthTopic = "v"
 	// itemsPerSecond bounds the items that all instances together publish, since each one reaches every instance.
 	itemsPerSecond = 12.0
-	// limitStep is the relative change of a limit that is worth telling others.
-	limitStep = 0.25
 )
 
 // publication remembers what this instance told the others, and when.
 type publication struct {
-	verdicts map[string]concierge.Verdict
+	marks    map[string]concierge.Mark
 	counters map[string]tasting.Counter
 	next     clock.Millis
 }
@@ -31,14 +31,14 @@
 // tellOthers publishes what changed, as far as this instance's part of the common rate allows.
 func (c *Control) tellOthers(now clock.Millis) {
 	p := &c.published
-	if p.verdicts == nil {
-		p.verdicts = map[string]concierge.Verdict{}
+	if p.marks == nil {
+		p.marks = map[string]concierge.Mark{}
 		p.counters = map[string]tasting.Counter{}
 	}
-	for _, v := range c.ColdWatch.Verdicts() {
-		if old, told := p.verdicts[v.Upstream]; !told || worthTelling(&old, &v) {
-			p.verdicts[v.Upstream] = v
-			c.put(verdictTopic, v.Upstream, &v)
+	for _, m := range c.ColdWatch.Marks() {
+		if p.marks[m.Upstream] != m {
+			p.marks[m.Upstream] = m
+			c.put(markTopic, m.Upstream, &m)
 		}
 	}
 	members := len(c.Knowledge.Membership.Members())
@@ -70,13 +70,6 @@
 	c.Knowledge.Gossip.Put(topic, key, data)
 }
 
-func worthTelling(old, v *concierge.Verdict) bool {
-	if old.Incarnation != v.Incarnation || old.Cold != v.Cold {
-		return true
-	}
-	return float64(max(old.Limit, v.Limit)-min(old.Limit, v.Limit)) > limitStep*float64(old.Limit)
-}
-
 // grown tells whether a counter has enough news: the more was counted, the more is needed.
 func grown(old, k *tasting.Counter) bool {
 	const newsShare = 16
@@ -86,14 +79,14 @@
 
 // itemsChanged takes in what the others published.
 func (c *Control) itemsChanged() {
-	var verdicts []concierge.Verdict
-	for _, item := range c.Knowledge.Gossip.Items(verdictTopic) {
-		var v concierge.Verdict
-		if item.Origin != c.Common.Settings.Name && c.decode(&item, &v) {
-			verdicts = append(verdicts, v)
+	var marks []concierge.Mark
+	for _, item := range c.Knowledge.Gossip.Items(markTopic) {
+		var m concierge.Mark
+		if item.Origin != c.Common.Settings.Name && c.listed(item.Key) && c.decode(&item, &m) {
+			marks = append(marks, m)
 		}
 	}
-	c.ColdWatch.TakeVerdicts(verdicts)
+	c.ColdWatch.TakeMarks(marks)
 	byOrigin := map[string][]tasting.Counter{}
 	for _, item := range c.Knowledge.Gossip.Items(healthTopic) {
 		var k tasting.Counter
@@ -107,6 +100,11 @@
 	}
 }
 
+// listed tells whether the list shows the upstream; marks of others would never be forgotten.
+func (c *Control) listed(upstream string) bool {
+	return slices.ContainsFunc(c.upstreams, func(i platform.Instance) bool { return i.Name == upstream })
+}
+
 func (c *Control) decode(item *caravan.Item, v any) bool {
 	if err := json.Unmarshal(item.Data, v); err != nil {
 		c.Common.Log.WithName("control").Info("item of another instance ignored", "origin", item.Origin, "topic", item.Topic)
--- a/pkg/house/line.go
+++ b/pkg/house/line.go
@@ -25,6 +25,14 @@
 		Cancel:  h.engines,
 		Observe: h.observe,
 	}
+	h.prober = &Prober{Common: c, Snapshot: snapshot, Flights: h.flights, Loads: h.engines, Observe: h.control.ObserveProbe}
+	h.prober.Send = &courier.Send{
+		Common:  c,
+		Gate:    &probeGate{Common: c, Snapshot: snapshot},
+		Budget:  h.budget,
+		Cancel:  h.engines,
+		Observe: h.control.ObserveProbe,
+	}
 	return enquiry.Line(
 		&desk.Identify{Common: c, Snapshot: snapshot},
 		&concierge.Admit{Common: c, Snapshot: snapshot, Admission: h.admission},
