--- a/pkg/proctest/config.go
+++ b/pkg/proctest/config.go
@@ -4,8 +4,10 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -111,6 +113,39 @@
 		d.AwaitRevision(receipt.Revision)
 		d.AwaitUpstreams(len(s.Upstreams))
 	}
+	if !s.options.Cold {
+		s.WarmUp()
+	}
+}
+
+// WarmUp sends requests until no daemon takes an upstream to be in cold start.
+func (s *Set) WarmUp() {
+	s.T.Helper()
+	Eventually(s.T, readyTime, "all daemons take all upstreams to be warm", func() bool {
+		cold := false
+		for i, d := range s.Daemons {
+			for range d.cold() {
+				cold = true
+				d.Chat(s.T.Context(), Chat{Content: "warm up", Deadline: warmUpDeadline})
+				d.Send(s.T.Context(), Booking{Method: http.MethodGet, ID: fmt.Sprintf("warm-up-%d", i), Deadline: warmUpDeadline})
+			}
+		}
+		return !cold
+	})
+}
+
+// warmUpDeadline bounds one request that warms an upstream up, in milliseconds.
+const warmUpDeadline clock.Millis = 2000
+
+// cold returns the names of the upstreams that the daemon takes to be in cold start.
+func (d *Daemon) cold() []string {
+	var out []string
+	for _, u := range d.Upstreams() {
+		if u.Cold {
+			out = append(out, u.Name)
+		}
+	}
+	return out
 }
 
 // MustApply applies a change and repeats it under the same id while the daemon is not yet able to.
@@ -122,8 +157,12 @@
 			t.Fatalf("%s has ended: %v", d.Name, d.err)
 		}
 		status, got, err := d.Apply(ch)
-		receipt = got
-		return err == nil && (status == http.StatusOK || status == http.StatusAccepted)
+		if err == nil && (status == http.StatusOK || status == http.StatusAccepted) {
+			receipt = got
+			return true
+		}
+		time.Sleep(pollPause)
+		return false
 	})
 	return receipt
 }
--- a/pkg/proctest/daemon.go
+++ b/pkg/proctest/daemon.go
@@ -51,6 +51,7 @@
 	cfg.Keys = s.keys
 	cfg.Times.Drain = 60 * clock.Second
 	cfg.Times.ListPoll, cfg.Times.LoadPoll, cfg.Times.PeerTick, cfg.Times.RatingPoll = 200, 200, 200, 500
+	cfg.Times.ListLag, cfg.Times.ColdLease, cfg.Times.ColdHold = 300, 1000, 500
 	if s.options.Settings != nil {
 		s.options.Settings(&cfg)
 	}
--- a/pkg/proctest/process.go
+++ b/pkg/proctest/process.go
@@ -14,6 +14,8 @@
 const (
 	// readyTime bounds the start of a process and of a set.
 	readyTime = 30 * time.Second
+	// pollPause is the pause between two looks at what is waited for.
+	pollPause = 50 * time.Millisecond
 	// exitTime bounds the end of a process that was told to end.
 	exitTime = 30 * time.Second
 	// shownBytes bounds what a failed test prints of the output of one process.
@@ -129,7 +131,7 @@
 // Eventually calls ok until it returns true, and fails the test with the description when that takes too long.
 func Eventually(t testing.TB, limit time.Duration, what string, ok func() bool) {
 	t.Helper()
-	for begin := time.Now(); time.Since(begin) < limit; time.Sleep(20 * time.Millisecond) {
+	for begin := time.Now(); time.Since(begin) < limit; time.Sleep(pollPause) {
 		if ok() {
 			return
 		}
--- a/pkg/proctest/set.go
+++ b/pkg/proctest/set.go
@@ -39,6 +39,8 @@
 	// Log and List are the faults that are set from the start.
 	Log  standin.LogFaults
 	List standin.ListFaults
+	// Cold leaves the upstreams as they start, without requests that warm them up.
+	Cold bool
 	// Settings changes the settings of each daemon; it is optional.
 	Settings func(*settings.Settings)
 	// Config changes the configuration before it is applied; it is optional.
