--- /dev/null
+++ b/pkg/courier/fuzz_test.go
@@ -0,0 +1,71 @@
+package courier
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayknot.example/carawayknot/pkg/enquiry"
+)
+
+// FuzzAnswer reads any bytes as an engine's answer: tokens come in order without a gap, and no answer ends without
+// both its last event and its end mark.
+func FuzzAnswer(f *testing.F) {
+	whole := tokenEvent(0, "a ") + tokenEvent(1, "table") + endEvent(2) + doneEvent
+	for _, seed := range []string{
+		whole, doneEvent, endEvent(0) + doneEvent, whole[:100], strings.Repeat("data:\n", 100),
+		"data: null\n\n", "data: {\"choices\":[{},{}]}\n\n", "event: error\ndata: {}\n\n", "\r\n\r\n:\n\x00",
+		strings.ReplaceAll(whole, "\n", "\r\n"), tokenEvent(0, "a") + tokenEvent(0, "a") + tokenEvent(7, "b"),
+		"data: {\"id\":\"r-1\",\"model\":\"chai@2\",\"offset\":-1,\"choices\":null}\n\n",
+	} {
+		f.Add([]byte(seed), 0)
+	}
+	f.Add([]byte(tokenEvent(5, "more")+endEvent(6)+doneEvent), 5)
+	f.Fuzz(func(t *testing.T, b []byte, from int) {
+		check := &order{id: testID, version: testVersion, offset: from, resumed: from > 0}
+		r := NewEventReader(bytes.NewReader(b))
+		next := from
+		for {
+			ev, err := r.Next()
+			if err != nil {
+				return
+			}
+			if len(ev.Data) > eventBytes {
+				t.Fatalf("an event of %d bytes", len(ev.Data))
+			}
+			if ev.IsEnd() {
+				if check.end != nil && !bytes.Contains(b, []byte("finish_reason")) {
+					t.Error("an end without a last event")
+				}
+				return
+			}
+			ce, err := parseChatEvent(ev)
+			if err != nil {
+				return
+			}
+			k, err := check.next(ce)
+			if err != nil {
+				checkOrderError(t, err)
+				return
+			}
+			if k.Tokens > 0 && k.Offset != next {
+				t.Fatalf("offset %d in place of %d", k.Offset, next)
+			}
+			next += k.Tokens
+		}
+	})
+}
+
+func checkOrderError(t *testing.T, err error) {
+	t.Helper()
+	var (
+		cut      *cutError
+		mismatch *mismatchError
+		refusal  *enquiry.Refusal
+	)
+	if !errors.As(err, &cut) && !errors.As(err, &mismatch) || errors.As(err, &refusal) {
+		t.Errorf("got %T %v", err, err)
+	}
+}
