--- /dev/null
+++ b/pkg/standin/list.go
@@ -0,0 +1,76 @@
+package standin
+
+import (
+	"net/http"
+
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/platform"
+	"carawayknot.example/carawayknot/pkg/platform/fake"
+)
+
+// ListFaults are the switches of the list.
+type ListFaults struct {
+	Faults
+	// StaleMillis is how far the list lags behind.
+	StaleMillis clock.Millis
+	// Freeze keeps the list as it is.
+	Freeze bool
+}
+
+// List serves a fake of the list by HTTP.
+type List struct {
+	Switches Switches[ListFaults, *ListFaults]
+
+	store fake.List
+}
+
+// NewList returns an empty list.
+func NewList() *List {
+	l := &List{store: fake.List{Clock: realClock}}
+	l.Switches.OnChange = func(f ListFaults) {
+		l.store.SetLag(f.StaleMillis)
+		l.store.Freeze(f.Freeze)
+	}
+	return l
+}
+
+// Handler returns the protocol of the list, and the control paths /faults, PUT /instances/{name} and
+// DELETE /instances/{name}.
+func (l *List) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/faults", &l.Switches)
+	mux.Handle("GET /instances", l.Switches.Wrap(http.HandlerFunc(l.get)))
+	mux.HandleFunc("PUT /instances/{name}", l.put)
+	mux.HandleFunc("DELETE /instances/{name}", l.remove)
+	return mux
+}
+
+// Put adds or replaces an instance.
+func (l *List) Put(in platform.Instance) { l.store.Put(in) }
+
+// Remove drops an instance.
+func (l *List) Remove(name string) { l.store.Remove(name) }
+
+func (l *List) get(w http.ResponseWriter, r *http.Request) {
+	listing, err := l.store.Instances(r.Context())
+	if err != nil {
+		refuse(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, listing)
+}
+
+func (l *List) put(w http.ResponseWriter, r *http.Request) {
+	var in platform.Instance
+	if !readJSON(w, r, &in) {
+		return
+	}
+	in.Name = r.PathValue("name")
+	l.Put(in)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (l *List) remove(w http.ResponseWriter, r *http.Request) {
+	l.Remove(r.PathValue("name"))
+	w.WriteHeader(http.StatusNoContent)
+}
