--- a/pkg/caravan/knowledge.go
+++ b/pkg/caravan/knowledge.go
@@ -164,6 +164,9 @@
 	return max(k.Membership.ListAt(), byMembers)
 }
 
+// ViewAt returns the monotonic time at which configuration and list were both proved to be current.
+func (k *Knowledge) ViewAt() clock.Millis { return min(k.ProvedAt(), k.ListProvedAt()) }
+
 // Holders counts the members that hold the revision, this instance included, and names the others.
 func (k *Knowledge) Holders(r catalogue.Revision) (have int, missing []string) {
 	for _, m := range k.Membership.Members() {
--- a/pkg/caravan/subset.go
+++ b/pkg/caravan/subset.go
@@ -29,3 +29,10 @@
 	}
 	return partOf(rank, limit, min(SubsetSize, len(s.ranks.members)))
 }
+
+// WarmPart returns what Subset.Part does, without remembering ranks.
+func WarmPart(upstream, member string, limit int, members []catalogue.Member) int {
+	s := Subset{Self: member}
+	s.SetMembers(members)
+	return s.Part(upstream, limit)
+}
