Connect to a member outside of the lock, within the time limit of the handshake

Cause: a chat that an instance had got from its engine was not ended for 270 s while the instance was cut off from log and peers (TestP12OneInstanceCutOffWhileAChangeIsAccepted: 'not within 16s: the instance that is cut off refuses'). Its bill asks peers to hold it; the connection was accepted and silent, and the metered connection replaced the handshake's limit of 2 s by the idle limit of 120 s with the lock of the link held, so that all calls to the member queued up, and with them the control tick in SetMembers. Excluded: the wait for the log, which ends after 200 ms, and the queue of bills, which was not full. Change: the handshake runs on the plain connection; one goroutine connects, callers wait for it only as long as their contexts allow, and a failed attempt is not repeated for 250 ms.

--- a/pkg/caravan/link.go
+++ b/pkg/caravan/link.go
@@ -6,58 +6,109 @@
 	"net"
 	"net/rpc"
 	"sync"
+
+	"carawayknot.example/carawayknot/pkg/clock"
 )
 
-// link keeps one connection to a member.
+// redialPause is how long calls to a member fail at once after a connection to it failed, in milliseconds.
+const redialPause clock.Millis = 250
+
+// link is the connection to one member. It is opened by one goroutine at a time, outside of the lock, so that callers
+// wait no longer than their own contexts allow.
 type link struct {
 	address string
 
 	mu     sync.Mutex
 	client *rpc.Client
 	closed bool
+	// opening is closed when the attempt under way has ended; nil when there is none.
+	opening chan struct{}
+	failure error
+	// retryAt is the monotonic time before which failure is returned without another attempt.
+	retryAt clock.Millis
 }
 
-// dial returns the open client, or connects; callers that come meanwhile wait for the same connection.
+// dial returns the client of the link and connects when needed; nothing of a call was sent when it fails.
 func (l *link) dial(ctx context.Context, n *Network) (*rpc.Client, error) {
+	for {
+		client, opening, err := l.state(n)
+		if client != nil || err != nil {
+			return client, err
+		}
+		select {
+		case <-opening:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// state returns the client, or the error of the last attempt, or what to wait for.
+func (l *link) state(n *Network) (*rpc.Client, chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.client != nil {
-		return l.client, nil
+	switch {
+	case l.client != nil:
+		return l.client, nil, nil
+	case l.closed:
+		return nil, nil, net.ErrClosed
+	case l.opening != nil:
+		return nil, l.opening, nil
+	case l.failure != nil && n.Common.Clock.Now() < l.retryAt:
+		return nil, nil, l.failure
 	}
-	if l.closed {
-		return nil, net.ErrClosed
+	l.opening = make(chan struct{})
+	go l.open(n)
+	return nil, l.opening, nil
+}
+
+// open makes one attempt to connect.
+func (l *link) open(n *Network) {
+	client, err := connect(l.address, n)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failure = err
+	l.retryAt = n.Common.Clock.Now() + redialPause
+	if err == nil && l.closed {
+		_ = client.Close()
+		client = nil
 	}
+	l.client = client
+	close(l.opening)
+	l.opening = nil
+}
+
+func connect(address string, n *Network) (*rpc.Client, error) {
 	d := net.Dialer{Timeout: handshakeTime.Duration()}
-	raw, err := d.DialContext(ctx, "tcp", l.address)
+	raw, err := d.Dial("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	conn := n.meter(raw)
-	if err := n.greetPeer(conn); err != nil {
-		_ = conn.Close()
+	// The handshake has its own time limit, which a metered connection would replace by the longer one for idle time.
+	if err := n.greetPeer(raw); err != nil {
+		_ = raw.Close()
 		return nil, err
 	}
-	l.client = rpc.NewClientWithCodec(newClientCodec(conn))
-	return l.client, nil
+	return rpc.NewClientWithCodec(newClientCodec(n.meter(raw))), nil
 }
 
-// drop closes the client unless another one took its place.
+// drop closes a client whose connection failed.
 func (l *link) drop(client *rpc.Client) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	_ = client.Close()
 	if l.client == client {
 		l.client = nil
 	}
+	l.mu.Unlock()
+	_ = client.Close()
 }
 
 func (l *link) close() {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.closed = true
-	if l.client != nil {
-		_ = l.client.Close()
-		l.client = nil
+	client := l.client
+	l.client, l.closed = nil, true
+	l.mu.Unlock()
+	if client != nil {
+		_ = client.Close()
 	}
 }
 
--- a/pkg/caravan/network.go
+++ b/pkg/caravan/network.go
@@ -87,15 +87,15 @@
 }
 
 func (n *Network) serveConn(ctx context.Context, raw net.Conn) {
-	conn := n.meter(raw)
-	defer func() { _ = conn.Close() }()
+	defer func() { _ = raw.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
 	defer stop()
-	if err := n.acceptPeer(conn); err != nil {
+	// The handshake has its own time limit, which a metered connection would replace by the longer one for idle time.
+	if err := n.acceptPeer(raw); err != nil {
 		n.Common.Log.WithName("caravan").V(1).Info("connection refused", "from", raw.RemoteAddr().String(), "why", err.Error())
 		return
 	}
-	n.server.ServeCodec(newServerCodec(conn))
+	n.server.ServeCodec(newServerCodec(n.meter(raw)))
 }
 
 // SetMembers sets the addresses that calls go to, and closes connections to others.
--- a/pkg/caravan/network_test.go
+++ b/pkg/caravan/network_test.go
@@ -88,3 +88,31 @@
 		})
 	}
 }
+
+// TestP12CallsEndWhileAMemberIsCutOff has a member whose connections are accepted and never answered, as behind a cut.
+func TestP12CallsEndWhileAMemberIsCutOff(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	n, _ := startNetwork(t, "entry-a", "key")
+	n.SetMembers([]catalogue.Member{{Name: "entry-b", PeerAddress: silent.Addr().String()}})
+	ctx, cancel := context.WithCancel(t.Context())
+	const callers = 8
+	ended := make(chan error, callers)
+	for range callers {
+		go func() { ended <- n.Call(ctx, "entry-b", "Echo.Say", "hello", new(string)) }()
+	}
+	cancel()
+	for range callers {
+		var failed *CallError
+		if err := <-ended; !errors.As(err, &failed) || failed.Sent {
+			t.Errorf("Call() = %v, want a *CallError of a call that was not sent", err)
+		}
+	}
+	// One connection was tried for all callers; its handshake has a time limit of its own.
+	if err := n.Call(t.Context(), "entry-b", "Echo.Say", "hello", new(string)); err == nil {
+		t.Error("Call() succeeded without an answer")
+	}
+}
