Start the retry budget full

Cause: a new instance had no retry until 20 requests had passed, so that one of three engines failing cost answers (TestP07OneFaultyEngineCostsNoAnswer: 502 MayHaveRun AnswerMismatch of engine-0, in all three faults). Excluded: the rule of what may be retried; a chat is repeatable and nothing had been shown. Change: the budget starts with its burst of 10; each request adds RetryShare, as before. Conclusion: attempts over requests stays bounded by the share after the first 10 retries.

--- a/pkg/concierge/budget.go
+++ b/pkg/concierge/budget.go
@@ -2,7 +2,8 @@
 
 import "sync"
 
-// retryBurst bounds the retries that may be saved up.
+// retryBurst bounds the retries that may be saved up; a new budget starts with that many, so that one faulty upstream costs
+// no answer while there are few requests.
 const retryBurst = 10.0
 
 // RetryBudget bounds the sends beyond the first to a share of the requests; it is safe for concurrent use.
@@ -10,8 +11,9 @@
 	// Share is how many retries each request adds to the budget.
 	Share float64
 
-	mu     sync.Mutex
-	saved  float64
+	mu sync.Mutex
+	// spent is what is missing from retryBurst.
+	spent  float64
 	denied int
 }
 
@@ -19,17 +21,17 @@
 func (b *RetryBudget) Add() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.saved = min(retryBurst, b.saved+b.Share)
+	b.spent = max(0, b.spent-b.Share)
 }
 
 // Take spends one retry and tells whether the budget had it.
 func (b *RetryBudget) Take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.saved < 1 {
+	if b.spent > retryBurst-1 {
 		b.denied++
 		return false
 	}
-	b.saved--
+	b.spent++
 	return true
 }
