Append checkpoints before any retention drops the newest; keepers append bills after 10 s

Cause: (1) TestP12RetentionDropsTheHead: with 20 records kept, no checkpoint was due before 512 records, so that the log alone could not supply the configuration ('not within 30s: entry-alone is ready'). (2) TestP11ShutdownWhileTheLogIsDown and TestP04BilledOnce with a killed instance: peers held the bills but left them to their origin for 30 s ('not within 16s: the log has a bill'). Excluded: lost bills; the keepers had them in their dumps. Change: a checkpoint in the older half of what the log keeps makes the next one due within 2 s; keepers wait 10 s. Before: the three tests failed.

--- a/pkg/archive/checkpoint.go
+++ b/pkg/archive/checkpoint.go
@@ -15,6 +15,8 @@
 	checkpointSpread = 600 * clock.Second
 	// checkpointRecords is the number of records after which a checkpoint is due early.
 	checkpointRecords = 512
+	// lateDivisor shortens the turns when the log is about to drop the newest checkpoint.
+	lateDivisor = 300
 )
 
 // checkpointMarks tells where and when the newest checkpoint was seen.
@@ -22,6 +24,8 @@
 	offset int64
 	at     clock.Millis
 	seen   bool
+	// lateAt is the time from which on the log was about to drop the newest checkpoint; 0 when it is not.
+	lateAt clock.Millis
 }
 
 func (m *checkpointMarks) take(c clock.Clock, b platform.Batch) {
@@ -37,6 +41,11 @@
 		age := min(max(c.Wall()-e.At, 0), checkpointPeriod)
 		m.offset = e.Offset
 		m.at = c.Now() - age
+		m.lateAt = 0
+	}
+	// Whatever the log's retention is, a checkpoint in the older half of what it keeps will be dropped before long.
+	if m.lateAt == 0 && b.Oldest > 0 && m.offset < b.Oldest+(b.End-b.Oldest)/2 {
+		m.lateAt = c.Now()
 	}
 }
 
@@ -51,7 +60,8 @@
 	if int64(s.Revision)-j.marks.offset > checkpointRecords {
 		wait = j.turn() / 10
 	}
-	if now-j.marks.at < wait {
+	late := j.marks.lateAt > 0 && now-j.marks.lateAt >= j.turn()/lateDivisor
+	if !late && now-j.marks.at < wait {
 		return nil, false
 	}
 	record, err := catalogue.EncodeCheckpoint(s)
@@ -60,6 +70,7 @@
 	}
 	// The next try waits for a whole period when the append fails, unless another instance's checkpoint comes first.
 	j.marks.at = now - checkpointPeriod + checkpointSpread
+	j.marks.lateAt = 0
 	return record, true
 }
 
--- a/pkg/ledger/keeper.go
+++ b/pkg/ledger/keeper.go
@@ -10,7 +10,7 @@
 
 const (
 	// holdFor is how long a keeper leaves a bill to its origin before it appends the bill itself, in milliseconds.
-	holdFor = 30 * clock.Second
+	holdFor = 10 * clock.Second
 	// keepEvery is the period in which a keeper looks for such bills, in milliseconds.
 	keepEvery        = 1 * clock.Second
 	defaultMaxHeld   = 20000
