Give each instance a share of a warm upstream that bears one from each; write health keys as text in dumps

Cause: a slower answer cut the limit of an idle service to 1, and two of three instances then had a share of 0 and refused (TestP09SameKeyAtAllInstancesAtOnce, Overloaded with no request in flight). Excluded: not cutting the limit at all, since it protects an upstream that is slow under load. Change: the limit that is shared out is at least the number of members, as long as the upstream bears that many by rule or report.

--- a/pkg/catalogue/snapshot.go
+++ b/pkg/catalogue/snapshot.go
@@ -100,6 +100,11 @@
 	Task    string
 }
 
+// MarshalText returns the key as "version task", as it stands in dumps.
+func (k HealthKey) MarshalText() ([]byte, error) {
+	return []byte(string(k.Version) + " " + k.Task), nil
+}
+
 // Snapshot is everything traffic decides on; it is never changed once published.
 type Snapshot struct {
 	// At is the monotonic time at which the configuration and the list were last proved to be current.
--- a/pkg/house/publish.go
+++ b/pkg/house/publish.go
@@ -74,5 +74,7 @@
 	if u.Rule.WarmLimit > 0 {
 		limit = min(limit, u.Rule.WarmLimit)
 	}
+	// An instance without a share refuses while the upstream idles, so each gets one as long as the upstream bears that many.
+	limit = max(limit, min(len(members), cmp.Or(u.Rule.WarmLimit, u.Load.Bearable)))
 	return caravan.WarmPart(u.Name, c.Common.Settings.Name, limit, members)
 }
