--- a/pkg/proctest/caller.go
+++ b/pkg/proctest/caller.go
@@ -122,7 +122,12 @@
 	}
 }
 
+// callTime is how long a caller waits for the end of an answer; a test that sees it pass has found a request that hangs.
+const callTime = 90 * time.Second
+
 func (d *Daemon) send(ctx context.Context, method, path string, h http.Header, body string) Reply {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+d.Settings.CallerAddress+path, strings.NewReader(body))
 	if err != nil {
 		return Reply{Err: err}
--- a/pkg/proctest/daemon.go
+++ b/pkg/proctest/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -9,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -157,15 +159,33 @@
 	_ = json.NewEncoder(w).Encode(listing)
 }
 
-// freeAddress returns a loopback address on which nothing listens.
+// The ports of daemons are below those that the kernel hands out, so that no other socket takes one before its daemon.
+const (
+	firstPort = 12_000
+	lastPort  = 32_000
+)
+
+// nextPort counts the ports that were tried; where it starts differs between test binaries that run at the same time.
+var nextPort = func() *atomic.Int64 {
+	n := &atomic.Int64{}
+	n.Store(int64(os.Getpid()) * 100)
+	return n
+}()
+
+// freeAddress returns a loopback address on which nothing listens; none is returned twice.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range lastPort - firstPort {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		_ = ln.Close()
+		return ln.Addr().String()
 	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 // settleTime is how long facts may take to come into force everywhere.
--- a/test/p12_test.go
+++ b/test/p12_test.go
@@ -72,7 +72,7 @@
 		}
 	}
 	proctest.Eventually(t, settle, "the instance that is cut off refuses", func() bool {
-		r := lone.Chat(t.Context(), proctest.Chat{Content: "hello"})
+		r := lone.Chat(t.Context(), proctest.Chat{Content: "hello", Deadline: 3000})
 		return r.Status >= 400
 	})
 	for range 20 {
