--- a/pkg/house/house.go
+++ b/pkg/house/house.go
@@ -50,6 +50,7 @@
 	prefixes  *concierge.Prefixes
 	budget    *courier.Budget
 	send      *courier.Send
+	prober    *Prober
 	metrics   *desk.Metrics
 	inFlight  *desk.InFlight
 	// ratedTo is the position up to which ratings were read.
@@ -77,8 +78,8 @@
 	// The loops outlive ctx, since the drain needs them.
 	loopCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	loops := h.loops(loopCtx, peer)
 	servers := h.servers()
+	loops := h.loops(loopCtx, peer)
 	h.serve(servers.caller, caller)
 	h.serve(servers.admin, admin)
 	log := h.Common.Log.WithName("house")
@@ -123,6 +124,7 @@
 	g.Go(func() error { return h.every(ctx, "archive", 0, h.readConfig) })
 	g.Go(func() error { return h.every(ctx, "list", t.ListPoll, h.readList) })
 	g.Go(func() error { return h.every(ctx, "load", t.LoadPoll, h.readLoads) })
+	g.Go(func() error { return h.every(ctx, "probe", probePeriod, h.prober.Round) })
 	if h.Common.Settings.Platform.Ratings != "" {
 		g.Go(func() error { return h.every(ctx, "ratings", t.RatingPoll, h.readRatings) })
 	}
@@ -152,6 +154,9 @@
 	if s.Config.Revision == 0 && len(s.Config.Workspaces) == 0 {
 		return errors.New("no configuration yet")
 	}
+	if !h.control.Settled() {
+		return errors.New("no share of any upstream yet")
+	}
 	return s.Fresh(h.Common.Clock.Now(), h.Common.Settings.Times.Horizon)
 }
 
--- a/pkg/house/message.go
+++ b/pkg/house/message.go
@@ -39,6 +39,8 @@
 // sampleTaken carries what an attempt at an upstream showed.
 type sampleTaken struct {
 	Sample enquiry.Sample
+	// Probe is true when the answer says nothing of the health of the version.
+	Probe bool
 }
 
 // drainBegun says that this instance is shutting down.
