--- a/pkg/proctest/logged.go
+++ b/pkg/proctest/logged.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/platform"
 )
 
@@ -46,3 +47,16 @@
 	}
 	return n
 }
+
+// AppendChange appends a change to the log as an instance does, without waiting until any instance has it.
+func (s *Set) AppendChange(ch *catalogue.Change) {
+	s.T.Helper()
+	raw, err := catalogue.EncodeChange(ch)
+	if err != nil {
+		s.T.Fatal(err)
+	}
+	l := &platform.Log{BaseURL: s.Log.URL()}
+	if _, err := l.Append(s.T.Context(), catalogue.StreamName, [][]byte{raw}); err != nil {
+		s.T.Fatal(err)
+	}
+}
