--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -128,7 +128,7 @@
 		return
 	}
 	f := e.Switches.Get()
-	id := r.Header.Get("X-Request-Id")
+	id := r.Header.Get(requestIDHeader)
 	if !slices.Contains(f.Versions, in.Model) {
 		refuse(w, http.StatusBadRequest, "version "+string(in.Model)+" is not loaded")
 		return
--- a/pkg/standin/faults.go
+++ b/pkg/standin/faults.go
@@ -108,6 +108,9 @@
 	return nil
 }
 
+// requestIDHeader is echoed by upstreams, with refusals as well.
+const requestIDHeader = "X-Request-Id"
+
 // Wrap returns a handler that lets calls to next suffer the faults.
 func (s *Switches[F, P]) Wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -116,6 +119,9 @@
 		if f.Cut {
 			panic(http.ErrAbortHandler)
 		}
+		if id := r.Header.Get(requestIDHeader); id != "" {
+			w.Header().Set(requestIDHeader, id)
+		}
 		if f.Down {
 			refuse(w, http.StatusServiceUnavailable, "down")
 			return
--- a/pkg/standin/job.go
+++ b/pkg/standin/job.go
@@ -186,7 +186,6 @@
 func (e *Engine) send(w http.ResponseWriter, r *http.Request, control *http.ResponseController, j *job, f *EngineFaults) {
 	defer e.release(j, false)
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("X-Request-Id", j.id)
 	w.WriteHeader(http.StatusOK)
 	_ = control.Flush()
 	for i := j.sent; ; {
--- a/pkg/standin/service.go
+++ b/pkg/standin/service.go
@@ -153,7 +153,7 @@
 func (s *Service) run(r *http.Request, body []byte) {
 	s.note(func(runs *Runs) {
 		runs.Runs = append(runs.Runs, Run{
-			RequestID: r.Header.Get("X-Request-Id"),
+			RequestID: r.Header.Get(requestIDHeader),
 			Key:       r.Header.Get("Idempotency-Key"),
 			Method:    r.Method,
 			Path:      r.URL.RequestURI(),
@@ -164,11 +164,11 @@
 }
 
 func (s *Service) answer(w http.ResponseWriter, r *http.Request, f *ServiceFaults) {
-	id := r.Header.Get("X-Request-Id")
+	id := r.Header.Get(requestIDHeader)
 	if f.WrongID {
 		id = "crossed-" + id
 	}
-	w.Header().Set("X-Request-Id", id)
+	w.Header().Set(requestIDHeader, id)
 	status := f.Status
 	if status == 0 {
 		status = http.StatusOK
