Count the time for which a published share is used into the window of cold shares

Cause: traffic uses a share for a while after the control thread worked it out, and a stopped process wakes with it. Excluded: the lease of the list alone; it ends a share in the control thread, not in a stopped process. Change: ColdShares.Publish; the window is 2 lags, 3 leases, the publication and the hold time. Before: without the publication in the window TestP05Displaced had 2 in flight, limit 1; without the hold, without the leases and without the age check at the send it fails as well. After: passes, as do 1,000 drawn cases. Conclusion: the assembly must set Publish to the horizon plus the period in which it publishes.

--- a/pkg/caravan/coldtotal_test.go
+++ b/pkg/caravan/coldtotal_test.go
@@ -15,10 +15,11 @@
 func init() { _ = flag.Set("rapid.seed", "5") }
 
 const (
-	coldStep  clock.Millis = 500
-	coldLag                = 2 * clock.Second
-	coldLease              = 5 * clock.Second
-	coldHold               = 20 * clock.Second
+	coldStep    clock.Millis = 500
+	coldLag                  = 2 * clock.Second
+	coldLease                = 4 * clock.Second
+	coldPublish              = 4 * clock.Second
+	coldHold                 = 20 * clock.Second
 )
 
 // coldWorld has instances that send as much as they may to one cold upstream.
@@ -51,7 +52,7 @@
 	name := fmt.Sprintf("entry-%03d", w.names)
 	w.nodes = append(w.nodes, &coldNode{
 		name: name, listed: true, since: w.now,
-		shares: &ColdShares{Self: name, Lag: coldLag, Lease: coldLease, Hold: coldHold},
+		shares: &ColdShares{Self: name, Lag: coldLag, Lease: coldLease, Publish: coldPublish, Hold: coldHold},
 	})
 }
 
@@ -80,15 +81,15 @@
 func (n *coldNode) act(w *coldWorld) {
 	if i := len(w.listings) - 1 - int(n.lag/coldStep); !n.cut && i >= 0 {
 		n.shares.See(w.listings[i], w.now)
-		n.shareAt = w.now
-		n.share = n.shares.Share("u", w.limit, w.now)
 	}
+	n.shareAt = w.now
+	n.share = n.shares.Share("u", w.limit, w.now)
 	n.send(w.now)
 }
 
 // send checks the age of the share last, as the send of a request does.
 func (n *coldNode) send(now clock.Millis) {
-	for len(n.inFlight) < n.share && now-n.shareAt < coldLease {
+	for len(n.inFlight) < n.share && now-n.shareAt < coldPublish {
 		n.inFlight = append(n.inFlight, now)
 	}
 }
@@ -168,8 +169,8 @@
 	}
 }
 
-// TestP05Displaced has an instance that is cut off just before another one takes its rank: its last request starts a lease
-// later and stays for the whole hold time.
+// TestP05Displaced has an instance that is cut off just before another one takes its rank, and then stopped: its last
+// request starts a lease and a publication later and stays for the whole hold time.
 func TestP05Displaced(t *testing.T) {
 	w := &coldWorld{now: 100_000, limit: 1}
 	w.join()
@@ -198,6 +199,14 @@
 		old.inFlight = nil
 		w.step()
 	}
+	// It is stopped, and wakes in the middle of a send as late as its share allows.
+	old.frozen = true
+	for range coldPublish/coldStep - 1 {
+		old.inFlight = nil
+		w.step()
+	}
+	old.inFlight = nil
+	old.send(w.now)
 	for range 200 {
 		if total := w.step(); total > w.limit {
 			t.Fatalf("%d requests in flight at %d, the limit is %d", total, w.now, w.limit)
@@ -206,4 +215,7 @@
 	if len(w.nodes[1].inFlight) != 1 {
 		t.Error("the instance that took the rank sends nothing")
 	}
+	if old.send(w.now); len(old.inFlight) != 0 {
+		t.Error("the stopped instance woke and sent by its old share")
+	}
 }
--- a/pkg/caravan/shares.go
+++ b/pkg/caravan/shares.go
@@ -16,6 +16,8 @@
 	Lag clock.Millis
 	// Lease is the age at which the last list is too old to hold a share, in milliseconds.
 	Lease clock.Millis
+	// Publish bounds the time for which traffic uses a share after it was worked out, in milliseconds.
+	Publish clock.Millis
 	// Hold bounds the time for which a request stays at a cold upstream, in milliseconds.
 	Hold clock.Millis
 
@@ -54,7 +56,7 @@
 }
 
 // window is the time for which an instance must have seen itself rank high before it uses its share.
-func (s *ColdShares) window() clock.Millis { return s.Lag + 3*s.Lease + s.Hold }
+func (s *ColdShares) window() clock.Millis { return 2*s.Lag + 3*s.Lease + s.Publish + s.Hold }
 
 // Settled tells whether this instance has seen lists for long enough to use its shares.
 func (s *ColdShares) Settled(now clock.Millis) bool {
--- a/pkg/caravan/shares_test.go
+++ b/pkg/caravan/shares_test.go
@@ -31,7 +31,7 @@
 
 func TestP05ShareWaits(t *testing.T) {
 	members := namedMembers(4)
-	s := &ColdShares{Self: "entry-000", Lag: 2000, Lease: 5000, Hold: 10_000}
+	s := &ColdShares{Self: "entry-000", Lag: 2000, Lease: 5000, Publish: 3000, Hold: 5000}
 	share := func(now clock.Millis) int { return s.Share("u", 8, now) }
 	at := clock.Millis(1000)
 	see := func(m []catalogue.Member, span clock.Millis) {
