Connect once for all callers that wait, and anew when a connection has ended

Cause: callers of a member that doesn't answer queued up behind one another's connection attempts, each for its whole time limit; and the first call after a connection had ended was lost. Change: one attempt that all wait for, each for as long as its own context; the codec tells that its connection ended.

--- a/pkg/caravan/capacity_test.go
+++ b/pkg/caravan/capacity_test.go
@@ -104,6 +104,57 @@
 	}
 }
 
+// BenchmarkHealing cuts half of the instances off from the other half for an hour of news, and reports the most that an
+// instance sends and receives in one period after that, and the periods until all hold the same.
+func BenchmarkHealing(b *testing.B) {
+	for _, size := range []int{8, 60, 330} {
+		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
+			m := newMesh(b, namedMembers(size))
+			m.change(zoneOut("z", true, "first"))
+			for i := range 10 {
+				m.exchange(i)
+			}
+			worst, periods := int64(0), 0
+			for i := range b.N {
+				m.cut = func(from, to *meshNode) bool { return m.indexOf(from)%2 != m.indexOf(to)%2 }
+				for _, n := range m.nodes {
+					for range 3600 * clock.Second / n.know.PublishPeriod() {
+						n.know.Gossip.Put("v", "", fmt.Appendf(make([]byte, countersBytes), "%d", n.rand.Uint64()))
+					}
+				}
+				m.exchange(i)
+				m.cut = nil
+				for period := 1; !m.alike(); period++ {
+					before := make([]int64, size)
+					for k, n := range m.nodes {
+						before[k] = n.sent + n.received
+					}
+					for _, n := range m.nodes {
+						n.round()
+					}
+					for k, n := range m.nodes {
+						worst = max(worst, n.sent+n.received-before[k])
+					}
+					periods = max(periods, period)
+				}
+			}
+			b.ReportMetric(float64(worst), "most-B/node/s")
+			b.ReportMetric(float64(periods), "periods")
+		})
+	}
+}
+
+// alike tells whether all nodes hold the same items.
+func (m *mesh) alike() bool {
+	want := m.nodes[0].know.Gossip.Digest()
+	for _, n := range m.nodes {
+		if d := n.know.Gossip.Digest(); !slices.Equal(d.Dense, want.Dense) {
+			return false
+		}
+	}
+	return true
+}
+
 // BenchmarkKnowledgeMemory reports the heap of one instance's knowledge.
 func BenchmarkKnowledgeMemory(b *testing.B) {
 	for _, size := range []int{9, 60, 165, 330} {
--- a/pkg/caravan/codec.go
+++ b/pkg/caravan/codec.go
@@ -87,11 +87,26 @@
 func (c *serverCodec) WriteResponse(r *rpc.Response, v any) error { return c.write(r, v) }
 func (c *serverCodec) Close() error                               { return c.close() }
 
-type clientCodec struct{ gobStream }
+// clientCodec reads in a goroutine of the client until the connection ends.
+type clientCodec struct {
+	gobStream
+	over chan struct{}
+}
 
-func newClientCodec(conn io.ReadWriteCloser) *clientCodec { return &clientCodec{newGobStream(conn)} }
+func newClientCodec(conn io.ReadWriteCloser) *clientCodec {
+	return &clientCodec{gobStream: newGobStream(conn), over: make(chan struct{})}
+}
 
 func (c *clientCodec) WriteRequest(r *rpc.Request, v any) error { return c.write(r, v) }
-func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error { return c.readHeader(r) }
-func (c *clientCodec) ReadResponseBody(v any) error             { return c.readBody(v) }
-func (c *clientCodec) Close() error                             { return c.close() }
+
+// ReadResponseHeader tells by over that the connection can't be used any more; the client stops reading after an error.
+func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
+	err := c.readHeader(r)
+	if err != nil {
+		close(c.over)
+	}
+	return err
+}
+
+func (c *clientCodec) ReadResponseBody(v any) error { return c.readBody(v) }
+func (c *clientCodec) Close() error                 { return c.close() }
--- a/pkg/caravan/link.go
+++ b/pkg/caravan/link.go
@@ -12,23 +12,85 @@
 type link struct {
 	address string
 
-	mu     sync.Mutex
+	mu      sync.Mutex
+	client  *rpc.Client
+	attempt *attempt
+	closed  bool
+	// over is closed once the connection of client has ended.
+	over chan struct{}
+}
+
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// attempt is one try to connect, which all callers that come meanwhile wait for.
+type attempt struct {
+	done   chan struct{}
 	client *rpc.Client
-	closed bool
+	err    error
 }
 
-// dial returns the open client, or connects; callers that come meanwhile wait for the same connection.
+// dial returns the open client, or connects.
 func (l *link) dial(ctx context.Context, n *Network) (*rpc.Client, error) {
+	client, a := l.current(n)
+	if client != nil {
+		return client, nil
+	}
+	select {
+	case <-a.done:
+		return a.client, a.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// current returns the open client, or the present attempt, which it starts when there is none.
+func (l *link) current(n *Network) (*rpc.Client, *attempt) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.client != nil {
-		return l.client, nil
+	if l.client != nil && isClosed(l.over) {
+		_ = l.client.Close()
+		l.client = nil
 	}
-	if l.closed {
-		return nil, net.ErrClosed
+	if l.client != nil || l.attempt != nil {
+		return l.client, l.attempt
 	}
+	a := &attempt{done: make(chan struct{})}
+	l.attempt = a
+	go l.connect(n, a)
+	return nil, a
+}
+
+// connect ends after the time limits of connecting and of the handshake at the latest.
+func (l *link) connect(n *Network, a *attempt) {
+	conn, err := l.open(n)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	defer close(a.done)
+	l.attempt = nil
+	if err == nil && l.closed {
+		_ = conn.Close()
+		err = net.ErrClosed
+	}
+	if err != nil {
+		a.err = err
+		return
+	}
+	codec := newClientCodec(conn)
+	a.client = rpc.NewClientWithCodec(codec)
+	l.client = a.client
+	l.over = codec.over
+}
+
+func (l *link) open(n *Network) (net.Conn, error) {
 	d := net.Dialer{Timeout: handshakeTime.Duration()}
-	raw, err := d.DialContext(ctx, "tcp", l.address)
+	raw, err := d.Dial("tcp", l.address)
 	if err != nil {
 		return nil, err
 	}
@@ -37,8 +99,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	l.client = rpc.NewClientWithCodec(newClientCodec(conn))
-	return l.client, nil
+	return conn, nil
 }
 
 // drop closes the client unless another one took its place.
--- a/pkg/caravan/network_test.go
+++ b/pkg/caravan/network_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -28,8 +29,14 @@
 }
 
 func startNetwork(t testing.TB, name, key string) (*Network, catalogue.Member) {
+	n, self, _ := startNetworkAt(t, name, key, "127.0.0.1:0")
+	return n, self
+}
+
+// startNetworkAt returns a function that ends the network early, too.
+func startNetworkAt(t testing.TB, name, key, address string) (*Network, catalogue.Member, func()) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,13 +49,14 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- n.Serve(ctx, l) }()
-	t.Cleanup(func() {
+	stop := sync.OnceFunc(func() {
 		cancel()
 		if err := <-done; err != nil {
 			t.Error(err)
 		}
 	})
-	return n, self
+	t.Cleanup(stop)
+	return n, self, stop
 }
 
 func TestNetworkCall(t *testing.T) {
@@ -88,3 +96,45 @@
 		})
 	}
 }
+
+// TestNetworkReconnects restarts a member under its address: the first call that finds the connection ended connects anew.
+func TestNetworkReconnects(t *testing.T) {
+	a, _ := startNetwork(t, "a", "k")
+	_, b, stop := startNetworkAt(t, "b", "k", "127.0.0.1:0")
+	a.SetMembers([]catalogue.Member{b})
+	var out string
+	if err := a.Call(t.Context(), "b", "Echo.Say", "one", &out); err != nil {
+		t.Fatal(err)
+	}
+	l := a.links["b"]
+	stop()
+	<-l.over
+	var failed *CallError
+	if err := a.Call(t.Context(), "b", "Echo.Say", "two", &out); !errors.As(err, &failed) || failed.Sent {
+		t.Errorf("call to a member that is down: %v, want an error before the call was sent", err)
+	}
+	startNetworkAt(t, "b", "k", b.PeerAddress)
+	if err := a.Call(t.Context(), "b", "Echo.Say", "three", &out); err != nil || out != "three" {
+		t.Errorf("call to the restarted member: %q, %v", out, err)
+	}
+}
+
+// TestNetworkSilentMember calls a member that accepts connections and says nothing: callers end with their context.
+func TestNetworkSilentMember(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = silent.Close() }()
+	a, _ := startNetwork(t, "a", "k")
+	a.SetMembers([]catalogue.Member{{Name: "b", PeerAddress: silent.Addr().String()}})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 3 {
+		var out string
+		var failed *CallError
+		if err := a.Call(ctx, "b", "Echo.Say", "hello", &out); !errors.As(err, &failed) || failed.Sent || !errors.Is(err, context.Canceled) {
+			t.Errorf("call of a caller that gave up: %v", err)
+		}
+	}
+}
