--- a/pkg/caravan/link.go
+++ b/pkg/caravan/link.go
@@ -20,6 +20,8 @@
 
 	mu     sync.Mutex
 	client *rpc.Client
+	// over is closed once the connection of client has ended.
+	over   chan struct{}
 	closed bool
 	// opening is closed when the attempt under way has ended; nil when there is none.
 	opening chan struct{}
@@ -47,6 +49,10 @@
 func (l *link) state(n *Network) (*rpc.Client, chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.client != nil && isClosed(l.over) {
+		_ = l.client.Close()
+		l.client = nil
+	}
 	switch {
 	case l.client != nil:
 		return l.client, nil, nil
@@ -64,7 +70,7 @@
 
 // open makes one attempt to connect.
 func (l *link) open(n *Network) {
-	client, err := connect(l.address, n)
+	client, over, err := connect(l.address, n)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.failure = err
@@ -73,23 +79,34 @@
 		_ = client.Close()
 		client = nil
 	}
-	l.client = client
+	l.client, l.over = client, over
 	close(l.opening)
 	l.opening = nil
 }
 
-func connect(address string, n *Network) (*rpc.Client, error) {
+// connect returns a client and a channel that is closed once its connection has ended.
+func connect(address string, n *Network) (*rpc.Client, chan struct{}, error) {
 	d := net.Dialer{Timeout: handshakeTime.Duration()}
 	raw, err := d.Dial("tcp", address)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	// The handshake has its own time limit, which a metered connection would replace by the longer one for idle time.
 	if err := n.greetPeer(raw); err != nil {
 		_ = raw.Close()
-		return nil, err
+		return nil, nil, err
+	}
+	codec := newClientCodec(n.meter(raw))
+	return rpc.NewClientWithCodec(codec), codec.over, nil
+}
+
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
 	}
-	return rpc.NewClientWithCodec(newClientCodec(n.meter(raw))), nil
 }
 
 // drop closes a client whose connection failed.
