--- a/pkg/ledger/batcher_test.go
+++ b/pkg/ledger/batcher_test.go
@@ -70,7 +70,10 @@
 			name: "records of many callers go in one append",
 			play: func(b *Batcher, l *countingLog, _ context.CancelFunc) []string {
 				l.SetFaults(fake.Faults{Delay: 50})
-				return together(11, func(int) string { return verdict(second(b.Append(ctx, []byte("x")))) })[:1]
+				return together(11, func(n int) string {
+					time.Sleep(time.Duration(min(n, 1)) * time.Millisecond)
+					return verdict(second(b.Append(ctx, []byte("x"))))
+				})[:1]
 			},
 			want:  []string{"appended"},
 			sizes: []int{1, 10},
--- a/pkg/ledger/handover.go
+++ b/pkg/ledger/handover.go
@@ -67,6 +67,7 @@
 func (b *Biller) Handover(ctx context.Context) error {
 	b.init()
 	if b.Keeper != nil {
+		b.Keeper.close()
 		b.Keeper.post(b.Common.Clock.Now())
 	}
 	logCtx, cancel := clock.WithTimeout(ctx, b.Common.Clock, handoverLogWait)
--- a/pkg/ledger/keeper.go
+++ b/pkg/ledger/keeper.go
@@ -49,6 +49,8 @@
 	held   map[string]*heldBill
 	bytes  int
 	outbox Outbox
+	// closed is true when this instance is leaving and takes no more bills.
+	closed bool
 }
 
 type heldBill struct {
@@ -82,7 +84,8 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if len(k.held)+len(fresh) > orDefault(k.MaxHeld, defaultMaxHeld) || k.bytes+size > orDefault(k.MaxBytes, defaultHeldBytes) {
+	full := len(k.held)+len(fresh) > orDefault(k.MaxHeld, defaultMaxHeld) || k.bytes+size > orDefault(k.MaxBytes, defaultHeldBytes)
+	if k.closed || full {
 		return nil
 	}
 	for id, h := range fresh {
@@ -118,6 +121,14 @@
 	return nil
 }
 
+// close makes the keeper refuse further bills, also from instances whose list still shows this one.
+func (k *BillKeeper) close() {
+	k.init()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.closed = true
+}
+
 // post hands the bills that are held since before a time to the log.
 func (k *BillKeeper) post(before clock.Millis) {
 	k.mu.Lock()
