--- a/pkg/ledger/bill_test.go
+++ b/pkg/ledger/bill_test.go
@@ -176,6 +176,17 @@
 			},
 			want: chai(1),
 		},
+		{
+			name: "append lost on its way to the log",
+			play: func(o *office) {
+				o.clerks["a"].view.Cut(true, false)
+				o.cut.Store(true)
+				_, _ = o.clerks["a"].serve("r1", resultAnswers)
+				time.Sleep(time.Minute)
+				o.clerks["a"].view.Cut(false, false)
+			},
+			want: chai(1),
+		},
 		{
 			name: "log down, origin killed",
 			play: func(o *office) {
@@ -312,6 +323,24 @@
 	}
 }
 
+func TestP04KeeperDropsWhatTheLogHas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOffice()
+		defer o.close()
+		o.log.SetFaults(fake.Faults{Delay: 1000})
+		_, _ = o.clerks["a"].serve("r1", resultAnswers)
+		held := len(o.clerks["c"].keeper.Bills())
+		time.Sleep(10 * time.Second)
+		left := len(o.clerks["c"].keeper.Bills())
+		o.log.SetFaults(fake.Faults{})
+		time.Sleep(time.Minute)
+		f, _ := o.folded(t)
+		if diff := cmp.Diff([]int64{1, 0, 0}, []int64{int64(held), int64(left), f.Doubles}); diff != "" {
+			t.Errorf("held, left, doubles (-want +got):\n%s", diff)
+		}
+	})
+}
+
 func TestP04CallsAreRefusedWhileBillsCanNotBeKeptSafe(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		o := newOffice()
