--- a/pkg/guestbook/book_test.go
+++ b/pkg/guestbook/book_test.go
@@ -250,6 +250,15 @@
 	})
 }
 
+func TestP03KeepersAreInTwoZones(t *testing.T) {
+	for n := range 100 {
+		k := keepers(sessionID("chai", fmt.Sprint(n)), members)
+		if len(k) != keeperCount || k[0].Zone == k[1].Zone {
+			t.Errorf("session %d is held by %v", n, k)
+		}
+	}
+}
+
 func TestP03KeeperIsBoundedAndExpires(t *testing.T) {
 	manual := clock.NewManual(1000)
 	cfg := settings.Default()
--- /dev/null
+++ b/pkg/ledger/bench_test.go
@@ -0,0 +1,42 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/uuid"
+
+	"carawayknot.example/carawayknot/pkg/enquiry"
+	"carawayknot.example/carawayknot/pkg/platform"
+)
+
+func chatBill(b *testing.B) *Bill {
+	b.Helper()
+	return &Bill{RequestID: uuid.NewString(), Workspace: "chai", Profile: "notes", Outcome: enquiry.Ran, Cost: 1234,
+		Usage: []enquiry.Usage{{Version: "swala@2", Upstream: "engine-7", InputTokens: 900, OutputTokens: 220, Cost: 1234}},
+		At:    1796243523000, Instance: "entry-17"}
+}
+
+func BenchmarkFold(b *testing.B) {
+	for _, window := range []int{1000, 10000, 100000} {
+		b.Run(fmt.Sprintf("remembered=%d", window), func(b *testing.B) {
+			f := &Fold{}
+			l := chatBill(b)
+			size, offset := 0, int64(0)
+			for b.Loop() {
+				l.RequestID = uuid.NewString()
+				data, err := encodeBill(l)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+				if f.Remembered() == window {
+					f = &Fold{next: offset}
+				}
+				f.Add(platform.Entry{Offset: offset, At: l.At, Data: data})
+				offset++
+			}
+			b.ReportMetric(float64(size), "log-B/bill")
+		})
+	}
+}
--- a/pkg/ledger/tail.go
+++ b/pkg/ledger/tail.go
@@ -29,6 +29,8 @@
 	Stream string
 	// From is the next offset to read.
 	From int64
+	// atEnd is true when the last batch went up to the end, so that the next read may wait for records.
+	atEnd bool
 }
 
 // Run calls take with each batch, also with empty ones, and with the monotonic time from before the read was sent.
@@ -46,6 +48,7 @@
 			if n := len(b.Entries); n > 0 {
 				t.From = b.Entries[n-1].Offset + 1
 			}
+			t.atEnd = t.From >= b.End
 			take(sentAt, b)
 			continue
 		}
@@ -67,7 +70,10 @@
 }
 
 func (t *Tail) read(ctx context.Context) (platform.Batch, error) {
-	wait := t.Common.Settings.Times.LogWait
+	var wait clock.Millis
+	if t.atEnd {
+		wait = t.Common.Settings.Times.LogWait
+	}
 	ctx, cancel := clock.WithTimeout(ctx, t.Common.Clock, wait+readGrace)
 	defer cancel()
 	return t.Log.Read(ctx, t.Stream, t.From, readLimit, wait)
--- /dev/null
+++ b/pkg/reservation/bench_test.go
@@ -0,0 +1,138 @@
+package reservation
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+	"carawayknot.example/carawayknot/pkg/ledger"
+	"carawayknot.example/carawayknot/pkg/platform"
+	"carawayknot.example/carawayknot/pkg/settings"
+)
+
+// claimRecords returns the claim and the outcome of one booking as they go to the log.
+func claimRecords(b *testing.B, n int) (claim, done []byte) {
+	b.Helper()
+	key := digest("chai", "bookings", fmt.Sprint(n))
+	id := uuid.NewString()
+	claim, err := encode(&Record{Claim: &Claim{ID: id, Key: key, KeyAt: clock.Millis(n), Body: digest("body", fmt.Sprint(n)),
+		Instance: "entry-17", Incarnation: 1796243523000, Request: uuid.NewString()}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	done, err = encode(&Record{Done: &Done{ID: id, Key: key, Outcome: enquiry.Ran,
+		Answer: &Answer{Status: 201, Header: map[string][]string{"Content-Type": {"application/json"}}, Body: make([]byte, 120)}}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return claim, done
+}
+
+func BenchmarkFold(b *testing.B) {
+	for _, live := range []int{1000, 10000, 100000} {
+		b.Run(fmt.Sprintf("keys=%d", live), func(b *testing.B) {
+			table := Table{Skew: 1 << 40, MaxAge: 1 << 40, MaxKeys: live, MaxAnswerBytes: 1 << 40}
+			offset, size := int64(0), 0
+			fold := func(data []byte) {
+				table.Fold(platform.Entry{Offset: offset, At: clock.Millis(offset), Data: data}, 1)
+				offset++
+			}
+			before := heapBytes()
+			for n := range live {
+				claim, done := claimRecords(b, n)
+				size += len(claim) + len(done)
+				fold(claim)
+				fold(done)
+			}
+			kept := heapBytes() - before
+			const made = 1000
+			var claims, dones [made][]byte
+			n, round := live, 0
+			b.ResetTimer()
+			for b.Loop() {
+				if round == 0 {
+					b.StopTimer()
+					for i := range made {
+						claims[i], dones[i] = claimRecords(b, n)
+						n++
+					}
+					b.StartTimer()
+				}
+				fold(claims[round])
+				fold(dones[round])
+				round = (round + 1) % made
+			}
+			b.ReportMetric(float64(size)/float64(live), "log-B/key")
+			b.ReportMetric(float64(kept)/float64(live), "heap-B/key")
+			runtime.KeepAlive(&table)
+		})
+	}
+}
+
+// BenchmarkBooking takes whole bookings through the filter, the log and the upstream of a fake.
+func BenchmarkBooking(b *testing.B) {
+	for _, callers := range []int{1, 16, 256} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			s := newSim(firstSeed)
+			cfg := settings.Default()
+			common := settings.Common{Log: logr.Discard(), Settings: &cfg, Clock: s.clk}
+			batcher := &ledger.Batcher{Common: common, Log: s.log, Stream: StreamName, Budget: 1e9}
+			book := &Book{Common: common, Log: batcher, Tail: &ledger.Tail{Common: common, Log: s.log, Stream: StreamName}}
+			ctx, cancel := context.WithCancel(context.Background())
+			var wg sync.WaitGroup
+			wg.Go(func() { _ = batcher.Run(ctx) })
+			wg.Go(func() { _ = book.Run(ctx) })
+			for !book.Ready() {
+				runtime.Gosched()
+			}
+			i := &instance{sim: s, book: book}
+			next := enquiry.HandlerFunc(func(ctx context.Context, c *enquiry.Call) error {
+				_ = c.Writer.WriteHead(ctx, c, enquiry.Head{Status: 201})
+				_ = c.Writer.WriteBytes(ctx, c, []byte("table 4"))
+				return c.Writer.WriteEnd(ctx, c, enquiry.End{})
+			})
+			var n atomic.Int64
+			before := cpuTime()
+			b.ResetTimer()
+			b.SetParallelism(callers)
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					id := fmt.Sprint(n.Add(1))
+					if got := i.ask(ctx, id, s.keyNow(id), "for six", next); got.Outcome != enquiry.Ran {
+						b.Errorf("told %+v", got)
+						return
+					}
+				}
+			})
+			b.ReportMetric(float64(cpuTime()-before)/float64(n.Load()), "cpu-ns/booking")
+			cancel()
+			wg.Wait()
+		})
+	}
+}
+
+// cpuTime is the processor time that this process has used.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func heapBytes() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/pkg/reservation/book.go
+++ b/pkg/reservation/book.go
@@ -24,6 +24,9 @@
 	// runGrace is what a call may take beyond its deadline until its outcome is taken as unknown.
 	runGrace = 10 * clock.Second
 
+	// ownLimit is how many undecided claims are kept before those that were given up lateAfter ago are forgotten.
+	ownLimit  = 4096
+	lateAfter = 600 * clock.Second
 	// owedLimit bounds the outcomes and releases that wait for the log.
 	owedLimit = 10000
 
@@ -68,8 +71,8 @@
 	asked bool
 	// own are the claims of this process that were not decided yet.
 	own map[string]*Held
-	// changed has a channel for each key somebody waits for; it is closed when the key's slot changes.
-	changed map[string]chan struct{}
+	// watched has the keys that requests wait for.
+	watched map[string]*watch
 	// outbox has the outcomes and releases that the log doesn't have yet.
 	outbox ledger.Outbox
 }
@@ -83,7 +86,7 @@
 			MaxAnswerBytes: orDefault(b.MaxAnswerBytes, defaultMaxAnswerBytes),
 		}
 		b.own = map[string]*Held{}
-		b.changed = map[string]chan struct{}{}
+		b.watched = map[string]*watch{}
 		b.outbox = ledger.Outbox{Common: b.Common, Log: b.Log, Limit: owedLimit}
 	})
 }
@@ -169,21 +172,39 @@
 	close(h.decided)
 }
 
+// watch is closed when the slot of a key changes; waiters counts the requests that wait for it.
+type watch struct {
+	changed chan struct{}
+	waiters int
+}
+
+// notify wakes the requests that wait for the key; b.mu is held.
 func (b *Book) notify(key string) {
-	if ch, ok := b.changed[key]; ok {
-		delete(b.changed, key)
-		close(ch)
+	if w := b.watched[key]; w != nil {
+		delete(b.watched, key)
+		close(w.changed)
+	}
+}
+
+// watch registers a request that waits for the key; b.mu is held.
+func (b *Book) watch(key string) *watch {
+	w := b.watched[key]
+	if w == nil {
+		w = &watch{changed: make(chan struct{})}
+		b.watched[key] = w
 	}
+	w.waiters++
+	return w
 }
 
-// watch returns a channel that is closed when the slot of the key changes; b.mu is held.
-func (b *Book) watch(key string) <-chan struct{} {
-	ch, ok := b.changed[key]
-	if !ok {
-		ch = make(chan struct{})
-		b.changed[key] = ch
+// unwatch tells that a request no longer waits for the key.
+func (b *Book) unwatch(key string, w *watch) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w.waiters--
+	if w.waiters == 0 && b.watched[key] == w {
+		delete(b.watched, key)
 	}
-	return ch
 }
 
 // hold registers a new claim for the ticket.
@@ -197,10 +218,22 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(b.own) >= ownLimit {
+		b.sweep(h.bornAt - lateAfter)
+	}
 	b.own[h.id] = h
 	return h
 }
 
+// sweep forgets claims that were given up before a time. One that lands still later stays unreleased, which is safe.
+func (b *Book) sweep(before clock.Millis) {
+	for id, h := range b.own {
+		if h.abandoned && h.bornAt < before {
+			delete(b.own, id)
+		}
+	}
+}
+
 // forget drops a claim that is certainly not in the log.
 func (b *Book) forget(h *Held) {
 	b.mu.Lock()
--- a/pkg/reservation/claim.go
+++ b/pkg/reservation/claim.go
@@ -50,7 +50,7 @@
 // another request holds the key it waits for the outcome until giveUpAt.
 func (b *Book) awaitFree(ctx context.Context, t ticket, giveUpAt clock.Millis) (bool, error) {
 	for {
-		s, changed := b.look(t.key)
+		s, w := b.look(t.key)
 		if s == nil {
 			return b.checkUnknown(t)
 		}
@@ -64,18 +64,34 @@
 		if s.Released {
 			return true, b.checkReady()
 		}
-		left := giveUpAt - b.Common.Clock.Now()
-		if left <= 0 || b.isSettled(s) {
-			return false, inUse(nil)
-		}
-		if err := b.await(ctx, changed, left); err != nil {
-			return false, inUse(err)
+		err := b.awaitChange(ctx, s, w, giveUpAt)
+		b.unwatch(t.key, w)
+		if err != nil {
+			return false, err
 		}
 	}
 }
 
-// look returns a copy of the key's slot, or nil, and a channel that is closed when it changes.
-func (b *Book) look(key string) (*Slot, <-chan struct{}) {
+// awaitChange returns nil when the slot may have changed, and a refusal when its outcome is not waited for any longer.
+func (b *Book) awaitChange(ctx context.Context, s *Slot, w *watch, giveUpAt clock.Millis) error {
+	left := giveUpAt - b.Common.Clock.Now()
+	if left <= 0 || b.isSettled(s) {
+		return inUse(nil)
+	}
+	late, stop := b.Common.Clock.Timer(left)
+	defer stop()
+	select {
+	case <-w.changed:
+		return nil
+	case <-late:
+		return nil
+	case <-ctx.Done():
+		return inUse(context.Cause(ctx))
+	}
+}
+
+// look returns a copy of the key's slot, or nil, and a watch on it when its outcome is open.
+func (b *Book) look(key string) (*Slot, *watch) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.table.Slot(key)
@@ -89,20 +105,6 @@
 	return &c, b.watch(key)
 }
 
-// await returns nil when changed is closed or d has passed.
-func (b *Book) await(ctx context.Context, changed <-chan struct{}, d clock.Millis) error {
-	late, stop := b.Common.Clock.Timer(d)
-	defer stop()
-	select {
-	case <-changed:
-		return nil
-	case <-late:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
-
 // isSettled tells whether the outcome of a claim is not worth waiting for: its holder is gone or has been silent for long.
 func (b *Book) isSettled(s *Slot) bool {
 	if s.Claim.Instance == b.Common.Settings.Name && s.Claim.Incarnation < b.Incarnation {
--- a/pkg/reservation/claim_test.go
+++ b/pkg/reservation/claim_test.go
@@ -393,3 +393,24 @@
 		}
 	}
 }
+
+func TestP09KeyStaysInItsStream(t *testing.T) {
+	before := []Era{{From: 0, Count: 1}}
+	after := []Era{{From: 0, Count: 1}, {From: 5000, Count: 16}}
+	used := map[string]bool{}
+	for n := range 1000 {
+		key, keyAt := digest("key", string(rune(n))), clock.Millis(n*10)
+		stream := StreamOf(after, key, keyAt)
+		used[stream] = true
+		if keyAt < 5000 && stream != StreamOf(before, key, keyAt) {
+			t.Errorf("key of %d moves to %s", keyAt, stream)
+		}
+	}
+	got := map[string]bool{}
+	for _, name := range Streams(after) {
+		got[name] = true
+	}
+	if diff := cmp.Diff(used, got); diff != "" {
+		t.Errorf("streams (-used +listed):\n%s", diff)
+	}
+}
