--- a/pkg/house/control.go
+++ b/pkg/house/control.go
@@ -82,13 +82,18 @@
 func (c *Control) Tell(message any) { c.system.Root.Send(c.pid, message) }
 
 // Observe passes a sample to the control thread, or drops it when too many wait.
-func (c *Control) Observe(s enquiry.Sample) {
+func (c *Control) Observe(s enquiry.Sample) { c.observe(&sampleTaken{Sample: s}) }
+
+// ObserveProbe passes the sample of a probe to the control thread, or drops it when too many wait.
+func (c *Control) ObserveProbe(s enquiry.Sample) { c.observe(&sampleTaken{Sample: s, Probe: true}) }
+
+func (c *Control) observe(m *sampleTaken) {
 	if c.backlog.Add(1) > sampleBacklog {
 		c.backlog.Add(-1)
 		c.dropped.Add(1)
 		return
 	}
-	c.Tell(&sampleTaken{Sample: s})
+	c.Tell(m)
 }
 
 // Do calls f in the control thread and returns after it; with an error f may run later or never.
@@ -118,7 +123,9 @@
 	case *sampleTaken:
 		c.backlog.Add(-1)
 		c.ColdWatch.TakeSample(m.Sample)
-		c.Ratings.TakeSample(m.Sample)
+		if !m.Probe {
+			c.Ratings.TakeSample(m.Sample)
+		}
 	case *ratingsRead:
 		c.Ratings.TakeRatings(m.Ratings)
 	case *verdictGiven:
--- /dev/null
+++ b/scripts/try.sh
@@ -0,0 +1,184 @@
+#!/usr/bin/env bash
+# Builds, starts a small set on 127.0.0.1, sends requests through it, checks every answer and stops the set.
+# scripts/try.sh --stay leaves the set running until interrupted. It needs Go, a C compiler and free ports from BASE_PORT on.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+base=${BASE_PORT:-17400}
+dir=$(mktemp -d)
+pids=()
+failures=0
+
+stop_all() {
+	for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null; done
+	wait 2>/dev/null
+	rm -rf "$dir"
+}
+trap stop_all EXIT
+trap 'exit 130' INT TERM
+
+# port NAME prints the port of a process.
+names=(log list ratings weights engine-a engine-b booking-c)
+port() {
+	local i
+	for i in "${!names[@]}"; do
+		[ "${names[$i]}" = "$1" ] && echo $((base + i))
+	done
+}
+
+# standin KIND NAME FAULTS [ARGS] starts a stand-in.
+standin() {
+	local kind=$1 name=$2 faults=$3
+	shift 3
+	bin/standin --listen "127.0.0.1:$(port "$name")" --faults "$faults" "$@" "$kind" >"$dir/$name.log" 2>&1 &
+	pids+=($!)
+}
+
+# enlist NAME JSON puts an instance on the platform's list.
+enlist() {
+	exec 3<>"/dev/tcp/127.0.0.1/$(port list)"
+	printf 'PUT /instances/%s HTTP/1.1\r\nHost: list\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s' "$1" "${#2}" "$2" >&3
+	grep -q '^HTTP/1.1 20' <&3 || fail "the list did not take $1"
+	exec 3>&-
+}
+
+listening() {
+	local i
+	for i in $(seq 100); do
+		(exec 4<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null && return
+		sleep 0.05
+	done
+	fail "nothing listens on port $1"
+}
+
+fail() {
+	echo "FAILED: $*"
+	failures=$((failures + 1))
+}
+
+# daemon LETTER INDEX starts an entry instance in its zone.
+daemon() {
+	local name=entry-$1 at=$((base + 20 + 10 * $2))
+	cat >"$dir/$name.json" <<-EOF
+		{
+			// Short times, so that the trial starts quickly; docs/SETTINGS.md has the defaults.
+			"Name": "$name", "Zone": "zone-$1",
+			"CallerAddress": "127.0.0.1:$at", "AdminAddress": "127.0.0.1:$((at + 1))", "PeerAddress": "127.0.0.1:$((at + 2))",
+			"Platform": {"Log": "http://127.0.0.1:$(port log)", "List": "http://127.0.0.1:$(port list)",
+				"Ratings": "http://127.0.0.1:$(port ratings)", "Weights": "http://127.0.0.1:$(port weights)"},
+			"Keys": {"AdminFile": "$dir/admin.key", "PeerFile": "$dir/peer.key", "SessionFile": "$dir/session.key"},
+			"Times": {"ListPoll": 200, "LoadPoll": 200, "PeerTick": 200, "ListLag": 300, "ColdLease": 600, "ColdHold": 2000},
+		}
+	EOF
+	bin/carawayknotd --settings "$dir/$name.json" --check >/dev/null || fail "settings of $name"
+	bin/carawayknotd --settings "$dir/$name.json" >"$dir/$name.log" 2>&1 &
+	pids+=($!)
+	listening "$at"
+	enlist "$name" "{\"Name\":\"$name\",\"Role\":\"Entry\",\"Address\":\"127.0.0.1:$at\",\"PeerAddress\":\"127.0.0.1:$((at + 2))\",\"Zone\":\"zone-$1\",\"Incarnation\":1}"
+}
+
+tool() { bin/carawayknot --admin "http://127.0.0.1:$((base + 21))" --key-file "$dir/admin.key" --author try "$@"; }
+
+# request INDEX ARGS sends one request through an instance, again while it is told to come back.
+request() {
+	local url="http://127.0.0.1:$((base + 20 + 10 * $1))" i
+	shift
+	for i in $(seq 60); do
+		bin/carawayknot request --url "$url" --workspace-key-file "$dir/workspace.key" "$@" >"$dir/out" 2>"$dir/err" && break
+		grep -qE 'RetryAfter|retry|come back|again' "$dir/err" || break
+		sleep 0.3
+	done
+	cat "$dir/out" "$dir/err"
+	echo
+}
+
+# expect TEXT WHAT checks the last answer.
+expect() {
+	grep -qE "$1" "$dir/out" "$dir/err" || fail "$2: no $1 in the answer"
+}
+
+echo "== build"
+go build -o bin/ ./cmd/... || exit 1
+printf 'admin-key-0123456789abcdef0123456789\n' >"$dir/admin.key"
+printf 'peer-key-0123456789abcdef01234567890\n' >"$dir/peer.key"
+printf 'session-key-0123456789abcdef01234567\n' >"$dir/session.key"
+printf 'front-desk-key-0001\n' >"$dir/workspace.key"
+
+echo "== start the platform's stand-ins, two engines, a booking service and three entry instances"
+standin log log '{}'
+standin list list '{}'
+standin weights weights '{}'
+standin ratings ratings '{"Means":{"leaf@1":0.3,"estate@3":0.95}}'
+rating_url="http://127.0.0.1:$(port ratings)"
+standin engine engine-a '{"Versions":["leaf@1"],"Bearable":32,"Tokens":12,"TokenMillis":5}' --ratings "$rating_url"
+standin engine engine-b '{"Versions":["leaf@1","estate@3"],"Bearable":32,"Tokens":12,"TokenMillis":5}' --ratings "$rating_url"
+standin service booking-c '{}'
+for name in "${names[@]}"; do listening "$(port "$name")"; done
+enlist engine-a "{\"Name\":\"engine-a\",\"Role\":\"Engine\",\"Address\":\"127.0.0.1:$(port engine-a)\",\"Zone\":\"zone-a\",\"Incarnation\":1,\"Versions\":[\"leaf@1\"]}"
+enlist engine-b "{\"Name\":\"engine-b\",\"Role\":\"Engine\",\"Address\":\"127.0.0.1:$(port engine-b)\",\"Zone\":\"zone-b\",\"Incarnation\":1,\"Versions\":[\"leaf@1\",\"estate@3\"]}"
+enlist booking-c "{\"Name\":\"booking-c\",\"Role\":\"Service\",\"Address\":\"127.0.0.1:$(port booking-c)\",\"Zone\":\"zone-c\",\"Incarnation\":1,\"Service\":\"booking\"}"
+daemon a 0
+daemon b 1
+daemon c 2
+
+echo "== apply the configuration"
+for i in $(seq 40); do
+	tool config apply examples/config.json --note "first trial" >"$dir/out" 2>"$dir/err" && break
+	sleep 0.25
+done
+cat "$dir/out"
+expect Accepted "configuration"
+
+echo "== a streamed chat through entry-a"
+request 0 --profile reply --request-id chat-1 "Karibu! Four guests at six?"
+expect 'version leaf@1' "chat"
+expect 'outcome Ran' "chat"
+
+echo "== a dossier through entry-b: the cheap version is tried and rated first, then the good one answers"
+request 1 --profile dossier --request-id dossier-1 "Provenance of remnant 12, Kairouan."
+expect 'version estate@3' "dossier"
+
+echo "== one booking sent twice under one key, through entry-a and entry-c: it runs once"
+key="$(date +%s%3N)-table-7"
+request 0 --service booking --path /tables --request-key "$key" --request-id booking-1 '{"Table": 7}'
+expect 'outcome Ran' "booking"
+cp "$dir/out" "$dir/first"
+request 2 --service booking --path /tables --request-key "$key" --request-id booking-2 '{"Table": 7}'
+cmp -s "$dir/first" "$dir/out" || fail "the second asker got another answer"
+exec 3<>"/dev/tcp/127.0.0.1/$(port booking-c)"
+printf 'GET /runs HTTP/1.1\r\nHost: booking\r\nConnection: close\r\n\r\n' >&3
+runs=$(grep -o "\"$key\":[0-9]*" <&3 | head -1)
+exec 3>&-
+echo "runs at the booking service: ${runs:-none}"
+[ "$runs" = "\"$key\":1" ] || fail "the booking ran ${runs:-not at all}"
+
+echo "== bills"
+for id in chat-1 dossier-1 booking-1; do
+	for i in $(seq 20); do
+		tool bill "$id" >"$dir/out" 2>"$dir/err" && break
+		sleep 0.1
+	done
+	cat "$dir/out"
+	expect "$id" "bill of $id"
+done
+if tool bill booking-2 >"$dir/out" 2>&1; then fail "the repeated booking was billed"; fi
+
+if [ "${1:-}" = --stay ]; then
+	cat <<-EOF
+
+		The set runs until interrupted; settings, keys and logs are in $dir.
+
+		curl -N http://127.0.0.1:$((base + 20))/v1/chat/completions -H 'Authorization: Bearer front-desk-key-0001' \\
+		  -H 'Carawayknot-Profile: reply' -d '{"stream": true, "messages": [{"role": "user", "content": "Karibu"}]}'
+		curl http://127.0.0.1:$((base + 40))/services/booking/tables -H 'Authorization: Bearer front-desk-key-0001' \\
+		  -H "Carawayknot-Request-Key: \$(date +%s%3N)-table-8" -d '{"Table": 8}'
+		curl http://127.0.0.1:$((base + 20))/metrics
+		bin/carawayknot --admin http://127.0.0.1:$((base + 21)) --key-file $dir/admin.key upstream list
+	EOF
+	wait
+fi
+if [ "$failures" -gt 0 ]; then
+	echo "$failures expectations failed; logs:"
+	tail -n 5 "$dir"/*.log
+	exit 1
+fi
+echo "all expectations met"
