Let a keeper append bills only once their origin is silent

Cause: a keeper waited 30 s before it appended the bills of a killed instance, and TestP04BilledOnce/one_instance_killed_while_the_log_is_down waits 16 s for them. Waiting less alone would append the bills of a longer outage twice. Excluded: a lost bill; the keeper still had it. Change: the origin shows itself to its keepers every second while it owes bills; a keeper appends after 6 s of silence. Before: that process test failed (bill of r21 not within 16 s). After: go test -tags process ./test -run TestP04 passed once; TestP04KeeperLeavesBillsToALivingOrigin passes with 0 doubles, and fails with 1 when the keeper does not note the origin's call.

--- a/pkg/ledger/bill_test.go
+++ b/pkg/ledger/bill_test.go
@@ -323,6 +323,22 @@
 	}
 }
 
+func TestP04KeeperLeavesBillsToALivingOrigin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOffice()
+		defer o.close()
+		o.log.SetFaults(fake.Faults{Down: true})
+		_, _ = o.clerks["a"].serve("r1", resultAnswers)
+		time.Sleep(time.Minute)
+		o.log.SetFaults(fake.Faults{})
+		time.Sleep(time.Minute)
+		f, _ := o.folded(t)
+		if diff := cmp.Diff([]int64{1, 0}, []int64{f.Totals["chai"].Requests, f.Doubles}); diff != "" {
+			t.Errorf("billed, doubles (-want +got):\n%s", diff)
+		}
+	})
+}
+
 func TestP04KeeperDropsWhatTheLogHas(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		o := newOffice()
--- a/pkg/ledger/handover.go
+++ b/pkg/ledger/handover.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
 
 	"carawayknot.example/carawayknot/pkg/clock"
 )
@@ -19,6 +20,8 @@
 	// dropBatch is how many request ids one call to a keeper carries, dropLimit how many wait for it.
 	dropBatch = 1000
 	dropLimit = 20000
+	// tellAtOnce bounds the calls to keepers under way.
+	tellAtOnce = 16
 )
 
 // LeftError says that bills are neither in the log nor with a peer.
@@ -43,23 +46,43 @@
 	return nil
 }
 
-// tellKeepers lets keepers drop what the log has. One that can't be told appends doubles, which the fold removes.
+// tellKeepers lets keepers drop what the log has, and shows them that this instance lives. One that can't be told appends doubles, which the fold removes.
 func (b *Biller) tellKeepers(ctx context.Context) {
+	var g errgroup.Group
+	g.SetLimit(tellAtOnce)
+	for keeper, ids := range b.takeDrops() {
+		g.Go(func() error {
+			b.tellKeeper(ctx, keeper, ids[:min(len(ids), dropLimit)])
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+func (b *Biller) tellKeeper(ctx context.Context, keeper string, ids []string) {
+	for {
+		n := min(len(ids), dropBatch)
+		args := &DropArgs{Origin: b.Common.Settings.Name, RequestIDs: ids[:n]}
+		err := b.call(ctx, keeper, "BillKeeper.Drop", args, &DropReply{})
+		ids = ids[n:]
+		if err != nil || len(ids) == 0 {
+			return
+		}
+	}
+}
+
+// takeDrops returns what keepers may drop, with an entry for each keeper that still holds a bill of this instance.
+func (b *Biller) takeDrops() map[string][]string {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	drops := b.drops
 	b.drops = map[string][]string{}
-	b.mu.Unlock()
-	for keeper, ids := range drops {
-		ids = ids[:min(len(ids), dropLimit)]
-		for len(ids) > 0 {
-			n := min(len(ids), dropBatch)
-			args := &DropArgs{RequestIDs: ids[:n]}
-			if err := b.call(ctx, keeper, "BillKeeper.Drop", args, &DropReply{}); err != nil {
-				break
-			}
-			ids = ids[n:]
+	for _, o := range b.owed {
+		if o.keeper != "" && drops[o.keeper] == nil {
+			drops[o.keeper] = []string{}
 		}
 	}
+	return drops
 }
 
 // Handover brings all bills into the log, those held for others included, or to peers when the log does not take them.
--- a/pkg/ledger/keeper.go
+++ b/pkg/ledger/keeper.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// holdFor is how long a keeper leaves a bill to its origin before it appends the bill itself, in milliseconds.
-	holdFor = 30 * clock.Second
+	// holdFor is how long an origin must be silent before a keeper appends its bills, in milliseconds.
+	holdFor = 6 * clock.Second
 	// keepEvery is the period in which a keeper looks for such bills, in milliseconds.
 	keepEvery        = 1 * clock.Second
 	defaultMaxHeld   = 20000
@@ -27,16 +27,17 @@
 	Held bool
 }
 
-// DropArgs are the requests whose bills the log has.
+// DropArgs are the requests whose bills the log has. They also show that their origin lives and will append the others.
 type DropArgs struct {
+	Origin     string
 	RequestIDs []string
 }
 
 // DropReply is empty.
 type DropReply struct{}
 
-// BillKeeper holds bills of other instances while the log does not take them, and appends those that their origin
-// has not appended in time. It is a net/rpc receiver and safe for concurrent use.
+// BillKeeper holds bills of other instances while the log does not take them, and appends those whose origin
+// falls silent. It is a net/rpc receiver and safe for concurrent use.
 type BillKeeper struct {
 	Common settings.Common
 	Log    RecordAppender
@@ -44,9 +45,11 @@
 	MaxHeld  int
 	MaxBytes int
 
-	once   sync.Once
-	mu     sync.Mutex
-	held   map[string]*heldBill
+	once sync.Once
+	mu   sync.Mutex
+	held map[string]*heldBill
+	// heard is when each origin was heard of last.
+	heard  map[string]clock.Millis
 	bytes  int
 	outbox Outbox
 	// closed is true when this instance is leaving and takes no more bills.
@@ -63,6 +66,7 @@
 func (k *BillKeeper) init() {
 	k.once.Do(func() {
 		k.held = map[string]*heldBill{}
+		k.heard = map[string]clock.Millis{}
 		limit := orDefault(k.MaxHeld, defaultMaxHeld)
 		k.outbox = Outbox{Common: k.Common, Log: k.Log, Limit: limit, Appended: k.appended}
 		k.outbox.init()
@@ -98,7 +102,7 @@
 	return nil
 }
 
-// Drop forgets bills that the log has.
+// Drop forgets bills that the log has, and leaves the others of the same origin to it for a while longer.
 func (k *BillKeeper) Drop(args *DropArgs, _ *DropReply) error {
 	k.init()
 	k.mu.Lock()
@@ -106,10 +110,11 @@
 	for _, id := range args.RequestIDs {
 		k.forget(id)
 	}
+	k.heard[args.Origin] = k.Common.Clock.Now()
 	return nil
 }
 
-// Run appends bills that their origin has not appended in time, until ctx ends.
+// Run appends bills whose origin is silent, until ctx ends.
 func (k *BillKeeper) Run(ctx context.Context) error {
 	k.init()
 	var wg sync.WaitGroup
@@ -129,15 +134,20 @@
 	k.closed = true
 }
 
-// post hands the bills that are held since before a time to the log.
+// post hands the bills to the log whose origin was not heard of since before a time.
 func (k *BillKeeper) post(before clock.Millis) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, h := range k.held {
-		if !h.posted && h.since <= before {
+		if !h.posted && max(h.since, k.heard[h.bill.Instance]) <= before {
 			h.posted = k.outbox.Add(h.data) != nil
 		}
 	}
+	for origin, at := range k.heard {
+		if at <= before {
+			delete(k.heard, origin)
+		}
+	}
 }
 
 func (k *BillKeeper) appended(p *Posted) {
