--- a/pkg/ledger/biller.go
+++ b/pkg/ledger/biller.go
@@ -92,7 +92,7 @@
 	c.Writer = w
 	err := next.Handle(ctx, c)
 	c.Writer = w.Writer
-	if w.billed || err == nil {
+	if w.billed || err == nil && len(c.Usage) == 0 {
 		return err
 	}
 	outcome := enquiry.MayHaveRun
