--- a/pkg/ledger/bill_test.go
+++ b/pkg/ledger/bill_test.go
@@ -113,6 +113,7 @@
 	resultAnswers result = iota
 	resultRefuses
 	resultBreaks
+	resultStops
 )
 
 // serve sends one request of two cascade steps through the biller, and tells whether its caller saw the end of the answer.
@@ -124,6 +125,9 @@
 			return enquiry.Refuse(enquiry.ReasonOverloaded, 0, "full")
 		}
 		c.Usage = append(c.Usage, enquiry.Usage{Upstream: "u1", Cost: 3}, enquiry.Usage{Upstream: "u2", Cost: 7})
+		if r == resultStops {
+			return nil
+		}
 		if r == resultBreaks {
 			return &enquiry.Refusal{Outcome: enquiry.MayHaveRun, Reason: enquiry.ReasonUpstreamFailed}
 		}
@@ -168,6 +172,7 @@
 		{name: "cascade is one line", play: func(o *office) { _, _ = o.clerks["a"].serve("r1", resultAnswers) }, want: chai(1)},
 		{name: "call that did not run", play: func(o *office) { _, _ = o.clerks["a"].serve("r1", resultRefuses) }},
 		{name: "call that may have run", play: func(o *office) { _, _ = o.clerks["a"].serve("r1", resultBreaks) }, want: chai(1)},
+		{name: "call that stops without an end", play: func(o *office) { _, _ = o.clerks["a"].serve("r1", resultStops) }, want: chai(1)},
 		{
 			name: "answer of the log lost",
 			play: func(o *office) {
