--- a/pkg/app/tool.go
+++ b/pkg/app/tool.go
@@ -46,6 +46,10 @@
 	t.billCommand(k)
 	t.requestCommand(k)
 	t.replayCommand(k)
+	if len(args) == 0 {
+		k.Usage(nil)
+		return ExitUsage
+	}
 	return run(k, args, t.Stderr)
 }
 
--- /dev/null
+++ b/pkg/app/tool_test.go
@@ -0,0 +1,201 @@
+package app
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/desk"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+)
+
+const testKey = "0123456789abcdef"
+
+// instance is a stand-in for both interfaces of an instance; it answers by method and path.
+type instance struct {
+	replies map[string]reply
+	bodies  map[string]string
+}
+
+type reply struct {
+	status int
+	body   string
+	header map[string]string
+}
+
+func (s *instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	key := r.Method + " " + r.URL.RequestURI()
+	s.bodies[key] = string(body)
+	if r.Header.Get("Authorization") != "Bearer "+testKey {
+		w.WriteHeader(http.StatusUnauthorized)
+		_ = json.NewEncoder(w).Encode(desk.ErrorBody{Reason: enquiry.ReasonUnauthorized, Detail: "send the key"})
+		return
+	}
+	rep, known := s.replies[key]
+	if !known {
+		w.WriteHeader(http.StatusNotFound)
+		_ = json.NewEncoder(w).Encode(desk.ErrorBody{Reason: enquiry.ReasonNotFound, Detail: "no " + key})
+		return
+	}
+	for name, v := range rep.header {
+		w.Header().Set(name, v)
+	}
+	w.WriteHeader(rep.status)
+	_, _ = io.WriteString(w, rep.body)
+}
+
+func writeFile(t *testing.T, name, content string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+const (
+	digest       = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+	testDocument = `{
+	// Chai houses.
+	"Workspaces": [{"Name": "guests", "KeyDigest": "` + digest + `", "Versions": ["chai@1"]}],
+	"Zones": [{"Name": "arusha-1", "Out": false}, {"Name": "arusha-2"}],
+}`
+	current  = `{"Revision": 9, "Zones": {"arusha-1": {"Name": "arusha-1", "Out": true}, "old": {"Name": "old"}}, "Objects": {"Zone/arusha-1": 5, "Zone/old": 6}}`
+	accepted = `{"ID": "c-1", "State": "Accepted", "Revision": 10}`
+	stream   = "data: {\"choices\":[{\"delta\":{\"content\":\"karibu \"}}]}\n\ndata: {\"choices\":[{\"delta\":{\"content\":\"sana\"}}]}\n\n"
+)
+
+func TestToolCommands(t *testing.T) {
+	good := writeFile(t, "config.json", testDocument)
+	key := writeFile(t, "a.key", testKey)
+	otherKey := writeFile(t, "b.key", testKey+"x")
+	route := map[string]string{desk.HeaderVersion: "chai@1", desk.HeaderUpstream: "engine-1", desk.HeaderRequestID: "r-1", desk.HeaderCost: "9", desk.HeaderOutcome: "Ran"}
+	request := []string{"request", "--profile", "chat", "--workspace-key-file", key, "habari"}
+	for _, c := range []struct {
+		name    string
+		args    []string
+		replies map[string]reply
+		code    int
+		// out and errOut are parts of what is printed, sent is part of the body that the instance got.
+		out    string
+		errOut string
+		sent   string
+	}{
+		{name: "help", args: []string{"--help"}, code: ExitOK, out: "completion-script-bash"},
+		{name: "version", args: []string{"--version"}, code: ExitOK},
+		{name: "completion", args: []string{"--completion-script-bash"}, code: ExitOK},
+		{name: "no command", args: []string{}, code: ExitUsage},
+		{name: "unknown command", args: []string{"fly"}, code: ExitUsage, errOut: "--help"},
+		{name: "no key file", args: []string{"--key-file", "", "zone", "list"}, code: ExitUsage, errOut: "CARAWAYKNOT_KEY_FILE"},
+		{name: "wrong key", args: []string{"--key-file", otherKey, "zone", "list"}, code: ExitFailed, errOut: "Unauthorized"},
+		{name: "nobody there", args: []string{"--admin", "http://127.0.0.1:1", "zone", "list"}, code: ExitUnreachable, errOut: "another instance"},
+		{name: "check", args: []string{"config", "check", good}, code: ExitOK, out: "3 objects in order"},
+		{name: "check of an unknown field", args: []string{"config", "check", writeFile(t, "x.json", "{\n\"Zonez\": []}")}, code: ExitUsage, errOut: "x.json:2"},
+		{name: "check of a bad digest", args: []string{"config", "check", writeFile(t, "x.json", strings.Replace(testDocument, digest, "00", 1))}, code: ExitUsage, errOut: "KeyDigest"},
+		{name: "check of an object twice", args: []string{"config", "check", writeFile(t, "x.json", `{"Zones": [{"Name": "a"}, {"Name": "a"}]}`)}, code: ExitUsage, errOut: "Zone/a stands twice"},
+		{name: "check without a file", args: []string{"config", "check", "/nowhere.json"}, code: ExitUsage, errOut: "nowhere"},
+		{name: "apply", args: []string{"config", "apply", "--note", "spring", good}, code: ExitOK, out: "Accepted",
+			replies: map[string]reply{"GET /admin/v1/config": {200, current, nil}, "POST /admin/v1/changes": {200, accepted, nil}},
+			sent:    `"Note":"spring","Edits":[{"Kind":"Workspace","Name":"guests","Base":0,`},
+		{name: "apply with pruning, dry", args: []string{"config", "apply", "--prune", "--dry-run", good}, code: ExitOK, out: "remove  Zone       old       6",
+			replies: map[string]reply{"GET /admin/v1/config": {200, current, nil}}},
+		{name: "apply, recorded only", args: []string{"config", "apply", good}, code: ExitRecorded, out: "entry-2", errOut: "MISSING",
+			replies: map[string]reply{"GET /admin/v1/config": {200, current, nil},
+				"POST /admin/v1/changes": {202, `{"ID": "c-1", "State": "Recorded", "Missing": ["entry-2"]}`, nil}}},
+		{name: "apply, conflict", args: []string{"config", "apply", good}, code: ExitFailed, out: "is at revision 6", errOut: "config show",
+			replies: map[string]reply{"GET /admin/v1/config": {200, current, nil},
+				"POST /admin/v1/changes": {409, `{"ID": "c-1", "State": "Refused", "Why": "Zone old is at revision 6"}`, nil}}},
+		{name: "show", args: []string{"config", "show"}, code: ExitOK, out: "// Revision 9",
+			replies: map[string]reply{"GET /admin/v1/config": {200, current, nil}}},
+		{name: "history", args: []string{"config", "history"}, code: ExitOK, out: "1970-01-01 00:00:01Z",
+			replies: map[string]reply{"GET /admin/v1/history?limit=20": {200, `[{"ID": "c-1", "Revision": 3, "At": 1000}]`, nil}}},
+		{name: "zone out", args: []string{"zone", "out", "arusha-1"}, code: ExitOK, out: "Accepted", sent: `{"Out":true,"Note":""}`,
+			replies: map[string]reply{"POST /admin/v1/zones/arusha-1": {200, accepted, nil}}},
+		{name: "zone list", args: []string{"zone", "list"}, code: ExitOK, out: "arusha-1  yes  engine-1   entry-1",
+			replies: map[string]reply{"GET /admin/v1/zones": {200, `[{"Name": "arusha-1", "Out": true, "Upstreams": ["engine-1"], "Members": ["entry-1"]}]`, nil}}},
+		{name: "zone list as JSON", args: []string{"--json", "zone", "list"}, code: ExitOK, out: `"Name": "arusha-1"`,
+			replies: map[string]reply{"GET /admin/v1/zones": {200, `[{"Name": "arusha-1"}]`, nil}}},
+		{name: "withdraw", args: []string{"version", "withdraw", "chai@1"}, code: ExitOK, sent: `{"Withdrawn":true,"Note":""}`,
+			replies: map[string]reply{"POST /admin/v1/versions/chai@1": {200, accepted, nil}}},
+		{name: "rollout", args: []string{"version", "rollout", "chai", "--to", "chai@2", "--share", "0.25", "--resume"}, code: ExitOK,
+			sent:    `{"From":null,"To":"chai@2","Share":0.25,"Held":false,"Note":""}`,
+			replies: map[string]reply{"POST /admin/v1/rollouts/chai": {200, accepted, nil}}},
+		{name: "hold and resume", args: []string{"version", "rollout", "chai", "--hold", "--resume"}, code: ExitUsage, errOut: "not both"},
+		{name: "version list", args: []string{"version", "list"}, code: ExitOK, out: "to, share 0.10, held: ratings fell",
+			replies: map[string]reply{"GET /admin/v1/versions": {200, `[{"Version": {"ID": "chai@2"}, "Rollout": {"To": "chai@2", "Share": 0.1, "Held": true, "Evidence": "ratings fell"}}]`, nil}}},
+		{name: "upstream list", args: []string{"upstream", "list"}, code: ExitOK, out: "cold",
+			replies: map[string]reply{"GET /admin/v1/upstreams": {200, `[{"Name": "engine-1", "Cold": true}]`, nil}}},
+		{name: "drain", args: []string{"upstream", "drain", "--undo", "engine-1"}, code: ExitOK, sent: `{"Drained":false,"Note":""}`,
+			replies: map[string]reply{"POST /admin/v1/upstreams/engine-1": {200, accepted, nil}}},
+		{name: "state", args: []string{"state", "--all"}, code: ExitOK, out: `"entry-1": {}`,
+			replies: map[string]reply{"GET /admin/v1/state?scope=all": {200, `{"entry-1": {}}`, nil}}},
+		{name: "bill", args: []string{"bill", "r 1"}, code: ExitOK, out: `"Cost": 9`,
+			replies: map[string]reply{"GET /admin/v1/bills?request=r+1": {200, `{"Cost": 9}`, nil}}},
+		{name: "request", args: request, code: ExitOK, out: "karibu sana\n", errOut: "version chai@1  upstream engine-1  outcome Ran  cost 9",
+			sent:    `{"messages":[{"role":"user","content":"habari"}],"stream":true}`,
+			replies: map[string]reply{"POST /v1/chat/completions": {200, stream + "data: [DONE]\n\n", route}}},
+		{name: "request that is cut", args: request, code: ExitFailed, out: "karibu sana\n", errOut: "not whole",
+			replies: map[string]reply{"POST /v1/chat/completions": {200, stream, route}}},
+		{name: "request with an error event", args: request, code: ExitFailed, errOut: "AnswerIncomplete: cut (ask again in 0.5 s)",
+			replies: map[string]reply{"POST /v1/chat/completions": {200, stream + "event: error\ndata: {\"Outcome\": \"MayHaveRun\", \"Reason\": \"AnswerIncomplete\", \"Detail\": \"cut\", \"RetryAfter\": 500}\n\n", route}}},
+		{name: "request that is refused", args: request, code: ExitFailed, errOut: "Overloaded",
+			replies: map[string]reply{"POST /v1/chat/completions": {503, `{"Outcome": "NotRun", "Reason": "Overloaded"}`, nil}}},
+		{name: "service request", args: []string{"request", "--service", "booking", "--path", "/tables", "--request-key", "k-1", "--workspace-key-file", key, "six"},
+			code: ExitOK, out: "booked", sent: "six",
+			replies: map[string]reply{"POST /services/booking/tables": {201, "booked", route}}},
+		{name: "request without a profile", args: []string{"request", "--workspace-key-file", key, "x"}, code: ExitUsage, errOut: "--profile"},
+		{name: "replay", args: []string{"replay", "trace.json"}, code: ExitFailed, errOut: "not built in"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &instance{replies: c.replies, bodies: map[string]string{}}
+			srv := httptest.NewServer(s)
+			defer srv.Close()
+			t.Setenv("CARAWAYKNOT_ADMIN", srv.URL)
+			t.Setenv("CARAWAYKNOT_URL", srv.URL)
+			t.Setenv("CARAWAYKNOT_KEY_FILE", key)
+			var out, errOut bytes.Buffer
+			code := RunTool(c.args, strings.NewReader(""), &out, &errOut)
+			if code != c.code {
+				t.Errorf("exit code %d, want %d", code, c.code)
+			}
+			if !strings.Contains(out.String(), c.out) || !strings.Contains(errOut.String(), c.errOut) {
+				t.Errorf("printed\n%s\n%s\nwant %q and %q", out.String(), errOut.String(), c.out, c.errOut)
+			}
+			sent := ""
+			for _, body := range s.bodies {
+				sent += body
+			}
+			if !strings.Contains(sent, c.sent) {
+				t.Errorf("sent %s, want %s", sent, c.sent)
+			}
+		})
+	}
+}
+
+// TestConfigShowCanBeApplied applies what show prints, which must change nothing.
+func TestConfigShowCanBeApplied(t *testing.T) {
+	var s catalogue.State
+	if err := json.Unmarshal([]byte(current), &s); err != nil {
+		t.Fatal(err)
+	}
+	b, err := json.Marshal(documentOf(&s))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := parseDocument("shown.json", b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	edits, err := d.edits("shown.json", &s, true)
+	if err != nil || len(edits) != 0 {
+		t.Errorf("edits %v, %v", edits, err)
+	}
+}
--- a/pkg/courier/attempt.go
+++ b/pkg/courier/attempt.go
@@ -108,11 +108,17 @@
 	a.exchange.abandon()
 }
 
-// permitted asks the gate on a copy of the call, since the transport asks it on a goroutine of its own that may outlive
-// the attempt.
+// permitted asks the gate, and then the filter that holds a claim, on a copy of the call, since the transport asks on a
+// goroutine of its own that may outlive the attempt.
 func (a *attempt) permitted() error {
 	c := a.asked
-	return a.Gate.Permit(&c)
+	if err := a.Gate.Permit(&c); err != nil {
+		return err
+	}
+	if r := c.MaySend(a.Clock.Now()); r != nil {
+		return r
+	}
+	return nil
 }
 
 // watchedBody tells the watch of each byte that comes.
--- a/pkg/courier/gate_test.go
+++ b/pkg/courier/gate_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/enquiry"
 )
 
@@ -87,3 +89,31 @@
 		s.Close()
 	})
 }
+
+// TestP09ClaimIsAskedBeforeTheFirstByte lets a claim run out while the connection is being made.
+func TestP09ClaimIsAskedBeforeTheFirstByte(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &witness{breakAfter: -1}
+		s := testSend(func(ctx context.Context, network, address string) (net.Conn, error) {
+			time.Sleep(time.Second)
+			return w.dial(ctx, network, address)
+		})
+		call := serviceCall(s, &recorder{}, http.MethodPost, false)
+		expires := s.Clock.Now() + 500
+		call.BeforeSend = func(now clock.Millis) *enquiry.Refusal {
+			if now < expires {
+				return nil
+			}
+			return enquiry.Refuse(enquiry.ReasonClaimExpired, 700, "too old")
+		}
+		r := refusalOf(t, s.Filter(t.Context(), call, nil))
+		if r == nil || r.Outcome != enquiry.NotRun || r.Reason != enquiry.ReasonClaimExpired || r.RetryAfter != 700 {
+			t.Errorf("refusal %v, want NotRun ClaimExpired", r)
+		}
+		s.Close()
+		synctest.Wait()
+		if n := w.got.Load(); n != 0 {
+			t.Errorf("the upstream got %d bytes", n)
+		}
+	})
+}
--- a/pkg/desk/refusal.go
+++ b/pkg/desk/refusal.go
@@ -34,6 +34,8 @@
 	enquiry.ReasonKeyReused:        http.StatusUnprocessableEntity,
 	enquiry.ReasonKeyTooOld:        http.StatusGone,
 	enquiry.ReasonKeyInUse:         http.StatusConflict,
+	enquiry.ReasonAlreadyRan:       http.StatusConflict,
+	enquiry.ReasonClaimExpired:     http.StatusServiceUnavailable,
 	enquiry.ReasonWorkspaceLimit:   http.StatusTooManyRequests,
 	enquiry.ReasonOverloaded:       http.StatusServiceUnavailable,
 	enquiry.ReasonMemory:           http.StatusServiceUnavailable,
