--- a/pkg/courier/gate.go
+++ b/pkg/courier/gate.go
@@ -13,7 +13,7 @@
 	Snapshot func() *catalogue.Snapshot
 }
 
-// Permit returns a *catalogue.StaleError or a *catalogue.ForbiddenError for a call that may not be sent now.
+// Permit returns a *catalogue.StaleError, or a *enquiry.Refusal of a version or an upstream that may not be used now.
 func (g *SnapshotGate) Permit(c *enquiry.Call) error {
 	s := g.Snapshot()
 	if s == nil {
@@ -24,8 +24,17 @@
 	}
 	if c.Version != nil {
 		if err := s.PermitVersion(c.Request.Workspace, c.Version.ID); err != nil {
-			return err
+			return refuseFor(enquiry.ReasonNoVersion, err)
 		}
 	}
-	return s.PermitUpstream(c.Upstream.Name)
+	if err := s.PermitUpstream(c.Upstream.Name); err != nil {
+		return refuseFor(enquiry.ReasonNoUpstream, err)
+	}
+	return nil
+}
+
+func refuseFor(reason enquiry.Reason, err error) *enquiry.Refusal {
+	r := enquiry.Refuse(reason, retrySoon, "%s", err.Error())
+	r.Cause = err
+	return r
 }
--- a/pkg/courier/gate_test.go
+++ b/pkg/courier/gate_test.go
@@ -35,11 +35,11 @@
 		pause  time.Duration
 		want   enquiry.Reason
 	}{
-		{name: "P01 version no longer allowed for the workspace", want: enquiry.ReasonNoUpstream,
+		{name: "P01 version no longer allowed for the workspace", want: enquiry.ReasonNoVersion,
 			change: func(s *catalogue.Snapshot) { s.Config.Workspaces["guests"].Versions = nil }},
-		{name: "P01 workspace removed", want: enquiry.ReasonNoUpstream,
+		{name: "P01 workspace removed", want: enquiry.ReasonNoVersion,
 			change: func(s *catalogue.Snapshot) { delete(s.Config.Workspaces, "guests") }},
-		{name: "P02 version withdrawn", want: enquiry.ReasonNoUpstream,
+		{name: "P02 version withdrawn", want: enquiry.ReasonNoVersion,
 			change: func(s *catalogue.Snapshot) { s.Config.Versions[testVersion].Withdrawn = true }},
 		{name: "P06 availability zone taken out", want: enquiry.ReasonNoUpstream,
 			change: func(s *catalogue.Snapshot) { s.Config.Zones["arusha-1"].Out = true }},
--- a/pkg/courier/refusal.go
+++ b/pkg/courier/refusal.go
@@ -91,13 +91,16 @@
 	r.Reason, r.RetryAfter = a.reason(err)
 	var told *enquiry.Refusal
 	if errors.As(err, &told) {
-		r.Reason, r.RetryAfter, r.Field, r.Detail = told.Reason, told.RetryAfter, told.Field, told.Detail
-		r.Cause = told.Cause
+		r.Field, r.Detail, r.Cause = told.Field, told.Detail, told.Cause
 	}
 	return r
 }
 
 func (a *attempt) reason(err error) (enquiry.Reason, clock.Millis) {
+	var told *enquiry.Refusal
+	if errors.As(err, &told) {
+		return told.Reason, told.RetryAfter
+	}
 	var (
 		status    *statusError
 		mismatch  *mismatchError
@@ -130,11 +133,15 @@
 	return enquiry.ReasonUpstreamFailed, retrySoon
 }
 
-// result classifies the attempt for its sample.
+// result classifies the attempt for its sample; an upstream is not to blame for what never left or for the caller.
 func (a *attempt) result(err error) enquiry.Result {
 	if err == nil {
 		return enquiry.ResultComplete
 	}
+	var denied *deniedError
+	if errors.As(err, &denied) {
+		return enquiry.ResultCancelled
+	}
 	reason, _ := a.reason(err)
 	switch reason {
 	case enquiry.ReasonUpstreamRefused:
@@ -143,7 +150,7 @@
 		return enquiry.ResultCut
 	case enquiry.ReasonAnswerMismatch:
 		return enquiry.ResultMismatch
-	case enquiry.ReasonCallerGone, enquiry.ReasonStaleView, enquiry.ReasonNoUpstream:
+	case enquiry.ReasonCallerGone, enquiry.ReasonMemory:
 		return enquiry.ResultCancelled
 	case enquiry.ReasonDeadline:
 		if !a.wrote {
--- a/pkg/desk/caller.go
+++ b/pkg/desk/caller.go
@@ -30,7 +30,8 @@
 	Ready func() error
 	// InFlight counts the requests being served.
 	InFlight *InFlight
-	// Budget bounds the answers that are held to be sent as a whole; without it they are not bounded.
+	// Budget bounds the bodies of requests, and the answers that are held to be sent as a whole; without it they are not
+	// bounded.
 	Budget *courier.Budget
 	// Metrics counts what callers see; it is optional.
 	Metrics *Metrics
@@ -51,9 +52,9 @@
 		w.Header().Set("Allow", http.MethodPost)
 		writeText(w, http.StatusMethodNotAllowed, "use POST\n")
 	case r.URL.Path == chatPath:
-		d.serve(w, r, d.readChat)
+		d.serve(w, r, (*intake).readChat)
 	case strings.HasPrefix(r.URL.Path, servicePrefix):
-		d.serve(w, r, d.readService)
+		d.serve(w, r, (*intake).readService)
 	default:
 		writeError(w, enquiry.Refuse(enquiry.ReasonNotFound, 0, "no such path; use %s or %s{name}/", chatPath, servicePrefix))
 	}
@@ -73,26 +74,24 @@
 	_, _ = w.Write([]byte(text))
 }
 
-// reader fills in a request from what a caller sent; workspace and id are known.
-type reader func(w http.ResponseWriter, r *http.Request, snap *catalogue.Snapshot, q *enquiry.Request) error
-
 // serve takes one request through the line.
-func (d *Caller) serve(w http.ResponseWriter, r *http.Request, read reader) {
+func (d *Caller) serve(w http.ResponseWriter, r *http.Request, read func(*intake) error) {
 	began := d.Clock.Now()
 	if !d.InFlight.Enter(d.Settings.Limits.InFlight) {
 		d.refuse(w, enquiry.Refuse(enquiry.ReasonOverloaded, retrySoon, "the instance serves as many requests as it may"))
 		return
 	}
 	defer d.InFlight.Leave()
-	q, err := d.read(w, r, read)
-	if err != nil {
+	in := &intake{Caller: d, w: w, r: r, request: &enquiry.Request{ArrivedAt: began, Repeatable: true}}
+	defer in.close()
+	if err := in.read(read); err != nil {
 		d.refuse(w, err)
 		return
 	}
-	c := &enquiry.Call{Request: q}
-	out := d.writer(w, q)
+	c := &enquiry.Call{Request: in.request}
+	out := d.writer(w, in.request)
 	c.Writer = out
-	err = d.Line.Handle(r.Context(), c)
+	err := d.Line.Handle(r.Context(), c)
 	d.Metrics.observe(c, err, d.Clock.Now()-began)
 	d.note(c, err)
 	if err != nil {
@@ -120,36 +119,6 @@
 	log.V(1).Info("answered")
 }
 
-// read checks who asks and what for.
-func (d *Caller) read(w http.ResponseWriter, r *http.Request, read reader) (*enquiry.Request, error) {
-	snap := d.Snapshot()
-	if snap == nil {
-		return nil, enquiry.Refuse(enquiry.ReasonStaleView, retrySoon, "the configuration is not known yet")
-	}
-	if snap.Draining {
-		return nil, enquiry.Refuse(enquiry.ReasonDraining, retrySoon, "the instance is shutting down, ask another")
-	}
-	if err := snap.Fresh(d.Clock.Now(), d.Settings.Times.Horizon); err != nil {
-		return nil, staleRefusal(err)
-	}
-	ws := d.keys.workspace(snap.Config, bearer(r))
-	if ws == nil {
-		return nil, enquiry.Refuse(enquiry.ReasonUnauthorized, 0, "send the workspace key as Authorization: Bearer <key>")
-	}
-	q := &enquiry.Request{Workspace: ws.Name, ArrivedAt: d.Clock.Now(), Repeatable: true}
-	if err := readHeaders(r.Header, q); err != nil {
-		return nil, err
-	}
-	w.Header().Set(HeaderRequestID, q.ID)
-	if err := read(w, r, snap, q); err != nil {
-		return nil, err
-	}
-	if !q.Repeatable && q.Key == "" {
-		return nil, refuseField(HeaderRequestKey, "a request that must not run twice needs a key of its own in this header")
-	}
-	return q, nil
-}
-
 func staleRefusal(err error) *enquiry.Refusal {
 	r := enquiry.Refuse(enquiry.ReasonStaleView, retrySoon, "this instance is cut off, ask another")
 	r.Cause = err
--- a/pkg/desk/caller_test.go
+++ b/pkg/desk/caller_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/courier"
 	"carawayknot.example/carawayknot/pkg/enquiry"
 )
 
@@ -84,6 +85,11 @@
 			if diff := cmp.Diff(c.want, got); diff != "" {
 				t.Errorf("refusal (-want +got):\n%s\n%s", diff, body)
 			}
+			if b := caller.Budget; b != nil {
+				if _, ok := b.Open(b.Total); !ok {
+					t.Error("memory is still reserved after the answer")
+				}
+			}
 			if n := caller.InFlight.Count(); n != 0 {
 				t.Errorf("%d requests in flight after the answer", n)
 			}
@@ -263,10 +269,14 @@
 		{"view too old", testSnapshot(testNow - 5_001), 1, enquiry.ReasonStaleView},
 		{"draining", draining, 1, enquiry.ReasonDraining},
 		{"too many requests", testSnapshot(testNow), 0, enquiry.ReasonOverloaded},
+		{"no memory for the body", testSnapshot(testNow), 1, enquiry.ReasonMemory},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			caller := testCaller(c.snap, answerChat)
 			caller.Settings.Limits.InFlight = c.limit
+			if c.reason == enquiry.ReasonMemory {
+				caller.Budget = &courier.Budget{Total: int64(len(goodChat)) - 1}
+			}
 			srv := serveTest(t, caller)
 			resp, body := ask(t, srv.URL, http.MethodPost, chatPath, goodChat, nil)
 			e := errorOf(t, body)
--- a/pkg/desk/chatbody.go
+++ b/pkg/desk/chatbody.go
@@ -3,12 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
-	"net/http"
 	"strings"
 
 	"github.com/cockroachdb/errors"
 
-	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/enquiry"
 )
 
@@ -18,15 +16,6 @@
 	maxMaxTokens  = 1 << 20
 )
 
-// readChat fills in a chat completion.
-func (d *Caller) readChat(w http.ResponseWriter, r *http.Request, _ *catalogue.Snapshot, q *enquiry.Request) error {
-	body, err := d.readBody(w, r)
-	if err != nil {
-		return err
-	}
-	return parseChat(body, q)
-}
-
 // parseChat reads the body of a chat completion; fields that this system has no use for go to the engine as they are.
 func parseChat(body []byte, q *enquiry.Request) error {
 	fields := map[string]json.RawMessage{}
--- a/pkg/desk/fakes_test.go
+++ b/pkg/desk/fakes_test.go
@@ -13,6 +13,7 @@
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/courier"
 	"carawayknot.example/carawayknot/pkg/enquiry"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
@@ -70,6 +71,7 @@
 		Snapshot: view,
 		Ready:    func() error { return nil },
 		InFlight: &InFlight{},
+		Budget:   &courier.Budget{Total: 1 << 20, PerRequest: 64 << 10},
 		Metrics:  NewMetrics(),
 	}
 }
--- a/pkg/desk/read.go
+++ b/pkg/desk/read.go
@@ -1,16 +1,11 @@
 package desk
 
 import (
-	"io"
 	"net/http"
 	"strconv"
-	"strings"
-	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
-	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/enquiry"
 )
@@ -22,8 +17,6 @@
 	maxPinLength     = 4096
 	// maxDeadline bounds the time a caller may state, in milliseconds.
 	maxDeadline = 24 * 60 * 60 * clock.Second
-	// bodyTime bounds the reading of a body.
-	bodyTime = 30 * clock.Second
 )
 
 // readHeaders fills in what the headers say of a request.
@@ -88,37 +81,3 @@
 	}
 	return nil
 }
-
-// readService fills in a call of a plain service.
-func (d *Caller) readService(w http.ResponseWriter, r *http.Request, snap *catalogue.Snapshot, q *enquiry.Request) error {
-	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), servicePrefix), "/")
-	s := snap.Config.Services[name]
-	if s == nil {
-		return enquiry.Refuse(enquiry.ReasonNotFound, 0, "no such service")
-	}
-	q.Service, q.Method, q.Header = name, r.Method, r.Header
-	q.Path = "/" + rest
-	if r.URL.RawQuery != "" {
-		q.Path += "?" + r.URL.RawQuery
-	}
-	q.Repeatable = q.Repeatable && s.Repeatable(r.Method)
-	body, err := d.readBody(w, r)
-	q.Body = body
-	return err
-}
-
-// readBody reads the body within its bounds of size and time.
-func (d *Caller) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(bodyTime.Duration()))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, d.Settings.Limits.BodyBytes))
-	_ = rc.SetReadDeadline(time.Time{})
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return nil, enquiry.Refuse(enquiry.ReasonTooLarge, 0, "the body may have at most %d bytes", large.Limit)
-	}
-	if err != nil {
-		return nil, refuseField("body", "the body could not be read to its end")
-	}
-	return body, nil
-}
