Tell a refusal without a request id from a crossed answer, and prefix the logs of desk, admin and courier

Cause: an engine that is down behind something that answers 503 without X-Request-Id was counted as a crossed answer. Excluded: trusting such a refusal as NotRun; nothing shows that it belongs to this request. Change: an answer of 400 or above without any id is a failure or refusal that proves nothing; with another id it stays a mismatch. Before: MayHaveRun AnswerMismatch. Conclusion: the outcome is as strict as before, the health of an upstream tells crossed answers from outages.

--- a/pkg/courier/chat.go
+++ b/pkg/courier/chat.go
@@ -133,7 +133,7 @@
 	defer a.watch.resume()
 	if a.Cancel != nil {
 		if err := a.cancel(a.ctx, a.call.Upstream.Address, a.call.Request.ID, true); err != nil {
-			a.Log.V(1).Info("could not put off", "request", a.call.Request.ID, "error", err.Error())
+			a.log().V(1).Info("could not put off", "request", a.call.Request.ID, "error", err.Error())
 		}
 	}
 	return q.drained(a.ctx)
@@ -222,25 +222,36 @@
 
 // checkHead returns an error for a head that does not begin the answer to this request.
 func (a *attempt) checkHead(resp *http.Response) error {
-	if err := a.checkEcho(resp.Header); err != nil {
+	if err := a.checkEcho(resp); err != nil {
 		return err
 	}
 	if resp.StatusCode == http.StatusOK {
 		return nil
 	}
-	return &statusError{
-		Status:     resp.StatusCode,
-		RetryAfter: retryAfter(resp.Header),
-		proved:     a.provesNotRun(resp.StatusCode),
+	return a.statusError(resp)
+}
+
+// checkEcho returns an error for an answer that does not bear the id of this request; a refusal without any id may come
+// from something in front of the upstream, and proves nothing.
+func (a *attempt) checkEcho(resp *http.Response) error {
+	got := resp.Header.Get(requestIDHeader)
+	if got == a.call.Request.ID {
+		return nil
 	}
+	a.abandon()
+	if got == "" && resp.StatusCode >= http.StatusBadRequest {
+		return a.statusError(resp)
+	}
+	return &mismatchError{Field: requestIDHeader, Want: a.call.Request.ID, Got: got}
 }
 
-func (a *attempt) checkEcho(h http.Header) error {
-	if got := h.Get(requestIDHeader); got != a.call.Request.ID {
-		a.abandon()
-		return &mismatchError{Field: requestIDHeader, Want: a.call.Request.ID, Got: got}
+func (a *attempt) statusError(resp *http.Response) *statusError {
+	own := resp.Header.Get(requestIDHeader) == a.call.Request.ID
+	return &statusError{
+		Status:     resp.StatusCode,
+		RetryAfter: retryAfter(resp.Header),
+		proved:     own && a.provesNotRun(resp.StatusCode),
 	}
-	return nil
 }
 
 // provesNotRun tells whether the status proves, by the contract of the upstream, that the request did not run.
--- a/pkg/courier/report.go
+++ b/pkg/courier/report.go
@@ -17,7 +17,7 @@
 		a.cancelWork(a.call.Upstream.Address, a.call.Request.ID)
 	}
 	if err != nil {
-		a.Log.V(1).Info("attempt failed", "request", a.call.Request.ID, "upstream", a.call.Upstream.Name,
+		a.log().V(1).Info("attempt failed", "request", a.call.Request.ID, "upstream", a.call.Upstream.Name,
 			"outcome", a.outcome(err), "error", err.Error())
 	}
 	if a.Observe != nil {
--- a/pkg/courier/send.go
+++ b/pkg/courier/send.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/enquiry"
@@ -90,7 +91,7 @@
 	go func() {
 		defer s.background.Done()
 		if err := s.cancel(context.Background(), address, id, false); err != nil {
-			s.Log.V(1).Info("could not cancel", "request", id, "upstream", address, "error", err.Error())
+			s.log().V(1).Info("could not cancel", "request", id, "upstream", address, "error", err.Error())
 		}
 	}()
 }
@@ -100,3 +101,5 @@
 	defer stop()
 	return errors.Wrap(s.Cancel.Cancel(ctx, address, id, keep), "cancel")
 }
+
+func (s *Send) log() logr.Logger { return s.Log.WithName("courier") }
--- a/pkg/courier/service.go
+++ b/pkg/courier/service.go
@@ -82,16 +82,12 @@
 }
 
 func (a *attempt) checkService(resp *http.Response) error {
-	if err := a.checkEcho(resp.Header); err != nil {
+	if err := a.checkEcho(resp); err != nil {
 		return err
 	}
 	switch resp.StatusCode {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return &statusError{
-			Status:     resp.StatusCode,
-			RetryAfter: retryAfter(resp.Header),
-			proved:     a.provesNotRun(resp.StatusCode),
-		}
+		return a.statusError(resp)
 	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return &cutError{cause: errOpenEnd}
--- a/pkg/desk/admin.go
+++ b/pkg/desk/admin.go
@@ -83,7 +83,7 @@
 
 // fail writes the error and how to go on.
 func (a *Admin) fail(w http.ResponseWriter, r *http.Request, err error) {
-	a.Log.Info("refused an operator", "path", r.URL.Path, "error", err.Error())
+	a.Log.WithName("admin").Info("refused an operator", "path", r.URL.Path, "error", err.Error())
 	var (
 		refusal  *enquiry.Refusal
 		invalid  *catalogue.InvalidError
--- a/pkg/desk/admin_change.go
+++ b/pkg/desk/admin_change.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "change %s", ch.ID)
 	}
-	a.Log.Info("change", "id", ch.ID, "author", ch.Author, "state", receipt.State, "revision", receipt.Revision, "why", receipt.Why)
+	a.Log.WithName("admin").Info("change", "id", ch.ID, "author", ch.Author, "state", receipt.State, "revision", receipt.Revision, "why", receipt.Why)
 	writeJSON(w, receiptStatus(receipt.State), receipt)
 	return nil
 }
--- a/pkg/desk/caller.go
+++ b/pkg/desk/caller.go
@@ -105,7 +105,7 @@
 }
 
 func (d *Caller) note(c *enquiry.Call, err error) {
-	log := d.Log.WithValues("request", c.Request.ID, "workspace", c.Request.Workspace, "attempts", c.Attempts, "cost", c.Cost())
+	log := d.Log.WithName("desk").WithValues("request", c.Request.ID, "workspace", c.Request.Workspace, "attempts", c.Attempts, "cost", c.Cost())
 	if c.Upstream != nil {
 		log = log.WithValues("upstream", c.Upstream.Name)
 	}
