--- /dev/null
+++ b/pkg/courier/bench_test.go
@@ -0,0 +1,79 @@
+package courier
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"carawayknot.example/carawayknot/pkg/clock"
+)
+
+// benchTokens is the number of tokens of a benchmark's answer.
+const benchTokens = 100
+
+func benchAnswer() string {
+	var s strings.Builder
+	for i := range benchTokens {
+		s.WriteString(tokenEvent(i, "table "))
+	}
+	s.WriteString(endEvent(benchTokens) + doneEvent)
+	return s.String()
+}
+
+// BenchmarkChat sends a chat completion over a pipe and passes 100 tokens on.
+func BenchmarkChat(b *testing.B) {
+	answer := streamHead + benchAnswer()
+	u := &upstream{play: func(_ int, _ *http.Request, conn net.Conn) {
+		_, _ = io.WriteString(conn, answer)
+		conn.Close()
+	}}
+	s := testSend(u.dial)
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := s.Filter(b.Context(), chatCall(s, &recorder{}), nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/benchTokens, "ns/token")
+}
+
+// BenchmarkEvents reads and checks 100 events.
+func BenchmarkEvents(b *testing.B) {
+	answer := []byte(benchAnswer())
+	b.ReportAllocs()
+	for b.Loop() {
+		check := &order{id: testID, version: testVersion}
+		r := NewEventReader(bytes.NewReader(answer))
+		for range benchTokens {
+			ev, err := r.Next()
+			if err != nil {
+				b.Fatal(err)
+			}
+			ce, err := parseChatEvent(ev)
+			if err != nil {
+				b.Fatal(err)
+			}
+			if _, err := check.next(ce); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+}
+
+// BenchmarkQueue puts and takes one token.
+func BenchmarkQueue(b *testing.B) {
+	hold, _ := (&Budget{Total: 1 << 20, PerRequest: 1 << 20}).Open(floorBytes)
+	q := newQueue(hold, clock.NewReal(), clock.Second, false)
+	k, _ := (&order{id: testID, version: testVersion}).next(chatEvent{ID: testID, Model: testVersion, Offset: new(int), Choices: []choice{{}}})
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := q.put(b.Context(), k); err != nil {
+			b.Fatal(err)
+		}
+		_, n, _ := q.take(b.Context())
+		q.wrote(n)
+	}
+}
