--- a/pkg/courier/gate_test.go
+++ b/pkg/courier/gate_test.go
@@ -63,10 +63,15 @@
 					return w.dial(ctx, network, address)
 				}
 				s.Gate = &SnapshotGate{Common: s.Common, Snapshot: func() *catalogue.Snapshot { return snap }}
+				var sample enquiry.Sample
+				s.Observe = func(m enquiry.Sample) { sample = m }
 				r := refusalOf(t, s.Filter(t.Context(), chatCall(s, &recorder{}), nil))
 				if r == nil || r.Outcome != enquiry.NotRun || r.Reason != c.want {
 					t.Errorf("refusal %v, want NotRun %s", r, c.want)
 				}
+				if sample.Result != enquiry.ResultCancelled {
+					t.Errorf("the upstream is blamed: %s", sample.Result)
+				}
 				s.Close()
 				synctest.Wait()
 				if n := w.got.Load(); n != 0 {
--- /dev/null
+++ b/pkg/settings/page_test.go
@@ -0,0 +1,41 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// TestPageHasEachFieldAndDefault keeps docs/SETTINGS.md in step with the code.
+func TestPageHasEachFieldAndDefault(t *testing.T) {
+	b, err := os.ReadFile("../../docs/SETTINGS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := Default()
+	checkPage(t, string(b), "", reflect.ValueOf(s))
+}
+
+func checkPage(t *testing.T, page, path string, v reflect.Value) {
+	for i := range v.NumField() {
+		name := strings.TrimPrefix(path+"."+v.Type().Field(i).Name, ".")
+		field := v.Field(i)
+		if field.Kind() == reflect.Struct {
+			checkPage(t, page, name, field)
+			continue
+		}
+		row := fmt.Sprintf("| `%s` | ", name)
+		_, rest, found := strings.Cut(page, row)
+		if !found {
+			t.Errorf("no row %s", row)
+			continue
+		}
+		got, _, _ := strings.Cut(rest, " |")
+		want := fmt.Sprint(field.Interface())
+		if got = strings.Trim(got, "`"); got != want && !(want == "" && (got == "required" || got == "none")) {
+			t.Errorf("%s: the page has default %q, the code %q", name, got, want)
+		}
+	}
+}
