--- a/pkg/desk/caller_test.go
+++ b/pkg/desk/caller_test.go
@@ -272,7 +272,10 @@
 		{"no memory for the body", testSnapshot(testNow), 1, enquiry.ReasonMemory},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			caller := testCaller(c.snap, answerChat)
+			caller := testCaller(c.snap, func(context.Context, *enquiry.Call) error {
+				t.Error("the line was asked")
+				return nil
+			})
 			caller.Settings.Limits.InFlight = c.limit
 			if c.reason == enquiry.ReasonMemory {
 				caller.Budget = &courier.Budget{Total: int64(len(goodChat)) - 1}
