--- a/pkg/app/tool.go
+++ b/pkg/app/tool.go
@@ -9,16 +9,11 @@
 	"github.com/alecthomas/kingpin/v2"
 )
 
-// Replay plays a trace file; target is empty for the built-in stand-ins, or the URL of a running set.
-type Replay func(ctx context.Context, trace, target string, asJSON bool, stdout io.Writer) error
-
 // Tool is the command-line tool of operators.
 type Tool struct {
 	Stdin  io.Reader
 	Stdout io.Writer
 	Stderr io.Writer
-	// Replay carries out the command of that name; without it the command says that it is not built in.
-	Replay Replay
 
 	admin  client
 	asJSON bool
