--- a/pkg/caravan/shares.go
+++ b/pkg/caravan/shares.go
@@ -80,6 +80,15 @@
 	return least
 }
 
+// ColdPart returns the part of limit that the member has by its rank at a cold upstream, when all instances see the same members.
+func ColdPart(upstream, member string, limit int, members []catalogue.Member) int {
+	rank, found := RankOf(upstream, member, members)
+	if !found {
+		return 0
+	}
+	return partOf(rank, limit, len(members))
+}
+
 // partOf returns the part of limit that the holder of a rank has among n holders; the parts of all ranks add up to limit.
 func partOf(rank, limit, n int) int {
 	if rank >= min(limit, n) {
--- a/pkg/concierge/place.go
+++ b/pkg/concierge/place.go
@@ -36,7 +36,6 @@
 // Filter sends the call to one upstream after another until one answers or it may not be sent again.
 func (f *Place) Filter(ctx context.Context, c *enquiry.Call, next enquiry.Handler) error {
 	f.Budget.Add()
-	c.Upstream = nil
 	shown := &shownWriter{Writer: c.Writer}
 	c.Writer = shown
 	defer func() { c.Writer = shown.Writer }()
--- a/pkg/house/dump.go
+++ b/pkg/house/dump.go
@@ -41,7 +41,7 @@
 	ListAt       clock.Millis
 	Listed       []catalogue.Member
 	Items        []caravan.Item
-	Marks        []concierge.Mark
+	Verdicts     []concierge.Verdict
 	Counters     []tasting.Counter
 	Suspects     []tasting.Suspect
 	Dropped      int64
@@ -107,8 +107,8 @@
 		HighestHeard: k.Freshness.Highest(),
 		ListAt:       k.Membership.ListAt(),
 		Listed:       k.Membership.Listed(),
-		Items:        append(k.Gossip.Items(markTopic), k.Gossip.Items(healthTopic)...),
-		Marks:        c.ColdWatch.Marks(),
+		Items:        append(k.Gossip.Items(verdictTopic), k.Gossip.Items(healthTopic)...),
+		Verdicts:     c.ColdWatch.Verdicts(),
 		Counters:     c.Ratings.Own(),
 		Suspects:     c.Ratings.Suspects(),
 		Dropped:      c.Dropped(),
--- a/pkg/house/gossip.go
+++ b/pkg/house/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"slices"
 	"strconv"
 
@@ -13,17 +14,19 @@
 )
 
 const (
-	// markTopic has what each instance knows of the cold starts of upstreams, by upstream.
-	markTopic = "u"
+	// verdictTopic has what each instance found out about upstreams by its own requests, by upstream.
+	verdictTopic = "u"
 	// healthTopic has the counters of each instance, by version and task.
 	healthTopic = "v"
 	// itemsPerSecond bounds the items that all instances together publish, since each one reaches every instance.
 	itemsPerSecond = 12.0
+	// limitStep is the relative change of a limit that is worth telling others.
+	limitStep = 0.25
 )
 
 // publication remembers what this instance told the others, and when.
 type publication struct {
-	marks    map[string]concierge.Mark
+	verdicts    map[string]concierge.Verdict
 	counters map[string]tasting.Counter
 	next     clock.Millis
 }
@@ -31,14 +34,14 @@
 // tellOthers publishes what changed, as far as this instance's part of the common rate allows.
 func (c *Control) tellOthers(now clock.Millis) {
 	p := &c.published
-	if p.marks == nil {
-		p.marks = map[string]concierge.Mark{}
+	if p.verdicts == nil {
+		p.verdicts = map[string]concierge.Verdict{}
 		p.counters = map[string]tasting.Counter{}
 	}
-	for _, m := range c.ColdWatch.Marks() {
-		if p.marks[m.Upstream] != m {
-			p.marks[m.Upstream] = m
-			c.put(markTopic, m.Upstream, &m)
+	for _, v := range c.ColdWatch.Verdicts() {
+		if old, told := p.verdicts[v.Upstream]; !told || worthTelling(&old, &v) {
+			p.verdicts[v.Upstream] = v
+			c.put(verdictTopic, v.Upstream, &v)
 		}
 	}
 	members := len(c.Knowledge.Membership.Members())
@@ -70,6 +73,13 @@
 	c.Knowledge.Gossip.Put(topic, key, data)
 }
 
+func worthTelling(old, v *concierge.Verdict) bool {
+	if old.Incarnation != v.Incarnation || old.Episode != v.Episode || old.Cold != v.Cold {
+		return true
+	}
+	return math.Abs(float64(v.Limit-old.Limit)) > limitStep*float64(old.Limit)
+}
+
 // grown tells whether a counter has enough news: the more was counted, the more is needed.
 func grown(old, k *tasting.Counter) bool {
 	const newsShare = 16
@@ -79,14 +89,14 @@
 
 // itemsChanged takes in what the others published.
 func (c *Control) itemsChanged() {
-	var marks []concierge.Mark
-	for _, item := range c.Knowledge.Gossip.Items(markTopic) {
-		var m concierge.Mark
-		if item.Origin != c.Common.Settings.Name && c.listed(item.Key) && c.decode(&item, &m) {
-			marks = append(marks, m)
+	var verdicts []concierge.Verdict
+	for _, item := range c.Knowledge.Gossip.Items(verdictTopic) {
+		var v concierge.Verdict
+		if item.Origin != c.Common.Settings.Name && c.listed(item.Key) && c.decode(&item, &v) {
+			verdicts = append(verdicts, v)
 		}
 	}
-	c.ColdWatch.TakeMarks(marks)
+	c.ColdWatch.TakeVerdicts(verdicts)
 	byOrigin := map[string][]tasting.Counter{}
 	for _, item := range c.Knowledge.Gossip.Items(healthTopic) {
 		var k tasting.Counter
@@ -100,7 +110,7 @@
 	}
 }
 
-// listed tells whether the list shows the upstream; marks of others would never be forgotten.
+// listed tells whether the list shows the upstream; verdicts of others would never be forgotten.
 func (c *Control) listed(upstream string) bool {
 	return slices.ContainsFunc(c.upstreams, func(i platform.Instance) bool { return i.Name == upstream })
 }
--- a/pkg/house/house.go
+++ b/pkg/house/house.go
@@ -188,7 +188,8 @@
 			Freshness:  &caravan.Freshness{Self: self.Name},
 			Gossip:     &caravan.Gossip{Self: self},
 		},
-		Shares:    &caravan.ColdShares{Self: self.Name, Lag: t.ListLag, Lease: t.ColdLease, Hold: t.ColdHold},
+		Shares:    &caravan.ColdShares{Self: self.Name, Lag: t.ListLag, Lease: t.ColdLease, Publish: catalogue.ShareTime, Hold: t.ColdHold},
+		Subset:    &caravan.Subset{Self: self.Name},
 		ColdWatch: &concierge.ColdWatch{},
 		Ratings:   &tasting.Book{Config: journal.State},
 	}
--- a/pkg/trace/instance.go
+++ b/pkg/trace/instance.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-logr/logr"
 
+	"carawayknot.example/carawayknot/pkg/caravan"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/concierge"
@@ -177,11 +178,11 @@
 
 // share is this instance's part of what the upstream bears.
 func (in *instance) share(u *catalogue.Upstream, members []catalogue.Member) int {
-	limit := u.Rule.ColdLimit
-	if !u.Cold {
-		limit = in.watch.WarmLimit(u.Name)
+	self := in.common.Settings.Name
+	if u.Cold {
+		return caravan.ColdPart(u.Name, self, u.Rule.ColdLimit, members)
 	}
-	return partOf(u.Name, in.common.Settings.Name, limit, members)
+	return caravan.WarmPart(u.Name, self, in.watch.WarmLimit(u.Name), members)
 }
 
 func (in *instance) readRatings() {
@@ -199,7 +200,7 @@
 func (in *instance) mergePeers() {
 	for _, p := range in.peers {
 		in.book.Merge(p.common.Settings.Name, p.book.Own())
-		in.watch.TakeMarks(p.watch.Marks())
+		in.watch.TakeVerdicts(p.watch.Verdicts())
 	}
 	in.hold()
 }
