Bound a delta at 3 KB

Cause: after an hour's cut one of 330 instances sent and received 86,647 B in one period (BenchmarkHealing).

--- a/pkg/caravan/gossip.go
+++ b/pkg/caravan/gossip.go
@@ -13,7 +13,7 @@
 
 const (
 	// deltaBytes bounds the data of one delta.
-	deltaBytes = 8 << 10
+	deltaBytes = 3 << 10
 	// itemOverhead is counted for each item beside its data, in bytes.
 	itemOverhead = 16
 )
