--- a/pkg/caravan/knowledge.go
+++ b/pkg/caravan/knowledge.go
@@ -107,7 +107,7 @@
 		out.ProofAge = now - proved + 1
 	}
 	// While log and list are up, nobody needs to know who was heard when.
-	if out.Ready && now-min(proved, k.Membership.ListAt()) > agingPeriods*k.Tick {
+	if out.Ready && k.alone() {
 		out.Ages = k.Freshness.ages(k.members, k.Gossip.view, now, a.Digest.IsSparse)
 	}
 	return out
@@ -164,6 +164,9 @@
 	return max(k.Membership.ListAt(), byMembers)
 }
 
+// ViewAt returns the monotonic time at which configuration and list were both proved to be current.
+func (k *Knowledge) ViewAt() clock.Millis { return min(k.ProvedAt(), k.ListProvedAt()) }
+
 // Holders counts the members that hold the revision, this instance included, and names the others.
 func (k *Knowledge) Holders(r catalogue.Revision) (have int, missing []string) {
 	for _, m := range k.Membership.Members() {
--- a/pkg/caravan/permit_test.go
+++ b/pkg/caravan/permit_test.go
@@ -15,7 +15,7 @@
 
 // snapshot is what the node publishes to its traffic.
 func (n *meshNode) snapshot() *catalogue.Snapshot {
-	s := &catalogue.Snapshot{At: min(n.know.ProvedAt(), n.know.ListProvedAt()), Config: n.journal.State()}
+	s := &catalogue.Snapshot{At: n.know.ViewAt(), Config: n.journal.State()}
 	if n.frozen {
 		return s
 	}
