--- a/pkg/house/gossip.go
+++ b/pkg/house/gossip.go
@@ -26,7 +26,7 @@
 
 // publication remembers what this instance told the others, and when.
 type publication struct {
-	verdicts    map[string]concierge.Verdict
+	verdicts map[string]concierge.Verdict
 	counters map[string]tasting.Counter
 	next     clock.Millis
 }
