Count a rating for the task of the answer it is about

Cause: the platform is not told the task of a request, so its ratings came with none and counted for no task; nothing read them. Change: an instance remembers the task with each answer it sent, where it already remembered the request and the version. Before: TestRatingsCountForTheTaskOfTheAnswer had 0 ratings in place of 1. After: it passes. Conclusion: ratings of the platform reach the version's health.

--- a/pkg/tasting/book.go
+++ b/pkg/tasting/book.go
@@ -71,7 +71,7 @@
 	k := catalogue.HealthKey{Version: s.Version, Task: s.Task}
 	switch s.Result {
 	case enquiry.ResultComplete:
-		b.sent.add(sentKey{id: s.RequestID, version: s.Version})
+		b.sent.add(sentKey{id: s.RequestID, version: s.Version}, s.Task)
 		b.takeAnswer(k, &s)
 	case enquiry.ResultFailed, enquiry.ResultCut, enquiry.ResultMismatch:
 		b.count(k, &Counter{Failures: 1})
@@ -94,12 +94,13 @@
 // TakeRatings takes in ratings; those of answers that other instances sent are left to them.
 func (b *Book) TakeRatings(ratings []platform.Rating) {
 	for _, r := range ratings {
-		if !b.sent.remove(sentKey{id: r.RequestID, version: r.Version}) {
+		task, found := b.sent.remove(sentKey{id: r.RequestID, version: r.Version})
+		if !found {
 			continue
 		}
 		d := Counter{Rated: 1, ScoreSum: min(1, max(0, r.Score))}
 		d.Scores[step(d.ScoreSum)] = 1
-		b.count(catalogue.HealthKey{Version: r.Version, Task: r.Task}, &d)
+		b.count(catalogue.HealthKey{Version: r.Version, Task: task}, &d)
 	}
 }
 
--- a/pkg/tasting/book_test.go
+++ b/pkg/tasting/book_test.go
@@ -155,6 +155,17 @@
 	}
 }
 
+// TestRatingsCountForTheTaskOfTheAnswer has ratings as the platform makes them, which is not told the task of a request.
+func TestRatingsCountForTheTaskOfTheAnswer(t *testing.T) {
+	f := newFeed(rollOut())
+	name := f.sample(oldVersion, enquiry.ResultComplete, 1100)
+	f.TakeRatings([]platform.Rating{{RequestID: name, Version: oldVersion, Score: 0.8}})
+	got := f.Health()[catalogue.HealthKey{Version: oldVersion, Task: task}]
+	if diff := cmp.Diff([]float64{1, 0.8}, []float64{float64(got.Rated), got.Mean}); diff != "" {
+		t.Errorf("ratings and mean (-want +got):\n%s", diff)
+	}
+}
+
 func TestMergeIsTheSameInAnyOrderAndTwice(t *testing.T) {
 	f := newFeed(rollOut())
 	f.rated(oldVersion, 20, 0.9, 0.1)
