Hold a roll-out whose version turned bad, with the evidence in the log

Cause: the sequential tests found bad versions and new sessions left them, but the roll-out stood as if nothing were wrong. Change: the first three instances in rank append the change; it has the same id at all of them, so that it counts once.

--- /dev/null
+++ b/pkg/house/hold.go
@@ -0,0 +1,75 @@
+package house
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayknot.example/carawayknot/pkg/caravan"
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/tasting"
+)
+
+const (
+	// holdPeriod is how often versions that turned bad are looked for, in milliseconds.
+	holdPeriod = 1 * clock.Second
+	// holdHolders is how many instances append the change that holds a roll-out, in case some of them can't.
+	holdHolders = 3
+	holdAuthor  = "version health"
+)
+
+// holdRollouts holds the roll-out to each version that a test found to be bad, with the evidence.
+// New sessions leave the version before that, since the choice of versions reads the health itself.
+func (h *House) holdRollouts(ctx context.Context) error {
+	found := make(chan []tasting.Suspect, 1)
+	if err := h.control.Do(ctx, func() { found <- h.control.Ratings.Suspects() }); err != nil {
+		return err
+	}
+	s := h.control.Snapshot()
+	for _, suspect := range <-found {
+		ch := holdChange(s.Config, &suspect)
+		if ch == nil || !h.isHolder(string(suspect.Version), s.Members) {
+			continue
+		}
+		r, err := h.applier.Apply(ctx, ch)
+		if err != nil {
+			return errors.Wrapf(err, "hold the roll-out to %s", suspect.Version)
+		}
+		h.Common.Log.WithName("health").Info("roll-out held", "version", suspect.Version, "evidence", suspect.Evidence, "state", r.State)
+	}
+	return nil
+}
+
+// holdChange returns the change that holds the roll-out to the suspect, or nil when there is none to hold.
+// All instances make the same id for the same roll-out, so that the change counts once.
+func holdChange(s *catalogue.State, suspect *tasting.Suspect) *catalogue.Change {
+	old := s.Rollouts[suspect.Version.Model()]
+	if old == nil || old.To != suspect.Version || old.Held {
+		return nil
+	}
+	held := *old
+	held.Held, held.Evidence = true, suspect.Task+": "+suspect.Evidence
+	object, err := json.Marshal(&held)
+	if err != nil {
+		return nil
+	}
+	base := s.ObjectRevision(catalogue.ObjectKey{Kind: catalogue.KindRollout, Name: old.Model})
+	return &catalogue.Change{
+		ID:     fmt.Sprintf("hold-%s-%d", suspect.Version, base),
+		Author: holdAuthor,
+		Note:   held.Evidence,
+		Edits:  []catalogue.Edit{{Kind: catalogue.KindRollout, Name: old.Model, Base: base, Object: object}},
+	}
+}
+
+func (h *House) isHolder(key string, members []catalogue.Member) bool {
+	for i, m := range caravan.Rank(key, members) {
+		if m.Name == h.self.Name {
+			return i < holdHolders
+		}
+	}
+	return false
+}
--- a/pkg/house/house.go
+++ b/pkg/house/house.go
@@ -125,6 +125,7 @@
 	g.Go(func() error { return h.every(ctx, "list", t.ListPoll, h.readList) })
 	g.Go(func() error { return h.every(ctx, "load", t.LoadPoll, h.readLoads) })
 	g.Go(func() error { return h.every(ctx, "probe", probePeriod, h.prober.Round) })
+	g.Go(func() error { return h.every(ctx, "health", holdPeriod, h.holdRollouts) })
 	if h.Common.Settings.Platform.Ratings != "" {
 		g.Go(func() error { return h.every(ctx, "ratings", t.RatingPoll, h.readRatings) })
 	}
