Take in only what changed of the items of other instances; forget the counters of instances that are gone

Cause: each exchange decoded all items of all instances, which grows with their number, and counters of replaced instances stayed for good. Change: the gossip keeps what a merge changed until it is taken; verdicts on an upstream that the list does not show yet are read again when it does.

--- a/pkg/caravan/gossip.go
+++ b/pkg/caravan/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/binary"
 	"slices"
 	"strings"
@@ -36,6 +37,14 @@
 	members []catalogue.Member
 	view    uint64
 	turn    int
+	// changes are the items of others that changed since they were taken.
+	changes map[changeKey]Item
+}
+
+// changeKey names an item of an origin.
+type changeKey struct {
+	origin string
+	item   itemKey
 }
 
 // origin holds the items of one incarnation of an instance; head is the highest sequence number held.
@@ -114,10 +123,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b Item) int {
-		if c := strings.Compare(a.Origin, b.Origin); c != 0 {
-			return c
-		}
-		return strings.Compare(a.Key, b.Key)
+		return cmp.Or(strings.Compare(a.Origin, b.Origin), strings.Compare(a.Key, b.Key))
 	})
 	return out
 }
@@ -164,13 +170,39 @@
 	g.origins[d.Name] = o
 	for _, it := range d.Items {
 		if it.Seq > o.head {
-			o.items[itemKey{it.Topic, it.Key}] = &itemState{seq: it.Seq, data: it.Data}
+			k := itemKey{it.Topic, it.Key}
+			o.items[k] = &itemState{seq: it.Seq, data: it.Data}
+			g.noteChange(o, k, it.Data)
 		}
 	}
 	o.head = d.Head
 	return true
 }
 
+func (g *Gossip) noteChange(o *origin, k itemKey, data []byte) {
+	if k.topic == HeldTopic {
+		return
+	}
+	if g.changes == nil {
+		g.changes = map[changeKey]Item{}
+	}
+	g.changes[changeKey{o.name, k}] = Item{Origin: o.name, Incarnation: o.incarnation, Topic: k.topic, Key: k.key, Data: data}
+}
+
+// TakeChanges returns the items of other instances that changed since the last call, sorted, those of HeldTopic left out;
+// an item without data was withdrawn.
+func (g *Gossip) TakeChanges() []Item {
+	out := make([]Item, 0, len(g.changes))
+	for _, it := range g.changes {
+		out = append(out, it)
+	}
+	g.changes = nil
+	slices.SortFunc(out, func(a, b Item) int {
+		return cmp.Or(strings.Compare(a.Topic, b.Topic), strings.Compare(a.Origin, b.Origin), strings.Compare(a.Key, b.Key))
+	})
+	return out
+}
+
 func (g *Gossip) isMember(name string) bool {
 	_, found := slices.BinarySearchFunc(g.members, name, func(m catalogue.Member, n string) int { return strings.Compare(m.Name, n) })
 	return found
--- a/pkg/house/control.go
+++ b/pkg/house/control.go
@@ -48,7 +48,9 @@
 	loads     map[string]catalogue.Load
 	health    map[catalogue.HealthKey]catalogue.Health
 	published publication
-	draining  bool
+	// origins has the origin of the counters merged last, by instance.
+	origins  map[string]string
+	draining bool
 	// settled is true once this instance could send to an upstream, be it a cold one.
 	settled atomic.Bool
 }
@@ -145,22 +147,35 @@
 		return
 	}
 	c.Shares.See(c.Knowledge.Membership.Listed(), m.SentAt)
-	gone := map[string]bool{}
+	c.takeUpstreams(m.Listing.Instances)
+	c.Knowledge.Refresh()
+	c.forgetOrigins()
+	c.publish()
+}
+
+func (c *Control) takeUpstreams(listed []platform.Instance) {
+	before := map[string]int64{}
 	for _, u := range c.upstreams {
-		gone[u.Name] = true
+		before[u.Name] = u.Incarnation
 	}
 	c.upstreams = nil
-	for _, i := range m.Listing.Instances {
-		if i.Role != catalogue.RoleEntry {
-			c.upstreams = append(c.upstreams, i)
-			delete(gone, i.Name)
+	news := false
+	for _, i := range listed {
+		if i.Role == catalogue.RoleEntry {
+			continue
 		}
+		incarnation, known := before[i.Name]
+		news = news || !known || incarnation != i.Incarnation
+		delete(before, i.Name)
+		c.upstreams = append(c.upstreams, i)
 	}
-	for name := range gone {
+	for name := range before {
 		c.forget(name)
 	}
-	c.Knowledge.Refresh()
-	c.publish()
+	if news {
+		// Verdicts that came before the list showed their upstream were not taken.
+		c.takeVerdicts(c.Knowledge.Gossip.Items(verdictTopic))
+	}
 }
 
 func (c *Control) forget(upstream string) {
--- a/pkg/house/gossip.go
+++ b/pkg/house/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -87,30 +88,63 @@
 	return news > (old.Answers+old.Failures)/newsShare
 }
 
-// itemsChanged takes in what the others published.
+// itemsChanged takes in what the others published since the last call.
 func (c *Control) itemsChanged() {
+	var verdicts []caravan.Item
+	for _, item := range c.Knowledge.Gossip.TakeChanges() {
+		switch item.Topic {
+		case verdictTopic:
+			verdicts = append(verdicts, item)
+		case healthTopic:
+			c.takeCounter(&item)
+		}
+	}
+	c.takeVerdicts(verdicts)
+}
+
+// takeVerdicts takes in verdicts on listed upstreams; verdicts on others would never be forgotten.
+func (c *Control) takeVerdicts(items []caravan.Item) {
 	var verdicts []concierge.Verdict
-	for _, item := range c.Knowledge.Gossip.Items(verdictTopic) {
+	for _, item := range items {
 		var v concierge.Verdict
-		if item.Origin != c.Common.Settings.Name && c.listed(item.Key) && c.decode(&item, &v) {
+		if item.Origin != c.Common.Settings.Name && len(item.Data) > 0 && c.listed(item.Key) && c.decode(&item, &v) {
 			verdicts = append(verdicts, v)
 		}
 	}
-	c.ColdWatch.TakeVerdicts(verdicts)
-	byOrigin := map[string][]tasting.Counter{}
-	for _, item := range c.Knowledge.Gossip.Items(healthTopic) {
-		var k tasting.Counter
-		if item.Origin != c.Common.Settings.Name && c.decode(&item, &k) {
-			origin := item.Origin + " " + strconv.FormatInt(item.Incarnation, 10)
-			byOrigin[origin] = append(byOrigin[origin], k)
-		}
+	if len(verdicts) > 0 {
+		c.ColdWatch.TakeVerdicts(verdicts)
+	}
+}
+
+func (c *Control) takeCounter(item *caravan.Item) {
+	var k tasting.Counter
+	if len(item.Data) == 0 || !c.decode(item, &k) {
+		return
+	}
+	origin := item.Origin + " " + strconv.FormatInt(item.Incarnation, 10)
+	if c.origins == nil {
+		c.origins = map[string]string{}
+	}
+	if old, known := c.origins[item.Origin]; known && old != origin {
+		c.Ratings.Forget(old)
+	}
+	c.origins[item.Origin] = origin
+	c.Ratings.Merge(origin, []tasting.Counter{k})
+}
+
+// forgetOrigins drops the counters of instances that are gone; what they counted stays in the health of the versions.
+func (c *Control) forgetOrigins() {
+	gone := maps.Clone(c.origins)
+	for _, m := range c.Knowledge.Membership.Members() {
+		delete(gone, m.Name)
 	}
-	for origin, counters := range byOrigin {
-		c.Ratings.Merge(origin, counters)
+	for name, origin := range gone {
+		c.Ratings.Forget(origin)
+		delete(c.origins, name)
 	}
 }
 
-// listed tells whether the list shows the upstream; verdicts of others would never be forgotten.
+// listed tells whether the list shows the upstream.
 func (c *Control) listed(upstream string) bool {
 	return slices.ContainsFunc(c.upstreams, func(i platform.Instance) bool { return i.Name == upstream })
 }
