--- a/pkg/caravan/mesh_test.go
+++ b/pkg/caravan/mesh_test.go
@@ -42,7 +42,9 @@
 	view    *fake.LogView
 	// frozen stops the node, as a stopped process.
 	frozen bool
-	pipes  map[string]*pipe
+	// listDown hides the list from the node.
+	listDown bool
+	pipes    map[string]*pipe
 	// sent and received count the bytes of messages.
 	sent, received int64
 }
@@ -177,7 +179,7 @@
 }
 
 func (n *meshNode) readList() {
-	if l, err := n.mesh.list.Instances(context.Background()); err == nil {
+	if l, err := n.mesh.list.Instances(context.Background()); err == nil && !n.listDown {
 		n.know.Membership.SeeList(l, n.mesh.clock.Now())
 	}
 }
@@ -192,17 +194,8 @@
 	for range 20 {
 		from, sentAt := n.journal.Next(), n.mesh.clock.Now()
 		b, err := n.view.Read(context.Background(), catalogue.StreamName, from, 100, 0)
-		var trimmed *platform.TrimmedError
-		var ahead *platform.AheadError
-		switch {
-		case errors.As(err, &trimmed):
-			n.journal.TakeTrimmed(trimmed)
-		case errors.As(err, &ahead):
-			n.journal.TakeAhead(sentAt, ahead)
-		case err != nil:
+		if n.journal.TakeRead(sentAt, b, err) != nil && n.journal.Next() == from {
 			return
-		default:
-			_ = n.journal.Take(sentAt, b)
 		}
 		if n.journal.Next() == from {
 			return
--- a/pkg/caravan/network_test.go
+++ b/pkg/caravan/network_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -27,9 +28,15 @@
 	return nil
 }
 
-func startNetwork(t *testing.T, name, key string) (*Network, catalogue.Member) {
+func startNetwork(t testing.TB, name, key string) (*Network, catalogue.Member) {
+	n, self, _ := startNetworkAt(t, name, key, "127.0.0.1:0")
+	return n, self
+}
+
+// startNetworkAt returns a function that ends the network early, too.
+func startNetworkAt(t testing.TB, name, key, address string) (*Network, catalogue.Member, func()) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,13 +49,14 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- n.Serve(ctx, l) }()
-	t.Cleanup(func() {
+	stop := sync.OnceFunc(func() {
 		cancel()
 		if err := <-done; err != nil {
 			t.Error(err)
 		}
 	})
-	return n, self
+	t.Cleanup(stop)
+	return n, self, stop
 }
 
 func TestNetworkCall(t *testing.T) {
@@ -88,3 +96,56 @@
 		})
 	}
 }
+
+// TestNetworkReconnects restarts a member under its address: the first call that finds the connection ended connects anew.
+func TestNetworkReconnects(t *testing.T) {
+	a, _ := startNetwork(t, "a", "k")
+	c := clock.NewManual(1000)
+	a.Common.Clock = c
+	_, b, stop := startNetworkAt(t, "b", "k", "127.0.0.1:0")
+	a.SetMembers([]catalogue.Member{b})
+	var out string
+	if err := a.Call(t.Context(), "b", "Echo.Say", "one", &out); err != nil {
+		t.Fatal(err)
+	}
+	l := a.links["b"]
+	stop()
+	<-l.over
+	var failed *CallError
+	if err := a.Call(t.Context(), "b", "Echo.Say", "two", &out); !errors.As(err, &failed) || failed.Sent {
+		t.Errorf("call to a member that is down: %v, want an error before the call was sent", err)
+	}
+	startNetworkAt(t, "b", "k", b.PeerAddress)
+	c.Advance(redialPause)
+	if err := a.Call(t.Context(), "b", "Echo.Say", "three", &out); err != nil || out != "three" {
+		t.Errorf("call to the restarted member: %q, %v", out, err)
+	}
+}
+
+// TestP12CallsEndWhileAMemberIsCutOff has a member whose connections are accepted and never answered, as behind a cut.
+func TestP12CallsEndWhileAMemberIsCutOff(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	n, _ := startNetwork(t, "entry-a", "key")
+	n.SetMembers([]catalogue.Member{{Name: "entry-b", PeerAddress: silent.Addr().String()}})
+	ctx, cancel := context.WithCancel(t.Context())
+	const callers = 8
+	ended := make(chan error, callers)
+	for range callers {
+		go func() { ended <- n.Call(ctx, "entry-b", "Echo.Say", "hello", new(string)) }()
+	}
+	cancel()
+	for range callers {
+		var failed *CallError
+		if err := <-ended; !errors.As(err, &failed) || failed.Sent {
+			t.Errorf("Call() = %v, want a *CallError of a call that was not sent", err)
+		}
+	}
+	// One connection was tried for all callers; its handshake has a time limit of its own.
+	if err := n.Call(t.Context(), "entry-b", "Echo.Say", "hello", new(string)); err == nil {
+		t.Error("Call() succeeded without an answer")
+	}
+}
--- a/pkg/caravan/shares_test.go
+++ b/pkg/caravan/shares_test.go
@@ -13,13 +13,16 @@
 		for _, limit := range []int{0, 1, 2, 5, 9, 10, 64, 200} {
 			cold, warm := 0, 0
 			for _, m := range members {
-				cold += PartOf("u", m.Name, limit, members)
-				warm += WarmPart("u", m.Name, limit, members)
+				rank, _ := RankOf("u", m.Name, members)
+				cold += partOf(rank, limit, n)
+				s := Subset{Self: m.Name}
+				s.SetMembers(members)
+				warm += s.Part("u", limit)
 			}
 			if cold != limit {
 				t.Errorf("cold parts of %d members add up to %d, want %d", n, cold, limit)
 			}
-			if limit > 0 && warm != limit {
+			if warm != limit {
 				t.Errorf("warm parts of %d members add up to %d, want %d", n, warm, limit)
 			}
 		}
@@ -28,7 +31,7 @@
 
 func TestP05ShareWaits(t *testing.T) {
 	members := namedMembers(4)
-	s := &ColdShares{Self: "entry-000", Lag: 2000, Lease: 5000, Hold: 10_000}
+	s := &ColdShares{Self: "entry-000", Lag: 2000, Lease: 5000, Publish: 3000, Hold: 5000}
 	share := func(now clock.Millis) int { return s.Share("u", 8, now) }
 	at := clock.Millis(1000)
 	see := func(m []catalogue.Member, span clock.Millis) {
--- a/pkg/catalogue/snapshot.go
+++ b/pkg/catalogue/snapshot.go
@@ -100,11 +100,18 @@
 	Task    string
 }
 
+// MarshalText returns the key as "version task", as it stands in dumps.
+func (k HealthKey) MarshalText() ([]byte, error) {
+	return []byte(string(k.Version) + " " + k.Task), nil
+}
+
 // Snapshot is everything traffic decides on; it is never changed once published.
 type Snapshot struct {
 	// At is the monotonic time at which the configuration and the list were last proved to be current.
 	At     clock.Millis
 	Config *State
+	// SharesAt is the monotonic time at which the shares were worked out.
+	SharesAt clock.Millis
 	// Upstreams are sorted by name.
 	Upstreams []*Upstream
 	// Members are the entry instances, this one included, sorted by name.
@@ -186,6 +193,18 @@
 	return nil
 }
 
+// ShareTime is how long a share of a cold upstream may be used after it was worked out, in milliseconds.
+const ShareTime = 1 * clock.Second
+
+// PermitShare returns a *StaleError when the upstream is cold and the shares are too old to be used at now.
+func (s *Snapshot) PermitShare(name string, now clock.Millis) error {
+	u := s.Upstream(name)
+	if age := now - s.SharesAt; u != nil && u.Cold && age > ShareTime {
+		return &StaleError{Age: age, Horizon: ShareTime}
+	}
+	return nil
+}
+
 // Upstream returns the upstream of that name, or nil.
 func (s *Snapshot) Upstream(name string) *Upstream {
 	for _, u := range s.Upstreams {
--- a/pkg/courier/attempt.go
+++ b/pkg/courier/attempt.go
@@ -101,11 +101,24 @@
 	return resp, nil
 }
 
-// permitted asks the gate on a copy of the call, since the transport asks it on a goroutine of its own that may outlive
-// the attempt.
+// abandon keeps the connection of the exchange from being used again.
+func (a *attempt) abandon() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.exchange.abandon()
+}
+
+// permitted asks the gate, and then the filter that holds a claim, on a copy of the call, since the transport asks on a
+// goroutine of its own that may outlive the attempt.
 func (a *attempt) permitted() error {
 	c := a.asked
-	return a.Gate.Permit(&c)
+	if err := a.Gate.Permit(&c); err != nil {
+		return err
+	}
+	if r := c.MaySend(a.Clock.Now()); r != nil {
+		return r
+	}
+	return nil
 }
 
 // watchedBody tells the watch of each byte that comes.
--- /dev/null
+++ b/pkg/courier/outcome_test.go
@@ -0,0 +1,156 @@
+package courier
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// mayTellMore are the packages that may refuse with another outcome than NotRun, besides enquiry, which declares it.
+var mayTellMore = map[string]bool{"courier": true, "reservation": true, "enquiry": true}
+
+const modulePrefix = "carawayknot.example/carawayknot/pkg/"
+
+// TestP08OnlySendingRefusesOtherThanNotRun reads the source of all packages that an instance is made of: a refusal that
+// is made by hand elsewhere must state NotRun, and the outcome of a refusal is set nowhere else.
+func TestP08OnlySendingRefusesOtherThanNotRun(t *testing.T) {
+	files := token.NewFileSet()
+	seen := map[string]bool{}
+	for todo := []string{"house"}; len(todo) > 0; {
+		pkg := todo[0]
+		todo = todo[1:]
+		if seen[pkg] {
+			continue
+		}
+		seen[pkg] = true
+		for _, f := range parsePackage(t, files, pkg) {
+			todo = append(todo, ownImports(t, f)...)
+			if mayTellMore[pkg] {
+				continue
+			}
+			ast.Inspect(f, func(n ast.Node) bool {
+				for _, at := range outcomesIn(n) {
+					t.Errorf("%s: a refusal with an outcome other than NotRun", files.Position(at))
+				}
+				return true
+			})
+		}
+	}
+	for _, pkg := range []string{"house", "desk", "courier", "reservation", "concierge", "tariff", "ledger"} {
+		if !seen[pkg] {
+			t.Errorf("package %s was not read", pkg)
+		}
+	}
+}
+
+// parsePackage returns the files of a package without its tests.
+func parsePackage(t *testing.T, files *token.FileSet, pkg string) []*ast.File {
+	t.Helper()
+	names, err := filepath.Glob(filepath.Join("..", pkg, "*.go"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []*ast.File
+	for _, name := range names {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		f, err := parser.ParseFile(files, name, nil, parser.SkipObjectResolution)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out = append(out, f)
+	}
+	return out
+}
+
+// ownImports returns the packages of this module that the file imports.
+func ownImports(t *testing.T, f *ast.File) []string {
+	t.Helper()
+	var out []string
+	for _, spec := range f.Imports {
+		path, err := strconv.Unquote(spec.Path.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if pkg, own := strings.CutPrefix(path, modulePrefix); own {
+			out = append(out, pkg)
+		}
+	}
+	return out
+}
+
+func TestOutcomesInFindsEachWay(t *testing.T) {
+	for _, c := range []struct {
+		source string
+		want   int
+	}{
+		{`&enquiry.Refusal{Outcome: enquiry.NotRun, Reason: r}`, 0},
+		{`&enquiry.Refusal{Outcome: enquiry.MayHaveRun}`, 1},
+		{`enquiry.Refusal{Outcome: o}`, 1},
+		{`enquiry.Refusal{Reason: r}`, 1},
+		{`enquiry.Refusal{o, r}`, 1},
+		{`func() { refusal.Outcome = enquiry.Ran }`, 1},
+		{`func() { refusal.Outcome = enquiry.NotRun }`, 0},
+		{`enquiry.Refuse(r, 0, "")`, 0},
+	} {
+		e, err := parser.ParseExpr(c.source)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := 0
+		ast.Inspect(e, func(n ast.Node) bool {
+			got += len(outcomesIn(n))
+			return true
+		})
+		if got != c.want {
+			t.Errorf("%s: found %d, want %d", c.source, got, c.want)
+		}
+	}
+}
+
+// outcomesIn returns where the node makes a refusal, or sets its outcome, other than NotRun.
+func outcomesIn(n ast.Node) []token.Pos {
+	switch n := n.(type) {
+	case *ast.CompositeLit:
+		if isSelector(n.Type, "enquiry", "Refusal") && !statesNotRun(n) {
+			return []token.Pos{n.Pos()}
+		}
+	case *ast.AssignStmt:
+		var found []token.Pos
+		for i, left := range n.Lhs {
+			sel, ok := left.(*ast.SelectorExpr)
+			if ok && sel.Sel.Name == "Outcome" && (len(n.Rhs) <= i || !isSelector(n.Rhs[i], "enquiry", "NotRun")) {
+				found = append(found, left.Pos())
+			}
+		}
+		return found
+	}
+	return nil
+}
+
+func statesNotRun(lit *ast.CompositeLit) bool {
+	for _, e := range lit.Elts {
+		kv, ok := e.(*ast.KeyValueExpr)
+		if !ok {
+			return false
+		}
+		if name, ok := kv.Key.(*ast.Ident); ok && name.Name == "Outcome" {
+			return isSelector(kv.Value, "enquiry", "NotRun")
+		}
+	}
+	return false
+}
+
+func isSelector(e ast.Expr, pkg, name string) bool {
+	sel, ok := e.(*ast.SelectorExpr)
+	if !ok || sel.Sel.Name != name {
+		return false
+	}
+	id, ok := sel.X.(*ast.Ident)
+	return ok && id.Name == pkg
+}
--- a/pkg/house/gossip.go
+++ b/pkg/house/gossip.go
@@ -2,16 +2,20 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"math"
+	"slices"
 	"strconv"
 
 	"carawayknot.example/carawayknot/pkg/caravan"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/concierge"
+	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/tasting"
 )
 
 const (
-	// verdictTopic has what each instance found out about upstreams, by upstream.
+	// verdictTopic has what each instance found out about upstreams by its own requests, by upstream.
 	verdictTopic = "u"
 	// healthTopic has the counters of each instance, by version and task.
 	healthTopic = "v"
@@ -71,10 +75,10 @@
 }
 
 func worthTelling(old, v *concierge.Verdict) bool {
-	if old.Incarnation != v.Incarnation || old.Cold != v.Cold {
+	if old.Incarnation != v.Incarnation || old.Episode != v.Episode || old.Cold != v.Cold {
 		return true
 	}
-	return float64(max(old.Limit, v.Limit)-min(old.Limit, v.Limit)) > limitStep*float64(old.Limit)
+	return math.Abs(float64(v.Limit-old.Limit)) > limitStep*float64(old.Limit)
 }
 
 // grown tells whether a counter has enough news: the more was counted, the more is needed.
@@ -84,29 +88,67 @@
 	return news > (old.Answers+old.Failures)/newsShare
 }
 
-// itemsChanged takes in what the others published.
+// itemsChanged takes in what the others published since the last call.
 func (c *Control) itemsChanged() {
+	var verdicts []caravan.Item
+	for _, item := range c.Knowledge.Gossip.TakeChanges() {
+		switch item.Topic {
+		case verdictTopic:
+			verdicts = append(verdicts, item)
+		case healthTopic:
+			c.takeCounter(&item)
+		}
+	}
+	c.takeVerdicts(verdicts)
+}
+
+// takeVerdicts takes in verdicts on listed upstreams; verdicts on others would never be forgotten.
+func (c *Control) takeVerdicts(items []caravan.Item) {
 	var verdicts []concierge.Verdict
-	for _, item := range c.Knowledge.Gossip.Items(verdictTopic) {
+	for _, item := range items {
 		var v concierge.Verdict
-		if item.Origin != c.Common.Settings.Name && c.decode(&item, &v) {
+		if item.Origin != c.Common.Settings.Name && len(item.Data) > 0 && c.listed(item.Key) && c.decode(&item, &v) {
 			verdicts = append(verdicts, v)
 		}
 	}
-	c.ColdWatch.TakeVerdicts(verdicts)
-	byOrigin := map[string][]tasting.Counter{}
-	for _, item := range c.Knowledge.Gossip.Items(healthTopic) {
-		var k tasting.Counter
-		if item.Origin != c.Common.Settings.Name && c.decode(&item, &k) {
-			origin := item.Origin + " " + strconv.FormatInt(item.Incarnation, 10)
-			byOrigin[origin] = append(byOrigin[origin], k)
-		}
+	if len(verdicts) > 0 {
+		c.ColdWatch.TakeVerdicts(verdicts)
+	}
+}
+
+func (c *Control) takeCounter(item *caravan.Item) {
+	var k tasting.Counter
+	if len(item.Data) == 0 || !c.decode(item, &k) {
+		return
+	}
+	origin := item.Origin + " " + strconv.FormatInt(item.Incarnation, 10)
+	if c.origins == nil {
+		c.origins = map[string]string{}
+	}
+	if old, known := c.origins[item.Origin]; known && old != origin {
+		c.Ratings.Forget(old)
+	}
+	c.origins[item.Origin] = origin
+	c.Ratings.Merge(origin, []tasting.Counter{k})
+}
+
+// forgetOrigins drops the counters of instances that are gone; what they counted stays in the health of the versions.
+func (c *Control) forgetOrigins() {
+	gone := maps.Clone(c.origins)
+	for _, m := range c.Knowledge.Membership.Members() {
+		delete(gone, m.Name)
 	}
-	for origin, counters := range byOrigin {
-		c.Ratings.Merge(origin, counters)
+	for name, origin := range gone {
+		c.Ratings.Forget(origin)
+		delete(c.origins, name)
 	}
 }
 
+// listed tells whether the list shows the upstream.
+func (c *Control) listed(upstream string) bool {
+	return slices.ContainsFunc(c.upstreams, func(i platform.Instance) bool { return i.Name == upstream })
+}
+
 func (c *Control) decode(item *caravan.Item, v any) bool {
 	if err := json.Unmarshal(item.Data, v); err != nil {
 		c.Common.Log.WithName("control").Info("item of another instance ignored", "origin", item.Origin, "topic", item.Topic)
--- a/pkg/house/house.go
+++ b/pkg/house/house.go
@@ -50,6 +50,7 @@
 	prefixes  *concierge.Prefixes
 	budget    *courier.Budget
 	send      *courier.Send
+	prober    *Prober
 	metrics   *desk.Metrics
 	inFlight  *desk.InFlight
 	// ratedTo is the position up to which ratings were read.
@@ -77,8 +78,8 @@
 	// The loops outlive ctx, since the drain needs them.
 	loopCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	loops := h.loops(loopCtx, peer)
 	servers := h.servers()
+	loops := h.loops(loopCtx, peer)
 	h.serve(servers.caller, caller)
 	h.serve(servers.admin, admin)
 	log := h.Common.Log.WithName("house")
@@ -123,6 +124,8 @@
 	g.Go(func() error { return h.every(ctx, "archive", 0, h.readConfig) })
 	g.Go(func() error { return h.every(ctx, "list", t.ListPoll, h.readList) })
 	g.Go(func() error { return h.every(ctx, "load", t.LoadPoll, h.readLoads) })
+	g.Go(func() error { return h.every(ctx, "probe", probePeriod, h.prober.Round) })
+	g.Go(func() error { return h.every(ctx, "health", holdPeriod, h.holdRollouts) })
 	if h.Common.Settings.Platform.Ratings != "" {
 		g.Go(func() error { return h.every(ctx, "ratings", t.RatingPoll, h.readRatings) })
 	}
@@ -186,7 +189,8 @@
 			Freshness:  &caravan.Freshness{Self: self.Name},
 			Gossip:     &caravan.Gossip{Self: self},
 		},
-		Shares:    &caravan.ColdShares{Self: self.Name, Lag: t.ListLag, Lease: t.ColdLease, Hold: t.ColdHold},
+		Shares:    &caravan.ColdShares{Self: self.Name, Lag: t.ListLag, Lease: t.ColdLease, Publish: catalogue.ShareTime, Hold: t.ColdHold},
+		Subset:    &caravan.Subset{Self: self.Name},
 		ColdWatch: &concierge.ColdWatch{},
 		Ratings:   &tasting.Book{Config: journal.State},
 	}
--- a/pkg/reservation/claim_test.go
+++ b/pkg/reservation/claim_test.go
@@ -47,8 +47,8 @@
 
 // failing makes every append of the instance fail in one way while ask runs.
 func (p *pair) failing(i *instance, f fault, ask func() told) told {
-	i.fault = &f
-	defer func() { i.fault = nil }()
+	i.fault.Store(&f)
+	defer i.fault.Store(nil)
 	return ask()
 }
 
@@ -228,6 +228,40 @@
 			want: []told{ran("r1"), notRun(enquiry.ReasonLogUnavailable)},
 			runs: []string{"r1"},
 		},
+		{
+			name: "log trimmed between claim and verdict",
+			play: func(p *pair) []told {
+				unrun := p.a.ask(background, "r0", p.key, "for six", p.a.upstream(sendRefusedUnrun, 0))
+				p.sleep(1000)
+				p.b.deaf.Store(true)
+				p.sleep(1100)
+				first := p.ask(p.a, "r1")
+				p.trim(0)
+				second := p.later(p.b, "r2", 0)
+				p.sleep(500)
+				p.b.deaf.Store(false)
+				return []told{unrun, first, second()}
+			},
+			want: []told{notRun(enquiry.ReasonUpstreamRefused), ran("r1"), notRun(enquiry.ReasonKeyTooOld)},
+			runs: []string{"r1"},
+		},
+		{
+			name: "log lost its tail",
+			play: func(p *pair) []told {
+				first := p.ask(p.a, "r1")
+				p.sleep(1000)
+				p.log.Truncate(StreamName, 0)
+				p.sleep(1000)
+				recorded := p.ask(p.b, "r2")
+				p.key = p.keyNow("rug")
+				early := p.ask(p.b, "r3")
+				p.sleep(2 * int(defaultSkew))
+				p.key = p.keyNow("lamp")
+				return []told{first, recorded, early, p.ask(p.b, "r4")}
+			},
+			want: []told{ran("r1"), replayed("r1"), notRun(enquiry.ReasonKeyTooOld), ran("r4")},
+			runs: []string{"r1"},
+		},
 		{
 			name: "key of the future",
 			play: func(p *pair) []told {
@@ -324,6 +358,22 @@
 	})
 }
 
+func TestP08BegunAnswerIsNotToldAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSim(firstSeed)
+		a := s.start("a", 1)
+		defer stop(a)
+		s.sleep(2000)
+		got := a.ask(background, "r1", s.keyNow("table"), "for six", enquiry.HandlerFunc(func(ctx context.Context, c *enquiry.Call) error {
+			_ = c.Writer.WriteBytes(ctx, c, []byte("half an"))
+			return enquiry.Refuse(enquiry.ReasonUpstreamFailed, 0, "broke")
+		}))
+		if diff := cmp.Diff(mayHaveRun(enquiry.ReasonUpstreamFailed), got); diff != "" {
+			t.Errorf("told (-want +got):\n%s", diff)
+		}
+	})
+}
+
 func TestP09KeyTime(t *testing.T) {
 	for _, sc := range []struct {
 		key  string
@@ -343,3 +393,24 @@
 		}
 	}
 }
+
+func TestP09KeyStaysInItsStream(t *testing.T) {
+	before := []Era{{From: 0, Count: 1}}
+	after := []Era{{From: 0, Count: 1}, {From: 5000, Count: 16}}
+	used := map[string]bool{}
+	for n := range 1000 {
+		key, keyAt := digest("key", string(rune(n))), clock.Millis(n*10)
+		stream := StreamOf(after, key, keyAt)
+		used[stream] = true
+		if keyAt < 5000 && stream != StreamOf(before, key, keyAt) {
+			t.Errorf("key of %d moves to %s", keyAt, stream)
+		}
+	}
+	got := map[string]bool{}
+	for _, name := range Streams(after) {
+		got[name] = true
+	}
+	if diff := cmp.Diff(used, got); diff != "" {
+		t.Errorf("streams (-used +listed):\n%s", diff)
+	}
+}
--- a/pkg/trace/instance.go
+++ b/pkg/trace/instance.go
@@ -172,7 +172,7 @@
 func (in *instance) share(u *catalogue.Upstream, members []catalogue.Member) int {
 	self := in.common.Settings.Name
 	if u.Cold {
-		return caravan.PartOf(u.Name, self, u.Rule.ColdLimit, members)
+		return caravan.ColdPart(u.Name, self, u.Rule.ColdLimit, members)
 	}
 	return caravan.WarmPart(u.Name, self, in.watch.WarmRoom(u.Name), members)
 }
