Save up retries only for requests that were sent, and no more than ten seconds' worth

Cause: requests refused for want of room added to the budget without being sent, and ten retries could be saved up an instance. Excluded: counting the requests that were never sent as well; it hides the sends behind refusals.

--- a/pkg/concierge/budget.go
+++ b/pkg/concierge/budget.go
@@ -1,37 +1,54 @@
 package concierge
 
-import "sync"
+import (
+	"sync"
 
-// retryBurst bounds the retries that may be saved up; a new budget starts with that many, so that one faulty upstream costs
-// no answer while there are few requests.
-const retryBurst = 10.0
+	"carawayknot.example/carawayknot/pkg/clock"
+)
 
-// RetryBudget bounds the sends beyond the first to a share of the requests; it is safe for concurrent use.
+const (
+	// budgetWindow is the time whose requests may save up retries, in milliseconds.
+	budgetWindow = 10 * clock.Second
+	// leastBurst is how many retries may be saved up however few requests there are.
+	leastBurst = 1.0
+)
+
+// RetryBudget bounds the sends beyond the first to a share of the requests that were sent; it is safe for concurrent use.
 type RetryBudget struct {
 	// Share is how many retries each request adds to the budget.
 	Share float64
 
-	mu sync.Mutex
-	// spent is what is missing from retryBurst.
-	spent  float64
-	denied int
+	mu    sync.Mutex
+	saved float64
+	// sent counts the requests since start, and sentBefore those of the window before.
+	start      clock.Millis
+	sent       int
+	sentBefore int
 }
 
-// Add counts a request.
-func (b *RetryBudget) Add() {
+// Add counts a request that is sent for the first time.
+func (b *RetryBudget) Add(now clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.spent = max(0, b.spent-b.Share)
+	if age := now - b.start; age >= budgetWindow {
+		b.sentBefore = b.sent
+		if age >= 2*budgetWindow {
+			b.sentBefore = 0
+		}
+		b.start, b.sent = now, 0
+	}
+	b.sent++
+	most := max(leastBurst, b.Share*float64(max(b.sent, b.sentBefore)))
+	b.saved = min(most, b.saved+b.Share)
 }
 
 // Take spends one retry and tells whether the budget had it.
 func (b *RetryBudget) Take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.spent > retryBurst-1 {
-		b.denied++
+	if b.saved < 1 {
 		return false
 	}
-	b.spent++
+	b.saved--
 	return true
 }
--- a/pkg/concierge/place.go
+++ b/pkg/concierge/place.go
@@ -37,15 +37,17 @@
 
 // Filter sends the call to one upstream after another until one answers or it may not be sent again.
 func (f *Place) Filter(ctx context.Context, c *enquiry.Call, next enquiry.Handler) error {
-	f.Budget.Add()
 	shown := &shownWriter{Writer: c.Writer}
 	c.Writer = shown
 	defer func() { c.Writer = shown.Writer }()
-	for {
+	for first := true; ; first = false {
 		u, refusal := f.acquire(ctx, c)
 		if refusal != nil {
 			return refusal
 		}
+		if first {
+			f.Budget.Add(f.Clock.Now())
+		}
 		err := f.send(ctx, c, u, next)
 		if err == nil || shown.shown || !MayRetry(err, c.Request.Repeatable) {
 			return err
--- a/pkg/concierge/place_test.go
+++ b/pkg/concierge/place_test.go
@@ -242,7 +242,7 @@
 			s := snapshot(8)
 			f := newPlace(func() *catalogue.Snapshot { return s }, clock.NewManual(0))
 			for range 100 {
-				f.Budget.Add()
+				f.Budget.Add(0)
 			}
 			c := newCall("r")
 			c.Request.Repeatable = !tc.once
