--- /dev/null
+++ b/pkg/concierge/bench_test.go
@@ -0,0 +1,100 @@
+package concierge
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+)
+
+// fleet is a snapshot with n upstreams, of which each tenth serves another version.
+func fleet(n int) *catalogue.Snapshot {
+	s := snapshot(8)
+	s.Upstreams = nil
+	for i := range n {
+		u := &catalogue.Upstream{
+			Name: fmt.Sprintf("engine-%03d", i), Zone: string(rune('a' + i%6)), Versions: []catalogue.VersionID{version}, Share: 8,
+			Load: catalogue.Load{At: 1, InFlight: i % 20, Bearable: 100},
+		}
+		if i%10 == 9 {
+			u.Versions = []catalogue.VersionID{"other@1"}
+		}
+		s.Upstreams = append(s.Upstreams, u)
+	}
+	return s
+}
+
+var sizes = []int{10, 620}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n, " upstreams"), func(b *testing.B) {
+			x := NewIndex(fleet(n))
+			var flights Flights
+			q := &Query{Now: 500, Zone: "a", Members: 9, Prefix: 12345, RequestID: "request-1"}
+			b.ReportAllocs()
+			for b.Loop() {
+				q.Attempt++
+				if Pick(q, x.Versions(version), &flights, nil) == nil {
+					b.Fatal("nothing picked")
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkPickWhenAllSharesAreTaken(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n, " upstreams"), func(b *testing.B) {
+			s := fleet(n)
+			for _, u := range s.Upstreams {
+				u.Share = 0
+			}
+			x := NewIndex(s)
+			var flights Flights
+			q := &Query{Now: 500, Zone: "a", Members: 9, RequestID: "request-1"}
+			b.ReportAllocs()
+			for b.Loop() {
+				Pick(q, x.Versions(version), &flights, nil)
+			}
+		})
+	}
+}
+
+func BenchmarkIndex(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n, " upstreams"), func(b *testing.B) {
+			s := fleet(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				NewIndex(s)
+			}
+		})
+	}
+}
+
+func BenchmarkAdmitAndPlace(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n, " upstreams"), func(b *testing.B) {
+			s := fleet(n)
+			place := newPlace(func() *catalogue.Snapshot { return s }, clock.NewReal())
+			admit := &Admit{Common: place.Common, Snapshot: place.Snapshot, Admission: &Admission{Limit: 1000}}
+			line := enquiry.Line(admit, place, last{})
+			c := newCall("request-1")
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := line.Handle(context.Background(), c); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// last is a last filter that answers nothing.
+type last struct{}
+
+func (last) Filter(context.Context, *enquiry.Call, enquiry.Handler) error { return nil }
--- a/pkg/concierge/coldwatch.go
+++ b/pkg/concierge/coldwatch.go
@@ -13,6 +13,8 @@
 	upstreams map[string]*warmth
 	// usual has the usual time to the first token by what was asked for, over all warm upstreams.
 	usual map[string]float64
+	// early is true once samples come with the first token, so that slow answers need not count again at their end.
+	early bool
 }
 
 // TakeLoad takes in a load report that was read at the time.
@@ -30,16 +32,22 @@
 		return
 	}
 	u := w.upstream(s.Upstream)
-	if s.Result != enquiry.ResultComplete {
-		u.takeFailure(s.At)
-		return
-	}
 	key := string(s.Version)
 	if key == "" {
 		key = s.Upstream
 	}
 	usual := w.usual[key]
-	u.takeAnswer(float64(s.FirstToken), usual, s.At)
+	switch s.Result {
+	case enquiry.ResultStarted:
+		w.early = true
+		u.takeStart(float64(s.FirstToken), usual, s.At)
+		return
+	case enquiry.ResultComplete:
+		u.takeAnswer(float64(s.FirstToken), usual, s.At, w.early)
+	default:
+		u.takeFailure(s.At)
+		return
+	}
 	if !u.cold {
 		w.learn(key, usual, float64(s.FirstToken))
 	}
--- a/pkg/concierge/coldwatch_test.go
+++ b/pkg/concierge/coldwatch_test.go
@@ -25,6 +25,13 @@
 	}
 }
 
+func (h *history) starts(n int, firstToken clock.Millis) {
+	for range n {
+		h.at += 100
+		h.TakeSample(enquiry.Sample{At: h.at, Upstream: engine, Version: version, Result: enquiry.ResultStarted, FirstToken: firstToken})
+	}
+}
+
 func (h *history) fail(n int) {
 	for range n {
 		h.at += 100
@@ -78,6 +85,24 @@
 			h.report(2, platform.LoadReport{})
 			h.answers(10*firstAnswers, 600)
 		}, true},
+		{"slow answers that have only begun", func(h *history) { h.answers(firstAnswers, 100); h.starts(coldSigns, 600) }, true},
+		{"one slow answer that has begun, and reports that confirm it", func(h *history) {
+			h.answers(firstAnswers, 100)
+			h.report(1, platform.LoadReport{FirstTokenTime: 100})
+			h.report(1, platform.LoadReport{FirstTokenTime: 200})
+			h.report(1, platform.LoadReport{FirstTokenTime: 200})
+			h.starts(1, 600)
+		}, true},
+		{"a slow answer counts once", func(h *history) {
+			h.answers(firstAnswers, 100)
+			h.starts(coldSigns-1, 600)
+			h.answers(coldSigns-1, 600)
+		}, false},
+		{"quick answers that have only begun end no cold start", func(h *history) {
+			h.answers(firstAnswers, 100)
+			h.report(2, platform.LoadReport{})
+			h.starts(10*firstAnswers, 100)
+		}, true},
 		{"slow by its reports", func(h *history) {
 			h.answers(firstAnswers, 100)
 			h.report(1, platform.LoadReport{FirstTokenTime: 100})
--- a/pkg/concierge/place.go
+++ b/pkg/concierge/place.go
@@ -29,6 +29,8 @@
 	Queue    *Queue
 	// Prefixes may be nil.
 	Prefixes *Prefixes
+	// Started, if set, is given a sample with the first token of each attempt.
+	Started func(enquiry.Sample)
 	// Waiter makes the waits for room; nil means on Clock.
 	Waiter Waiter
 
@@ -37,7 +39,7 @@
 
 // Filter sends the call to one upstream after another until one answers or it may not be sent again.
 func (f *Place) Filter(ctx context.Context, c *enquiry.Call, next enquiry.Handler) error {
-	shown := &shownWriter{Writer: c.Writer}
+	shown := &shownWriter{Writer: c.Writer, place: f}
 	c.Writer = shown
 	defer func() { c.Writer = shown.Writer }()
 	for first := true; ; first = false {
@@ -48,7 +50,7 @@
 		if first {
 			f.Budget.Add(f.Clock.Now())
 		}
-		err := f.send(ctx, c, u, next)
+		err := f.send(ctx, c, u, shown, next)
 		if err == nil || shown.shown || !MayRetry(err, c.Request.Repeatable) {
 			return err
 		}
@@ -59,9 +61,10 @@
 	}
 }
 
-func (f *Place) send(ctx context.Context, c *enquiry.Call, u *catalogue.Upstream, next enquiry.Handler) error {
+func (f *Place) send(ctx context.Context, c *enquiry.Call, u *catalogue.Upstream, shown *shownWriter, next enquiry.Handler) error {
 	defer f.Flights.Release(u.Name)
 	c.Upstream = u
+	shown.sentAt = f.Clock.Now()
 	return next.Handle(ctx, c)
 }
 
@@ -188,33 +191,3 @@
 	wait := jitter(c.Request.ID, clock.Second)
 	return enquiry.Refuse(enquiry.ReasonNoUpstream, wait, "no upstream that may get new work serves this")
 }
-
-// shownWriter notes whether anything of an answer was passed on.
-type shownWriter struct {
-	enquiry.Writer
-	shown bool
-}
-
-// WriteHead passes the head on.
-func (w *shownWriter) WriteHead(ctx context.Context, c *enquiry.Call, h enquiry.Head) error {
-	w.shown = true
-	return w.Writer.WriteHead(ctx, c, h)
-}
-
-// WriteChunk passes the chunk on.
-func (w *shownWriter) WriteChunk(ctx context.Context, c *enquiry.Call, k enquiry.Chunk) error {
-	w.shown = true
-	return w.Writer.WriteChunk(ctx, c, k)
-}
-
-// WriteBytes passes the bytes on.
-func (w *shownWriter) WriteBytes(ctx context.Context, c *enquiry.Call, b []byte) error {
-	w.shown = true
-	return w.Writer.WriteBytes(ctx, c, b)
-}
-
-// WriteEnd passes the end on.
-func (w *shownWriter) WriteEnd(ctx context.Context, c *enquiry.Call, e enquiry.End) error {
-	w.shown = true
-	return w.Writer.WriteEnd(ctx, c, e)
-}
--- a/pkg/concierge/place_test.go
+++ b/pkg/concierge/place_test.go
@@ -283,3 +283,31 @@
 		t.Errorf("%.3f attempts a request, want less than 1.1", got)
 	}
 }
+
+func TestStartedGivesOneSampleAnAttempt(t *testing.T) {
+	s := snapshot(8)
+	now := clock.NewManual(0)
+	f := newPlace(func() *catalogue.Snapshot { return s }, now)
+	var got []enquiry.Sample
+	f.Started = func(s enquiry.Sample) { got = append(got, s) }
+	var upstream string
+	err := f.Filter(context.Background(), newCall("r"), enquiry.HandlerFunc(func(ctx context.Context, c *enquiry.Call) error {
+		upstream = c.Upstream.Name
+		now.Advance(70)
+		_ = c.Writer.WriteHead(ctx, c, enquiry.Head{})
+		for range 3 {
+			now.Advance(10)
+			_ = c.Writer.WriteChunk(ctx, c, enquiry.Chunk{Text: "token"})
+		}
+		return c.Writer.WriteEnd(ctx, c, enquiry.End{})
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []enquiry.Sample{{
+		At: 80, RequestID: "r", Workspace: "desk", Version: version, Upstream: upstream, Result: enquiry.ResultStarted, FirstToken: 80,
+	}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("samples (-want +got):\n%s", diff)
+	}
+}
--- a/pkg/concierge/warmth.go
+++ b/pkg/concierge/warmth.go
@@ -20,6 +20,9 @@
 	// and reportSigns how many such reports in a row start it again.
 	reportFactor = 3.0
 	reportSigns  = 2
+	// raisedFactor and raisedReports are the same for reports that confirm a slow first token.
+	raisedFactor  = 1.5
+	raisedReports = 2
 	// usualWeight is the weight of the newest answer in the usual time to the first token.
 	usualWeight = 0.05
 	// growFactor raises the limit with each report of a warm upstream that has room.
@@ -54,6 +57,8 @@
 	// usualReport is the usual time to the first token as reported, and slowReports counts the slow ones in a row.
 	usualReport float64
 	slowReports int
+	// raisedReports counts the reports in a row that would confirm a slow first token.
+	raisedReports int
 	// reported is true once a load report was read; bearable and inFlight are as reported.
 	reported bool
 	bearable int
@@ -78,7 +83,7 @@
 
 func (u *warmth) turn(episode int64, cold bool) {
 	u.episode, u.cold, u.known, u.own = episode, cold, true, false
-	u.answers, u.quick, u.signs, u.slowReports = 0, 0, 0, 0
+	u.answers, u.quick, u.signs, u.slowReports, u.raisedReports = 0, 0, 0, 0, 0
 }
 
 func (u *warmth) takeReport(r *platform.LoadReport, at clock.Millis) {
@@ -104,17 +109,32 @@
 
 // takeReportedTime notices a cold start by the reported time to the first token, which all instances see alike.
 func (u *warmth) takeReportedTime(firstToken float64) {
-	switch {
-	case firstToken <= 0 || u.inFlight > u.max()/2:
-	case u.usualReport == 0:
+	if firstToken <= 0 || u.inFlight > u.max()/2 {
+		return
+	}
+	if u.usualReport == 0 {
 		u.usualReport = firstToken
-	case firstToken > reportFactor*u.usualReport:
-		u.slowReports++
-	default:
-		u.slowReports = 0
+	}
+	u.slowReports = countUp(u.slowReports, firstToken > reportFactor*u.usualReport)
+	u.raisedReports = countUp(u.raisedReports, firstToken > raisedFactor*u.usualReport)
+	if u.raisedReports == 0 {
 		u.usualReport += usualWeight * (firstToken - u.usualReport)
 	}
-	if u.slowReports >= reportSigns {
+	u.judge()
+}
+
+// countUp counts how often in a row something was so.
+func countUp(n int, so bool) int {
+	if so {
+		return n + 1
+	}
+	return 0
+}
+
+// judge begins a cold start when the signs of it are enough.
+func (u *warmth) judge() {
+	confirmed := u.signs > 0 && u.raisedReports >= raisedReports
+	if !u.cold && (u.signs >= coldSigns || u.slowReports >= reportSigns || confirmed) {
 		u.begin(true)
 	}
 }
@@ -131,18 +151,30 @@
 		return
 	}
 	u.signs++
-	if u.signs >= coldSigns {
-		u.begin(true)
+	u.judge()
+}
+
+// takeStart takes in the time to the first token of an answer that has only begun.
+func (u *warmth) takeStart(firstToken, usual float64, at clock.Millis) {
+	if usual > 0 && firstToken > coldFactor*usual {
+		u.takeSlow(at)
 	}
 }
 
-// takeAnswer takes in the time to the first token of an answer; usual is 0 as long as nothing is known.
-func (u *warmth) takeAnswer(firstToken, usual float64, at clock.Millis) {
+func (u *warmth) takeSlow(at clock.Millis) {
+	u.quick = 0
+	u.takeSign()
+	u.cut(at)
+}
+
+// takeAnswer takes in the time to the first token of a whole answer; usual is 0 as long as nothing is known,
+// and early is true when takeStart was told of it before.
+func (u *warmth) takeAnswer(firstToken, usual float64, at clock.Millis, early bool) {
 	u.answers++
 	if usual > 0 && firstToken > coldFactor*usual {
-		u.quick = 0
-		u.takeSign()
-		u.cut(at)
+		if !early {
+			u.takeSlow(at)
+		}
 		return
 	}
 	u.signs = 0
--- a/pkg/enquiry/sample.go
+++ b/pkg/enquiry/sample.go
@@ -10,6 +10,8 @@
 
 // The results of attempts.
 const (
+	// ResultStarted is that of a sample given with the first token, before the attempt has ended.
+	ResultStarted   Result = "Started"
 	ResultComplete  Result = "Complete"
 	ResultRefused   Result = "Refused"
 	ResultFailed    Result = "Failed"
--- a/pkg/trace/instance.go
+++ b/pkg/trace/instance.go
@@ -75,6 +75,7 @@
 		Budget:   &concierge.RetryBudget{Share: in.common.Settings.Limits.RetryShare},
 		Queue:    &in.queue,
 		Prefixes: &in.prefixes,
+		Started:  in.watch.TakeSample,
 		Waiter:   loopWaiter{},
 	}
 }
--- a/pkg/trace/load.go
+++ b/pkg/trace/load.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"os"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"github.com/tailscale/hujson"
@@ -36,6 +37,11 @@
 	if len(t.Members) == 0 || len(t.Upstreams) == 0 || t.Duration <= 0 {
 		return nil, errors.New("Members, Upstreams and Duration must not be empty")
 	}
+	for _, s := range t.Stated {
+		if !slices.Contains(measures, s.Measure) {
+			return nil, errors.Newf("Stated: no measure is named %q, known are %v", s.Measure, measures)
+		}
+	}
 	return t, nil
 }
 
--- a/pkg/trace/replay.go
+++ b/pkg/trace/replay.go
@@ -75,9 +75,9 @@
 	case MeasureFailed:
 		return float64(p.Refused + p.Cut + p.Late)
 	case MeasureFailedByZoneMove:
-		return float64(rep.ZoneMove.Failed)
+		return float64(rep.zone().Failed)
 	case MeasureRaisedSeconds:
-		return float64(rep.ZoneMove.RaisedSeconds)
+		return float64(rep.zone().RaisedSeconds)
 	case MeasureAttemptsPerRequest:
 		return p.AttemptsPerRequest
 	case MeasureAttemptsFailing:
@@ -96,6 +96,14 @@
 	return 0
 }
 
+// zone returns the move of a zone, or an empty one.
+func (rep *Report) zone() *ZoneMove {
+	if rep.ZoneMove == nil {
+		return &ZoneMove{}
+	}
+	return rep.ZoneMove
+}
+
 // falseFindings counts the findings about versions that had not turned bad.
 func (r *run) falseFindings() int {
 	n := 0
--- a/pkg/trace/report.go
+++ b/pkg/trace/report.go
@@ -18,6 +18,12 @@
 	MeasureFalseFindings      = "FalseFindings"
 )
 
+// measures are the measures that a trace may bound.
+var measures = []string{
+	MeasureCostOverOracle, MeasureQualityShortfall, MeasureFailed, MeasureFailedByZoneMove, MeasureRaisedSeconds,
+	MeasureExposureOverIdeal, MeasureAttemptsPerRequest, MeasureAttemptsFailing, MeasureColdFallOvers, MeasureFalseFindings,
+}
+
 // Report has the measures of a replay.
 type Report struct {
 	Trace    string
