Rate answers of a roll-out's new version at once; choose the last step of a cascade anew

Cause 1: late, sampled ratings of a version that gets a fifth of the dossiers come 10 s and more apart, and two or three are needed. Change: Choose.Verify is given each answer of the new version while its roll-out goes on. Cause 2: a cascade kept its plan for the 12 s of its first step, and sent its last step to a version found to be bad or held meanwhile (a withdrawn one was refused by Place). Change: the last step is chosen anew when its version takes no new work. A first retry is now in the budget from the start.

--- a/pkg/concierge/budget.go
+++ b/pkg/concierge/budget.go
@@ -18,8 +18,9 @@
 	// Share is how many retries each request adds to the budget.
 	Share float64
 
-	mu    sync.Mutex
-	saved float64
+	mu sync.Mutex
+	// spent is what retries took, less what requests added since; it begins at 0, so that the first request may be retried.
+	spent float64
 	// sent counts the requests since start, and sentBefore those of the window before.
 	start      clock.Millis
 	sent       int
@@ -39,16 +40,16 @@
 	}
 	b.sent++
 	most := max(leastBurst, b.Share*float64(max(b.sent, b.sentBefore)))
-	b.saved = min(most, b.saved+b.Share)
+	b.spent = max(leastBurst-most, b.spent-b.Share)
 }
 
 // Take spends one retry and tells whether the budget had it.
 func (b *RetryBudget) Take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.saved < 1 {
+	if b.spent > leastBurst-1 {
 		return false
 	}
-	b.saved--
+	b.spent++
 	return true
 }
--- a/pkg/tariff/choose.go
+++ b/pkg/tariff/choose.go
@@ -37,6 +37,8 @@
 	Rater    Rater
 	// Rated, if set, is told each verdict on a cascade's answer.
 	Rated func(platform.Rating)
+	// Verify, if set, is given each answer of a roll-out's new version, to have it rated at once; it must not wait.
+	Verify func(platform.RateRequest)
 }
 
 // Filter sets the version of the call and passes it on, once a step of the plan.
@@ -57,8 +59,50 @@
 			return err
 		}
 	}
-	c.Version = choice.Plan.Steps[len(choice.Plan.Steps)-1].Version
-	return next.Handle(ctx, c)
+	steps := choice.Plan.Steps
+	c.Version = steps[len(steps)-1].Version
+	if len(steps) > 1 {
+		if refusal := f.renew(ctx, c); refusal != nil {
+			return refusal
+		}
+	}
+	return f.last(ctx, c, next)
+}
+
+// renew replaces the version of the last step when it takes no new work any more: the steps before took their time.
+func (f *Choose) renew(ctx context.Context, c *enquiry.Call) *enquiry.Refusal {
+	q := f.query(ctx, c)
+	if q.takesNew(c.Version.ID) {
+		return nil
+	}
+	q.OneStep = true
+	choice, refusal := Pick(q)
+	if refusal != nil {
+		return refusal
+	}
+	c.Version = choice.Plan.Steps[0].Version
+	return nil
+}
+
+// last runs the step whose answer is shown as it comes.
+func (f *Choose) last(ctx context.Context, c *enquiry.Call, next enquiry.Handler) error {
+	if f.Verify == nil || !isNew(f.Snapshot(), c.Version.ID) {
+		return next.Handle(ctx, c)
+	}
+	tee := &teeWriter{Writer: c.Writer, Limit: f.Settings.Limits.RequestBytes}
+	c.Writer = tee
+	err := next.Handle(ctx, c)
+	c.Writer = tee.Writer
+	if err == nil && tee.ended {
+		f.Verify(rateRequest(c, tee.text.String()))
+	}
+	return err
+}
+
+// isNew tells whether a roll-out that goes on brings the version in.
+func isNew(s *catalogue.Snapshot, id catalogue.VersionID) bool {
+	r := s.Config.Rollouts[id.Model()]
+	return r != nil && r.To == id && r.From != id && !r.Held
 }
 
 func (f *Choose) query(ctx context.Context, c *enquiry.Call) *Query {
@@ -114,13 +158,7 @@
 }
 
 func (f *Choose) rate(ctx context.Context, c *enquiry.Call, step Step, held *holdWriter) (float64, error) {
-	score, err := f.Rater.Rate(ctx, platform.RateRequest{
-		RequestID: c.Request.ID,
-		Version:   step.Version.ID,
-		Task:      c.Profile.Task,
-		Prompt:    prompt(c.Request),
-		Answer:    held.text(),
-	})
+	score, err := f.Rater.Rate(ctx, rateRequest(c, held.text()))
 	if err != nil {
 		f.Log.V(1).Info("The answer was not rated, the next version is asked.", "request", c.Request.ID, "error", err.Error())
 		return 0, err
@@ -131,6 +169,16 @@
 	return score, nil
 }
 
+func rateRequest(c *enquiry.Call, answer string) platform.RateRequest {
+	return platform.RateRequest{
+		RequestID: c.Request.ID,
+		Version:   c.Version.ID,
+		Task:      c.Profile.Task,
+		Prompt:    prompt(c.Request),
+		Answer:    answer,
+	}
+}
+
 func serves(s *catalogue.Snapshot, id catalogue.VersionID) bool {
 	for _, u := range s.Upstreams {
 		if u.Serves(id) && s.PermitListed(u) == nil {
--- a/pkg/tariff/choose_test.go
+++ b/pkg/tariff/choose_test.go
@@ -124,3 +124,85 @@
 		})
 	}
 }
+
+// newChoose returns a filter on the snapshot of the query, with upstreams for all versions.
+func newChoose(q *Query, rater Rater) *Choose {
+	for id := range q.Snapshot.Config.Versions {
+		u := &catalogue.Upstream{Name: "engine of " + string(id), Versions: []catalogue.VersionID{id}}
+		q.Snapshot.Upstreams = append(q.Snapshot.Upstreams, u)
+	}
+	cfg := settings.Default()
+	return &Choose{
+		Common:   settings.Common{Log: logr.Discard(), Settings: &cfg, Clock: clock.NewManual(0)},
+		Snapshot: func() *catalogue.Snapshot { return q.Snapshot },
+		Pins:     &fakePins{},
+		Rater:    rater,
+	}
+}
+
+func TestP02LastStepOfACascadeIsChosenAnew(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		change func(q *Query)
+		want   string
+	}{
+		{"nothing changed", func(*Query) {}, "model-2@2"},
+		{"withdrawn", func(q *Query) { q.withdraw("model-2@2") }, "model-2@1"},
+		{"held", func(q *Query) { q.Snapshot.Config.Rollouts["model-2"].Held = true }, "model-2@1"},
+		{"suspect", func(q *Query) { q.setHealth("model-2@2", catalogue.Health{Suspect: true}) }, "model-2@1"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			q := scene()
+			q.Profile.Quality, q.Profile.Cascade = 0.82, true
+			q.rollOut("model-2", 1, false)
+			f := newChoose(q, fakeRater{score: 0})
+			var got shown
+			c := &enquiry.Call{Request: q.Request, Profile: q.Profile, Writer: &got}
+			first := true
+			err := f.Filter(context.Background(), c, enquiry.HandlerFunc(func(ctx context.Context, c *enquiry.Call) error {
+				err := answer("", 0)(ctx, c)
+				if first {
+					first = false
+					tc.change(q)
+				}
+				return err
+			}))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(tc.want, got.Text); diff != "" {
+				t.Errorf("shown (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestNewVersionsAreVerified(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		held bool
+		pin  catalogue.VersionID
+		want []platform.RateRequest
+	}{
+		{"new version", false, "model-1@2", []platform.RateRequest{{RequestID: "r1", Version: "model-1@2", Task: task, Answer: "model-1@2"}}},
+		{"old version", false, "model-1@1", nil},
+		{"held new version", true, "model-1@2", nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			q := scene()
+			q.rollOut("model-1", 1, tc.held)
+			q.Request.Session = "s"
+			f := newChoose(q, nil)
+			f.Pins = &fakePins{pinned: tc.pin}
+			var got []platform.RateRequest
+			f.Verify = func(r platform.RateRequest) { got = append(got, r) }
+			c := &enquiry.Call{Request: q.Request, Profile: q.Profile, Writer: &shown{}}
+			if err := f.Filter(context.Background(), c, answer("", 0)); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("verified (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/pkg/tariff/hold.go
+++ b/pkg/tariff/hold.go
@@ -94,3 +94,27 @@
 	h.Header.Set(PinHeader, w.pin)
 	return w.Writer.WriteHead(ctx, c, h)
 }
+
+// teeWriter passes an answer on and keeps its beginning.
+type teeWriter struct {
+	enquiry.Writer
+	// Limit bounds the bytes kept.
+	Limit int64
+
+	text  strings.Builder
+	ended bool
+}
+
+// WriteChunk passes the chunk on and keeps it while there is room.
+func (w *teeWriter) WriteChunk(ctx context.Context, c *enquiry.Call, k enquiry.Chunk) error {
+	if int64(w.text.Len()+len(k.Text)) <= w.Limit {
+		w.text.WriteString(k.Text)
+	}
+	return w.Writer.WriteChunk(ctx, c, k)
+}
+
+// WriteEnd passes the end on.
+func (w *teeWriter) WriteEnd(ctx context.Context, c *enquiry.Call, e enquiry.End) error {
+	w.ended = true
+	return w.Writer.WriteEnd(ctx, c, e)
+}
--- a/pkg/tariff/pick.go
+++ b/pkg/tariff/pick.go
@@ -20,6 +20,8 @@
 	Serves func(catalogue.VersionID) bool
 	// InputTokens is the estimated length of the prompt.
 	InputTokens float64
+	// OneStep leaves cascades out.
+	OneStep bool
 }
 
 // Choice is the plan for a request, and how it came about.
@@ -125,6 +127,12 @@
 	return left, nil
 }
 
+// takesNew tells whether the version may still be chosen.
+func (q *Query) takesNew(id catalogue.VersionID) bool {
+	candidates, _ := q.candidates(q.allowed())
+	return slices.ContainsFunc(candidates, func(v *catalogue.Version) bool { return v.ID == id })
+}
+
 // rollOuts drops of each roll-out the version that this request does not get.
 func (q *Query) rollOuts(from []*catalogue.Version) []*catalogue.Version {
 	return filter(from, func(v *catalogue.Version) bool {
@@ -170,7 +178,7 @@
 		MaxCost:     q.Profile.MaxCost,
 		InputTokens: q.InputTokens,
 		MaxTokens:   q.Request.MaxTokens,
-		Cascade:     q.Profile.Cascade && q.Request.Session == "" && q.Request.Repeatable,
+		Cascade:     q.Profile.Cascade && !q.OneStep && q.Request.Session == "" && q.Request.Repeatable,
 	}
 	if q.Request.Deadline > 0 {
 		l.Time = max(1, q.Request.Deadline-q.Now)
--- a/pkg/trace/exposure.go
+++ b/pkg/trace/exposure.go
@@ -1,6 +1,9 @@
 package trace
 
 import (
+	"cmp"
+	"slices"
+
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 )
@@ -81,10 +84,12 @@
 // of this replay the moment it is out, and knows that the version was good up to the turn.
 func (r *run) idealAt(id catalogue.VersionID, turned clock.Millis) clock.Millis {
 	sum := 0.0
-	for _, x := range r.world.ratings {
-		if x.rating.Version != id || x.answered < turned {
+	seen := map[string]bool{}
+	for _, x := range r.allRatings() {
+		if x.rating.Version != id || x.answered < turned || seen[x.rating.RequestID] {
 			continue
 		}
+		seen[x.rating.RequestID] = true
 		good, bad := r.before(x.rating.Version, x.rating.Task)
 		variance := good.deviation * good.deviation
 		s := x.rating.Score
@@ -96,6 +101,13 @@
 	return 0
 }
 
+// allRatings returns late ratings and verdicts in the order in which they were out.
+func (r *run) allRatings() []timedRating {
+	all := slices.Concat(r.world.ratings, r.world.verdicts)
+	slices.SortStableFunc(all, func(a, b timedRating) int { return cmp.Compare(a.at, b.at) })
+	return all
+}
+
 // before returns the true distributions of the version before and after it turned.
 func (r *run) before(id catalogue.VersionID, task string) (good, bad *distribution) {
 	k := catalogue.HealthKey{Version: id, Task: task}
--- a/pkg/trace/instance.go
+++ b/pkg/trace/instance.go
@@ -87,9 +87,23 @@
 		Pins:     worldPins{in.world},
 		Rater:    worldRater{in.world},
 		Rated:    func(r platform.Rating) { in.book.TakeRatings([]platform.Rating{r}) },
+		Verify:   in.verify,
 	}
 }
 
+// verify gives the true rating of an answer after the time a verdict takes.
+func (in *instance) verify(q platform.RateRequest) {
+	w, now := in.world, in.run.loop.clock.Now()
+	score := w.score(&Request{ID: q.RequestID}, catalogue.HealthKey{Version: q.Version, Task: q.Task})
+	r := platform.Rating{RequestID: q.RequestID, Version: q.Version, Task: q.Task, Score: score}
+	at := now + verdictTime
+	in.run.loop.at(at, func() {
+		w.verdicts = append(w.verdicts, timedRating{at: at, answered: now, rating: r})
+		in.book.TakeRatings([]platform.Rating{r})
+		in.hold()
+	})
+}
+
 // start puts the periodic work of the control thread on the loop; phase keeps the instances apart.
 func (in *instance) start(phase clock.Millis, end clock.Millis) {
 	t := in.common.Settings.Times
--- a/pkg/trace/world.go
+++ b/pkg/trace/world.go
@@ -44,8 +44,10 @@
 	balancerStopped map[string]bool
 	// zonesStopped has the zones in which nothing runs.
 	zonesStopped map[string]bool
-	ratings      []timedRating
-	pins         map[string]catalogue.VersionID
+	// verdicts are the ratings of answers that were rated at once, ratings the late ones.
+	verdicts []timedRating
+	ratings  []timedRating
+	pins     map[string]catalogue.VersionID
 }
 
 // timedRating is a rating, the time at which it was out, and the time of the answer.
