--- a/pkg/trace/exposure.go
+++ b/pkg/trace/exposure.go
@@ -24,7 +24,7 @@
 	Ideal int
 	// Pinned is the part of both that belongs to sessions that were on the version before the ideal test decided.
 	Pinned int
-	// OverIdeal is Sends over Ideal, and UnpinnedOverIdeal the same without Pinned.
+	// OverIdeal is Sends over Ideal, or over 1 when Ideal is 0, and UnpinnedOverIdeal the same without Pinned.
 	OverIdeal         float64
 	UnpinnedOverIdeal float64
 }
@@ -68,8 +68,8 @@
 			x.Pinned++
 		}
 	}
-	x.OverIdeal = over(x.Sends, x.Ideal)
-	x.UnpinnedOverIdeal = over(x.Sends-x.Pinned, x.Ideal-x.Pinned)
+	x.OverIdeal = over(x.Sends, max(1, x.Ideal))
+	x.UnpinnedOverIdeal = over(x.Sends-x.Pinned, max(1, x.Ideal-x.Pinned))
 	return x
 }
 
