Keep the members as they are when a list shows nothing new; compare the same slice at once

Cause: a trial with the control thread took 4.4 ms to publish 620 upstreams, most of it in comparing the names of 330 members for each upstream.

--- a/pkg/caravan/membership.go
+++ b/pkg/caravan/membership.go
@@ -70,7 +70,6 @@
 		m.take(e, at)
 	}
 	slices.SortFunc(m.listed, byName)
-	m.members = nil
 	return true
 }
 
@@ -82,13 +81,17 @@
 	if s == nil {
 		s = &memberState{member: e}
 		m.known[e.Name] = s
+		m.members = nil
 	}
 	if s.member.Incarnation > e.Incarnation {
 		// The list lags behind a restart that was heard of already.
 		e.Incarnation = s.member.Incarnation
 		e.Leaving = false
 	}
-	s.member = e
+	if s.member != e {
+		s.member = e
+		m.members = nil
+	}
 	s.listed = true
 	s.at = max(s.at, at)
 }
--- a/pkg/caravan/shares.go
+++ b/pkg/caravan/shares.go
@@ -88,6 +88,10 @@
 	return (limit - rank + n - 1) / n
 }
 
+// sameNames compares the names only when the slices are not the same one.
 func sameNames(a, b []catalogue.Member) bool {
+	if len(a) == len(b) && len(a) > 0 && &a[0] == &b[0] {
+		return true
+	}
 	return slices.EqualFunc(a, b, func(x, y catalogue.Member) bool { return x.Name == y.Name })
 }
