--- a/pkg/caravan/capacity_test.go
+++ b/pkg/caravan/capacity_test.go
@@ -144,6 +144,45 @@
 	}
 }
 
+// BenchmarkInForce appends a change while nine in ten instances can't read the log, and reports the time until all of them
+// hold it; at most one exchange period passes between two steps of an instance.
+func BenchmarkInForce(b *testing.B) {
+	for _, size := range []int{9, 60, 165, 330} {
+		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
+			m := newMesh(b, namedMembers(size))
+			m.change(zoneOut("z", true, "first"))
+			for i := range 10 {
+				m.exchange(i)
+			}
+			for i, n := range m.nodes {
+				n.view.Cut(i%10 != 0, i%10 != 0)
+			}
+			for i := range 10 {
+				m.exchange(i)
+			}
+			var worst clock.Millis
+			for i := range b.N {
+				start := m.clock.Now()
+				r := m.change(zoneOut("z", i%2 == 0, fmt.Sprint(i)))
+				for !m.holds(r) {
+					m.exchange(i)
+				}
+				worst = max(worst, m.clock.Now()-start)
+			}
+			b.ReportMetric(float64(worst), "ms-worst")
+		})
+	}
+}
+
+func (m *mesh) holds(r catalogue.Revision) bool {
+	for _, n := range m.nodes {
+		if n.journal.State().Revision < r {
+			return false
+		}
+	}
+	return true
+}
+
 // alike tells whether all nodes hold the same items.
 func (m *mesh) alike() bool {
 	want := m.nodes[0].know.Gossip.Digest()
