--- a/pkg/caravan/capacity_test.go
+++ b/pkg/caravan/capacity_test.go
@@ -1,7 +1,6 @@
 package caravan
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"runtime"
@@ -11,7 +10,6 @@
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 // The benchmarks here give the slopes of docs/CAPACITY.md.
@@ -225,158 +223,6 @@
 	return int64(s.HeapAlloc + s.StackInuse)
 }
 
-// BenchmarkCall measures one exchange over TCP on loopback, both sides together.
-func BenchmarkCall(b *testing.B) {
-	for _, size := range []int{9, 60, 165, 330} {
-		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
-			m := newMesh(b, namedMembers(size))
-			for _, n := range m.nodes {
-				n.readList()
-			}
-			m.logDown(true)
-			for i := range 10 {
-				m.exchange(i)
-			}
-			a, _ := startNetwork(b, "a", "k")
-			server, other := startNetwork(b, "b", "k")
-			if err := server.Register(ExchangeName, &Receiver{Exchange: m.nodes[1].ask}); err != nil {
-				b.Fatal(err)
-			}
-			a.SetMembers([]catalogue.Member{other})
-			ask := m.nodes[0].know.Ask(false)
-			sent, received := a.Traffic()
-			b.ResetTimer()
-			for range b.N {
-				var out Answer
-				if err := a.Call(b.Context(), "b", ExchangeName+".Ask", &ask, &out); err != nil {
-					b.Fatal(err)
-				}
-			}
-			sentAfter, receivedAfter := a.Traffic()
-			b.ReportMetric(float64(sentAfter-sent+receivedAfter-received)/float64(b.N), "B/call")
-		})
-	}
-}
-
-// BenchmarkLinks reports the memory of open connections, of both sides together.
-func BenchmarkLinks(b *testing.B) {
-	for _, links := range []int{8, 16, 32} {
-		b.Run(fmt.Sprintf("links=%d", links), func(b *testing.B) {
-			for range b.N {
-				a, _ := startNetwork(b, "a", "k")
-				_, other := startNetwork(b, "b", "k")
-				var members []catalogue.Member
-				for i := range links {
-					members = append(members, catalogue.Member{Name: fmt.Sprint(i), PeerAddress: other.PeerAddress})
-				}
-				a.SetMembers(members)
-				before := heap()
-				for _, m := range members {
-					var out string
-					if err := a.Call(b.Context(), m.Name, "Echo.Say", "hello", &out); err != nil {
-						b.Fatal(err)
-					}
-				}
-				b.ReportMetric(float64(heap()-before)/float64(links), "B/link")
-			}
-		})
-	}
-}
-
-// listOf returns the list of a deployment with that many entry instances and twice as many upstreams, less a tenth.
-func listOf(entries, upstreams int) platform.Listing {
-	l := platform.Listing{AsOf: 1_760_000_000_000}
-	for _, m := range namedMembers(entries) {
-		l.Instances = append(l.Instances, platform.Instance{
-			Name: m.Name, Role: catalogue.RoleEntry, Address: "10.20.30.40:8080", PeerAddress: "10.20.30.40:8082", Zone: m.Zone, Incarnation: 1_760_000_000_000,
-		})
-	}
-	for i := range upstreams {
-		l.Instances = append(l.Instances, platform.Instance{
-			Name: fmt.Sprintf("engine-%03d", i), Role: catalogue.RoleEngine, Address: "10.20.30.40:9000", Zone: fmt.Sprintf("zone-%d", i%6),
-			Incarnation: 1_760_000_000_000, Versions: []catalogue.VersionID{catalogue.VersionID(fmt.Sprintf("model-%d@2026-11-01", i%7))},
-		})
-	}
-	return l
-}
-
-// BenchmarkList measures decoding and taking one list.
-func BenchmarkList(b *testing.B) {
-	for _, size := range [][2]int{{9, 16}, {60, 113}, {165, 310}, {330, 620}} {
-		b.Run(fmt.Sprintf("instances=%d", size[0]+size[1]), func(b *testing.B) {
-			data, err := json.Marshal(listOf(size[0], size[1]))
-			if err != nil {
-				b.Fatal(err)
-			}
-			m := &Membership{Self: namedMembers(1)[0]}
-			for range b.N {
-				var l platform.Listing
-				if err := json.Unmarshal(data, &l); err != nil {
-					b.Fatal(err)
-				}
-				m.SeeList(l, l.AsOf)
-			}
-			b.ReportMetric(float64(len(data)), "B/list")
-		})
-	}
-}
-
-// BenchmarkWarmParts measures the warm parts of all upstreams for one instance, once for each change of the members.
-func BenchmarkWarmParts(b *testing.B) {
-	for _, size := range [][2]int{{9, 16}, {60, 113}, {165, 310}, {330, 620}} {
-		members := namedMembers(size[0])
-		b.Run(fmt.Sprintf("nodes=%d", size[0]), func(b *testing.B) {
-			for range b.N {
-				s := Subset{Self: members[0].Name}
-				s.SetMembers(members)
-				for u := range size[1] {
-					s.Part(fmt.Sprintf("engine-%03d", u), 64)
-				}
-			}
-		})
-	}
-}
-
-// BenchmarkSubset reports how even the subsets are: each instance gets the same load and spreads it over the upstreams of the
-// version in its subset by their parts; the load of an upstream is the sum over its instances.
-func BenchmarkSubset(b *testing.B) {
-	const nodes, upstreams, versions, limit = 330, 620, 7, 64
-	members := namedMembers(nodes)
-	for range b.N {
-		load := make([]float64, upstreams)
-		degree := make([]int, nodes)
-		fewest := upstreams
-		for n, m := range members {
-			s := Subset{Self: m.Name}
-			s.SetMembers(members)
-			parts := make([]int, upstreams)
-			var sums [versions]int
-			var reach [versions]int
-			for u := range upstreams {
-				parts[u] = s.Part(fmt.Sprintf("engine-%03d", u), limit)
-				sums[u%versions] += parts[u]
-				if parts[u] > 0 {
-					degree[n]++
-					reach[u%versions]++
-				}
-			}
-			for _, r := range reach {
-				fewest = min(fewest, r)
-			}
-			for u, part := range parts {
-				if sums[u%versions] > 0 {
-					load[u] += float64(part) / float64(sums[u%versions])
-				}
-			}
-		}
-		mean := float64(nodes*versions) / upstreams
-		b.ReportMetric(slices.Max(load)/mean, "worst/mean")
-		b.ReportMetric(float64(slices.Max(degree)), "most-upstreams/node")
-		b.ReportMetric(float64(slices.Min(degree)), "fewest-upstreams/node")
-		b.ReportMetric(float64(fewest), "fewest-of-a-version")
-	}
-}
-
 // BenchmarkSpread reports how many exchange periods an item takes until all instances hold it.
 func BenchmarkSpread(b *testing.B) {
 	for _, size := range []int{9, 60, 165, 330} {
--- /dev/null
+++ b/pkg/caravan/exchange_test.go
@@ -0,0 +1,97 @@
+package caravan
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"carawayknot.example/carawayknot/pkg/archive"
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/settings"
+)
+
+// wired is an instance whose exchange runs over TCP.
+type wired struct {
+	mu       sync.Mutex
+	journal  *archive.Journal
+	exchange *Exchange
+	network  *Network
+}
+
+func (w *wired) do(_ context.Context, f func()) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f()
+	return nil
+}
+
+func startWired(t *testing.T, c clock.Clock, name string) (*wired, catalogue.Member) {
+	n, self := startNetwork(t, name, "k")
+	cfg := settings.Default()
+	w := &wired{journal: &archive.Journal{Clock: c, Name: name}, network: n}
+	w.exchange = &Exchange{
+		Common: settings.Common{Log: logr.Discard(), Settings: &cfg, Clock: c},
+		Self:   self, Caller: n, Do: w.do,
+		Knowledge: &Knowledge{
+			Clock: c, Self: self, Tick: cfg.Times.PeerTick, Journal: w.journal,
+			Membership: &Membership{Self: self}, Freshness: &Freshness{Self: name}, Gossip: &Gossip{Self: self},
+		},
+	}
+	if err := n.Register(ExchangeName, &Receiver{Exchange: w.exchange}); err != nil {
+		t.Fatal(err)
+	}
+	return w, self
+}
+
+// TestP12StartOverTCPWhileLogIsDown has an instance without a log take the configuration from the others by the real calls.
+func TestP12StartOverTCPWhileLogIsDown(t *testing.T) {
+	c := clock.NewManual(100_000)
+	var nodes []*wired
+	var members []catalogue.Member
+	for _, name := range []string{"entry-a", "entry-b", "entry-c"} {
+		w, self := startWired(t, c, name)
+		nodes, members = append(nodes, w), append(members, self)
+	}
+	m := newMesh(t, nil)
+	m.clock = c
+	revision := m.change(zoneOut("z", true, "c1"))
+	for i, w := range nodes {
+		w.exchange.Knowledge.Membership.SeeList(listing(1, members), c.Now())
+		w.network.SetMembers(members)
+		if i > 0 {
+			b, err := m.log.Read(t.Context(), catalogue.StreamName, 0, 10, 0)
+			if err := w.journal.TakeRead(c.Now(), b, err); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	c.Advance(10_000)
+	r := rand.New(rand.NewPCG(1, 1))
+	for range 4 {
+		c.Advance(clock.Second)
+		var wg sync.WaitGroup
+		for _, w := range nodes {
+			seeded := rand.New(rand.NewPCG(r.Uint64(), 1))
+			wg.Go(func() {
+				if err := w.exchange.Round(t.Context(), seeded); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wg.Wait()
+	}
+	late := nodes[0]
+	if got := late.journal.State().Revision; got != revision || !late.journal.Ready() {
+		t.Errorf("revision %d, ready %t, want revision %d and ready", got, late.journal.Ready(), revision)
+	}
+	if age := c.Now() - late.exchange.Knowledge.ProvedAt(); age > clock.Second {
+		t.Errorf("the configuration was proved %d ms ago", age)
+	}
+	if have, missing := nodes[1].exchange.Knowledge.Holders(revision); have != 3 {
+		t.Errorf("%d members hold the revision, missing %v", have, missing)
+	}
+}
