Take a majority of all members that anybody sees

Cause: an instance that was just started with a short list could find a majority among the few that it shows, beside one that was cut off from a change. Excluded: Membership's hold; a fresh instance has nothing to hold. Telling the number on that was told itself; it never shrinks. Change: answers tell how many members their sender sees; the highest number of the last minute counts. Before: TestP12Freshness, 'short list': node 4 is fresh at revision 1. After: passes; TestP12MajorityShrinks: three of three after ten minutes.

--- a/pkg/caravan/freshness.go
+++ b/pkg/caravan/freshness.go
@@ -37,30 +37,31 @@
 // Highest returns the highest revision that any member was heard to hold.
 func (f *Freshness) Highest() catalogue.Revision { return f.highest }
 
-// ProvedAt returns the monotonic time at which a majority of the members held no revision above own; 0 means never.
+// ProvedAt returns the monotonic time at which a majority of size members held no revision above own; 0 means never.
 // An instance that knows of no other member has no proof.
-func (f *Freshness) ProvedAt(members []catalogue.Member, own catalogue.Revision) clock.Millis {
+func (f *Freshness) ProvedAt(members []catalogue.Member, size int, own catalogue.Revision) clock.Millis {
 	if f.highest > own || len(members) < 2 {
 		return f.proved
 	}
-	f.proved = max(f.proved, f.majorityAt(members))
+	f.proved = max(f.proved, f.majorityAt(members, size))
 	return f.proved
 }
 
 // HeardList notes that some member has seen a list as of the wall time asOf.
 func (f *Freshness) HeardList(asOf clock.Millis) { f.newestList = max(f.newestList, asOf) }
 
-// ListProvedAt returns the monotonic time at which a majority of the members had no list that is newer than asOf by more
+// ListProvedAt returns the monotonic time at which a majority of size members had no list that is newer than asOf by more
 // than listSlack; 0 means never.
-func (f *Freshness) ListProvedAt(members []catalogue.Member, asOf clock.Millis) clock.Millis {
+func (f *Freshness) ListProvedAt(members []catalogue.Member, size int, asOf clock.Millis) clock.Millis {
 	if f.newestList <= asOf+listSlack && len(members) >= 2 {
-		f.listProved = max(f.listProved, f.majorityAt(members))
+		f.listProved = max(f.listProved, f.majorityAt(members, size))
 	}
 	return f.listProved
 }
 
-// majorityAt returns the earliest time among the newest statements of a majority, this instance included.
-func (f *Freshness) majorityAt(members []catalogue.Member) clock.Millis {
+// majorityAt returns the earliest time among the newest statements of a majority of size members, this instance included;
+// 0 when fewer are known.
+func (f *Freshness) majorityAt(members []catalogue.Member, size int) clock.Millis {
 	times := make([]clock.Millis, 0, len(members))
 	for _, m := range members {
 		if m.Name != f.Self {
@@ -69,7 +70,10 @@
 	}
 	slices.Sort(times)
 	// This instance and needed others make a majority.
-	needed := len(members) / 2
+	needed := size / 2
+	if needed > len(times) {
+		return 0
+	}
 	return times[len(times)-needed]
 }
 
--- a/pkg/caravan/knowledge.go
+++ b/pkg/caravan/knowledge.go
@@ -39,6 +39,8 @@
 	Highest  catalogue.Revision
 	// ProofAge is the age of the log's proof that Revision is current, plus one, in milliseconds; 0 means no proof.
 	ProofAge clock.Millis
+	// Members is how many members the sender sees.
+	Members int
 	// ListAsOf is the wall time of the newest list that the sender knows to have been seen.
 	ListAsOf clock.Millis
 	// Ages tells when each member was known to hold no revision above Highest.
@@ -60,6 +62,9 @@
 	members       []catalogue.Member
 	neighbours    []catalogue.Member
 	neighbourView uint64
+	// told is the highest number of members that another one sees, told at the monotonic time toldAt.
+	told   int
+	toldAt clock.Millis
 }
 
 // Refresh brings all parts up to the present members.
@@ -97,6 +102,7 @@
 	out := Answer{
 		Incarnation: k.Self.Incarnation,
 		Ready:       k.Journal.Ready(),
+		Members:     len(k.Membership.Members()),
 		Revision:    own,
 		Highest:     max(own, k.Freshness.Highest()),
 		Delta:       k.Gossip.Delta(a.Digest),
@@ -121,6 +127,7 @@
 	k.Refresh()
 	k.Journal.TakeRevision(a.Highest)
 	k.Freshness.HeardList(a.ListAsOf)
+	k.hearSize(a.Members)
 	if a.Ready {
 		k.Freshness.Heard(member, sentAt, a.Highest)
 		k.Freshness.learn(a.Ages, k.members, k.Gossip.view, sentAt)
@@ -138,7 +145,7 @@
 	if k.Journal.Ready() || k.Freshness.Highest() > k.Journal.State().Revision {
 		return
 	}
-	n := len(k.members)
+	n := k.electorate()
 	majority := n/2 + 1
 	if k.Freshness.count(k.members) >= n-majority+1 {
 		k.Journal.Vouch()
@@ -150,7 +157,7 @@
 	if !k.Journal.Ready() {
 		return 0
 	}
-	byMembers := k.Freshness.ProvedAt(k.Membership.Members(), k.Journal.State().Revision)
+	byMembers := k.Freshness.ProvedAt(k.Membership.Members(), k.electorate(), k.Journal.State().Revision)
 	return max(k.Journal.ProvedAt(), byMembers)
 }
 
@@ -160,7 +167,7 @@
 	if !k.Membership.Seen() {
 		return 0
 	}
-	byMembers := k.Freshness.ListProvedAt(k.Membership.Members(), k.Membership.ListAsOf())
+	byMembers := k.Freshness.ListProvedAt(k.Membership.Members(), k.electorate(), k.Membership.ListAsOf())
 	return max(k.Membership.ListAt(), byMembers)
 }
 
@@ -180,9 +187,36 @@
 			missing = append(missing, m.Name)
 		}
 	}
+	for n := have + len(missing); n < k.electorate(); n++ {
+		missing = append(missing, unlistedMember)
+	}
 	return have, missing
 }
 
+// unlistedMember stands for a member that others see and this instance's list doesn't show.
+const unlistedMember = "(not listed here)"
+
+// sizeHold is how long a higher number of members that was told counts, in milliseconds.
+const sizeHold = 60 * clock.Second
+
+// hearSize notes how many members another one sees.
+func (k *Knowledge) hearSize(n int) {
+	now := k.Clock.Now()
+	if n >= k.told || now-k.toldAt > sizeHold {
+		k.told, k.toldAt = n, now
+	}
+}
+
+// electorate returns the number of members that a majority is taken of. A fresh instance whose list is short must not
+// find a majority among the few that it shows, so the numbers that others see count as well.
+func (k *Knowledge) electorate() int {
+	n := len(k.Membership.Members())
+	if k.Clock.Now()-k.toldAt <= sizeHold {
+		n = max(n, k.told)
+	}
+	return n
+}
+
 // Behind tells whether the sender of the answer holds a newer revision, and the log hasn't been readable for a while.
 func (k *Knowledge) Behind(a Answer) bool {
 	return a.Revision > k.Journal.State().Revision && (!k.Journal.Ready() || k.Clock.Now()-k.Journal.ProvedAt() > agingPeriods*k.Tick)
--- a/pkg/caravan/knowledge_test.go
+++ b/pkg/caravan/knowledge_test.go
@@ -92,6 +92,20 @@
 			restart(m, "entry-002")
 			m.run(60_000)
 		}, stale: []int{0, 1, 2}, old: []int{0, 2}},
+		{name: "restarted beside the one that was cut off, with a short list", nodes: 5, fault: func(m *mesh) {
+			m.isolate("entry-000")
+			m.nodes[0].view.Cut(true, true)
+			m.change(zoneOut("z", true, "c2"))
+			m.run(20_000)
+			m.logDown(true)
+			for _, n := range m.nodes[1:4] {
+				n.frozen = true
+				m.list.Remove(n.self.Name)
+			}
+			m.cut = nil
+			restart(m, "entry-004")
+			m.run(30_000)
+		}, stale: []int{0, 4}, old: []int{0, 4}},
 		{name: "head dropped, one restarted", nodes: 3, fault: func(m *mesh) {
 			m.change(zoneOut("z", true, "c2"))
 			m.run(10_000)
@@ -146,6 +160,27 @@
 	}
 }
 
+// TestP12MajorityShrinks takes six of nine instances away for good: after some minutes a majority is two of three.
+func TestP12MajorityShrinks(t *testing.T) {
+	m := newMesh(t, namedMembers(9))
+	m.change(zoneOut("y", true, "c1"))
+	m.run(10_000)
+	for _, n := range m.nodes[3:] {
+		n.frozen = true
+		m.list.Remove(n.self.Name)
+	}
+	m.run(30_000)
+	if have, missing := m.nodes[0].know.Holders(1); have+len(missing) < 6 {
+		t.Errorf("a majority is taken of %d members after 30 s", have+len(missing))
+	}
+	m.run(600_000)
+	for i, n := range m.nodes[:3] {
+		if have, missing := n.know.Holders(1); have != 3 || len(missing) != 0 {
+			t.Errorf("node %d: %d members hold the revision, missing %v", i, have, missing)
+		}
+	}
+}
+
 // acceptance is when a revision was first seen to be accepted.
 type acceptance struct {
 	revision catalogue.Revision
