--- a/pkg/concierge/warmth.go
+++ b/pkg/concierge/warmth.go
@@ -26,6 +26,9 @@
 	cutPause clock.Millis = 1000
 	// firstWarmLimit is the limit with which an upstream leaves the cold start.
 	firstWarmLimit = 4
+	// overbooking is how much more the instances may send in all while an upstream is less than halfFull.
+	overbooking = 2.0
+	halfFull    = 0.5
 	// defaultBearable bounds the limit of an upstream that does not say what it bears.
 	defaultBearable = 16
 )
@@ -33,14 +36,19 @@
 // warmth is what is known of one upstream.
 type warmth struct {
 	incarnation int64
-	episode     int64
-	cold        bool
-	// answers and quick count the answers and the quick ones in a row since the cold start.
+	// episode counts the times at which the incarnation turned warm or cold, as far as any instance noticed.
+	episode int64
+	cold    bool
+	// known is true once an instance has found out what the incarnation is like, and own once this one has.
+	known bool
+	own   bool
+	// answers and quick count the answers and the quick ones in a row since the episode began.
 	answers int
 	quick   int
 	signs   int
 	limit   float64
-	// bearable and inFlight are as reported.
+	// reported is true once a load report was read; bearable and inFlight are as reported.
+	reported bool
 	bearable int
 	inFlight int
 	// announced is true while the upstream itself reports a cold start.
@@ -49,25 +57,27 @@
 }
 
 func (u *warmth) restart(incarnation int64) {
-	u.incarnation, u.episode = incarnation, 0
-	u.turnCold()
+	*u = warmth{incarnation: incarnation, cold: true, limit: firstWarmLimit}
 }
 
-func (u *warmth) turnCold() {
-	u.cold = true
-	u.answers, u.quick, u.signs = 0, 0, 0
-	u.limit = firstWarmLimit
+// begin begins an episode that this instance has noticed.
+func (u *warmth) begin(cold bool) {
+	u.turn(u.episode+1, cold)
+	u.own = true
+	if !cold {
+		u.limit = firstWarmLimit
+	}
 }
 
-func (u *warmth) turnWarm() {
-	u.cold, u.signs = false, 0
-	u.limit = firstWarmLimit
+func (u *warmth) turn(episode int64, cold bool) {
+	u.episode, u.cold, u.known, u.own = episode, cold, true, false
+	u.answers, u.quick, u.signs = 0, 0, 0
 }
 
 func (u *warmth) takeReport(r *platform.LoadReport, at clock.Millis) {
-	u.bearable, u.inFlight = r.Bearable, r.InFlight
+	u.reported, u.bearable, u.inFlight = true, r.Bearable, r.InFlight
 	if r.Cold && !u.cold {
-		u.beginEpisode()
+		u.begin(true)
 	}
 	u.announced = r.Cold
 	if u.cold {
@@ -82,25 +92,6 @@
 	}
 }
 
-func (u *warmth) takeMark(m Mark) {
-	switch {
-	case m.Incarnation < u.incarnation, m.Incarnation == u.incarnation && m.Episode < u.episode:
-		return
-	case m.Incarnation > u.incarnation, m.Episode > u.episode:
-		u.incarnation, u.episode = m.Incarnation, m.Episode
-		u.turnCold()
-	}
-	if m.Warm && u.cold && !u.announced {
-		u.turnWarm()
-	}
-}
-
-// beginEpisode starts a cold start that nothing but its signs has shown.
-func (u *warmth) beginEpisode() {
-	u.episode++
-	u.turnCold()
-}
-
 func (u *warmth) takeFailure(at clock.Millis) {
 	u.quick = 0
 	u.cut(at)
@@ -114,7 +105,7 @@
 	}
 	u.signs++
 	if u.signs >= coldSigns {
-		u.beginEpisode()
+		u.begin(true)
 	}
 }
 
@@ -131,8 +122,12 @@
 	if usual > 0 && firstToken <= quickFactor*usual {
 		u.quick++
 	}
-	if u.cold && !u.announced && (u.quick >= warmAnswers || usual == 0 && u.answers >= firstAnswers) {
-		u.turnWarm()
+	proved := u.quick >= warmAnswers || usual == 0 && u.answers >= firstAnswers
+	switch {
+	case proved && u.cold && !u.announced:
+		u.begin(false)
+	case proved && !u.cold:
+		u.own = true
 	}
 }
 
--- a/pkg/courier/gate_test.go
+++ b/pkg/courier/gate_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/enquiry"
 )
 
@@ -33,11 +35,11 @@
 		pause  time.Duration
 		want   enquiry.Reason
 	}{
-		{name: "P01 version no longer allowed for the workspace", want: enquiry.ReasonNoUpstream,
+		{name: "P01 version no longer allowed for the workspace", want: enquiry.ReasonNoVersion,
 			change: func(s *catalogue.Snapshot) { s.Config.Workspaces["guests"].Versions = nil }},
-		{name: "P01 workspace removed", want: enquiry.ReasonNoUpstream,
+		{name: "P01 workspace removed", want: enquiry.ReasonNoVersion,
 			change: func(s *catalogue.Snapshot) { delete(s.Config.Workspaces, "guests") }},
-		{name: "P02 version withdrawn", want: enquiry.ReasonNoUpstream,
+		{name: "P02 version withdrawn", want: enquiry.ReasonNoVersion,
 			change: func(s *catalogue.Snapshot) { s.Config.Versions[testVersion].Withdrawn = true }},
 		{name: "P06 availability zone taken out", want: enquiry.ReasonNoUpstream,
 			change: func(s *catalogue.Snapshot) { s.Config.Zones["arusha-1"].Out = true }},
@@ -61,10 +63,15 @@
 					return w.dial(ctx, network, address)
 				}
 				s.Gate = &SnapshotGate{Common: s.Common, Snapshot: func() *catalogue.Snapshot { return snap }}
+				var sample enquiry.Sample
+				s.Observe = func(m enquiry.Sample) { sample = m }
 				r := refusalOf(t, s.Filter(t.Context(), chatCall(s, &recorder{}), nil))
 				if r == nil || r.Outcome != enquiry.NotRun || r.Reason != c.want {
 					t.Errorf("refusal %v, want NotRun %s", r, c.want)
 				}
+				if sample.Result != enquiry.ResultCancelled {
+					t.Errorf("the upstream is blamed: %s", sample.Result)
+				}
 				s.Close()
 				synctest.Wait()
 				if n := w.got.Load(); n != 0 {
@@ -87,3 +94,31 @@
 		s.Close()
 	})
 }
+
+// TestP09ClaimIsAskedBeforeTheFirstByte lets a claim run out while the connection is being made.
+func TestP09ClaimIsAskedBeforeTheFirstByte(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &witness{breakAfter: -1}
+		s := testSend(func(ctx context.Context, network, address string) (net.Conn, error) {
+			time.Sleep(time.Second)
+			return w.dial(ctx, network, address)
+		})
+		call := serviceCall(s, &recorder{}, http.MethodPost, false)
+		expires := s.Clock.Now() + 500
+		call.BeforeSend = func(now clock.Millis) *enquiry.Refusal {
+			if now < expires {
+				return nil
+			}
+			return enquiry.Refuse(enquiry.ReasonClaimExpired, 700, "too old")
+		}
+		r := refusalOf(t, s.Filter(t.Context(), call, nil))
+		if r == nil || r.Outcome != enquiry.NotRun || r.Reason != enquiry.ReasonClaimExpired || r.RetryAfter != 700 {
+			t.Errorf("refusal %v, want NotRun ClaimExpired", r)
+		}
+		s.Close()
+		synctest.Wait()
+		if n := w.got.Load(); n != 0 {
+			t.Errorf("the upstream got %d bytes", n)
+		}
+	})
+}
--- a/pkg/house/publish.go
+++ b/pkg/house/publish.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 
-	"carawayknot.example/carawayknot/pkg/caravan"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/platform"
@@ -15,11 +14,13 @@
 	now := c.Common.Clock.Now()
 	s := &catalogue.Snapshot{
 		At:       c.Knowledge.ProvedAt(),
+		SharesAt: now,
 		Config:   c.Journal.State(),
 		Members:  c.Knowledge.Membership.Members(),
 		Health:   c.health,
 		Draining: c.draining,
 	}
+	c.Subset.SetMembers(s.Members)
 	s.Upstreams = make([]*catalogue.Upstream, 0, len(c.upstreams))
 	for i := range c.upstreams {
 		s.Upstreams = append(s.Upstreams, c.upstream(&c.upstreams[i], s, now))
@@ -70,9 +71,11 @@
 		limit := cmp.Or(u.Rule.ColdLimit, defaultColdLimit)
 		return c.Shares.Share(u.Name, limit, now)
 	}
-	limit := c.ColdWatch.WarmLimit(u.Name)
+	limit := c.ColdWatch.WarmRoom(u.Name)
 	if u.Rule.WarmLimit > 0 {
 		limit = min(limit, u.Rule.WarmLimit)
 	}
-	return caravan.WarmPart(u.Name, c.Common.Settings.Name, limit, members)
+	// An instance without a share refuses while the upstream idles, so each gets one as long as the upstream bears that many.
+	limit = max(limit, min(len(members), cmp.Or(u.Rule.WarmLimit, u.Load.Bearable)))
+	return c.Subset.Part(u.Name, limit)
 }
