Let no silent member hold up the exchange with others

Cause: a period ended only when all answers were in, so that one member that doesn't answer stretched it to the time limit of 2 s; with the log down and a zone lost, proofs would have come too late for the horizon. Change: asks run beside one another; a member that owes an answer isn't asked again.

--- a/pkg/caravan/capacity_test.go
+++ b/pkg/caravan/capacity_test.go
@@ -24,6 +24,9 @@
 		m.t.Fatal(err)
 	}
 	for i, n := range m.nodes {
+		if n.frozen {
+			continue
+		}
 		if (round+i)%max(1, int(n.know.PublishPeriod()/m.cfg.Times.PeerTick)) == 0 {
 			data := make([]byte, countersBytes)
 			for k := range data {
@@ -55,6 +58,12 @@
 	}{
 		{name: "steady"},
 		{name: "logDown", begin: func(m *mesh) { m.logDown(true) }},
+		{name: "logDownZoneLost", begin: func(m *mesh) {
+			m.logDown(true)
+			for i, n := range m.nodes {
+				n.frozen = i%6 == 0
+			}
+		}},
 		{name: "restarts", round: func(m *mesh, i int) {
 			// One instance is replaced every ten periods.
 			if i%10 == 0 {
@@ -90,6 +99,9 @@
 					}
 					m.exchange(i)
 					for _, n := range m.nodes {
+						if n.frozen {
+							continue
+						}
 						oldest = max(oldest, m.clock.Now()-n.know.ProvedAt())
 					}
 				}
--- a/pkg/caravan/exchange.go
+++ b/pkg/caravan/exchange.go
@@ -34,6 +34,8 @@
 	Changed func(items bool)
 
 	rand *rand.Rand
+	// asked has the members that owe an answer.
+	asked sync.Map
 }
 
 // StateAsk asks for the configuration when it is newer than a revision.
@@ -81,13 +83,16 @@
 	seed := xxhash.Sum64String(e.Self.Name)
 	e.rand = rand.New(rand.NewPCG(seed, uint64(e.Self.Incarnation)))
 	period := e.Common.Settings.Times.PeerTick
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	for {
 		// Jitter keeps instances that started together apart.
 		pause := period*3/4 + clock.Millis(e.rand.Int64N(int64(period/2)+1))
 		if err := clock.Sleep(ctx, e.Common.Clock, pause); err != nil {
 			return err
 		}
-		if err := e.Round(ctx, e.rand); err != nil {
+		// A member that doesn't answer must not hold up the others.
+		if err := e.start(ctx, e.rand, &wg); err != nil {
 			return err
 		}
 	}
@@ -95,20 +100,33 @@
 
 // Round asks the members of one period and returns when all answered or failed.
 func (e *Exchange) Round(ctx context.Context, r *rand.Rand) error {
+	var wg sync.WaitGroup
+	err := e.start(ctx, r, &wg)
+	wg.Wait()
+	if err != nil {
+		return err
+	}
+	return ctx.Err()
+}
+
+// start asks the members of one period; it leaves out those that still owe an answer, and waits for none.
+func (e *Exchange) start(ctx context.Context, r *rand.Rand, wg *sync.WaitGroup) error {
 	var peers []catalogue.Member
 	if err := e.Do(ctx, func() { peers = e.Knowledge.Peers(r) }); err != nil {
 		return err
 	}
-	var wg sync.WaitGroup
 	for _, p := range peers {
+		if _, asked := e.asked.LoadOrStore(p.Name, true); asked {
+			continue
+		}
 		wg.Go(func() {
+			defer e.asked.Delete(p.Name)
 			if err := e.askPeer(ctx, p); err != nil {
 				e.Common.Log.WithName("exchange").V(1).Info("peer not heard", "member", p.Name, "why", err.Error())
 			}
 		})
 	}
-	wg.Wait()
-	return ctx.Err()
+	return nil
 }
 
 func (e *Exchange) askPeer(ctx context.Context, p catalogue.Member) error {
--- a/pkg/caravan/exchange_test.go
+++ b/pkg/caravan/exchange_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"runtime"
 	"sync"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
 	"carawayknot.example/carawayknot/pkg/archive"
@@ -95,3 +97,56 @@
 		t.Errorf("%d members hold the revision, missing %v", have, missing)
 	}
 }
+
+// silentCaller never answers for one member, and counts the calls to the others.
+type silentCaller struct {
+	silent string
+	calls  chan string
+}
+
+// Call returns when the silent member's caller gives up, and at once for the others.
+func (s *silentCaller) Call(ctx context.Context, member, _ string, _, reply any) error {
+	select {
+	case s.calls <- member:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if member == s.silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	*reply.(*Answer) = Answer{Incarnation: 1, Ready: true}
+	return nil
+}
+
+// TestP12SilentMemberHoldsUpNoOther lets several periods pass while one of two other members never answers.
+func TestP12SilentMemberHoldsUpNoOther(t *testing.T) {
+	const periods = 5
+	c := clock.NewManual(100_000)
+	w, self := startWired(t, c, "entry-a")
+	caller := &silentCaller{silent: "entry-b", calls: make(chan string)}
+	w.exchange.Caller = caller
+	w.exchange.Knowledge.Membership.SeeList(listing(1, []catalogue.Member{self, {Name: "entry-b", Incarnation: 1}, {Name: "entry-c", Incarnation: 1}}), c.Now())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- w.exchange.Run(ctx) }()
+	calls := map[string]int{}
+	for calls["entry-c"] < periods || calls["entry-b"] == 0 {
+		select {
+		case called := <-caller.calls:
+			calls[called]++
+		default:
+			if c.Waiting() > 0 {
+				c.Advance(2 * clock.Second)
+			}
+			runtime.Gosched()
+		}
+	}
+	cancel()
+	if err := <-done; !errors.Is(err, context.Canceled) {
+		t.Errorf("Run returned %v", err)
+	}
+	if calls["entry-b"] != 1 {
+		t.Errorf("the silent member was asked %d times at once", calls["entry-b"])
+	}
+}
