Hand over bills at shutdown also when a keeper took them

Cause: a bill with a keeper stayed behind at shutdown; when the keeper had died since and the log was still down, it was lost. Excluded: the keeper's own hand-over, since it was killed. Change: all bills that the log lacks are handed over; doubles are removed by the fold. A claim that keeps losing to claims that are released again ends with the caller's wait. Before: TestP04BillsUnderFaults/log_down,_keeper_killed,_origin_shut_down: no total, want 1 request. After: it passes, with all of go test ./pkg/ledger ./pkg/reservation.

--- a/pkg/ledger/bill_test.go
+++ b/pkg/ledger/bill_test.go
@@ -233,6 +233,19 @@
 			},
 			want: chai(1),
 		},
+		{
+			name: "log down, keeper killed, origin shut down",
+			play: func(o *office) {
+				o.log.SetFaults(fake.Faults{Down: true})
+				_, _ = o.clerks["a"].serve("r1", resultAnswers)
+				o.kill("c")
+				time.Sleep(time.Minute)
+				_ = o.clerks["a"].biller.Handover(context.Background())
+				o.kill("a")
+				o.log.SetFaults(fake.Faults{})
+			},
+			want: chai(1),
+		},
 		{
 			name: "shut down while the log is down",
 			play: func(o *office) {
--- a/pkg/ledger/handover.go
+++ b/pkg/ledger/handover.go
@@ -117,7 +117,7 @@
 	return nil
 }
 
-// remaining returns the bills that would go with this instance.
+// remaining returns the bills that the log doesn't have, also those with a keeper, since that one may have died since.
 func (b *Biller) remaining() []*Bill {
 	var bills []*Bill
 	if b.Keeper != nil {
@@ -126,9 +126,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, o := range b.owed {
-		if o.keeper == "" {
-			bills = append(bills, o.bill)
-		}
+		bills = append(bills, o.bill)
 	}
 	return bills
 }
--- a/pkg/reservation/claim.go
+++ b/pkg/reservation/claim.go
@@ -43,6 +43,9 @@
 		if h != nil || err != nil {
 			return h, err
 		}
+		if b.Common.Clock.Now() >= giveUpAt {
+			return nil, inUse(nil)
+		}
 	}
 }
 
