Answer the caller of a call that must not run twice at its deadline

Cause: a call that was sent is seen to its end, and its caller waited with it, up to Times.Stall beyond its deadline. Excluded: cutting the call, which would lose its outcome; ending the handler, since a shutdown waits for handlers only. Change: the answer goes out whole at the deadline, the handler stays until the call has ended.

--- a/pkg/courier/refusal.go
+++ b/pkg/courier/refusal.go
@@ -16,10 +16,21 @@
 const (
 	// retrySoon is the wait that is told after a failure of one upstream, in milliseconds.
 	retrySoon = 500
+	// retryOverdue is the wait that is told while a call is still seen to its end, in milliseconds.
+	retryOverdue = 1 * clock.Second
 	// retryLimit bounds the wait that an upstream may ask for.
 	retryLimit = 60 * clock.Second
 )
 
+// Overdue returns the refusal for a caller whose deadline passes while its call, which must not run twice, is seen to its
+// end.
+func Overdue() *enquiry.Refusal {
+	return &enquiry.Refusal{
+		Outcome: enquiry.MayHaveRun, Reason: enquiry.ReasonDeadline, RetryAfter: retryOverdue,
+		Detail: "the call is seen to its end; ask again under the same key for its outcome",
+	}
+}
+
 // deniedError says that the gate stopped the request before its first byte.
 type deniedError struct{ cause error }
 
--- a/pkg/desk/caller.go
+++ b/pkg/desk/caller.go
@@ -1,6 +1,7 @@
 package desk
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -91,14 +92,22 @@
 	c := &enquiry.Call{Request: in.request}
 	out := d.writer(w, in.request)
 	c.Writer = out
-	err := d.Line.Handle(r.Context(), c)
+	answered, err := d.handle(r.Context(), c, out)
 	d.Metrics.observe(c, err, d.Clock.Now()-began)
 	d.note(c, err)
-	if err != nil {
+	if err != nil && !answered {
 		out.fail(c, err)
 	}
 }
 
+// handle takes the call through the line, and tells whether the caller has its final answer already.
+func (d *Caller) handle(ctx context.Context, c *enquiry.Call, out answerWriter) (answered bool, err error) {
+	if c.Request.Repeatable {
+		return false, d.Line.Handle(ctx, c)
+	}
+	return d.handleOnce(ctx, c, out)
+}
+
 func (d *Caller) refuse(w http.ResponseWriter, err error) {
 	d.Metrics.refused("", err)
 	writeError(w, err)
@@ -128,7 +137,12 @@
 // answerWriter takes an answer, or the error in its place.
 type answerWriter interface {
 	enquiry.Writer
+	// hasStarted tells whether the caller has seen a part of the answer.
+	hasStarted() bool
+	// fail gives the caller the error as the end of the answer.
 	fail(c *enquiry.Call, err error)
+	// failNow gives the caller the error in place of an answer that has not started, before the handler returns.
+	failNow(c *enquiry.Call, err error)
 }
 
 func (d *Caller) writer(w http.ResponseWriter, q *enquiry.Request) answerWriter {
--- a/pkg/desk/identify.go
+++ b/pkg/desk/identify.go
@@ -34,15 +34,11 @@
 	if c.Workspace == nil {
 		return enquiry.Refuse(enquiry.ReasonUnauthorized, 0, "the workspace is not known")
 	}
-	limit, err := f.identify(snap.Config, c)
-	if err != nil {
+	if err := f.identify(snap.Config, c); err != nil {
 		return err
 	}
 	if c.Request.Deadline == 0 {
-		if limit == 0 {
-			limit = defaultDeadline
-		}
-		c.Request.Deadline = c.Request.ArrivedAt + limit
+		c.Request.Deadline = c.Request.ArrivedAt + defaultTime(snap.Config, c.Request)
 	}
 	if f.Clock.Now() >= c.Request.Deadline {
 		return enquiry.Refuse(enquiry.ReasonDeadline, 0, "the deadline has passed")
@@ -50,26 +46,35 @@
 	return next.Handle(ctx, c)
 }
 
-// identify sets the profile or the service of the call and returns the time that it has by default.
-func (f *Identify) identify(config *catalogue.State, c *enquiry.Call) (clock.Millis, error) {
-	if c.Request.Service != "" {
-		return f.service(config, c)
+// identify sets the profile or the service of the call.
+func (f *Identify) identify(config *catalogue.State, c *enquiry.Call) error {
+	if name := c.Request.Service; name != "" {
+		c.Service = config.Services[name]
+		if c.Service == nil || !slices.Contains(c.Workspace.Services, name) {
+			return forbid("service", "workspace %s may not use service %s", c.Workspace.Name, name)
+		}
+		return nil
 	}
 	name := c.Request.Profile
 	c.Profile = config.Profiles[name]
 	if c.Profile == nil || !slices.Contains(c.Workspace.Profiles, name) {
-		return 0, forbid(HeaderProfile, "workspace %s may not use profile %s", c.Workspace.Name, name)
+		return forbid(HeaderProfile, "workspace %s may not use profile %s", c.Workspace.Name, name)
 	}
-	return c.Profile.Deadline, nil
+	return nil
 }
 
-func (f *Identify) service(config *catalogue.State, c *enquiry.Call) (clock.Millis, error) {
-	name := c.Request.Service
-	c.Service = config.Services[name]
-	if c.Service == nil || !slices.Contains(c.Workspace.Services, name) {
-		return 0, forbid("service", "workspace %s may not use service %s", c.Workspace.Name, name)
+// defaultTime returns the time for a request that states no deadline, in milliseconds.
+func defaultTime(config *catalogue.State, q *enquiry.Request) clock.Millis {
+	var limit clock.Millis
+	if s := config.Services[q.Service]; s != nil {
+		limit = s.Deadline
+	} else if p := config.Profiles[q.Profile]; p != nil {
+		limit = p.Deadline
+	}
+	if limit == 0 {
+		return defaultDeadline
 	}
-	return c.Service.Deadline, nil
+	return limit
 }
 
 func forbid(field, format string, args ...any) *enquiry.Refusal {
--- a/pkg/desk/intake.go
+++ b/pkg/desk/intake.go
@@ -59,6 +59,9 @@
 	if err := what(in); err != nil {
 		return err
 	}
+	if q.Deadline == 0 {
+		q.Deadline = q.ArrivedAt + defaultTime(in.snap.Config, q)
+	}
 	if !q.Repeatable && q.Key == "" {
 		return refuseField(HeaderRequestKey, "a request that must not run twice needs a key of its own in this header")
 	}
--- a/pkg/desk/output.go
+++ b/pkg/desk/output.go
@@ -54,3 +54,15 @@
 	h.Set(HeaderCost, strconv.FormatInt(int64(c.Cost()), 10))
 	h.Set(HeaderOutcome, string(outcome))
 }
+
+func (o *output) hasStarted() bool { return o.started }
+
+// failNow writes the error as the whole answer and closes the connection after the handler, so that the caller neither
+// waits for the handler nor sends another request behind it.
+func (o *output) failNow(c *enquiry.Call, err error) {
+	o.started = true
+	o.describe(c)
+	o.w.Header().Set("Connection", "close")
+	writeError(o.w, err)
+	_ = o.rc.Flush()
+}
--- a/pkg/desk/refusal.go
+++ b/pkg/desk/refusal.go
@@ -83,8 +83,10 @@
 // writeError writes the error as the whole answer.
 func writeError(w http.ResponseWriter, err error) {
 	r, body := errorBody(err)
+	b, _ := json.Marshal(body)
+	b = append(b, '\n')
 	h := w.Header()
-	h.Del("Content-Length")
+	h.Set("Content-Length", strconv.Itoa(len(b)))
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderOutcome, string(body.Outcome))
 	if body.RetryAfter > 0 {
@@ -97,7 +99,7 @@
 		h.Set("Connection", "close")
 	}
 	w.WriteHeader(status(r))
-	_ = json.NewEncoder(w).Encode(body)
+	_, _ = w.Write(b)
 }
 
 // refuseField returns a NotRun refusal that names the wrong field.
