--- a/pkg/courier/gate.go
+++ b/pkg/courier/gate.go
@@ -22,6 +22,9 @@
 	if err := s.Fresh(g.Clock.Now(), g.Settings.Times.Horizon); err != nil {
 		return err
 	}
+	if err := s.PermitShare(c.Upstream.Name, g.Clock.Now()); err != nil {
+		return refuseFor(enquiry.ReasonOverloaded, err)
+	}
 	if c.Version != nil {
 		if err := s.PermitVersion(c.Request.Workspace, c.Version.ID); err != nil {
 			return refuseFor(enquiry.ReasonNoVersion, err)
--- a/pkg/house/control.go
+++ b/pkg/house/control.go
@@ -32,6 +32,7 @@
 	Journal   *archive.Journal
 	Knowledge *caravan.Knowledge
 	Shares    *caravan.ColdShares
+	Subset    *caravan.Subset
 	ColdWatch *concierge.ColdWatch
 	Ratings   *tasting.Book
 	// Forget, when set, is told of upstreams that are gone.
--- a/pkg/house/house.go
+++ b/pkg/house/house.go
@@ -125,6 +125,7 @@
 	g.Go(func() error { return h.every(ctx, "list", t.ListPoll, h.readList) })
 	g.Go(func() error { return h.every(ctx, "load", t.LoadPoll, h.readLoads) })
 	g.Go(func() error { return h.every(ctx, "probe", probePeriod, h.prober.Round) })
+	g.Go(func() error { return h.every(ctx, "health", holdPeriod, h.holdRollouts) })
 	if h.Common.Settings.Platform.Ratings != "" {
 		g.Go(func() error { return h.every(ctx, "ratings", t.RatingPoll, h.readRatings) })
 	}
@@ -188,7 +189,8 @@
 			Freshness:  &caravan.Freshness{Self: self.Name},
 			Gossip:     &caravan.Gossip{Self: self},
 		},
-		Shares:    &caravan.ColdShares{Self: self.Name, Lag: t.ListLag, Lease: t.ColdLease, Hold: t.ColdHold},
+		Shares:    &caravan.ColdShares{Self: self.Name, Lag: t.ListLag, Lease: t.ColdLease, Publish: catalogue.ShareTime, Hold: t.ColdHold},
+		Subset:    &caravan.Subset{Self: self.Name},
 		ColdWatch: &concierge.ColdWatch{},
 		Ratings:   &tasting.Book{Config: journal.State},
 	}
--- a/pkg/house/probe.go
+++ b/pkg/house/probe.go
@@ -123,6 +123,9 @@
 	if err := s.Fresh(g.Common.Clock.Now(), g.Common.Settings.Times.Horizon); err != nil {
 		return err
 	}
+	if err := s.PermitShare(c.Upstream.Name, g.Common.Clock.Now()); err != nil {
+		return err
+	}
 	u := s.Upstream(c.Upstream.Name)
 	if u == nil || !u.Serves(c.Version.ID) {
 		return &catalogue.ForbiddenError{Rule: "version not loaded", Name: fmt.Sprint(c.Upstream.Name, " ", c.Version.ID)}
