Read the list only when it changed, and take an unchanged one at no cost

Change: the list answers with an ETag, and 304 with its time when nothing changed; the client then returns the same slice, by which the control thread sees that there is nothing to take. Excluded: reading the list less often, since leaving upstreams must get no new work after a few seconds.

--- a/pkg/house/build.go
+++ b/pkg/house/build.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 
 	"carawayknot.example/carawayknot/pkg/archive"
 	"carawayknot.example/carawayknot/pkg/caravan"
@@ -57,11 +56,10 @@
 
 func (h *House) buildPlatform() {
 	p := h.Common.Settings.Platform
-	client := &http.Client{}
-	h.log = &platform.Log{BaseURL: p.Log, HTTP: client}
-	h.list = &platform.List{BaseURL: p.List, HTTP: client}
-	h.ratings = &platform.Ratings{BaseURL: p.Ratings, HTTP: client}
-	h.engines = &platform.Engines{HTTP: client}
+	h.log = &platform.Log{BaseURL: p.Log}
+	h.list = &platform.List{BaseURL: p.List}
+	h.ratings = &platform.Ratings{BaseURL: p.Ratings}
+	h.engines = &platform.Engines{}
 }
 
 func (h *House) buildPeers() {
--- a/pkg/house/control.go
+++ b/pkg/house/control.go
@@ -38,12 +38,14 @@
 	// Forget, when set, is told of upstreams that are gone.
 	Forget func(upstream string)
 
-	system    *actor.ActorSystem
-	pid       *actor.PID
-	stopped   chan struct{}
-	snapshot  atomic.Pointer[catalogue.Snapshot]
-	backlog   atomic.Int64
-	dropped   atomic.Int64
+	system   *actor.ActorSystem
+	pid      *actor.PID
+	stopped  chan struct{}
+	snapshot atomic.Pointer[catalogue.Snapshot]
+	backlog  atomic.Int64
+	dropped  atomic.Int64
+	// listed is the list taken last, upstreams are those in it that are no entry instances.
+	listed    []platform.Instance
 	upstreams []platform.Instance
 	loads     map[string]catalogue.Load
 	health    map[catalogue.HealthKey]catalogue.Health
@@ -147,12 +149,21 @@
 		return
 	}
 	c.Shares.See(c.Knowledge.Membership.Listed(), m.SentAt)
+	if sameSlice(c.listed, m.Listing.Instances) {
+		return
+	}
+	c.listed = m.Listing.Instances
 	c.takeUpstreams(m.Listing.Instances)
 	c.Knowledge.Refresh()
 	c.forgetOrigins()
 	c.publish()
 }
 
+// sameSlice tells whether the list is the one taken last; the client returns the same slice while nothing changed.
+func sameSlice(a, b []platform.Instance) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 func (c *Control) takeUpstreams(listed []platform.Instance) {
 	before := map[string]int64{}
 	for _, u := range c.upstreams {
--- a/pkg/house/gossip.go
+++ b/pkg/house/gossip.go
@@ -107,7 +107,7 @@
 	var verdicts []concierge.Verdict
 	for _, item := range items {
 		var v concierge.Verdict
-		if item.Origin != c.Common.Settings.Name && len(item.Data) > 0 && c.listed(item.Key) && c.decode(&item, &v) {
+		if item.Origin != c.Common.Settings.Name && len(item.Data) > 0 && c.hasUpstream(item.Key) && c.decode(&item, &v) {
 			verdicts = append(verdicts, v)
 		}
 	}
@@ -144,8 +144,8 @@
 	}
 }
 
-// listed tells whether the list shows the upstream.
-func (c *Control) listed(upstream string) bool {
+// hasUpstream tells whether the list shows the upstream.
+func (c *Control) hasUpstream(upstream string) bool {
 	return slices.ContainsFunc(c.upstreams, func(i platform.Instance) bool { return i.Name == upstream })
 }
 
--- a/pkg/house/loops.go
+++ b/pkg/house/loops.go
@@ -22,9 +22,11 @@
 	// callTime bounds one call to the platform, in milliseconds; a long poll may wait on top of it.
 	callTime = 2 * clock.Second
 	// tickPeriod is how often control state ages, in milliseconds.
-	tickPeriod clock.Millis = 250
-	// loadReadsPerSecond bounds the load reports that one instance reads.
-	loadReadsPerSecond = 12
+	tickPeriod clock.Millis = 500
+	// maxLoadReads and minLoadReads bound the load reports that one instance reads a second; loadReadsOfAll are shared between.
+	maxLoadReads   = 12
+	minLoadReads   = 4
+	loadReadsOfAll = 120
 	// retryLeast and retryMost bound the pause after a failed call.
 	retryLeast = 100 * time.Millisecond
 	retryMost  = 3 * time.Second
@@ -133,16 +135,21 @@
 
 // readLoads reads the load of each upstream once, at a bounded rate.
 func (h *House) readLoads(ctx context.Context) error {
-	ups := h.control.Snapshot().Upstreams
+	s := h.control.Snapshot()
+	rate := max(minLoadReads, min(maxLoadReads, loadReadsOfAll/max(1, len(s.Members))))
 	var g errgroup.Group
-	for _, u := range ups {
+	for _, u := range s.Upstreams {
+		if !u.Cold && u.Share == 0 {
+			// Other instances send to it, and their verdicts tell of a cold start.
+			continue
+		}
 		g.Go(func() error {
 			callCtx, cancel := clock.WithTimeout(ctx, h.Common.Clock, callTime)
 			defer cancel()
 			return h.readLoad(callCtx, u)
 		})
-		if len(ups) > loadReadsPerSecond {
-			if err := clock.Sleep(ctx, h.Common.Clock, clock.Second/loadReadsPerSecond); err != nil {
+		if len(s.Upstreams) > rate {
+			if err := clock.Sleep(ctx, h.Common.Clock, clock.Second/clock.Millis(rate)); err != nil {
 				return err
 			}
 		}
--- a/pkg/platform/call.go
+++ b/pkg/platform/call.go
@@ -45,6 +45,8 @@
 	url     string
 	// in is sent as JSON unless it is nil.
 	in any
+	// tag, when set, asks for an answer only when it is no longer current.
+	tag string
 	// limit bounds the body of the answer, in bytes; 0 means replyLimit.
 	limit int64
 }
@@ -99,6 +101,9 @@
 	if err != nil {
 		return nil, nil, errors.Wrap(err, c.service)
 	}
+	if c.tag != "" {
+		req.Header.Set("If-None-Match", c.tag)
+	}
 	if c.in == nil {
 		return req, func() bool { return c.effect() && connected.Load() }, nil
 	}
--- a/pkg/platform/client_test.go
+++ b/pkg/platform/client_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -159,3 +161,41 @@
 		t.Errorf("second fetch (-want +got):\n%s", diff)
 	}
 }
+
+func TestListIsSentAgainOnlyWhenItChanged(t *testing.T) {
+	list := standin.NewList()
+	var bodies []int
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rec := httptest.NewRecorder()
+		list.Handler().ServeHTTP(rec, r)
+		bodies = append(bodies, rec.Code)
+		maps.Copy(w.Header(), rec.Header())
+		w.WriteHeader(rec.Code)
+		_, _ = w.Write(rec.Body.Bytes())
+	}))
+	defer srv.Close()
+	client := &platform.List{BaseURL: srv.URL}
+	read := func() platform.Listing {
+		t.Helper()
+		l, err := client.Instances(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+	list.Put(platform.Instance{Name: "engine-a"})
+	first, second := read(), read()
+	if &first.Instances[0] != &second.Instances[0] {
+		t.Error("an unchanged list was made anew")
+	}
+	if second.AsOf < first.AsOf {
+		t.Errorf("AsOf went back from %d to %d", first.AsOf, second.AsOf)
+	}
+	list.Put(platform.Instance{Name: "engine-b"})
+	if diff := cmp.Diff(2, len(read().Instances)); diff != "" {
+		t.Errorf("instances after a change (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]int{200, 304, 200}, bodies); diff != "" {
+		t.Errorf("statuses (-want +got):\n%s", diff)
+	}
+}
--- a/pkg/platform/clients.go
+++ b/pkg/platform/clients.go
@@ -9,22 +9,6 @@
 	"carawayknot.example/carawayknot/pkg/catalogue"
 )
 
-// List is the HTTP client of the list of instances; it is safe for concurrent use.
-type List struct {
-	// BaseURL has no slash at its end.
-	BaseURL string
-	// HTTP is optional.
-	HTTP *http.Client
-}
-
-// Instances returns the list, which lags; its errors are *UnavailableError, *ReplyError and *StatusError.
-func (l *List) Instances(ctx context.Context) (Listing, error) {
-	c := &call{service: "list", client: l.HTTP, method: http.MethodGet, url: l.BaseURL + "/instances"}
-	var out Listing
-	err := c.decode(ctx, http.StatusOK, &out)
-	return out, err
-}
-
 // Ratings is the HTTP client of the service that rates answers; it is safe for concurrent use.
 type Ratings struct {
 	// BaseURL has no slash at its end.
--- a/pkg/standin/list.go
+++ b/pkg/standin/list.go
@@ -1,7 +1,11 @@
 package standin
 
 import (
+	"encoding/json"
 	"net/http"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/platform"
@@ -57,6 +61,18 @@
 		refuse(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
+	raw, err := json.Marshal(listing.Instances)
+	if err != nil {
+		refuse(w, http.StatusInternalServerError, err.Error())
+		return
+	}
+	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(raw), 16))
+	w.Header().Set("ETag", tag)
+	w.Header().Set(platform.AsOfHeader, strconv.FormatInt(int64(listing.AsOf), 10))
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	writeJSON(w, http.StatusOK, listing)
 }
 
