Send a cold upstream only requests that end while this instance may hold its share

Cause: the waits of the cold shares rest on ColdHold, the time that a request stays at a cold upstream, and nothing held requests to it: a request with a longer deadline could still be there when the next instance in rank began to use the share. Excluded: cutting a request at ColdHold, since callers get whole answers. Change: a cold upstream is a candidate only for requests whose deadline is within ColdHold. Before: TestP05NoRequestMayOutstayTheShareOfAColdUpstream failed in two of four cases. After: it passes.

--- a/pkg/concierge/pick.go
+++ b/pkg/concierge/pick.go
@@ -34,6 +34,10 @@
 	// Prefix is the hash of the prompt prefix, 0 when there is none.
 	Prefix   uint64
 	Excluded []string
+	// Stay is how long the request may stay at an upstream, and ColdHold how long a request may stay at a cold one,
+	// in milliseconds; a request that may stay longer could still be there when another instance has got the share.
+	Stay     clock.Millis
+	ColdHold clock.Millis
 }
 
 // InFlightCounter tells this instance's own requests in flight at an upstream.
@@ -80,7 +84,7 @@
 // load estimates how full the upstream is; it is false when this instance may send it nothing more.
 func (q *Query) load(u *catalogue.Upstream, flights InFlightCounter, prefixes PrefixSet) (float64, bool) {
 	own := flights.InFlight(u.Name)
-	if own >= u.Share || q.excludes(u.Name) {
+	if own >= u.Share || u.Cold && q.Stay > q.ColdHold || q.excludes(u.Name) {
 		return 0, false
 	}
 	bearable := u.Load.Bearable
--- /dev/null
+++ b/pkg/concierge/pick_cold_test.go
@@ -0,0 +1,36 @@
+package concierge
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+)
+
+// TestP05NoRequestMayOutstayTheShareOfAColdUpstream covers what the waits of caravan.ColdShares rely on: when the ranks move, the
+// requests of the former holder are gone after ColdHold.
+func TestP05NoRequestMayOutstayTheShareOfAColdUpstream(t *testing.T) {
+	cold := &catalogue.Upstream{Name: "engine-a", Cold: true, Share: 1}
+	warm := &catalogue.Upstream{Name: "engine-b", Share: 1}
+	for _, tc := range []struct {
+		name string
+		stay clock.Millis
+		from []*catalogue.Upstream
+		want *catalogue.Upstream
+	}{
+		{"short request, cold upstream", 10_000, []*catalogue.Upstream{cold}, cold},
+		{"long request, cold upstream", 10_001, []*catalogue.Upstream{cold}, nil},
+		{"long request, both", 10_001, []*catalogue.Upstream{cold, warm}, warm},
+		{"long request, warm upstream", 60_000, []*catalogue.Upstream{warm}, warm},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			q := &Query{RequestID: "r1", Stay: tc.stay, ColdHold: 10_000}
+			got := Pick(q, tc.from, &Flights{}, nil)
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("Pick() (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/pkg/concierge/place.go
+++ b/pkg/concierge/place.go
@@ -164,6 +164,8 @@
 		Members:   len(x.Snapshot.Members),
 		Prefix:    PrefixOf(c.Request),
 		Excluded:  c.Excluded,
+		Stay:      c.Request.Deadline - now,
+		ColdHold:  f.Settings.Times.ColdHold,
 	}
 }
 
