--- a/pkg/concierge/coldwatch.go
+++ b/pkg/concierge/coldwatch.go
@@ -1,9 +1,6 @@
 package concierge
 
 import (
-	"cmp"
-	"slices"
-
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/enquiry"
 	"carawayknot.example/carawayknot/pkg/platform"
@@ -18,16 +15,6 @@
 	usual map[string]float64
 }
 
-// Mark is what an instance knows of the cold start of an upstream, for the other instances.
-// Of two marks the one with the later incarnation and episode holds; within an episode warm goes before cold.
-type Mark struct {
-	Upstream    string
-	Incarnation int64
-	// Episode counts the cold starts of an incarnation.
-	Episode int64
-	Warm    bool
-}
-
 // TakeLoad takes in a load report that was read at the time.
 func (w *ColdWatch) TakeLoad(name string, incarnation int64, r platform.LoadReport, at clock.Millis) {
 	u := w.upstream(name)
@@ -80,24 +67,17 @@
 	if u == nil {
 		return firstWarmLimit
 	}
-	return max(1, int(u.limit))
-}
-
-// Marks returns what is known of all upstreams, sorted by name.
-func (w *ColdWatch) Marks() []Mark {
-	marks := make([]Mark, 0, len(w.upstreams))
-	for name, u := range w.upstreams {
-		marks = append(marks, Mark{Upstream: name, Incarnation: u.incarnation, Episode: u.episode, Warm: !u.cold})
-	}
-	slices.SortFunc(marks, func(a, b Mark) int { return cmp.Compare(a.Upstream, b.Upstream) })
-	return marks
+	return min(max(1, int(u.limit)), u.max())
 }
 
-// TakeMarks takes in what another instance knows.
-func (w *ColdWatch) TakeMarks(marks []Mark) {
-	for _, m := range marks {
-		w.upstream(m.Upstream).takeMark(m)
+// WarmRoom is WarmLimit, or more while the upstream reports to be far from full: traffic comes unevenly over
+// the instances, and a warm upstream that gets a little too much refuses it and lowers the limit.
+func (w *ColdWatch) WarmRoom(name string) int {
+	limit := w.WarmLimit(name)
+	if u := w.upstreams[name]; u != nil && u.reported && float64(u.inFlight) < halfFull*float64(limit) {
+		return int(overbooking * float64(limit))
 	}
+	return limit
 }
 
 // Forget drops an upstream that is gone.
--- a/pkg/house/gossip.go
+++ b/pkg/house/gossip.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"math"
 	"slices"
 	"strconv"
 
@@ -13,17 +15,19 @@
 )
 
 const (
-	// markTopic has what each instance knows of the cold starts of upstreams, by upstream.
-	markTopic = "u"
+	// verdictTopic has what each instance found out about upstreams by its own requests, by upstream.
+	verdictTopic = "u"
 	// healthTopic has the counters of each instance, by version and task.
 	healthTopic = "v"
 	// itemsPerSecond bounds the items that all instances together publish, since each one reaches every instance.
 	itemsPerSecond = 12.0
+	// limitStep is the relative change of a limit that is worth telling others.
+	limitStep = 0.25
 )
 
 // publication remembers what this instance told the others, and when.
 type publication struct {
-	marks    map[string]concierge.Mark
+	verdicts map[string]concierge.Verdict
 	counters map[string]tasting.Counter
 	next     clock.Millis
 }
@@ -31,14 +35,14 @@
 // tellOthers publishes what changed, as far as this instance's part of the common rate allows.
 func (c *Control) tellOthers(now clock.Millis) {
 	p := &c.published
-	if p.marks == nil {
-		p.marks = map[string]concierge.Mark{}
+	if p.verdicts == nil {
+		p.verdicts = map[string]concierge.Verdict{}
 		p.counters = map[string]tasting.Counter{}
 	}
-	for _, m := range c.ColdWatch.Marks() {
-		if p.marks[m.Upstream] != m {
-			p.marks[m.Upstream] = m
-			c.put(markTopic, m.Upstream, &m)
+	for _, v := range c.ColdWatch.Verdicts() {
+		if old, told := p.verdicts[v.Upstream]; !told || worthTelling(&old, &v) {
+			p.verdicts[v.Upstream] = v
+			c.put(verdictTopic, v.Upstream, &v)
 		}
 	}
 	members := len(c.Knowledge.Membership.Members())
@@ -70,6 +74,13 @@
 	c.Knowledge.Gossip.Put(topic, key, data)
 }
 
+func worthTelling(old, v *concierge.Verdict) bool {
+	if old.Incarnation != v.Incarnation || old.Episode != v.Episode || old.Cold != v.Cold {
+		return true
+	}
+	return math.Abs(float64(v.Limit-old.Limit)) > limitStep*float64(old.Limit)
+}
+
 // grown tells whether a counter has enough news: the more was counted, the more is needed.
 func grown(old, k *tasting.Counter) bool {
 	const newsShare = 16
@@ -77,31 +88,64 @@
 	return news > (old.Answers+old.Failures)/newsShare
 }
 
-// itemsChanged takes in what the others published.
+// itemsChanged takes in what the others published since the last call.
 func (c *Control) itemsChanged() {
-	var marks []concierge.Mark
-	for _, item := range c.Knowledge.Gossip.Items(markTopic) {
-		var m concierge.Mark
-		if item.Origin != c.Common.Settings.Name && c.listed(item.Key) && c.decode(&item, &m) {
-			marks = append(marks, m)
+	var verdicts []caravan.Item
+	for _, item := range c.Knowledge.Gossip.TakeChanges() {
+		switch item.Topic {
+		case verdictTopic:
+			verdicts = append(verdicts, item)
+		case healthTopic:
+			c.takeCounter(&item)
 		}
 	}
-	c.ColdWatch.TakeMarks(marks)
-	byOrigin := map[string][]tasting.Counter{}
-	for _, item := range c.Knowledge.Gossip.Items(healthTopic) {
-		var k tasting.Counter
-		if item.Origin != c.Common.Settings.Name && c.decode(&item, &k) {
-			origin := item.Origin + " " + strconv.FormatInt(item.Incarnation, 10)
-			byOrigin[origin] = append(byOrigin[origin], k)
+	c.takeVerdicts(verdicts)
+}
+
+// takeVerdicts takes in verdicts on listed upstreams; verdicts on others would never be forgotten.
+func (c *Control) takeVerdicts(items []caravan.Item) {
+	var verdicts []concierge.Verdict
+	for _, item := range items {
+		var v concierge.Verdict
+		if item.Origin != c.Common.Settings.Name && len(item.Data) > 0 && c.hasUpstream(item.Key) && c.decode(&item, &v) {
+			verdicts = append(verdicts, v)
 		}
 	}
-	for origin, counters := range byOrigin {
-		c.Ratings.Merge(origin, counters)
+	if len(verdicts) > 0 {
+		c.ColdWatch.TakeVerdicts(verdicts)
+	}
+}
+
+func (c *Control) takeCounter(item *caravan.Item) {
+	var k tasting.Counter
+	if len(item.Data) == 0 || !c.decode(item, &k) {
+		return
+	}
+	origin := item.Origin + " " + strconv.FormatInt(item.Incarnation, 10)
+	if c.origins == nil {
+		c.origins = map[string]string{}
+	}
+	if old, known := c.origins[item.Origin]; known && old != origin {
+		c.Ratings.Forget(old)
+	}
+	c.origins[item.Origin] = origin
+	c.Ratings.Merge(origin, []tasting.Counter{k})
+}
+
+// forgetOrigins drops the counters of instances that are gone; what they counted stays in the health of the versions.
+func (c *Control) forgetOrigins() {
+	gone := maps.Clone(c.origins)
+	for _, m := range c.Knowledge.Membership.Members() {
+		delete(gone, m.Name)
+	}
+	for name, origin := range gone {
+		c.Ratings.Forget(origin)
+		delete(c.origins, name)
 	}
 }
 
-// listed tells whether the list shows the upstream; marks of others would never be forgotten.
-func (c *Control) listed(upstream string) bool {
+// hasUpstream tells whether the list shows the upstream.
+func (c *Control) hasUpstream(upstream string) bool {
 	return slices.ContainsFunc(c.upstreams, func(i platform.Instance) bool { return i.Name == upstream })
 }
 
--- a/pkg/trace/history.go
+++ b/pkg/trace/history.go
@@ -59,13 +59,14 @@
 	return sum
 }
 
-// warm returns the marks of upstreams that were warm before the trace starts.
-func (t *Trace) warm() []concierge.Mark {
-	var marks []concierge.Mark
+// warm returns the verdicts on upstreams that were warm before the trace starts.
+func (t *Trace) warm() []concierge.Verdict {
+	var verdicts []concierge.Verdict
 	for i := range t.Upstreams {
-		marks = append(marks, concierge.Mark{Upstream: t.Upstreams[i].Name, Incarnation: 1, Warm: true})
+		u := &t.Upstreams[i]
+		verdicts = append(verdicts, concierge.Verdict{Upstream: u.Name, Incarnation: 1, Limit: u.Bearable})
 	}
-	return marks
+	return verdicts
 }
 
 // knowledge is the health of all versions as one would know it who knew the truth.
--- a/pkg/trace/instance.go
+++ b/pkg/trace/instance.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-logr/logr"
 
+	"carawayknot.example/carawayknot/pkg/caravan"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/concierge"
@@ -153,7 +154,7 @@
 // publish makes the snapshot that requests are decided on.
 func (in *instance) publish() {
 	now := in.run.loop.clock.Now()
-	s := &catalogue.Snapshot{At: now, Config: in.world.inForce, Health: in.book.Health(), Members: in.members()}
+	s := &catalogue.Snapshot{At: now, Config: in.world.inForce, Health: in.book.Health(), Members: in.world.listedMembers}
 	if in.run.policy.truths != nil {
 		s.Health = in.run.policy.truths(in.world)
 	}
@@ -167,21 +168,13 @@
 	in.snapshot = s
 }
 
-func (in *instance) members() []catalogue.Member {
-	var members []catalogue.Member
-	for _, m := range in.world.members() {
-		members = append(members, catalogue.Member{Name: m.Name, Zone: m.Zone})
-	}
-	return members
-}
-
 // share is this instance's part of what the upstream bears.
 func (in *instance) share(u *catalogue.Upstream, members []catalogue.Member) int {
-	limit := u.Rule.ColdLimit
-	if !u.Cold {
-		limit = in.watch.WarmLimit(u.Name)
+	self := in.common.Settings.Name
+	if u.Cold {
+		return caravan.ColdPart(u.Name, self, u.Rule.ColdLimit, members)
 	}
-	return partOf(u.Name, in.common.Settings.Name, limit, members)
+	return caravan.WarmPart(u.Name, self, in.watch.WarmRoom(u.Name), members)
 }
 
 func (in *instance) readRatings() {
@@ -199,7 +192,7 @@
 func (in *instance) mergePeers() {
 	for _, p := range in.peers {
 		in.book.Merge(p.common.Settings.Name, p.book.Own())
-		in.watch.TakeMarks(p.watch.Marks())
+		in.watch.TakeVerdicts(p.watch.Verdicts())
 	}
 	in.hold()
 }
