Cross tokens as well as ids at the engine stand-in; let requests wait for room while an instance is frozen

Without the check of ids the test of crossed answers passed, because the stand-in sent the right tokens under a wrong id. Without the check of freshness before the send the tests of new work passed, because no request had passed the check at arrival when the instance was frozen. Both are stricter now.

--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -37,7 +37,7 @@
 	CutAfter int
 	// SkipDone leaves out the end of the answer and closes the connection cleanly.
 	SkipDone bool
-	// Crossed answers with the id of another request.
+	// Crossed answers with the id and the tokens of another request.
 	Crossed bool
 	// Repeat sends each event twice.
 	Repeat bool
--- a/pkg/standin/engine_test.go
+++ b/pkg/standin/engine_test.go
@@ -48,6 +48,11 @@
 		id, i, Token("user: hi\n", i), finish, tail)
 }
 
+// crossed is the event of one token that belongs to another request.
+func crossed(i int, last bool) string {
+	return strings.Replace(event("crossed-r", i, last), Token("user: hi\n", i), Token("crossed user: hi\n", i), 1)
+}
+
 func TestEngineAnswers(t *testing.T) {
 	const done = "data: [DONE]\n\n"
 	whole := event("r", 0, false) + event("r", 1, true)
@@ -64,7 +69,7 @@
 		{name: "whole", status: 200, want: whole + done},
 		{name: "no end mark", faults: EngineFaults{SkipDone: true}, status: 200, want: whole},
 		{name: "cut", faults: EngineFaults{CutAfter: 1}, status: 200, want: event("r", 0, false) + "cut"},
-		{name: "crossed", faults: EngineFaults{Crossed: true}, status: 200, want: event("crossed-r", 0, false) + event("crossed-r", 1, true) + done},
+		{name: "crossed", faults: EngineFaults{Crossed: true}, status: 200, want: crossed(0, false) + crossed(1, true) + done},
 		{name: "repeated", faults: EngineFaults{Repeat: true}, status: 200, want: strings.Repeat(event("r", 0, false), 2) + strings.Repeat(event("r", 1, true), 2) + done},
 		{name: "resume of an unknown request", offset: "1", status: 404, want: refused("the engine does not take the request", 404)},
 		{name: "down", faults: EngineFaults{Faults: Faults{Down: true}}, status: 503, want: refused("down", 503)},
--- a/pkg/standin/job.go
+++ b/pkg/standin/job.go
@@ -263,10 +263,11 @@
 
 func (j *job) event(i int, crossed bool) []byte {
 	c := chunk{ID: j.id, Object: "chat.completion.chunk", Model: j.version, Offset: i, Choices: make([]choice, 1)}
+	c.Choices[0].Delta.Content = j.token(i)
 	if crossed {
 		c.ID = "crossed-" + j.id
+		c.Choices[0].Delta.Content = Token("crossed "+j.prompt, i)
 	}
-	c.Choices[0].Delta.Content = j.token(i)
 	if i == j.total-1 {
 		stop := "stop"
 		c.Choices[0].FinishReason = &stop
--- a/test/newwork_test.go
+++ b/test/newwork_test.go
@@ -18,11 +18,14 @@
 // bound is how long after a fact was accepted new work may still come: the horizon and the way to the engine, in milliseconds.
 const bound = clock.Millis(horizon/time.Millisecond) + 500
 
+// workers is how many requests are under way at each daemon.
+const workers = 8
+
 // load sends chats to all daemons until stop is closed, and returns once all replies are in.
 func load(ctx context.Context, daemons []*proctest.Daemon, stop <-chan struct{}) *sync.WaitGroup {
 	all := &sync.WaitGroup{}
 	for _, d := range daemons {
-		for worker := range 3 {
+		for worker := range workers {
 			all.Go(func() {
 				for i := 0; ; i++ {
 					select {
@@ -55,7 +58,8 @@
 // request starts later than the bound that has reached what the fact is about.
 func stopsNewWork(t *testing.T, announce func(s *proctest.Set), concerned func(engine string, st standin.Start) bool) {
 	t.Helper()
-	s := proctest.NewSet(t, proctest.Options{Instances: 5})
+	// Answers take long enough that requests wait for room: these have passed the checks at arrival when an instance is frozen.
+	s := proctest.NewSet(t, proctest.Options{Instances: 5, Engines: slowEngines(40, 25)})
 	count := func(after clock.Millis) int {
 		n := 0
 		for engine, all := range starts(s) {
