--- a/pkg/house/publish.go
+++ b/pkg/house/publish.go
@@ -13,7 +13,7 @@
 func (c *Control) publish() {
 	now := c.Common.Clock.Now()
 	s := &catalogue.Snapshot{
-		At:       c.Knowledge.ProvedAt(),
+		At:       c.Knowledge.ViewAt(),
 		SharesAt: now,
 		Config:   c.Journal.State(),
 		Members:  c.Knowledge.Membership.Members(),
@@ -37,7 +37,7 @@
 		return
 	}
 	s := *old
-	s.At = c.Knowledge.ProvedAt()
+	s.At = c.Knowledge.ViewAt()
 	c.snapshot.Store(&s)
 }
 
