Let the first pin of a session stand when two requests choose at once

Cause: two first requests of a session at two instances could each pin another version, and each went on with its own. Change: the choice settles the pin before the request is sent and goes on with the version that the session got, as long as it is allowed. After: TestChooseFilter has both cases, with a faster pin and with one that is not allowed here.

--- a/pkg/tariff/choose.go
+++ b/pkg/tariff/choose.go
@@ -20,8 +20,9 @@
 type Pins interface {
 	// Pinned returns the version that the call's session keeps.
 	Pinned(ctx context.Context, c *enquiry.Call) (catalogue.VersionID, bool)
-	// Pin pins the call's session to the version and returns the signed pin for the caller.
-	Pin(ctx context.Context, c *enquiry.Call, id catalogue.VersionID) string
+	// Settle pins the call's session to the version, and returns the version that it is pinned to, since another request of the
+	// session may have been faster, and the signed pin for the caller.
+	Settle(ctx context.Context, c *enquiry.Call, id catalogue.VersionID) (catalogue.VersionID, string)
 }
 
 // Rater gives a verdict on an answer at once.
@@ -44,14 +45,10 @@
 	if c.Service != nil || c.Profile == nil {
 		return next.Handle(ctx, c)
 	}
-	choice, refusal := Pick(f.query(ctx, c))
+	choice, refusal := f.choose(ctx, c)
 	if refusal != nil {
 		return refusal
 	}
-	if choice.Repin {
-		pin := f.Pins.Pin(ctx, c, choice.Plan.Steps[0].Version.ID)
-		c.Writer = &pinWriter{Writer: c.Writer, pin: pin}
-	}
 	for _, step := range choice.Plan.Steps[:len(choice.Plan.Steps)-1] {
 		if done, err := f.try(ctx, c, step, next); done {
 			return err
@@ -61,6 +58,23 @@
 	return next.Handle(ctx, c)
 }
 
+// choose returns the plan for the call, with the session pinned to it.
+func (f *Choose) choose(ctx context.Context, c *enquiry.Call) (*Choice, *enquiry.Refusal) {
+	q := f.query(ctx, c)
+	choice, refusal := Pick(q)
+	if refusal != nil || !choice.Repin {
+		return choice, refusal
+	}
+	wanted := choice.Plan.Steps[0].Version.ID
+	settled, pin := f.Pins.Settle(ctx, c, wanted)
+	c.Writer = &pinWriter{Writer: c.Writer, pin: pin}
+	if settled == wanted {
+		return choice, nil
+	}
+	q.Pinned = settled
+	return Pick(q)
+}
+
 func (f *Choose) query(ctx context.Context, c *enquiry.Call) *Query {
 	s := f.Snapshot()
 	q := &Query{
--- a/pkg/tariff/choose_test.go
+++ b/pkg/tariff/choose_test.go
@@ -16,15 +16,22 @@
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
-type fakePins struct{ pinned catalogue.VersionID }
+type fakePins struct {
+	pinned catalogue.VersionID
+	// faster is what another request of the session is pinned to meanwhile.
+	faster catalogue.VersionID
+}
 
 func (p *fakePins) Pinned(context.Context, *enquiry.Call) (catalogue.VersionID, bool) {
 	return p.pinned, p.pinned != ""
 }
 
-func (p *fakePins) Pin(_ context.Context, _ *enquiry.Call, id catalogue.VersionID) string {
+func (p *fakePins) Settle(_ context.Context, _ *enquiry.Call, id catalogue.VersionID) (catalogue.VersionID, string) {
 	p.pinned = id
-	return "pin of " + string(id)
+	if p.faster != "" {
+		p.pinned = p.faster
+	}
+	return p.pinned, "pin of " + string(p.pinned)
 }
 
 type fakeRater struct {
@@ -82,6 +89,7 @@
 	for _, tc := range []struct {
 		name    string
 		session string
+		faster  catalogue.VersionID
 		rater   Rater
 		failing catalogue.VersionID
 		padding int
@@ -99,6 +107,14 @@
 			name: "session is pinned", rater: good, session: "s",
 			want: shown{Pin: "pin of model-2@1", Text: "model-2@1", Ended: true},
 		},
+		{
+			name: "P03: another request of the session was faster", rater: good, session: "s", faster: "model-1@1",
+			want: shown{Pin: "pin of model-1@1", Text: "model-1@1", Ended: true},
+		},
+		{
+			name: "P01: another request of the session was faster, with a version not allowed here", rater: good, session: "s",
+			faster: "model-9@9", want: shown{Pin: "pin of model-9@9", Text: "model-2@1", Ended: true},
+		},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			q := scene()
@@ -110,7 +126,7 @@
 			f := &Choose{
 				Common:   settings.Common{Log: logr.Discard(), Settings: &cfg, Clock: clock.NewManual(0)},
 				Snapshot: func() *catalogue.Snapshot { return q.Snapshot },
-				Pins:     &fakePins{},
+				Pins:     &fakePins{faster: tc.faster},
 				Rater:    tc.rater,
 			}
 			var got shown
--- a/pkg/trace/instance.go
+++ b/pkg/trace/instance.go
@@ -221,10 +221,10 @@
 	return id, ok
 }
 
-// Pin pins the session.
-func (p worldPins) Pin(_ context.Context, c *enquiry.Call, id catalogue.VersionID) string {
+// Settle pins the session.
+func (p worldPins) Settle(_ context.Context, c *enquiry.Call, id catalogue.VersionID) (catalogue.VersionID, string) {
 	p.world.pins[c.Request.Workspace+"/"+c.Request.Session] = id
-	return string(id)
+	return id, string(id)
 }
 
 // worldRater gives the true rating after the time a verdict takes.
