Tell the outcome of a call over all its attempts

Cause: after an attempt that may have run, a second attempt that never left, or a cascade step that was refused, ended the call with NotRun, which was not true of the call. Excluded: telling it in the placing filter, since cascades run above it, and in the claims, since repeatable calls pass them by. Change: the sending filter marks the call (Call.Sent); courier.Settle, between billing and the choice of a version, raises NotRun to MayHaveRun; a call that must not run twice is not sent after an attempt that may have run. Conclusion: NotRun is true of the call, not of its last attempt.

--- a/pkg/courier/send.go
+++ b/pkg/courier/send.go
@@ -50,6 +50,9 @@
 	if c.Upstream == nil {
 		return enquiry.Refuse(enquiry.ReasonNoUpstream, 0, "no upstream was chosen")
 	}
+	if c.Sent && !c.Request.Repeatable {
+		return errSentBefore(c)
+	}
 	c.Attempts++
 	a := s.newAttempt(ctx, c)
 	defer a.close()
@@ -60,6 +63,7 @@
 		err = a.chat()
 	}
 	a.report(err)
+	c.Sent = c.Sent || a.outcome(err) != enquiry.NotRun
 	if err == nil {
 		return nil
 	}
--- a/pkg/enquiry/request.go
+++ b/pkg/enquiry/request.go
@@ -66,6 +66,8 @@
 	ViewAt clock.Millis
 	// Attempts counts the sends to upstreams.
 	Attempts int
+	// Sent is true once an attempt may have been executed by an upstream; only the sending filter sets it.
+	Sent bool
 	// Excluded names upstreams that failed this call.
 	Excluded []string
 	// Pin is the signed session pin to hand to the caller; it is empty when there is none.
--- a/pkg/house/line.go
+++ b/pkg/house/line.go
@@ -38,6 +38,7 @@
 		&concierge.Admit{Common: c, Snapshot: snapshot, Admission: h.admission},
 		h.claims,
 		h.biller,
+		courier.Settle{},
 		&tariff.Choose{Common: c, Snapshot: snapshot, Pins: h.pins, Rater: h.ratings, Rated: h.rated},
 		&concierge.Place{
 			Common:   c,
