--- a/pkg/house/control.go
+++ b/pkg/house/control.go
@@ -38,17 +38,21 @@
 	// Forget, when set, is told of upstreams that are gone.
 	Forget func(upstream string)
 
-	system    *actor.ActorSystem
-	pid       *actor.PID
-	stopped   chan struct{}
-	snapshot  atomic.Pointer[catalogue.Snapshot]
-	backlog   atomic.Int64
-	dropped   atomic.Int64
+	system   *actor.ActorSystem
+	pid      *actor.PID
+	stopped  chan struct{}
+	snapshot atomic.Pointer[catalogue.Snapshot]
+	backlog  atomic.Int64
+	dropped  atomic.Int64
+	// listed is the list taken last, upstreams are those in it that are no entry instances.
+	listed    []platform.Instance
 	upstreams []platform.Instance
 	loads     map[string]catalogue.Load
 	health    map[catalogue.HealthKey]catalogue.Health
 	published publication
-	draining  bool
+	// origins has the origin of the counters merged last, by instance.
+	origins  map[string]string
+	draining bool
 	// settled is true once this instance could send to an upstream, be it a cold one.
 	settled atomic.Bool
 }
@@ -145,22 +149,44 @@
 		return
 	}
 	c.Shares.See(c.Knowledge.Membership.Listed(), m.SentAt)
-	gone := map[string]bool{}
+	if sameSlice(c.listed, m.Listing.Instances) {
+		return
+	}
+	c.listed = m.Listing.Instances
+	c.takeUpstreams(m.Listing.Instances)
+	c.Knowledge.Refresh()
+	c.forgetOrigins()
+	c.publish()
+}
+
+// sameSlice tells whether the list is the one taken last; the client returns the same slice while nothing changed.
+func sameSlice(a, b []platform.Instance) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+func (c *Control) takeUpstreams(listed []platform.Instance) {
+	before := map[string]int64{}
 	for _, u := range c.upstreams {
-		gone[u.Name] = true
+		before[u.Name] = u.Incarnation
 	}
 	c.upstreams = nil
-	for _, i := range m.Listing.Instances {
-		if i.Role != catalogue.RoleEntry {
-			c.upstreams = append(c.upstreams, i)
-			delete(gone, i.Name)
+	news := false
+	for _, i := range listed {
+		if i.Role == catalogue.RoleEntry {
+			continue
 		}
+		incarnation, known := before[i.Name]
+		news = news || !known || incarnation != i.Incarnation
+		delete(before, i.Name)
+		c.upstreams = append(c.upstreams, i)
 	}
-	for name := range gone {
+	for name := range before {
 		c.forget(name)
 	}
-	c.Knowledge.Refresh()
-	c.publish()
+	if news {
+		// Verdicts that came before the list showed their upstream were not taken.
+		c.takeVerdicts(c.Knowledge.Gossip.Items(verdictTopic))
+	}
 }
 
 func (c *Control) forget(upstream string) {
