Give each attempt at an engine an id of its own

Cause: engines find by id what they go on with or cancel, and callers choose ids; of two requests with one id, the broken stream of one was resumed with the answer of the other, also across workspaces. Excluded: refusing ids in use, which one instance can't know of another; ids of the router's own in bills and headers, which callers rely on. Change: a chat completion is known at its engine as <request id>~<8 digits>, new for each attempt (Call.AttemptID, Call.SentID, Sample.RequestID); cascades rate under it. Plain services still get the request id.

--- a/pkg/courier/attempt.go
+++ b/pkg/courier/attempt.go
@@ -6,10 +6,15 @@
 	"net/http"
 	"sync"
 
+	"github.com/google/uuid"
+
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/enquiry"
 )
 
+// suffixLength is the number of digits that tell the attempts of a request apart.
+const suffixLength = 8
+
 // requestIDHeader carries the request id to the upstream and back.
 const requestIDHeader = "X-Request-Id"
 
@@ -17,6 +22,8 @@
 type attempt struct {
 	*Send
 	call *enquiry.Call
+	// id is the id under which the upstream knows the attempt.
+	id string
 	// asked is the call as it was when the attempt began.
 	asked enquiry.Call
 	ctx   context.Context
@@ -43,7 +50,8 @@
 }
 
 func (s *Send) newAttempt(ctx context.Context, c *enquiry.Call) *attempt {
-	a := &attempt{Send: s, call: c, asked: *c, began: s.Clock.Now()}
+	c.AttemptID = s.attemptID(c)
+	a := &attempt{Send: s, call: c, id: c.AttemptID, asked: *c, began: s.Clock.Now()}
 	a.ctx, a.stop = context.WithCancelCause(context.WithoutCancel(ctx))
 	unhook := context.AfterFunc(ctx, func() { a.giveUp(context.Cause(ctx)) })
 	a.watch = &watch{clock: s.Clock, stall: s.Settings.Times.Stall, deadline: c.Request.Deadline, stalled: a.stop, late: a.giveUp}
@@ -55,6 +63,18 @@
 	return a
 }
 
+// attemptID returns the id of a new attempt. Callers choose the ids of requests, and engines find by id what they are to
+// go on with or to cancel; so each chat completion gets an id of its own there.
+func (s *Send) attemptID(c *enquiry.Call) string {
+	if c.Version == nil {
+		return c.Request.ID
+	}
+	if s.Suffix != nil {
+		return c.Request.ID + s.Suffix()
+	}
+	return c.Request.ID + "~" + uuid.NewString()[:suffixLength]
+}
+
 // close ends what the attempt started.
 func (a *attempt) close() {
 	a.stop(context.Canceled)
--- a/pkg/courier/chat.go
+++ b/pkg/courier/chat.go
@@ -132,8 +132,8 @@
 	a.watch.pause()
 	defer a.watch.resume()
 	if a.Cancel != nil {
-		if err := a.cancel(a.ctx, a.call.Upstream.Address, a.call.Request.ID, true); err != nil {
-			a.log().V(1).Info("could not put off", "request", a.call.Request.ID, "error", err.Error())
+		if err := a.cancel(a.ctx, a.call.Upstream.Address, a.id, true); err != nil {
+			a.log().V(1).Info("could not put off", "request", a.id, "error", err.Error())
 		}
 	}
 	return q.drained(a.ctx)
@@ -190,7 +190,7 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Accept", "text/event-stream")
-	req.Header.Set(requestIDHeader, r.ID)
+	req.Header.Set(requestIDHeader, a.id)
 	if a.call.Profile != nil {
 		req.Header.Set("X-Priority", strconv.Itoa(a.call.Profile.Priority))
 	}
@@ -235,18 +235,18 @@
 // from something in front of the upstream, and proves nothing.
 func (a *attempt) checkEcho(resp *http.Response) error {
 	got := resp.Header.Get(requestIDHeader)
-	if got == a.call.Request.ID {
+	if got == a.id {
 		return nil
 	}
 	a.abandon()
 	if got == "" && resp.StatusCode >= http.StatusBadRequest {
 		return a.statusError(resp)
 	}
-	return &mismatchError{Field: requestIDHeader, Want: a.call.Request.ID, Got: got}
+	return &mismatchError{Field: requestIDHeader, Want: a.id, Got: got}
 }
 
 func (a *attempt) statusError(resp *http.Response) *statusError {
-	own := resp.Header.Get(requestIDHeader) == a.call.Request.ID
+	own := resp.Header.Get(requestIDHeader) == a.id
 	return &statusError{
 		Status:     resp.StatusCode,
 		RetryAfter: retryAfter(resp.Header),
@@ -271,7 +271,7 @@
 
 // events reads events into the queue until the end mark.
 func (a *attempt) events(q *queue, r *EventReader) error {
-	check := &order{id: a.call.Request.ID, version: a.call.Version.ID, offset: a.offset, resumed: a.offset > 0}
+	check := &order{id: a.id, version: a.call.Version.ID, offset: a.offset, resumed: a.offset > 0}
 	for {
 		ev, err := r.Next()
 		if err != nil {
--- a/pkg/courier/fakes_test.go
+++ b/pkg/courier/fakes_test.go
@@ -157,6 +157,7 @@
 		Budget: &Budget{Total: 1 << 20, PerRequest: 128 << 10},
 		Cancel: &cancels{},
 		Dial:   dial,
+		Suffix: func() string { return "" },
 	}
 }
 
--- a/pkg/courier/report.go
+++ b/pkg/courier/report.go
@@ -14,10 +14,10 @@
 		a.chargeUsage(enquiry.End{OutputTokens: a.offset})
 	}
 	if err != nil && a.wrote && a.end == nil && a.call.Request.Repeatable && a.call.Version != nil {
-		a.cancelWork(a.call.Upstream.Address, a.call.Request.ID)
+		a.cancelWork(a.call.Upstream.Address, a.id)
 	}
 	if err != nil {
-		a.log().V(1).Info("attempt failed", "request", a.call.Request.ID, "upstream", a.call.Upstream.Name,
+		a.log().V(1).Info("attempt failed", "request", a.id, "upstream", a.call.Upstream.Name,
 			"outcome", a.outcome(err), "error", err.Error())
 	}
 	if a.Observe != nil {
@@ -29,7 +29,7 @@
 	now := a.Clock.Now()
 	s := enquiry.Sample{
 		At:         now,
-		RequestID:  a.call.Request.ID,
+		RequestID:  a.id,
 		Workspace:  a.call.Request.Workspace,
 		Upstream:   a.call.Upstream.Name,
 		Result:     a.result(err),
--- a/pkg/courier/resume_test.go
+++ b/pkg/courier/resume_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -145,6 +147,50 @@
 	})
 }
 
+// TestP07RequestsOfOneIDDontShareAnAnswer breaks the streams of two requests that bear one id, as callers who don't know
+// of one another may choose it, and resumes both.
+func TestP07RequestsOfOneIDDontShareAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		held := map[string]string{}
+		both := make(chan struct{})
+		u := &upstream{play: func(n int, req *http.Request, conn net.Conn) {
+			id, text := req.Header.Get(requestIDHeader), req.Header.Get("X-Priority")
+			own := func(s string) string { return strings.ReplaceAll(s, "r-1", id) }
+			mu.Lock()
+			defer mu.Unlock()
+			if req.Header.Get("X-Resume-Offset") != "" {
+				raw(own(streamHead+tokenEvent(1, held[id])+endEvent(2)+doneEvent))(n, req, conn)
+				return
+			}
+			held[id] = text
+			if n == 1 {
+				close(both)
+			}
+			_, _ = io.WriteString(conn, own(streamHead+tokenEvent(0, text)))
+			go func() {
+				<-both
+				conn.Close()
+			}()
+		}}
+		s := testSend(u.dial)
+		s.Suffix = nil
+		var all sync.WaitGroup
+		for priority, want := range []string{"00", "11"} {
+			all.Go(func() {
+				rec := &recorder{}
+				call := chatCall(s, rec)
+				call.Profile.Priority = priority
+				if err := s.Filter(t.Context(), call, nil); err != nil || rec.text.String() != want {
+					t.Errorf("request %d got %q, %v, want %q", priority, rec.text.String(), err, want)
+				}
+			})
+		}
+		all.Wait()
+		s.Close()
+	})
+}
+
 func TestCancelEndsTheEnginesWork(t *testing.T) {
 	for _, c := range []struct {
 		name string
--- a/pkg/courier/send.go
+++ b/pkg/courier/send.go
@@ -38,6 +38,8 @@
 	Observe func(enquiry.Sample)
 	// Dial connects to an upstream; without it TCP is used.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Suffix makes what tells the attempts of one request apart at an engine; without it that is random.
+	Suffix func() string
 
 	once       sync.Once
 	transports *transports
--- a/pkg/courier/service.go
+++ b/pkg/courier/service.go
@@ -56,7 +56,7 @@
 			req.Header.Del(name)
 		}
 	}
-	req.Header.Set(requestIDHeader, r.ID)
+	req.Header.Set(requestIDHeader, a.id)
 	req.Header.Del("Idempotency-Key")
 	if r.Key != "" {
 		req.Header.Set("Idempotency-Key", r.Key)
--- a/pkg/enquiry/request.go
+++ b/pkg/enquiry/request.go
@@ -66,6 +66,8 @@
 	ViewAt clock.Millis
 	// Attempts counts the sends to upstreams.
 	Attempts int
+	// AttemptID names the latest attempt at its upstream; it begins with the id of the request.
+	AttemptID string
 	// Sent is true once an attempt may have been executed by an upstream; only the sending filter sets it.
 	Sent bool
 	// Excluded names upstreams that failed this call.
@@ -82,6 +84,14 @@
 	Writer Writer
 }
 
+// SentID returns the id under which the upstream knows the latest attempt.
+func (c *Call) SentID() string {
+	if c.AttemptID == "" {
+		return c.Request.ID
+	}
+	return c.AttemptID
+}
+
 // MaySend returns the refusal for which the call may not be sent at now, or nil.
 func (c *Call) MaySend(now clock.Millis) *Refusal {
 	if c.BeforeSend == nil {
--- a/pkg/enquiry/sample.go
+++ b/pkg/enquiry/sample.go
@@ -20,7 +20,8 @@
 
 // Sample is what one attempt at an upstream showed; times are in milliseconds.
 type Sample struct {
-	At         clock.Millis
+	At clock.Millis
+	// RequestID is the id under which the upstream knows the attempt.
 	RequestID  string
 	Workspace  string
 	Task       string
--- a/pkg/tariff/choose.go
+++ b/pkg/tariff/choose.go
@@ -115,7 +115,7 @@
 
 func (f *Choose) rate(ctx context.Context, c *enquiry.Call, step Step, held *holdWriter) (float64, error) {
 	score, err := f.Rater.Rate(ctx, platform.RateRequest{
-		RequestID: c.Request.ID,
+		RequestID: c.SentID(),
 		Version:   step.Version.ID,
 		Task:      c.Profile.Task,
 		Prompt:    prompt(c.Request),
@@ -126,7 +126,7 @@
 		return 0, err
 	}
 	if f.Rated != nil {
-		f.Rated(platform.Rating{RequestID: c.Request.ID, Version: step.Version.ID, Task: c.Profile.Task, Score: score})
+		f.Rated(platform.Rating{RequestID: c.SentID(), Version: step.Version.ID, Task: c.Profile.Task, Score: score})
 	}
 	return score, nil
 }
