Use an engine's connection again after a whole answer

Cause: an answer was left at its end mark, before the end of its body, so that the HTTP client closed the connection; each chat completion made a new one. Excluded: reading to the end of the body before the caller gets its end, which makes callers wait for engines that don't close. Change: what is left is read in the background, within bounds; so are the bodies of refusals. Before: 3 connections for 3 chats (row 'body ends' of TestConnectionIsUsedAgainAfterAWholeAnswer). Conclusion: kept connections serve chats. BenchmarkAddedLatency is added; its runs on a loaded machine are trials only.

--- a/pkg/courier/attempt.go
+++ b/pkg/courier/attempt.go
@@ -12,6 +12,12 @@
 	"carawayknot.example/carawayknot/pkg/enquiry"
 )
 
+const (
+	// restTime and restBytes bound what is read of an answer after its end.
+	restTime  = 1 * clock.Second
+	restBytes = 4 << 10
+)
+
 // suffixLength is the number of digits that tell the attempts of a request apart.
 const suffixLength = 8
 
@@ -28,8 +34,10 @@
 	asked enquiry.Call
 	ctx   context.Context
 	stop  context.CancelCauseFunc
-	watch *watch
-	wg    sync.WaitGroup
+	// unwatch ends the watch alone.
+	unwatch context.CancelFunc
+	watch   *watch
+	wg      sync.WaitGroup
 
 	mu       sync.Mutex
 	exchange *exchange
@@ -45,6 +53,8 @@
 	headed bool
 	// end is set once the answer is complete.
 	end *enquiry.End
+	// rest is the body of an answer that has ended, up to its last bytes.
+	rest io.ReadCloser
 	// charged is true once the attempt stands in the usage of the call.
 	charged bool
 }
@@ -56,9 +66,11 @@
 	unhook := context.AfterFunc(ctx, func() { a.giveUp(context.Cause(ctx)) })
 	a.watch = &watch{clock: s.Clock, stall: s.Settings.Times.Stall, deadline: c.Request.Deadline, stalled: a.stop, late: a.giveUp}
 	a.watch.touch()
+	watched, unwatch := context.WithCancel(a.ctx)
+	a.unwatch = unwatch
 	a.wg.Go(func() {
 		defer unhook()
-		a.watch.run(a.ctx)
+		a.watch.run(watched)
 	})
 	return a
 }
@@ -75,10 +87,27 @@
 	return c.Request.ID + "~" + uuid.NewString()[:suffixLength]
 }
 
-// close ends what the attempt started.
+// close ends what the attempt started; what is left of an answer that has ended is read in the background.
 func (a *attempt) close() {
-	a.stop(context.Canceled)
+	a.unwatch()
+	if a.rest == nil {
+		a.stop(context.Canceled)
+		a.wg.Wait()
+		return
+	}
 	a.wg.Wait()
+	a.background.Go(a.readRest)
+}
+
+// readRest reads an answer to the end of its body, which is next to come, so that its connection can be used again.
+func (a *attempt) readRest() {
+	defer a.stop(context.Canceled)
+	defer a.rest.Close()
+	ctx, cancel := clock.WithTimeout(a.ctx, a.Clock, restTime)
+	defer cancel()
+	unhook := context.AfterFunc(ctx, func() { a.stop(context.Canceled) })
+	defer unhook()
+	_, _ = io.CopyN(io.Discard, a.rest, restBytes)
 }
 
 // giveUp ends the attempt because nobody waits for it any more.
--- a/pkg/courier/chat.go
+++ b/pkg/courier/chat.go
@@ -157,12 +157,21 @@
 		}
 		return err
 	}
-	defer resp.Body.Close()
+	err = a.readAnswer(q, resp)
+	var status *statusError
+	if err == nil || errors.As(err, &status) {
+		a.rest = resp.Body
+	} else {
+		resp.Body.Close()
+	}
+	if a.offset > 0 && status != nil {
+		return &cutError{cause: err}
+	}
+	return err
+}
+
+func (a *attempt) readAnswer(q *queue, resp *http.Response) error {
 	if err := a.checkHead(resp); err != nil {
-		var status *statusError
-		if a.offset > 0 && errors.As(err, &status) {
-			return &cutError{cause: err}
-		}
 		return err
 	}
 	return a.events(q, NewEventReader(resp.Body))
--- a/pkg/courier/once_test.go
+++ b/pkg/courier/once_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -130,3 +132,43 @@
 		})
 	}
 }
+
+// TestConnectionIsUsedAgainAfterAWholeAnswer lets the end of the body come after the end mark.
+func TestConnectionIsUsedAgainAfterAWholeAnswer(t *testing.T) {
+	answer := tokenEvent(0, "karibu") + endEvent(1) + doneEvent
+	chunked := strings.Replace(streamHead, "Connection: close", "Transfer-Encoding: chunked", 1) +
+		fmt.Sprintf("%x\r\n%s\r\n", len(answer), answer)
+	for _, c := range []struct {
+		name  string
+		last  string
+		dials int
+	}{
+		{"body ends", "0\r\n\r\n", 1},
+		{"body never ends", "", 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := &upstream{play: func(_ int, _ *http.Request, conn net.Conn) {
+					_, _ = io.WriteString(conn, chunked)
+					time.Sleep(time.Millisecond)
+					_, _ = io.WriteString(conn, c.last)
+				}}
+				s := testSend(u.dial)
+				for range 3 {
+					began := s.Clock.Now()
+					if err := s.Filter(t.Context(), chatCall(s, &recorder{}), nil); err != nil {
+						t.Error(err)
+					}
+					if took := s.Clock.Now() - began; took != 0 {
+						t.Errorf("the caller waited %d ms for the end of the body", took)
+					}
+					time.Sleep(2 * time.Second)
+				}
+				s.Close()
+				if u.dials != c.dials {
+					t.Errorf("%d connections, want %d", u.dials, c.dials)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/pkg/desk/latency_bench_test.go
@@ -0,0 +1,70 @@
+package desk
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+)
+
+// answerAtOnce is an engine that answers each chat with one token.
+func answerAtOnce(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-Id")
+	w.Header().Set("X-Request-Id", id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = io.WriteString(w, `data: {"id":"`+id+`","model":"chai@1","offset":0,"choices":[{"index":0,"delta":{"content":"karibu"}}]}`+"\n\n"+
+		`data: {"id":"`+id+`","model":"chai@1","offset":1,"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}`+"\n\ndata: [DONE]\n\n")
+}
+
+// BenchmarkAddedLatency sends one chat after another over loopback, directly to an engine and through desk and courier;
+// it reports percentiles of the whole answer, in microseconds.
+func BenchmarkAddedLatency(b *testing.B) {
+	engine := httptest.NewServer(http.HandlerFunc(answerAtOnce))
+	defer engine.Close()
+	var snap atomic.Pointer[catalogue.Snapshot]
+	snap.Store(testSnapshot(0))
+	router := httptest.NewUnstartedServer(nil)
+	router.Config = NewServer(drainCaller(&snap, strings.TrimPrefix(engine.URL, "http://")))
+	router.Start()
+	defer router.Close()
+	stream := strings.Replace(goodChat, `{"model"`, `{"stream": true, "model"`, 1)
+	for _, c := range []struct {
+		name string
+		base string
+	}{
+		{"direct", engine.URL},
+		{"routed", router.URL},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			times := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+			for b.Loop() {
+				began := time.Now()
+				req, err := http.NewRequest(http.MethodPost, c.base+chatPath, strings.NewReader(stream))
+				if err != nil {
+					b.Fatal(err)
+				}
+				req.Header.Set("Authorization", "Bearer "+guestKey)
+				req.Header.Set("X-Request-Id", "r-1")
+				resp, err := http.DefaultTransport.RoundTrip(req)
+				if err != nil {
+					b.Fatal(err)
+				}
+				body, err := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				if err != nil || !strings.HasSuffix(string(body), "data: [DONE]\n\n") {
+					b.Fatalf("answer %q, %v", body, err)
+				}
+				_ = times.RecordValue(time.Since(began).Microseconds())
+			}
+			b.ReportMetric(float64(times.ValueAtQuantile(50)), "p50-us")
+			b.ReportMetric(float64(times.ValueAtQuantile(99)), "p99-us")
+		})
+	}
+}
