--- a/pkg/concierge/warmth.go
+++ b/pkg/concierge/warmth.go
@@ -16,6 +16,13 @@
 	coldFactor = 3.0
 	// quickFactor is how many times slower than usual a first token may be to count as quick.
 	quickFactor = 2.0
+	// reportFactor is how many times longer than usual a reported time to the first token is a sign of cold start,
+	// and reportSigns how many such reports in a row start it again.
+	reportFactor = 3.0
+	reportSigns  = 2
+	// raisedFactor and raisedReports are the same for reports that confirm a slow first token.
+	raisedFactor  = 1.5
+	raisedReports = 2
 	// usualWeight is the weight of the newest answer in the usual time to the first token.
 	usualWeight = 0.05
 	// growFactor raises the limit with each report of a warm upstream that has room.
@@ -47,6 +54,11 @@
 	quick   int
 	signs   int
 	limit   float64
+	// usualReport is the usual time to the first token as reported, and slowReports counts the slow ones in a row.
+	usualReport float64
+	slowReports int
+	// raisedReports counts the reports in a row that would confirm a slow first token.
+	raisedReports int
 	// reported is true once a load report was read; bearable and inFlight are as reported.
 	reported bool
 	bearable int
@@ -57,7 +69,7 @@
 }
 
 func (u *warmth) restart(incarnation int64) {
-	*u = warmth{incarnation: incarnation, cold: true, limit: firstWarmLimit}
+	*u = warmth{incarnation: incarnation, cold: true, limit: firstWarmLimit, usualReport: u.usualReport}
 }
 
 // begin begins an episode that this instance has noticed.
@@ -71,7 +83,7 @@
 
 func (u *warmth) turn(episode int64, cold bool) {
 	u.episode, u.cold, u.known, u.own = episode, cold, true, false
-	u.answers, u.quick, u.signs = 0, 0, 0
+	u.answers, u.quick, u.signs, u.slowReports, u.raisedReports = 0, 0, 0, 0, 0
 }
 
 func (u *warmth) takeReport(r *platform.LoadReport, at clock.Millis) {
@@ -83,6 +95,9 @@
 	if u.cold {
 		return
 	}
+	if u.takeReportedTime(r.FirstTokenTime); u.cold {
+		return
+	}
 	if r.InFlight > u.max() || r.Queued > 0 {
 		u.cut(at)
 		return
@@ -92,6 +107,38 @@
 	}
 }
 
+// takeReportedTime notices a cold start by the reported time to the first token, which all instances see alike.
+func (u *warmth) takeReportedTime(firstToken float64) {
+	if firstToken <= 0 || u.inFlight > u.max()/2 {
+		return
+	}
+	if u.usualReport == 0 {
+		u.usualReport = firstToken
+	}
+	u.slowReports = countUp(u.slowReports, firstToken > reportFactor*u.usualReport)
+	u.raisedReports = countUp(u.raisedReports, firstToken > raisedFactor*u.usualReport)
+	if u.raisedReports == 0 {
+		u.usualReport += usualWeight * (firstToken - u.usualReport)
+	}
+	u.judge()
+}
+
+// countUp counts how often in a row something was so.
+func countUp(n int, so bool) int {
+	if so {
+		return n + 1
+	}
+	return 0
+}
+
+// judge begins a cold start when the signs of it are enough.
+func (u *warmth) judge() {
+	confirmed := u.signs > 0 && u.raisedReports >= raisedReports
+	if !u.cold && (u.signs >= coldSigns || u.slowReports >= reportSigns || confirmed) {
+		u.begin(true)
+	}
+}
+
 func (u *warmth) takeFailure(at clock.Millis) {
 	u.quick = 0
 	u.cut(at)
@@ -104,18 +151,30 @@
 		return
 	}
 	u.signs++
-	if u.signs >= coldSigns {
-		u.begin(true)
+	u.judge()
+}
+
+// takeStart takes in the time to the first token of an answer that has only begun.
+func (u *warmth) takeStart(firstToken, usual float64, at clock.Millis) {
+	if usual > 0 && firstToken > coldFactor*usual {
+		u.takeSlow(at)
 	}
 }
 
-// takeAnswer takes in the time to the first token of an answer; usual is 0 as long as nothing is known.
-func (u *warmth) takeAnswer(firstToken, usual float64, at clock.Millis) {
+func (u *warmth) takeSlow(at clock.Millis) {
+	u.quick = 0
+	u.takeSign()
+	u.cut(at)
+}
+
+// takeAnswer takes in the time to the first token of a whole answer; usual is 0 as long as nothing is known,
+// and early is true when takeStart was told of it before.
+func (u *warmth) takeAnswer(firstToken, usual float64, at clock.Millis, early bool) {
 	u.answers++
 	if usual > 0 && firstToken > coldFactor*usual {
-		u.quick = 0
-		u.takeSign()
-		u.cut(at)
+		if !early {
+			u.takeSlow(at)
+		}
 		return
 	}
 	u.signs = 0
--- a/pkg/enquiry/sample.go
+++ b/pkg/enquiry/sample.go
@@ -10,6 +10,8 @@
 
 // The results of attempts.
 const (
+	// ResultStarted is that of a sample given with the first token, before the attempt has ended.
+	ResultStarted   Result = "Started"
 	ResultComplete  Result = "Complete"
 	ResultRefused   Result = "Refused"
 	ResultFailed    Result = "Failed"
@@ -20,7 +22,8 @@
 
 // Sample is what one attempt at an upstream showed; times are in milliseconds.
 type Sample struct {
-	At         clock.Millis
+	At clock.Millis
+	// RequestID is the id under which the upstream knows the attempt.
 	RequestID  string
 	Workspace  string
 	Task       string
--- a/pkg/trace/makechai.go
+++ b/pkg/trace/makechai.go
@@ -40,16 +40,16 @@
 
 func (m *maker) chaiVersions() {
 	m.version("baobab-s@1", 100_000, 400_000, 120, 8, []taskQuality{
-		{"chat-sw", 0.66, 0.62, 0.15, 300}, {"chat-en", 0.74, 0.81, 0.12, 300},
-		{"notes", 0.70, 0.72, 0.14, 300}, {"tags", 0.84, 0.82, 0.15, 300},
+		{"chat-sw", 0.66, 0.62, 0.15, 1000}, {"chat-en", 0.74, 0.81, 0.12, 1000},
+		{"notes", 0.70, 0.72, 0.14, 1000}, {"tags", 0.84, 0.82, 0.15, 1000},
 	})
 	m.version("baobab-m@3", 500_000, 1_500_000, 180, 14, []taskQuality{
-		{"chat-sw", 0.82, 0.84, 0.12, 300}, {"chat-en", 0.88, 0.88, 0.10, 300},
-		{"notes", 0.87, 0.82, 0.12, 300}, {"tags", 0.90, 0.88, 0.10, 300},
+		{"chat-sw", 0.82, 0.84, 0.12, 1000}, {"chat-en", 0.88, 0.88, 0.10, 1000},
+		{"notes", 0.87, 0.82, 0.12, 1000}, {"tags", 0.90, 0.88, 0.10, 1000},
 	})
 	m.version("baobab-l@2", 2_000_000, 8_000_000, 260, 22, []taskQuality{
-		{"chat-sw", 0.90, 0.91, 0.08, 300}, {"chat-en", 0.92, 0.92, 0.08, 300},
-		{"notes", 0.91, 0.92, 0.08, 300}, {"tags", 0.93, 0.93, 0.08, 300},
+		{"chat-sw", 0.90, 0.91, 0.08, 1000}, {"chat-en", 0.92, 0.92, 0.08, 1000},
+		{"notes", 0.91, 0.92, 0.08, 1000}, {"tags", 0.93, 0.93, 0.08, 1000},
 	})
 }
 
@@ -90,7 +90,7 @@
 	}
 	c.Services = []catalogue.Service{{Name: "booking-desk", Priority: 10}}
 	m.workspaces(chaiLarge, 200, 60)
-	m.workspaces(chaiSmall, 40, 20)
+	m.workspaces(chaiSmall, 80, 40)
 }
 
 var (
