--- a/pkg/proctest/set.go
+++ b/pkg/proctest/set.go
@@ -48,7 +48,7 @@
 }
 
 // slots bounds the sets that run at the same time.
-var slots = make(chan struct{}, 3)
+var slots = make(chan struct{}, 6)
 
 // Zones are the availability zones of a set.
 var Zones = []string{"zone-a", "zone-b", "zone-c"}
