--- a/pkg/house/line.go
+++ b/pkg/house/line.go
@@ -39,7 +39,7 @@
 		h.claims,
 		h.biller,
 		courier.Settle{},
-		&tariff.Choose{Common: c, Snapshot: snapshot, Pins: h.pins, Rater: h.ratings, Rated: h.rated},
+		h.choose(),
 		&concierge.Place{
 			Common:   c,
 			Snapshot: snapshot,
@@ -52,6 +52,16 @@
 	)
 }
 
+// choose makes the filter that chooses versions; without a service that rates answers nothing is verified.
+func (h *House) choose() *tariff.Choose {
+	f := &tariff.Choose{Common: h.Common, Snapshot: h.control.Snapshot, Pins: h.pins, Rater: h.ratings, Rated: h.rated}
+	if h.Common.Settings.Platform.Ratings != "" {
+		v := &Verifier{Common: h.Common, Rater: h.ratings, Rated: h.rated}
+		f.Verify = v.Verify
+	}
+	return f
+}
+
 func (h *House) observe(s enquiry.Sample) {
 	h.control.Observe(s)
 	h.metrics.Observe(s)
