--- a/test/newwork_test.go
+++ b/test/newwork_test.go
@@ -54,7 +54,7 @@
 	return out
 }
 
-// stopsNewWork runs load while one instance is frozen and another is cut off, makes the fact known, and checks that no
+// stopsNewWork runs load while one instance is frozen, one cut off and one both, makes the fact known, and checks that no
 // request starts later than the bound that has reached what the fact is about.
 func stopsNewWork(t *testing.T, announce func(s *proctest.Set), concerned func(engine string, st standin.Start) bool) {
 	t.Helper()
@@ -74,16 +74,21 @@
 	stop := make(chan struct{})
 	all := load(t.Context(), s.Daemons, stop)
 	proctest.Eventually(t, settle, "there is work that the fact concerns", func() bool { return count(0) > 20 })
-	frozen, lone := s.Daemons[3], s.Daemons[4]
+	both, frozen, lone := s.Daemons[2], s.Daemons[3], s.Daemons[4]
 	lone.Isolate(true)
+	both.Isolate(true)
 	frozen.Freeze()
+	both.Freeze()
 	announce(s)
 	known := clock.Millis(time.Now().UnixMilli())
 	// The callers of the frozen instance wait; it has their requests in its sockets when it wakes.
 	pass(horizon + 3*time.Second)
 	frozen.Thaw()
+	// This one wakes with requests that passed the checks at arrival, and hears no news.
+	both.Thaw()
 	pass(3 * time.Second)
 	lone.Isolate(false)
+	both.Isolate(false)
 	pass(2 * time.Second)
 	close(stop)
 	all.Wait()
--- a/test/p07_test.go
+++ b/test/p07_test.go
@@ -20,13 +20,15 @@
 		// all is set at each engine, one at the first engine only.
 		all map[string]any
 		one map[string]any
+		// none is true when no answer can be whole.
+		none bool
 	}{
 		{name: "none"},
-		{name: "all crossed", all: map[string]any{"Crossed": true}},
+		{name: "all crossed", all: map[string]any{"Crossed": true}, none: true},
 		{name: "one crossed", one: map[string]any{"Crossed": true}},
-		{name: "all cut", all: map[string]any{"CutAfter": 3}},
+		{name: "all cut", all: map[string]any{"CutAfter": 3}, none: true},
 		{name: "one cut", one: map[string]any{"CutAfter": 3}},
-		{name: "all without end mark", all: map[string]any{"SkipDone": true}},
+		{name: "all without end mark", all: map[string]any{"SkipDone": true}, none: true},
 		{name: "one without end mark", one: map[string]any{"SkipDone": true}},
 		{name: "all repeated", all: map[string]any{"Repeat": true}},
 		{name: "one late", one: map[string]any{"LateMillis": 300}},
@@ -54,7 +56,11 @@
 				d := s.Daemons[i%len(s.Daemons)]
 				all.Go(func() {
 					content := fmt.Sprintf("%s %d", c.name, i)
-					checkAnswer(t, d.Chat(t.Context(), proctest.Chat{Content: content, Stream: i%4 < 2, Deadline: 8000}), content, tokens)
+					r := d.Chat(t.Context(), proctest.Chat{Content: content, Stream: i%4 < 2, Deadline: 8000})
+					checkAnswer(t, r, content, tokens)
+					if c.none && r.Whole {
+						t.Errorf("an answer passes as whole that the engine did not end: %q", r.Text)
+					}
 				})
 			}
 			all.Wait()
