--- a/pkg/app/upstream.go
+++ b/pkg/app/upstream.go
@@ -46,6 +46,8 @@
 		return "leaving"
 	case u.Rule.Drained:
 		return "drained"
+	case u.ZoneOut:
+		return "zone out"
 	case u.Cold:
 		return "cold"
 	default:
--- a/pkg/catalogue/snapshot.go
+++ b/pkg/catalogue/snapshot.go
@@ -29,6 +29,8 @@
 	Leaving bool
 	// Incarnation grows with each restart under the same name.
 	Incarnation int64
+	// ZoneOut is true while operators have its availability zone taken out.
+	ZoneOut bool
 	// Cold is true while the upstream is taken to be in cold start.
 	Cold bool
 	// Share is how many requests this instance may have in flight at the upstream.
--- a/pkg/house/publish.go
+++ b/pkg/house/publish.go
@@ -51,6 +51,7 @@
 		Versions:    i.Versions,
 		Service:     i.Service,
 		Leaving:     i.Leaving,
+		ZoneOut:     s.Config.ZoneOut(i.Zone),
 		Incarnation: i.Incarnation,
 		Load:        c.loads[i.Name],
 		Cold:        c.ColdWatch.Cold(i.Name),
