--- a/pkg/trace/replay_test.go
+++ b/pkg/trace/replay_test.go
@@ -29,6 +29,7 @@
 func TestReplayTwiceGivesTheSameBytes(t *testing.T) {
 	for _, name := range Names {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			tr, err := Make(name, 3)
 			if err != nil {
 				t.Fatal(err)
--- a/pkg/trace/stated_test.go
+++ b/pkg/trace/stated_test.go
@@ -12,6 +12,7 @@
 func TestStatedOutcomes(t *testing.T) {
 	for _, name := range Names {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			tr, err := Load(filepath.Join("..", "..", "traces", name+".json"))
 			if err != nil {
 				t.Fatal(err)
