--- a/test/newwork_test.go
+++ b/test/newwork_test.go
@@ -18,8 +18,8 @@
 // bound is how long after a fact was accepted new work may still come: the horizon and the way to the engine, in milliseconds.
 const bound = clock.Millis(horizon/time.Millisecond) + 500
 
-// workers is how many requests are under way at each daemon.
-const workers = 8
+// workers is how many requests are under way at each daemon, more than there is room for.
+const workers = 30
 
 // load sends chats to all daemons until stop is closed, and returns once all replies are in.
 func load(ctx context.Context, daemons []*proctest.Daemon, stop <-chan struct{}) *sync.WaitGroup {
--- a/test/p12_test.go
+++ b/test/p12_test.go
@@ -231,6 +231,24 @@
 	}
 }
 
+func TestP12RecordTwiceInTheLog(t *testing.T) {
+	t.Parallel()
+	s := proctest.NewSet(t, proctest.Options{Instances: 3})
+	watchRevisions(t, s)
+	first, second := price(21), price(22)
+	s.Daemons[0].MustApply(t, first)
+	s.Daemons[1].MustApply(t, second)
+	// A late copy of the first change must not bring its price back.
+	s.AppendChange(first)
+	last := s.Daemons[2].MustApply(t, proctest.Put(catalogue.KindZone, "zone-d", &catalogue.Zone{Name: "zone-d"}))
+	for _, d := range s.Daemons {
+		d.AwaitRevision(last.Revision)
+		if got := inForce(d); got != 22 {
+			t.Errorf("price %d at %s, want 22", got, d.Settings.Name)
+		}
+	}
+}
+
 // manyChanges is more than the records after which a checkpoint is due.
 const manyChanges = 600
 
