Tell bills of two workspaces apart that chose one request id

Cause: callers choose request ids, and the fold, the keepers and the notes to keepers named a bill by that id alone. The bill of a second workspace counted as a double of the first one's, and a keeper dropped it when told that the log had the first. Excluded: attempts at engines have ids of their own already; claims are named by workspace, service and key. Change: BillKey (workspace and request id) names a bill in Fold, BillKeeper and DropArgs. The existing test of the keeper's bound states its two ids as keys; it checks what it checked before. After: go test -race ./pkg/ledger passes. Conclusion: one bill a request of each workspace. Two requests of the same workspace under one id still count as one.

--- a/pkg/ledger/bill.go
+++ b/pkg/ledger/bill.go
@@ -26,6 +26,15 @@
 	Instance string
 }
 
+// BillKey names the bill of a request: callers choose the ids of requests, and two workspaces may choose the same one.
+type BillKey struct {
+	Workspace string
+	RequestID string
+}
+
+// Key returns the name of the bill; bills of one key are copies of one another.
+func (l *Bill) Key() BillKey { return BillKey{Workspace: l.Workspace, RequestID: l.RequestID} }
+
 func encodeBill(l *Bill) ([]byte, error) { return json.Marshal(l) }
 
 // DecodeBill reads a record of the billing stream.
--- a/pkg/ledger/bill_test.go
+++ b/pkg/ledger/bill_test.go
@@ -405,7 +405,7 @@
 		}
 		got = append(got, reply.Held)
 		if id == "r3" {
-			_ = k.Drop(&DropArgs{RequestIDs: []string{"r2", "r9"}}, &DropReply{})
+			_ = k.Drop(&DropArgs{Bills: []BillKey{{RequestID: "r2"}, {RequestID: "r9"}}}, &DropReply{})
 		}
 	}
 	if diff := cmp.Diff([]bool{true, true, false, true}, got); diff != "" {
--- a/pkg/ledger/biller.go
+++ b/pkg/ledger/biller.go
@@ -62,8 +62,8 @@
 	owed map[*Posted]*owedBill
 	// unsafe counts those that no peer holds either.
 	unsafe int
-	// drops are the request ids that keepers need not hold any longer, by keeper.
-	drops map[string][]string
+	// drops are the bills that keepers need not hold any longer, by keeper.
+	drops map[string][]BillKey
 }
 
 // owedBill is a bill on its way into the log; keeper is the peer that holds it too, or empty.
@@ -75,7 +75,7 @@
 func (b *Biller) init() {
 	b.once.Do(func() {
 		b.owed = map[*Posted]*owedBill{}
-		b.drops = map[string][]string{}
+		b.drops = map[string][]BillKey{}
 		limit := orDefault(b.MaxOwed, defaultMaxOwed) + owedReserve
 		b.outbox = Outbox{Common: b.Common, Log: b.Log, Limit: limit, Appended: b.appended}
 		b.outbox.init()
@@ -153,7 +153,7 @@
 	case <-late:
 	}
 	if keeper := b.hold(context.WithoutCancel(ctx), []*Bill{l}); keeper != "" {
-		b.setKeeper(p, keeper, l.RequestID)
+		b.setKeeper(p, keeper, l.Key())
 	}
 }
 
@@ -176,12 +176,12 @@
 }
 
 // setKeeper notes which peer holds the bill. When the log has it by now, the peer may drop it.
-func (b *Biller) setKeeper(p *Posted, keeper, id string) {
+func (b *Biller) setKeeper(p *Posted, keeper string, key BillKey) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	o := b.owed[p]
 	if o == nil {
-		b.drops[keeper] = append(b.drops[keeper], id)
+		b.drops[keeper] = append(b.drops[keeper], key)
 		return
 	}
 	o.keeper = keeper
@@ -201,7 +201,7 @@
 		b.unsafe--
 		return
 	}
-	b.drops[o.keeper] = append(b.drops[o.keeper], o.bill.RequestID)
+	b.drops[o.keeper] = append(b.drops[o.keeper], o.bill.Key())
 }
 
 // hold asks peers to hold the bills and returns the name of the one that does, or an empty name.
--- a/pkg/ledger/fold.go
+++ b/pkg/ledger/fold.go
@@ -35,14 +35,14 @@
 
 	next  int64
 	logAt clock.Millis
-	known map[string]*list.Element
+	known map[BillKey]*list.Element
 	// order has the remembered ids in the order in which they came.
 	order list.List
 }
 
 type knownBill struct {
-	id string
-	at clock.Millis
+	key BillKey
+	at  clock.Millis
 }
 
 // Add folds one entry and tells whether it was counted in a total.
@@ -58,7 +58,7 @@
 	}
 	f.logAt = max(f.logAt, e.At)
 	f.expire()
-	if f.known[l.RequestID] != nil {
+	if f.known[l.Key()] != nil {
 		f.Doubles++
 		return false
 	}
@@ -85,12 +85,12 @@
 
 func (f *Fold) remember(l *Bill) {
 	if f.known == nil {
-		f.known = map[string]*list.Element{}
+		f.known = map[BillKey]*list.Element{}
 	}
 	if f.Totals == nil {
 		f.Totals = map[string]Total{}
 	}
-	f.known[l.RequestID] = f.order.PushBack(knownBill{id: l.RequestID, at: f.logAt})
+	f.known[l.Key()] = f.order.PushBack(knownBill{key: l.Key(), at: f.logAt})
 }
 
 // expire forgets ids that came a window ago. A bill is no older than its first copy in the log, but for the skew of
@@ -102,7 +102,7 @@
 			return
 		}
 		f.order.Remove(first)
-		delete(f.known, b.id)
+		delete(f.known, b.key)
 	}
 }
 
--- a/pkg/ledger/handover.go
+++ b/pkg/ledger/handover.go
@@ -17,7 +17,7 @@
 	handoverLogWait = 5 * clock.Second
 	// handoverBatch is how many bills one call to a peer carries.
 	handoverBatch = 500
-	// dropBatch is how many request ids one call to a keeper carries, dropLimit how many wait for it.
+	// dropBatch is how many keys of bills one call to a keeper carries, dropLimit how many wait for it.
 	dropBatch = 1000
 	dropLimit = 20000
 	// tellAtOnce bounds the calls to keepers under way.
@@ -50,36 +50,36 @@
 func (b *Biller) tellKeepers(ctx context.Context) {
 	var g errgroup.Group
 	g.SetLimit(tellAtOnce)
-	for keeper, ids := range b.takeDrops() {
+	for keeper, keys := range b.takeDrops() {
 		g.Go(func() error {
-			b.tellKeeper(ctx, keeper, ids[:min(len(ids), dropLimit)])
+			b.tellKeeper(ctx, keeper, keys[:min(len(keys), dropLimit)])
 			return nil
 		})
 	}
 	_ = g.Wait()
 }
 
-func (b *Biller) tellKeeper(ctx context.Context, keeper string, ids []string) {
+func (b *Biller) tellKeeper(ctx context.Context, keeper string, keys []BillKey) {
 	for {
-		n := min(len(ids), dropBatch)
-		args := &DropArgs{Origin: b.Common.Settings.Name, RequestIDs: ids[:n]}
+		n := min(len(keys), dropBatch)
+		args := &DropArgs{Origin: b.Common.Settings.Name, Bills: keys[:n]}
 		err := b.call(ctx, keeper, "BillKeeper.Drop", args, &DropReply{})
-		ids = ids[n:]
-		if err != nil || len(ids) == 0 {
+		keys = keys[n:]
+		if err != nil || len(keys) == 0 {
 			return
 		}
 	}
 }
 
 // takeDrops returns what keepers may drop, with an entry for each keeper that still holds a bill of this instance.
-func (b *Biller) takeDrops() map[string][]string {
+func (b *Biller) takeDrops() map[string][]BillKey {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	drops := b.drops
-	b.drops = map[string][]string{}
+	b.drops = map[string][]BillKey{}
 	for _, o := range b.owed {
 		if o.keeper != "" && drops[o.keeper] == nil {
-			drops[o.keeper] = []string{}
+			drops[o.keeper] = []BillKey{}
 		}
 	}
 	return drops
--- a/pkg/ledger/keeper.go
+++ b/pkg/ledger/keeper.go
@@ -27,10 +27,10 @@
 	Held bool
 }
 
-// DropArgs are the requests whose bills the log has. They also show that their origin lives and will append the others.
+// DropArgs are the bills that the log has. They also show that their origin lives and will append the others.
 type DropArgs struct {
-	Origin     string
-	RequestIDs []string
+	Origin string
+	Bills  []BillKey
 }
 
 // DropReply is empty.
@@ -47,7 +47,7 @@
 
 	once sync.Once
 	mu   sync.Mutex
-	held map[string]*heldBill
+	held map[BillKey]*heldBill
 	// heard is when each origin was heard of last.
 	heard  map[string]clock.Millis
 	bytes  int
@@ -65,7 +65,7 @@
 
 func (k *BillKeeper) init() {
 	k.once.Do(func() {
-		k.held = map[string]*heldBill{}
+		k.held = map[BillKey]*heldBill{}
 		k.heard = map[string]clock.Millis{}
 		limit := orDefault(k.MaxHeld, defaultMaxHeld)
 		k.outbox = Outbox{Common: k.Common, Log: k.Log, Limit: limit, Appended: k.appended}
@@ -76,14 +76,14 @@
 // Hold takes all of the bills or none of them.
 func (k *BillKeeper) Hold(args *HoldArgs, reply *HoldReply) error {
 	k.init()
-	fresh := make(map[string]*heldBill, len(args.Bills))
+	fresh := make(map[BillKey]*heldBill, len(args.Bills))
 	size := 0
 	for _, l := range args.Bills {
 		data, err := encodeBill(l)
 		if err != nil {
 			return err
 		}
-		fresh[l.RequestID] = &heldBill{bill: l, data: data, since: k.Common.Clock.Now()}
+		fresh[l.Key()] = &heldBill{bill: l, data: data, since: k.Common.Clock.Now()}
 		size += len(data)
 	}
 	k.mu.Lock()
@@ -92,9 +92,9 @@
 	if k.closed || full {
 		return nil
 	}
-	for id, h := range fresh {
-		if k.held[id] == nil {
-			k.held[id] = h
+	for key, h := range fresh {
+		if k.held[key] == nil {
+			k.held[key] = h
 			k.bytes += len(h.data)
 		}
 	}
@@ -107,8 +107,8 @@
 	k.init()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, id := range args.RequestIDs {
-		k.forget(id)
+	for _, key := range args.Bills {
+		k.forget(key)
 	}
 	k.heard[args.Origin] = k.Common.Clock.Now()
 	return nil
@@ -157,12 +157,12 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.forget(l.RequestID)
+	k.forget(l.Key())
 }
 
-func (k *BillKeeper) forget(id string) {
-	if h := k.held[id]; h != nil {
-		delete(k.held, id)
+func (k *BillKeeper) forget(key BillKey) {
+	if h := k.held[key]; h != nil {
+		delete(k.held, key)
 		k.bytes -= len(h.data)
 	}
 }
