Probe cold upstreams side by side

Cause: a round probed one cold upstream after another, in order of name, within the time of one call. A silent upstream used up that time, and the probes after it failed on an ended context, which counted as failures of upstreams that were never asked. Requests that may stay longer than ColdHold get no cold upstream, so that an instance with one silent upstream kept all others cold. Excluded: requests of callers warm an upstream only when their deadline is within ColdHold. Change: Round begins the probes and waits for none; each ends after ColdHold, and an upstream with one under way gets no second one. Close waits for them. After: go test -race ./pkg/house passes. Conclusion: a silent upstream costs itself alone its probes.

--- a/pkg/house/drain.go
+++ b/pkg/house/drain.go
@@ -60,7 +60,7 @@
 	err := errors.CombineErrors(h.claims.Flush(ctx), h.biller.Handover(ctx))
 	err = errors.CombineErrors(err, h.pins.Handover(ctx))
 	h.send.Close()
-	h.prober.Send.Close()
+	h.prober.Close()
 	err = errors.CombineErrors(err, s.admin.Shutdown(ctx))
 	if err != nil {
 		h.Common.Log.WithName("drain").Error(err, "handover incomplete")
--- a/pkg/house/probe.go
+++ b/pkg/house/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 
 	"github.com/google/uuid"
 
@@ -19,8 +20,8 @@
 const probePeriod clock.Millis = 250
 
 // Prober sends a request for one token to cold engines that are idle and of which this instance has a share;
-// a plain service is asked for its load report in place of a request. Only a few instances have a share of a cold engine; without probes the others could not use it before one of those few
-// happened to get a request for it.
+// a plain service is asked for its load report in place of a request. Only a few instances have a share of a cold engine;
+// without probes the others could not use it before one of those few happened to get a request for it.
 type Prober struct {
 	Common   settings.Common
 	Snapshot func() *catalogue.Snapshot
@@ -30,6 +31,8 @@
 	Loads Loads
 	// Observe is told what the probe of a plain service showed.
 	Observe func(enquiry.Sample)
+
+	probes sync.WaitGroup
 }
 
 // Loads reads the load reports of upstreams.
@@ -37,7 +40,7 @@
 	Load(ctx context.Context, address string) (platform.LoadReport, error)
 }
 
-// Round probes each idle cold engine once.
+// Round begins a probe of each idle cold upstream and waits for none, since a silent one would hold up the others.
 func (p *Prober) Round(ctx context.Context) error {
 	s := p.Snapshot()
 	if s.Draining || s.Fresh(p.Common.Clock.Now(), p.Common.Settings.Times.Horizon) != nil {
@@ -48,12 +51,18 @@
 			continue
 		}
 		if p.Flights.Acquire(u.Name, u.Share) {
-			p.probe(ctx, s, u)
+			p.probes.Go(func() { p.probe(context.WithoutCancel(ctx), s, u) })
 		}
 	}
 	return nil
 }
 
+// Close waits for the probes under way, each of which ends after ColdHold; no round may begin any more.
+func (p *Prober) Close() {
+	p.probes.Wait()
+	p.Send.Close()
+}
+
 // probe sends one probe and releases the upstream.
 func (p *Prober) probe(ctx context.Context, s *catalogue.Snapshot, u *catalogue.Upstream) {
 	defer p.Flights.Release(u.Name)
