Say once how a claim test sets up its pair of instances

Cause: five tests of pkg/reservation set up a simulation with instances and compared what was told in the same lines, and scenarios repeated how an append fails or a holder is killed. Change: withPair, checkTold, askFailing and askKilled stand in their place; no case, bound or seed changes.

--- a/pkg/reservation/claim_test.go
+++ b/pkg/reservation/claim_test.go
@@ -45,11 +45,39 @@
 	}
 }
 
-// failing makes every append of the instance fail in one way while ask runs.
-func (p *pair) failing(i *instance, f fault, ask func() told) told {
-	i.fault.Store(&f)
-	defer i.fault.Store(nil)
-	return ask()
+// askFailing asks instance a for r1 while every append of it fails in one way.
+func (p *pair) askFailing(f fault) told {
+	p.a.fault.Store(&f)
+	defer p.a.fault.Store(nil)
+	return p.ask(p.a, "r1")
+}
+
+// askKilled asks instance a for r1 and kills it between claim and send.
+func (p *pair) askKilled() func() told {
+	first := p.later(p.a, "r1", 1000)
+	p.sleep(500)
+	p.a.kill()
+	return first
+}
+
+// withPair plays in a bubble of fake time, once both instances follow the log.
+func withPair(t *testing.T, play func(t *testing.T, p *pair)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSim(firstSeed)
+		p := &pair{sim: s, a: s.start("a", 1), b: s.start("b", 1)}
+		defer stop(p.a, p.b)
+		s.sleep(2000)
+		p.key = s.keyNow("table")
+		play(t, p)
+	})
+}
+
+func checkTold(t *testing.T, want []told, got ...told) {
+	t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("told (-want +got):\n%s", diff)
+	}
 }
 
 func TestP09ClaimsUnderFaults(t *testing.T) {
@@ -83,7 +111,7 @@
 		{
 			name: "claim refused by the log",
 			play: func(p *pair) []told {
-				return []told{p.failing(p.a, faultRefused, func() told { return p.ask(p.a, "r1") }), p.ask(p.b, "r2")}
+				return []told{p.askFailing(faultRefused), p.ask(p.b, "r2")}
 			},
 			want: []told{notRun(enquiry.ReasonLogUnavailable), ran("r2")},
 			runs: []string{"r2"},
@@ -91,8 +119,7 @@
 		{
 			name: "claim's answer lost after it took effect",
 			play: func(p *pair) []told {
-				first := p.failing(p.a, faultAnswerLost, func() told { return p.ask(p.a, "r1") })
-				return []told{first, p.ask(p.b, "r2")}
+				return []told{p.askFailing(faultAnswerLost), p.ask(p.b, "r2")}
 			},
 			want: []told{ran("r1"), replayed("r1")},
 			runs: []string{"r1"},
@@ -100,8 +127,7 @@
 		{
 			name: "claim appended twice",
 			play: func(p *pair) []told {
-				first := p.failing(p.a, faultTwice, func() told { return p.ask(p.a, "r1") })
-				return []told{first, p.ask(p.b, "r2")}
+				return []told{p.askFailing(faultTwice), p.ask(p.b, "r2")}
 			},
 			want: []told{ran("r1"), replayed("r1")},
 			runs: []string{"r1"},
@@ -109,7 +135,7 @@
 		{
 			name: "claim lands after it was given up",
 			play: func(p *pair) []told {
-				first := p.failing(p.a, faultLate, func() told { return p.ask(p.a, "r1") })
+				first := p.askFailing(faultLate)
 				p.sleep(20000)
 				return []told{first, p.ask(p.b, "r2")}
 			},
@@ -119,9 +145,7 @@
 		{
 			name: "holder killed between claim and send",
 			play: func(p *pair) []told {
-				first := p.later(p.a, "r1", 1000)
-				p.sleep(500)
-				p.a.kill()
+				first := p.askKilled()
 				return []told{first(), p.ask(p.b, "r2")}
 			},
 			want: []told{{Dead: true}, mayHaveRun(enquiry.ReasonKeyInUse)},
@@ -129,9 +153,7 @@
 		{
 			name: "holder killed between claim and send and replaced",
 			play: func(p *pair) []told {
-				first := p.later(p.a, "r1", 1000)
-				p.sleep(500)
-				p.a.kill()
+				first := p.askKilled()
 				again := p.start("a", 2)
 				p.sleep(1000)
 				before := p.clk.Now()
@@ -167,8 +189,7 @@
 		{
 			name: "refused by the upstream, and asked again under the same key",
 			play: func(p *pair) []told {
-				first := p.a.ask(background, "r1", p.key, "for six", p.a.upstream(sendRefusedUnrun, 0))
-				return []told{first, p.ask(p.b, "r2")}
+				return []told{p.a.ask(background, "r1", p.key, "for six", p.a.upstream(sendRefusedUnrun, 0)), p.ask(p.b, "r2")}
 			},
 			want: []told{notRun(enquiry.ReasonUpstreamRefused), ran("r2")},
 			runs: []string{"r2"},
@@ -273,17 +294,10 @@
 	}
 	for _, sc := range scenarios {
 		t.Run(sc.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := newSim(firstSeed)
-				p := &pair{sim: s, a: s.start("a", 1), b: s.start("b", 1)}
-				defer stop(p.a, p.b)
-				s.sleep(2000)
-				p.key = s.keyNow("table")
+			withPair(t, func(t *testing.T, p *pair) {
 				first := p.key
-				if diff := cmp.Diff(sc.want, sc.play(p)); diff != "" {
-					t.Errorf("told (-want +got):\n%s", diff)
-				}
-				if diff := cmp.Diff(sc.runs, s.runs[first]); diff != "" {
+				checkTold(t, sc.want, sc.play(p)...)
+				if diff := cmp.Diff(sc.runs, p.runs[first]); diff != "" {
 					t.Errorf("runs (-want +got):\n%s", diff)
 				}
 			})
@@ -292,44 +306,33 @@
 }
 
 func TestP09CallerGoneAfterTheSend(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := newSim(firstSeed)
-		p := &pair{sim: s, a: s.start("a", 1), b: s.start("b", 1)}
-		defer stop(p.a, p.b)
-		s.sleep(2000)
-		p.key = s.keyNow("table")
+	withPair(t, func(t *testing.T, p *pair) {
 		c := p.a.call("r1", p.key, "for six")
 		c.Writer.(*page).gone = true
 		ctx, leave := context.WithCancel(background)
 		first := p.a.askCall(ctx, c, enquiry.HandlerFunc(func(ctx context.Context, c *enquiry.Call) error {
-			if r := c.MaySend(s.clk.Now()); r != nil {
+			if r := c.MaySend(p.clk.Now()); r != nil {
 				return r
 			}
 			leave()
-			s.sleep(2000)
+			p.sleep(2000)
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
 			return p.a.upstream(sendRuns, 0).Handle(ctx, &enquiry.Call{Request: c.Request, Writer: c.Writer})
 		}))
 		want := []told{{Outcome: enquiry.Ran, Reason: enquiry.ReasonCallerGone}, replayed("r1")}
-		if diff := cmp.Diff(want, []told{first, p.ask(p.b, "r2")}); diff != "" {
-			t.Errorf("told (-want +got):\n%s", diff)
-		}
+		checkTold(t, want, first, p.ask(p.b, "r2"))
 	})
 }
 
 func TestP08LogDownRefusalsSpreadTheirReturn(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := newSim(firstSeed)
-		a := s.start("a", 1)
-		defer stop(a)
-		s.sleep(2000)
-		s.setDown(true)
-		s.sleep(10000)
+	withPair(t, func(t *testing.T, p *pair) {
+		p.setDown(true)
+		p.sleep(10000)
 		times := map[clock.Millis]bool{}
 		for range 50 {
-			_, err := a.book.Claim(background, a.call("r1", s.keyNow("table"), "for six"))
+			_, err := p.a.book.Claim(background, p.a.call("r1", p.keyNow("table"), "for six"))
 			r, ok := err.(*enquiry.Refusal)
 			if !ok || r.Outcome != enquiry.NotRun || r.RetryAfter < retryBase || r.RetryAfter >= 2*retryBase {
 				t.Fatalf("refusal is %v", err)
@@ -343,34 +346,20 @@
 }
 
 func TestP09LargeAnswerIsToldAsRan(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := newSim(firstSeed)
-		a := s.start("a", 1)
-		defer stop(a)
-		s.sleep(2000)
-		id, key := strings.Repeat("r", defaultAnswerLimit+1), s.keyNow("table")
-		first := a.ask(background, id, key, "for six", a.upstream(sendRuns, 0))
-		second := a.ask(background, "r2", key, "for six", a.upstream(sendRuns, 0))
+	withPair(t, func(t *testing.T, p *pair) {
+		id := strings.Repeat("r", defaultAnswerLimit+1)
 		want := []told{ran(id), {Outcome: enquiry.Ran, Reason: enquiry.ReasonAlreadyRan}}
-		if diff := cmp.Diff(want, []told{first, second}); diff != "" {
-			t.Errorf("told (-want +got):\n%s", diff)
-		}
+		checkTold(t, want, p.ask(p.a, id), p.ask(p.a, "r2"))
 	})
 }
 
 func TestP08BegunAnswerIsNotToldAsNotRun(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := newSim(firstSeed)
-		a := s.start("a", 1)
-		defer stop(a)
-		s.sleep(2000)
-		got := a.ask(background, "r1", s.keyNow("table"), "for six", enquiry.HandlerFunc(func(ctx context.Context, c *enquiry.Call) error {
+	withPair(t, func(t *testing.T, p *pair) {
+		got := p.a.ask(background, "r1", p.key, "for six", enquiry.HandlerFunc(func(ctx context.Context, c *enquiry.Call) error {
 			_ = c.Writer.WriteBytes(ctx, c, []byte("half an"))
 			return enquiry.Refuse(enquiry.ReasonUpstreamFailed, 0, "broke")
 		}))
-		if diff := cmp.Diff(mayHaveRun(enquiry.ReasonUpstreamFailed), got); diff != "" {
-			t.Errorf("told (-want +got):\n%s", diff)
-		}
+		checkTold(t, []told{mayHaveRun(enquiry.ReasonUpstreamFailed)}, got)
 	})
 }
 
