--- a/pkg/courier/answer_test.go
+++ b/pkg/courier/answer_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"testing/synctest"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -73,29 +72,27 @@
 		{"event that is not JSON", streamHead + tokenEvent(0, "hello ") + "data: {\n\n", incomplete("hello ", 4)},
 		{"event that is too long", streamHead + tokenEvent(0, strings.Repeat("x", eventBytes)), incomplete("", 1)},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				// The engine holds no request, so that a broken stream can't be resumed.
-				u := &upstream{play: func(n int, req *http.Request, conn net.Conn) {
-					if req.Header.Get("X-Resume-Offset") != "" {
-						_, _ = io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nX-Request-Id: r-1\r\nContent-Length: 0\r\n\r\n")
-						return
-					}
-					raw(c.answer)(n, req, conn)
-				}}
-				s := testSend(u.dial)
-				defer s.Close()
-				rec := &recorder{}
-				err := s.Filter(t.Context(), chatCall(s, rec), nil)
-				want := c.want
-				if want.Requests > 1 {
-					// One resume is answered 404, which ends the attempts at once.
-					want.Requests = 2
+		inBubble(t, c.name, func(t *testing.T) {
+			// The engine holds no request, so that a broken stream can't be resumed.
+			u := &upstream{play: func(n int, req *http.Request, conn net.Conn) {
+				if req.Header.Get("X-Resume-Offset") != "" {
+					_, _ = io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nX-Request-Id: r-1\r\nContent-Length: 0\r\n\r\n")
+					return
 				}
-				if diff := cmp.Diff(want, observe(t, rec, u, err)); diff != "" {
-					t.Errorf("answer (-want +got):\n%s", diff)
-				}
-			})
+				raw(c.answer)(n, req, conn)
+			}}
+			s := testSend(u.dial)
+			defer s.Close()
+			rec := &recorder{}
+			err := s.Filter(t.Context(), chatCall(s, rec), nil)
+			want := c.want
+			if want.Requests > 1 {
+				// One resume is answered 404, which ends the attempts at once.
+				want.Requests = 2
+			}
+			if diff := cmp.Diff(want, observe(t, rec, u, err)); diff != "" {
+				t.Errorf("answer (-want +got):\n%s", diff)
+			}
 		})
 	}
 }
@@ -116,17 +113,15 @@
 		{"another request", strings.Replace(head, "r-1", "r-2", 1) + "Content-Length: 6\r\n\r\nbooked", mismatched("")},
 		{"no request id", "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nbooked", mismatched("")},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				u := &upstream{play: raw(c.answer)}
-				s := testSend(u.dial)
-				defer s.Close()
-				rec := &recorder{}
-				err := s.Filter(t.Context(), serviceCall(s, rec, http.MethodPost, false), nil)
-				if diff := cmp.Diff(c.want, observe(t, rec, u, err)); diff != "" {
-					t.Errorf("answer (-want +got):\n%s", diff)
-				}
-			})
+		inBubble(t, c.name, func(t *testing.T) {
+			u := &upstream{play: raw(c.answer)}
+			s := testSend(u.dial)
+			defer s.Close()
+			rec := &recorder{}
+			err := s.Filter(t.Context(), serviceCall(s, rec, http.MethodPost, false), nil)
+			if diff := cmp.Diff(c.want, observe(t, rec, u, err)); diff != "" {
+				t.Errorf("answer (-want +got):\n%s", diff)
+			}
 		})
 	}
 }
--- a/pkg/courier/break_test.go
+++ b/pkg/courier/break_test.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -155,9 +154,7 @@
 			if repeatable {
 				name = c.name + ", repeatable"
 			}
-			t.Run(name, func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) { checkBreak(t, &c, repeatable) })
-			})
+			inBubble(t, name, func(t *testing.T) { checkBreak(t, &c, repeatable) })
 		}
 	}
 }
--- a/pkg/courier/fakes_test.go
+++ b/pkg/courier/fakes_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 
 	"github.com/go-logr/logr"
 
@@ -75,6 +76,12 @@
 	return nil
 }
 
+// inBubble runs a subtest in a bubble of fake time.
+func inBubble(t *testing.T, name string, run func(t *testing.T)) {
+	t.Helper()
+	t.Run(name, func(t *testing.T) { synctest.Test(t, run) })
+}
+
 // openGate permits everything.
 type openGate struct{}
 
--- a/pkg/courier/gate_test.go
+++ b/pkg/courier/gate_test.go
@@ -52,32 +52,30 @@
 		{name: "P12 view too old after a pause of the process", want: enquiry.ReasonStaleView, pause: 6 * time.Second,
 			change: func(*catalogue.Snapshot) {}},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				w := &witness{breakAfter: -1}
-				s := testSend(nil)
-				snap := gateSnapshot(s)
-				s.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-					time.Sleep(c.pause)
-					c.change(snap)
-					return w.dial(ctx, network, address)
-				}
-				s.Gate = &SnapshotGate{Common: s.Common, Snapshot: func() *catalogue.Snapshot { return snap }}
-				var sample enquiry.Sample
-				s.Observe = func(m enquiry.Sample) { sample = m }
-				r := refusalOf(t, s.Filter(t.Context(), chatCall(s, &recorder{}), nil))
-				if r == nil || r.Outcome != enquiry.NotRun || r.Reason != c.want {
-					t.Errorf("refusal %v, want NotRun %s", r, c.want)
-				}
-				if sample.Result != enquiry.ResultCancelled {
-					t.Errorf("the upstream is blamed: %s", sample.Result)
-				}
-				s.Close()
-				synctest.Wait()
-				if n := w.got.Load(); n != 0 {
-					t.Errorf("the upstream got %d bytes", n)
-				}
-			})
+		inBubble(t, c.name, func(t *testing.T) {
+			w := &witness{breakAfter: -1}
+			s := testSend(nil)
+			snap := gateSnapshot(s)
+			s.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				time.Sleep(c.pause)
+				c.change(snap)
+				return w.dial(ctx, network, address)
+			}
+			s.Gate = &SnapshotGate{Common: s.Common, Snapshot: func() *catalogue.Snapshot { return snap }}
+			var sample enquiry.Sample
+			s.Observe = func(m enquiry.Sample) { sample = m }
+			r := refusalOf(t, s.Filter(t.Context(), chatCall(s, &recorder{}), nil))
+			if r == nil || r.Outcome != enquiry.NotRun || r.Reason != c.want {
+				t.Errorf("refusal %v, want NotRun %s", r, c.want)
+			}
+			if sample.Result != enquiry.ResultCancelled {
+				t.Errorf("the upstream is blamed: %s", sample.Result)
+			}
+			s.Close()
+			synctest.Wait()
+			if n := w.got.Load(); n != 0 {
+				t.Errorf("the upstream got %d bytes", n)
+			}
 		})
 	}
 }
--- a/pkg/courier/once_test.go
+++ b/pkg/courier/once_test.go
@@ -80,30 +80,28 @@
 		{"deadline passes", 0, nil, nil},
 		{"connection to the caller breaks", 0, errors.New("broken pipe"), &enquiry.Refusal{Outcome: enquiry.Ran, Reason: enquiry.ReasonCallerGone}},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				u := &upstream{play: func(_ int, _ *http.Request, conn net.Conn) {
-					time.Sleep(2 * time.Second)
-					_, _ = io.WriteString(conn, booked)
-				}}
-				s := testSend(u.dial)
-				defer s.Close()
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				if c.cancel > 0 {
-					time.AfterFunc(c.cancel, cancel)
-				}
-				rec := &recorder{fail: c.fail}
-				call := serviceCall(s, rec, http.MethodPost, false)
-				call.Request.Deadline = s.Clock.Now() + 1000
-				r := refusalOf(t, s.Filter(ctx, call, nil))
-				if (r == nil) != (c.want == nil) || r != nil && (r.Outcome != c.want.Outcome || r.Reason != c.want.Reason) {
-					t.Errorf("refusal %v, want %v", r, c.want)
-				}
-				if diff := cmp.Diff("booked", rec.text.String()); diff != "" {
-					t.Errorf("answer (-want +got):\n%s", diff)
-				}
-			})
+		inBubble(t, c.name, func(t *testing.T) {
+			u := &upstream{play: func(_ int, _ *http.Request, conn net.Conn) {
+				time.Sleep(2 * time.Second)
+				_, _ = io.WriteString(conn, booked)
+			}}
+			s := testSend(u.dial)
+			defer s.Close()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if c.cancel > 0 {
+				time.AfterFunc(c.cancel, cancel)
+			}
+			rec := &recorder{fail: c.fail}
+			call := serviceCall(s, rec, http.MethodPost, false)
+			call.Request.Deadline = s.Clock.Now() + 1000
+			r := refusalOf(t, s.Filter(ctx, call, nil))
+			if (r == nil) != (c.want == nil) || r != nil && (r.Outcome != c.want.Outcome || r.Reason != c.want.Reason) {
+				t.Errorf("refusal %v, want %v", r, c.want)
+			}
+			if diff := cmp.Diff("booked", rec.text.String()); diff != "" {
+				t.Errorf("answer (-want +got):\n%s", diff)
+			}
 		})
 	}
 }
@@ -146,29 +144,27 @@
 		{"body ends", "0\r\n\r\n", 1},
 		{"body never ends", "", 3},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				u := &upstream{play: func(_ int, _ *http.Request, conn net.Conn) {
-					_, _ = io.WriteString(conn, chunked)
-					time.Sleep(time.Millisecond)
-					_, _ = io.WriteString(conn, c.last)
-				}}
-				s := testSend(u.dial)
-				for range 3 {
-					began := s.Clock.Now()
-					if err := s.Filter(t.Context(), chatCall(s, &recorder{}), nil); err != nil {
-						t.Error(err)
-					}
-					if took := s.Clock.Now() - began; took != 0 {
-						t.Errorf("the caller waited %d ms for the end of the body", took)
-					}
-					time.Sleep(2 * time.Second)
+		inBubble(t, c.name, func(t *testing.T) {
+			u := &upstream{play: func(_ int, _ *http.Request, conn net.Conn) {
+				_, _ = io.WriteString(conn, chunked)
+				time.Sleep(time.Millisecond)
+				_, _ = io.WriteString(conn, c.last)
+			}}
+			s := testSend(u.dial)
+			for range 3 {
+				began := s.Clock.Now()
+				if err := s.Filter(t.Context(), chatCall(s, &recorder{}), nil); err != nil {
+					t.Error(err)
 				}
-				s.Close()
-				if u.dials != c.dials {
-					t.Errorf("%d connections, want %d", u.dials, c.dials)
+				if took := s.Clock.Now() - began; took != 0 {
+					t.Errorf("the caller waited %d ms for the end of the body", took)
 				}
-			})
+				time.Sleep(2 * time.Second)
+			}
+			s.Close()
+			if u.dials != c.dials {
+				t.Errorf("%d connections, want %d", u.dials, c.dials)
+			}
 		})
 	}
 }
--- a/pkg/courier/resume_test.go
+++ b/pkg/courier/resume_test.go
@@ -85,29 +85,27 @@
 			usage:   []enquiry.Usage{{Version: testVersion, Upstream: "engine-1", OutputTokens: 1, Cost: 2}},
 		},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				var offsets []string
-				u := &upstream{play: func(n int, req *http.Request, conn net.Conn) {
-					offsets = append(offsets, req.Header.Get("X-Resume-Offset"))
-					raw(c.answers[n])(n, req, conn)
-				}}
-				s := testSend(u.dial)
-				rec := &recorder{}
-				call := chatCall(s, rec)
-				call.Request.Repeatable = !c.once
-				err := s.Filter(t.Context(), call, nil)
-				s.Close()
-				if diff := cmp.Diff(c.want, observe(t, rec, u, err)); diff != "" {
-					t.Errorf("answer (-want +got):\n%s", diff)
-				}
-				if diff := cmp.Diff(c.offsets, offsets); diff != "" {
-					t.Errorf("offsets (-want +got):\n%s", diff)
-				}
-				if diff := cmp.Diff(c.usage, call.Usage); diff != "" {
-					t.Errorf("usage (-want +got):\n%s", diff)
-				}
-			})
+		inBubble(t, c.name, func(t *testing.T) {
+			var offsets []string
+			u := &upstream{play: func(n int, req *http.Request, conn net.Conn) {
+				offsets = append(offsets, req.Header.Get("X-Resume-Offset"))
+				raw(c.answers[n])(n, req, conn)
+			}}
+			s := testSend(u.dial)
+			rec := &recorder{}
+			call := chatCall(s, rec)
+			call.Request.Repeatable = !c.once
+			err := s.Filter(t.Context(), call, nil)
+			s.Close()
+			if diff := cmp.Diff(c.want, observe(t, rec, u, err)); diff != "" {
+				t.Errorf("answer (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(c.offsets, offsets); diff != "" {
+				t.Errorf("offsets (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(c.usage, call.Usage); diff != "" {
+				t.Errorf("usage (-want +got):\n%s", diff)
+			}
 		})
 	}
 }
@@ -200,33 +198,31 @@
 		{"repeatable", false, []string{testID}},
 		{"not repeatable", true, nil},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				u := &upstream{play: func(_ int, _ *http.Request, conn net.Conn) {
-					_, _ = io.WriteString(conn, streamHead+tokenEvent(0, "a "))
-					time.Sleep(5 * time.Second)
-					_, _ = io.WriteString(conn, endEvent(1)+doneEvent)
-					conn.Close()
-				}}
-				s := testSend(u.dial)
-				gone := &cancels{}
-				s.Cancel = gone
-				call := chatCall(s, &recorder{})
-				call.Request.Repeatable = !c.once
-				call.Request.Deadline = s.Clock.Now() + 1000
-				r := refusalOf(t, s.Filter(t.Context(), call, nil))
-				s.Close()
-				time.Sleep(10 * time.Second)
-				if !c.once && (r == nil || r.Reason != enquiry.ReasonDeadline || r.Outcome != enquiry.MayHaveRun) {
-					t.Errorf("refusal %v", r)
-				}
-				if c.once && r != nil {
-					t.Errorf("refusal %v of a request that must be seen to its end", r)
-				}
-				if diff := cmp.Diff(c.want, gone.gone); diff != "" {
-					t.Errorf("cancelled (-want +got):\n%s", diff)
-				}
-			})
+		inBubble(t, c.name, func(t *testing.T) {
+			u := &upstream{play: func(_ int, _ *http.Request, conn net.Conn) {
+				_, _ = io.WriteString(conn, streamHead+tokenEvent(0, "a "))
+				time.Sleep(5 * time.Second)
+				_, _ = io.WriteString(conn, endEvent(1)+doneEvent)
+				conn.Close()
+			}}
+			s := testSend(u.dial)
+			gone := &cancels{}
+			s.Cancel = gone
+			call := chatCall(s, &recorder{})
+			call.Request.Repeatable = !c.once
+			call.Request.Deadline = s.Clock.Now() + 1000
+			r := refusalOf(t, s.Filter(t.Context(), call, nil))
+			s.Close()
+			time.Sleep(10 * time.Second)
+			if !c.once && (r == nil || r.Reason != enquiry.ReasonDeadline || r.Outcome != enquiry.MayHaveRun) {
+				t.Errorf("refusal %v", r)
+			}
+			if c.once && r != nil {
+				t.Errorf("refusal %v of a request that must be seen to its end", r)
+			}
+			if diff := cmp.Diff(c.want, gone.gone); diff != "" {
+				t.Errorf("cancelled (-want +got):\n%s", diff)
+			}
 		})
 	}
 }
--- a/pkg/courier/settle_test.go
+++ b/pkg/courier/settle_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"syscall"
 	"testing"
-	"testing/synctest"
 
 	"carawayknot.example/carawayknot/pkg/enquiry"
 )
@@ -37,31 +36,29 @@
 		{"once: never left, broke off", true, refuses, breaks, enquiry.MayHaveRun, 2},
 		{"once: broke off, answered", true, breaks, answers, enquiry.MayHaveRun, 1},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				dials := 0
-				s := testSend(func(ctx context.Context, network, address string) (net.Conn, error) {
-					dials++
-					if dials == 1 {
-						return c.first(ctx, network, address)
-					}
-					return c.second(ctx, network, address)
-				})
-				defer s.Close()
-				twice := enquiry.HandlerFunc(func(ctx context.Context, call *enquiry.Call) error {
-					_ = s.Filter(ctx, call, nil)
-					// A connection that is kept would save the second attempt its own.
-					s.transports.closeIdle()
-					return s.Filter(ctx, call, nil)
-				})
-				r := refusalOf(t, Settle{}.Filter(t.Context(), serviceCall(s, &recorder{}, http.MethodPost, !c.once), twice))
-				if r == nil || r.Outcome != c.want {
-					t.Errorf("refusal %v, want %s", r, c.want)
-				}
-				if dials != c.dials {
-					t.Errorf("%d connections were made, want %d", dials, c.dials)
+		inBubble(t, c.name, func(t *testing.T) {
+			dials := 0
+			s := testSend(func(ctx context.Context, network, address string) (net.Conn, error) {
+				dials++
+				if dials == 1 {
+					return c.first(ctx, network, address)
 				}
+				return c.second(ctx, network, address)
+			})
+			defer s.Close()
+			twice := enquiry.HandlerFunc(func(ctx context.Context, call *enquiry.Call) error {
+				_ = s.Filter(ctx, call, nil)
+				// A connection that is kept would save the second attempt its own.
+				s.transports.closeIdle()
+				return s.Filter(ctx, call, nil)
 			})
+			r := refusalOf(t, Settle{}.Filter(t.Context(), serviceCall(s, &recorder{}, http.MethodPost, !c.once), twice))
+			if r == nil || r.Outcome != c.want {
+				t.Errorf("refusal %v, want %s", r, c.want)
+			}
+			if dials != c.dials {
+				t.Errorf("%d connections were made, want %d", dials, c.dials)
+			}
 		})
 	}
 }
