--- a/pkg/trace/stated_test.go
+++ b/pkg/trace/stated_test.go
@@ -47,3 +47,21 @@
 		}
 	}
 }
+
+// TestColdFleetComesToServe starts with every upstream in cold start and nothing known; most requests must still be answered,
+// since the first ones warm the upstreams up.
+func TestColdFleetComesToServe(t *testing.T) {
+	t.Parallel()
+	tr, err := Load(filepath.Join("..", "..", "traces", "chai-houses.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rep, err := Replay(context.Background(), tr, Options{NoHistory: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	const leastShare = 0.95
+	if got := float64(rep.Policies[0].Answered) / float64(rep.Requests); got < leastShare {
+		t.Errorf("%.3f of the requests were answered, want at least %.2f", got, leastShare)
+	}
+}
