Take requests until the balancer has seen that an instance drains; age shares by the list's own time

Cause: (1) the control state drained at once, so that requests were refused while the balancer still sent them; (2) a list that stands still kept its shares of cold upstreams, since the time of the read counted; (3) two constants bounded the items that are published. Change: /readyz fails first and refusals begin with the shutdown of the listener; shares age by the list's time; the pause between items is Knowledge.PublishPeriod; the time spent in the control thread is a metric.

--- a/pkg/house/control.go
+++ b/pkg/house/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync/atomic"
+	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/cockroachdb/errors"
@@ -43,7 +44,9 @@
 	stopped  chan struct{}
 	snapshot atomic.Pointer[catalogue.Snapshot]
 	backlog  atomic.Int64
-	dropped  atomic.Int64
+	// busy is the time spent in the control thread, in nanoseconds.
+	busy    atomic.Int64
+	dropped atomic.Int64
 	// listed is the list taken last, upstreams are those in it that are no entry instances.
 	listed    []platform.Instance
 	upstreams []platform.Instance
@@ -80,6 +83,9 @@
 // Dropped returns how many samples were dropped because the control thread was behind.
 func (c *Control) Dropped() int64 { return c.dropped.Load() }
 
+// Busy returns the time spent in the control thread since the start.
+func (c *Control) Busy() time.Duration { return time.Duration(c.busy.Load()) }
+
 // Settled tells whether this instance has ever had a share of an upstream, or has waited for long enough to have one.
 func (c *Control) Settled() bool { return c.settled.Load() }
 
@@ -117,6 +123,8 @@
 
 // receive is the control thread.
 func (c *Control) receive(ctx actor.Context) {
+	began := time.Now()
+	defer func() { c.busy.Add(int64(time.Since(began))) }()
 	switch m := ctx.Message().(type) {
 	case *run:
 		m.F()
@@ -148,7 +156,8 @@
 	if !c.Knowledge.Membership.SeeList(m.Listing, m.SentAt) {
 		return
 	}
-	c.Shares.See(c.Knowledge.Membership.Listed(), m.SentAt)
+	// A list that stands still loses its shares, so its own time counts.
+	c.Shares.See(c.Knowledge.Membership.Listed(), c.Knowledge.Membership.ListAt())
 	if sameSlice(c.listed, m.Listing.Instances) {
 		return
 	}
--- a/pkg/house/drain.go
+++ b/pkg/house/drain.go
@@ -43,10 +43,11 @@
 func (h *House) drain(s *listeners) error {
 	log := h.Common.Log.WithName("drain")
 	log.Info("draining", "inFlight", h.inFlight.Count())
-	h.control.Tell(&drainBegun{})
+	h.draining.Store(true)
 	ctx, cancel := clock.WithTimeout(context.Background(), h.Common.Clock, h.Common.Settings.Times.Drain)
 	defer cancel()
 	_ = clock.Sleep(ctx, h.Common.Clock, notReadyPeriods*h.Common.Settings.Times.ListPoll)
+	h.control.Tell(&drainBegun{})
 	err := s.caller.Shutdown(ctx)
 	if err != nil {
 		log.Info("requests cut at the limit of the drain", "inFlight", h.inFlight.Count())
--- a/pkg/house/gossip.go
+++ b/pkg/house/gossip.go
@@ -19,8 +19,6 @@
 	verdictTopic = "u"
 	// healthTopic has the counters of each instance, by version and task.
 	healthTopic = "v"
-	// itemsPerSecond bounds the items that all instances together publish, since each one reaches every instance.
-	itemsPerSecond = 12.0
 	// limitStep is the relative change of a limit that is worth telling others.
 	limitStep = 0.25
 )
@@ -45,8 +43,6 @@
 			c.put(verdictTopic, v.Upstream, &v)
 		}
 	}
-	members := len(c.Knowledge.Membership.Members())
-	pause := clock.Millis(float64(members) / itemsPerSecond * float64(clock.Second))
 	for _, k := range c.Ratings.Own() {
 		key := string(k.Version) + " " + k.Task
 		old := p.counters[key]
@@ -54,7 +50,7 @@
 			// The others must learn at once of a version that turned bad.
 			c.tellCounter(key, &k)
 		} else if now >= p.next && grown(&old, &k) {
-			p.next = now + pause
+			p.next = now + c.Knowledge.PublishPeriod()
 			c.tellCounter(key, &k)
 		}
 	}
--- a/pkg/house/house.go
+++ b/pkg/house/house.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
@@ -53,6 +54,8 @@
 	prober    *Prober
 	metrics   *desk.Metrics
 	inFlight  *desk.InFlight
+	// draining is true from the beginning of the shutdown on; the control state follows once the balancer had time to notice.
+	draining atomic.Bool
 	// ratedTo is the position up to which ratings were read.
 	ratedTo int64
 }
@@ -155,7 +158,7 @@
 // ready returns why this instance should get no requests, or nil.
 func (h *House) ready() error {
 	s := h.control.Snapshot()
-	if s.Draining {
+	if h.draining.Load() {
 		return errors.New("draining")
 	}
 	if s.Config.Revision == 0 && len(s.Config.Workspaces) == 0 {
--- a/pkg/house/metrics.go
+++ b/pkg/house/metrics.go
@@ -26,6 +26,9 @@
 		unsafe, _ := h.biller.Owed()
 		return float64(unsafe)
 	})
+	m.Counter("carawayknot_control_seconds_total", "Time spent in the control thread.", func() float64 {
+		return h.control.Busy().Seconds()
+	})
 	m.Counter("carawayknot_samples_dropped_total", "Samples dropped because the control thread was behind.", func() float64 {
 		return float64(h.control.Dropped())
 	})
