Probe cold upstreams in replays as the daemon does

Excluded: probing by the instance's own count alone, as house.Prober does. For the lead: house.Prober should skip an upstream whose Load.InFlight is at its cold limit.

--- a/pkg/trace/instance.go
+++ b/pkg/trace/instance.go
@@ -109,6 +109,7 @@
 	t := in.common.Settings.Times
 	in.publish()
 	in.run.loop.every(phase, t.LoadPoll, end, in.poll)
+	in.run.loop.every(phase, probePeriod, end, in.probe)
 	in.run.loop.every(phase, t.RatingPoll, end, in.readRatings)
 	in.run.loop.every(phase, t.PeerTick, end, in.mergePeers)
 }
--- /dev/null
+++ b/pkg/trace/probe.go
@@ -0,0 +1,48 @@
+package trace
+
+import (
+	"context"
+	"fmt"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+)
+
+// probePeriod is how often an instance looks for idle cold upstreams, in milliseconds, as the daemon does.
+const probePeriod clock.Millis = 250
+
+// probe sends a request for one token to each idle cold upstream of which this instance has a share.
+func (in *instance) probe() {
+	for _, u := range in.snapshot.Upstreams {
+		idle := in.flights.InFlight(u.Name) == 0 && u.Load.InFlight < u.Rule.ColdLimit
+		if !u.Cold || !idle || in.snapshot.PermitListed(u) != nil {
+			continue
+		}
+		if in.flights.Acquire(u.Name, u.Share) {
+			in.run.loop.start(context.Background(), in.run.loop.clock.Now(), func(ctx context.Context) { in.probeOne(ctx, u) })
+		}
+	}
+}
+
+func (in *instance) probeOne(ctx context.Context, u *catalogue.Upstream) {
+	defer in.flights.Release(u.Name)
+	in.run.probes++
+	id := fmt.Sprint("probe-", in.run.probes)
+	in.run.requests[id] = &Request{ID: id, OutputTokens: 1}
+	defer delete(in.run.requests, id)
+	c := &enquiry.Call{
+		Request:  &enquiry.Request{ID: id, Messages: []enquiry.Message{{Role: "user", Content: "ping"}}},
+		Upstream: u,
+		Writer:   &recorder{run: in.run},
+	}
+	x := enquiry.Sample{RequestID: id, Upstream: u.Name}
+	if len(u.Versions) > 0 {
+		c.Version = in.snapshot.Config.Versions[u.Versions[0]]
+		x.Version = u.Versions[0]
+	}
+	s := &sender{instance: in}
+	_ = s.exchange(ctx, processOf(ctx), c, in.world.byName[u.Name], &x)
+	x.At = in.run.loop.clock.Now()
+	in.watch.TakeSample(x)
+}
--- a/pkg/trace/run.go
+++ b/pkg/trace/run.go
@@ -60,6 +60,8 @@
 	records   []Record
 	sends     []send
 	findings  []finding
+	// probes counts the probes of cold upstreams.
+	probes int
 }
 
 func newRun(t *Trace, p *policy, history bool) *run {
--- a/pkg/trace/sender.go
+++ b/pkg/trace/sender.go
@@ -123,7 +123,7 @@
 func (s *sender) writeEnd(ctx context.Context, c *enquiry.Call, x *enquiry.Sample) error {
 	r := s.instance.run.requests[c.Request.ID]
 	end := enquiry.End{FinishReason: "stop", InputTokens: r.InputTokens, OutputTokens: r.OutputTokens}
-	if c.Version != nil {
+	if c.Profile != nil {
 		x.Tokens = r.OutputTokens
 		s.instance.run.answered(c, r)
 	}
