Bound the wait for the verdict of a cascade

Cause: the client of the rating service leaves the time limit to its context, and the context of a request that may be repeated has none. While the rating service took requests and did not answer, each request of a cascade hung past its deadline, with its place among the requests in flight, until its caller left. Excluded: a rating service that is down or refuses answers at once, and the next version is asked. Change: Choose waits for a verdict 1 s and at most a quarter of the time left, then asks the next version. Before: TestP07SilentRatingServiceHoldsUpNoAnswer never ended (all goroutines blocked). After: go test -race ./pkg/tariff ./pkg/trace passes. Conclusion: a silent rating service costs a request 1 s and the dearer version. It is asked again for each request: no circuit breaker.

--- a/pkg/tariff/choose.go
+++ b/pkg/tariff/choose.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/enquiry"
 	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/settings"
@@ -13,6 +14,12 @@
 // PinHeader is the response header that carries the signed session pin.
 const PinHeader = "Carawayknot-Pin"
 
+const (
+	// rateLimit bounds the wait for a verdict, in milliseconds, and ratePart the part of the time left that it may take.
+	rateLimit = 1 * clock.Second
+	ratePart  = 4
+)
+
 // charactersPerToken estimates the tokens of a prompt from its bytes.
 const charactersPerToken = 4
 
@@ -172,6 +179,8 @@
 }
 
 func (f *Choose) rate(ctx context.Context, c *enquiry.Call, step Step, held *holdWriter) (float64, error) {
+	ctx, cancel := clock.WithTimeout(ctx, f.Clock, f.rateTime(c.Request))
+	defer cancel()
 	score, err := f.Rater.Rate(ctx, rateRequest(c, held.text()))
 	if err != nil {
 		f.Log.V(1).Info("The answer was not rated, the next version is asked.", "request", c.Request.ID, "error", err.Error())
@@ -183,6 +192,14 @@
 	return score, nil
 }
 
+// rateTime returns how long the verdict on an answer to the request is waited for, in milliseconds.
+func (f *Choose) rateTime(q *enquiry.Request) clock.Millis {
+	if q.Deadline == 0 {
+		return rateLimit
+	}
+	return min(rateLimit, max(0, q.Deadline-f.Clock.Now())/ratePart)
+}
+
 func rateRequest(c *enquiry.Call, answer string) platform.RateRequest {
 	return platform.RateRequest{
 		RequestID: c.SentID(),
--- /dev/null
+++ b/pkg/tariff/rate_test.go
@@ -0,0 +1,45 @@
+package tariff
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+	"carawayknot.example/carawayknot/pkg/platform"
+)
+
+// silentRater takes requests and never answers.
+type silentRater struct{}
+
+// Rate returns once ctx ends.
+func (silentRater) Rate(ctx context.Context, _ platform.RateRequest) (float64, error) {
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+func TestP07SilentRatingServiceHoldsUpNoAnswer(t *testing.T) {
+	const deadline = 60 * clock.Second
+	synctest.Test(t, func(t *testing.T) {
+		q := scene()
+		q.Profile.Quality, q.Profile.Cascade = 0.82, true
+		f := newChoose(q, silentRater{})
+		f.Clock = clock.NewReal()
+		began := f.Clock.Now()
+		q.Request.Deadline = began + deadline
+		var got shown
+		c := &enquiry.Call{Request: q.Request, Profile: q.Profile, Writer: &got}
+		if err := f.Filter(context.Background(), c, answer("", 0)); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(shown{Text: "model-2@1", Ended: true}, got); diff != "" {
+			t.Errorf("shown (-want +got):\n%s", diff)
+		}
+		if left := began + deadline - f.Clock.Now(); left < deadline/2 {
+			t.Errorf("time left for the next version: %d ms, want at least %d ms", left, deadline/2)
+		}
+	})
+}
