Ask the next version when the answer of a cascade's first step is too long to hold

Cause: the writer that holds an answer back refuses what is beyond its limit. The sending filter takes an error of the writer for a caller that has gone, and the cascade took that reason as final: a caller that still waited was refused with CallerGone. Excluded: the existing case of TestChooseFilter passes, since its handler returns the writer's error as it is. Change: the held answer notes that it grew too long, and the next step follows. Before: TestP07AnswerTooLongToHoldIsGivenByTheNextVersion failed: CallerGone (MayHaveRun). After: go test -race ./pkg/tariff passes. Conclusion: length costs the dearer version, not the answer.

--- a/pkg/tariff/choose.go
+++ b/pkg/tariff/choose.go
@@ -155,6 +155,10 @@
 	if ctx.Err() != nil {
 		return true, err
 	}
+	if held.tooLong {
+		// The sending filter took the refusal of further chunks for a caller that has gone.
+		return false, nil
+	}
 	if err != nil || !held.complete() {
 		return isFinal(err), err
 	}
--- a/pkg/tariff/hold.go
+++ b/pkg/tariff/hold.go
@@ -25,6 +25,8 @@
 	chunks []enquiry.Chunk
 	end    *enquiry.End
 	size   int64
+	// tooLong is true once the answer outgrew the limit.
+	tooLong bool
 }
 
 // WriteHead holds the head.
@@ -36,6 +38,7 @@
 // WriteChunk holds the chunk, unless too much is held already.
 func (w *holdWriter) WriteChunk(_ context.Context, _ *enquiry.Call, k enquiry.Chunk) error {
 	if w.size += int64(len(k.Text)); w.size > w.Limit {
+		w.tooLong = true
 		return &heldTooLongError{limit: w.Limit}
 	}
 	w.chunks = append(w.chunks, k)
--- a/pkg/tariff/rate_test.go
+++ b/pkg/tariff/rate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 
@@ -43,3 +44,26 @@
 		}
 	})
 }
+
+// sender passes an answer on as the sending filter does: a writer that fails is taken for a caller that has gone.
+func sender(ctx context.Context, c *enquiry.Call) error {
+	if err := answer("", 100)(ctx, c); err != nil {
+		return &enquiry.Refusal{Outcome: enquiry.MayHaveRun, Reason: enquiry.ReasonCallerGone, Cause: err}
+	}
+	return nil
+}
+
+func TestP07AnswerTooLongToHoldIsGivenByTheNextVersion(t *testing.T) {
+	q := scene()
+	q.Profile.Quality, q.Profile.Cascade = 0.82, true
+	f := newChoose(q, fakeRater{score: 0.99})
+	f.Settings.Limits.RequestBytes = 64
+	var got shown
+	c := &enquiry.Call{Request: q.Request, Profile: q.Profile, Writer: &got}
+	if err := f.Filter(context.Background(), c, enquiry.HandlerFunc(sender)); err != nil {
+		t.Errorf("refused: %v", err)
+	}
+	if diff := cmp.Diff(shown{Text: "model-2@1" + strings.Repeat("x", 100), Ended: true}, got); diff != "" {
+		t.Errorf("shown (-want +got):\n%s", diff)
+	}
+}
