Give back the room that a body of unknown length did not need

Cause: a body that states no length reserves the longest one (4 MiB by default), and kept that until its answer had ended. By default 16 such requests under way, however short, used up the 64 MiB of the instance, and all further requests were refused (Memory). Excluded: bodies that state their length reserve just that. Change: Hold.Shrink; the intake shrinks the reservation to what was read. Before: TestBodyOfUnknownLengthHoldsWhatItHas failed: no room beside a short body. After: go test -race ./pkg/desk ./pkg/courier passes. Conclusion: the longest body is reserved only while it is read, at most 30 s.

--- a/pkg/courier/budget.go
+++ b/pkg/courier/budget.go
@@ -83,6 +83,20 @@
 	h.floor = 0
 }
 
+// Shrink lowers the reserved floor to n bytes, where it is higher.
+func (h *Hold) Shrink(n int64) {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n >= h.floor {
+		return
+	}
+	reserved, above := max(h.held, h.floor), max(h.held-h.floor, 0)
+	h.floor = n
+	b.reserved += max(h.held, h.floor) - reserved
+	b.above += max(h.held-h.floor, 0) - above
+}
+
 // Drained tells whether at most half of what the request may hold is held.
 func (h *Hold) Drained() bool {
 	b := h.budget
--- a/pkg/desk/intake.go
+++ b/pkg/desk/intake.go
@@ -116,6 +116,9 @@
 	if err != nil {
 		return nil, refuseField("body", "the body could not be read to its end")
 	}
+	if in.body != nil {
+		in.body.Shrink(int64(len(body)))
+	}
 	return body, nil
 }
 
