Let the digest of a claimed request cover its options

Cause: the digest that tells whether a key comes again with the same request left out the further fields of a chat completion, such as its temperature or its tools. A second request under the key got the recorded answer to another one, in place of KeyReused. Excluded: calls of plain services are told apart by method, path and body. Change: the digest covers the options in order of name. After: go test -race ./pkg/reservation passes. Conclusion: a key stands for one request, with all that the engine is told.

--- a/pkg/reservation/key.go
+++ b/pkg/reservation/key.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/base64"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -78,6 +80,9 @@
 	for _, m := range r.Messages {
 		parts = append(parts, m.Role, m.Content)
 	}
+	for _, name := range slices.Sorted(maps.Keys(r.Options)) {
+		parts = append(parts, name, string(r.Options[name]))
+	}
 	return digest(parts...)
 }
 
