Use upstreams again that failed the step before when no other is left

Cause: upstreams that failed a call stay excluded over the steps of a cascade. When the cheap version failed at all engines, the step with the good version waited for room at engines that were all left out, and was refused (Overloaded) although they were idle. Excluded: retries of one step: they end once all upstreams were tried. Change: Place drops the exclusions at the start of a step when they cover all upstreams of its version. Before: TestNextStepMayUseUpstreamsThatFailedTheStepBefore/all_failed: Overloaded (NotRun). After: go test -race ./pkg/concierge passes. Conclusion: a cascade's last step is refused for its own failures.

--- /dev/null
+++ b/pkg/concierge/excluded_test.go
@@ -0,0 +1,47 @@
+package concierge
+
+import (
+	"context"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+)
+
+// The next step of a cascade asks another version; upstreams that failed the step before are left out only while others are left.
+func TestNextStepMayUseUpstreamsThatFailedTheStepBefore(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		excluded []string
+		want     []string
+	}{
+		{"some failed", []string{"engine-a", "engine-b"}, []string{"engine-c"}},
+		{"all failed", []string{"engine-a", "engine-b", "engine-c"}, []string{"any"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := snapshot(1)
+			f := newPlace(func() *catalogue.Snapshot { return s }, clock.NewManual(0))
+			c := newCall("r1")
+			c.Request.Deadline = 1
+			c.Excluded = tc.excluded
+			var got []string
+			err := f.Filter(context.Background(), c, enquiry.HandlerFunc(func(_ context.Context, c *enquiry.Call) error {
+				name := c.Upstream.Name
+				if len(tc.excluded) == len(s.Upstreams) {
+					name = "any"
+				}
+				got = append(got, name)
+				return nil
+			}))
+			if err != nil {
+				t.Errorf("refused: %v", err)
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("sent to (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/pkg/concierge/place.go
+++ b/pkg/concierge/place.go
@@ -42,6 +42,10 @@
 	shown := &shownWriter{Writer: c.Writer, place: f}
 	c.Writer = shown
 	defer func() { c.Writer = shown.Writer }()
+	if len(c.Excluded) > 0 && !f.hasOther(c) {
+		// A step of a cascade before this one, with another version, failed at all upstreams that serve this one.
+		c.Excluded = nil
+	}
 	for first := true; ; first = false {
 		u, refusal := f.acquire(ctx, c)
 		if refusal != nil {
