Count the answers that cascades hold against the memory for answers

Cause: a cascade held the answer of its first step, up to RequestBytes (256 KiB) a request, outside of the budget that bounds what is held for readers; with 2000 requests in flight that is up to 500 MiB, and it stays until a slow reader has taken it. Excluded: answers passed on as they come, and whole answers, are in the budget. Change: Choose opens a room of the budget for each held answer; without room the next version is asked, whose answer is shown as it comes. The room is given back after the answer was passed on. Before: TestHeldAnswersStayInTheMemoryForAnswers/memory_used_up failed: the cheap answer was held all the same. After: go test -race ./pkg/tariff ./pkg/house passes. Conclusion: the budget bounds held answers too. Open: the text kept to verify a roll-out's new version is bounded by a request, not by the budget.

--- a/pkg/house/line.go
+++ b/pkg/house/line.go
@@ -54,7 +54,7 @@
 
 // choose makes the filter that chooses versions; without a service that rates answers nothing is verified.
 func (h *House) choose() *tariff.Choose {
-	f := &tariff.Choose{Common: h.Common, Snapshot: h.control.Snapshot, Pins: h.pins, Rater: h.ratings, Rated: h.rated}
+	f := &tariff.Choose{Common: h.Common, Snapshot: h.control.Snapshot, Pins: h.pins, Rater: h.ratings, Rated: h.rated, Open: h.openRoom}
 	if h.Common.Settings.Platform.Ratings != "" {
 		v := &Verifier{Common: h.Common, Rater: h.ratings, Rated: h.rated}
 		f.Verify = v.Verify
@@ -62,6 +62,12 @@
 	return f
 }
 
+// openRoom opens the room for an answer that is held; it has no bytes that it can count on.
+func (h *House) openRoom() tariff.Room {
+	hold, _ := h.budget.Open(0)
+	return hold
+}
+
 func (h *House) observe(s enquiry.Sample) {
 	h.control.Observe(s)
 	h.metrics.Observe(s)
--- a/pkg/tariff/choose.go
+++ b/pkg/tariff/choose.go
@@ -37,6 +37,14 @@
 	Rate(ctx context.Context, r platform.RateRequest) (float64, error)
 }
 
+// Room is the memory that one held answer takes up.
+type Room interface {
+	// Take holds n more bytes, and tells whether there was room.
+	Take(n int64) bool
+	// Close gives all of them back.
+	Close()
+}
+
 // Choose is the filter that chooses the version of a chat completion, and runs cascades.
 type Choose struct {
 	settings.Common
@@ -45,6 +53,8 @@
 	Rater    Rater
 	// Rated, if set, is told each verdict on a cascade's answer.
 	Rated func(platform.Rating)
+	// Open, if set, opens the room for an answer that is held until it is rated.
+	Open func() Room
 	// Verify, if set, is given each answer of a roll-out's new version, to have it rated at once; it must not wait.
 	Verify func(platform.RateRequest)
 }
@@ -148,6 +158,10 @@
 // or when nothing more may be tried.
 func (f *Choose) try(ctx context.Context, c *enquiry.Call, step Step, next enquiry.Handler) (done bool, err error) {
 	held := &holdWriter{Limit: f.Settings.Limits.RequestBytes}
+	if f.Open != nil {
+		held.Room = f.Open()
+		defer held.Room.Close()
+	}
 	w := c.Writer
 	c.Writer, c.Version = held, step.Version
 	err = next.Handle(ctx, c)
--- a/pkg/tariff/hold.go
+++ b/pkg/tariff/hold.go
@@ -8,6 +8,9 @@
 	"carawayknot.example/carawayknot/pkg/enquiry"
 )
 
+// chunkOverhead is what a held chunk costs besides its text, in bytes.
+const chunkOverhead = 64
+
 // heldTooLongError says that a held answer outgrew the bytes allowed for it.
 type heldTooLongError struct {
 	limit int64
@@ -20,12 +23,14 @@
 type holdWriter struct {
 	// Limit bounds the bytes held.
 	Limit int64
+	// Room is the memory for them; nil is no bound beside Limit.
+	Room Room
 
 	head   *enquiry.Head
 	chunks []enquiry.Chunk
 	end    *enquiry.End
 	size   int64
-	// tooLong is true once the answer outgrew the limit.
+	// tooLong is true once the answer outgrew the limit or the room.
 	tooLong bool
 }
 
@@ -37,7 +42,8 @@
 
 // WriteChunk holds the chunk, unless too much is held already.
 func (w *holdWriter) WriteChunk(_ context.Context, _ *enquiry.Call, k enquiry.Chunk) error {
-	if w.size += int64(len(k.Text)); w.size > w.Limit {
+	n := int64(len(k.Text))
+	if w.size += n; w.size > w.Limit || w.Room != nil && !w.Room.Take(n+chunkOverhead) {
 		w.tooLong = true
 		return &heldTooLongError{limit: w.Limit}
 	}
--- /dev/null
+++ b/pkg/tariff/room_test.go
@@ -0,0 +1,61 @@
+package tariff
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carawayknot.example/carawayknot/pkg/enquiry"
+)
+
+// fakeRoom is a memory for so many bytes.
+type fakeRoom struct {
+	free, held int64
+}
+
+func (r *fakeRoom) Take(n int64) bool {
+	if n > r.free {
+		return false
+	}
+	r.free -= n
+	r.held += n
+	return true
+}
+
+func (r *fakeRoom) Close() {
+	r.free += r.held
+	r.held = 0
+}
+
+// Readers that are slow make held answers stay, so that these count against the memory for answers.
+func TestHeldAnswersStayInTheMemoryForAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		free int64
+		want string
+	}{
+		{"room enough", 1 << 10, "model-1@1"},
+		{"memory used up", 50, "model-2@1"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			q := scene()
+			q.Profile.Quality, q.Profile.Cascade = 0.82, true
+			f := newChoose(q, fakeRater{score: 0.99})
+			room := &fakeRoom{free: tc.free}
+			f.Open = func() Room { return room }
+			var got shown
+			c := &enquiry.Call{Request: q.Request, Profile: q.Profile, Writer: &got}
+			if err := f.Filter(context.Background(), c, enquiry.HandlerFunc(sender)); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(shown{Text: tc.want + strings.Repeat("x", 100), Ended: true}, got); diff != "" {
+				t.Errorf("shown (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tc.free, room.free); diff != "" {
+				t.Errorf("free at the end (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
