Refuse a recorded answer that can't be passed on as AlreadyRan

Cause: the filter of claims replays a recorded answer outside of the filters that know the outcome, and handed the writer's error on. A caller that asked again under its key while the memory for answers was used up was told NotRun (Memory), though the request of its key had run, and might have booked again under a new key. Excluded: the outcome of the request that runs is settled by the recorder. Change: replay turns each error of the writer into Ran, AlreadyRan, with the wait that the writer asked for. Before: TestP08ReplayThatFailsIsNeverNotRun failed: NotRun, Memory. After: go test -race ./pkg/reservation passes. Conclusion: under a key that ran nobody is told NotRun for want of memory.

--- a/pkg/reservation/filter.go
+++ b/pkg/reservation/filter.go
@@ -84,7 +84,22 @@
 	if d.Answer == nil {
 		return recordedRefusal(d)
 	}
-	a := d.Answer
+	err := passOn(ctx, c, d.Answer)
+	if err == nil {
+		return nil
+	}
+	// What a writer refuses, it takes for not run; the request of this key has run.
+	failed := &enquiry.Refusal{Outcome: enquiry.Ran, Reason: enquiry.ReasonAlreadyRan, Field: KeyField,
+		Detail: "the request of this key ran before, its answer could not be passed on", Cause: err}
+	var told *enquiry.Refusal
+	if errors.As(err, &told) {
+		failed.RetryAfter = told.RetryAfter
+	}
+	return failed
+}
+
+// passOn writes a recorded answer.
+func passOn(ctx context.Context, c *enquiry.Call, a *Answer) error {
 	head := enquiry.Head{Status: a.Status, Header: a.Header.Clone()}
 	if head.Header == nil {
 		head.Header = map[string][]string{}
