Say what becomes of requests that come while an instance drains

Cause: the comments said that requests are still taken then; the intake refuses them (NotRun, Draining), as the tests demand. Change: comments only.

--- a/pkg/house/drain.go
+++ b/pkg/house/drain.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// notReadyPeriods is for how many list periods requests are still taken after this instance called itself not ready.
+	// notReadyPeriods is for how many list periods requests are still answered, by a refusal that sends them to another
+	// instance, after this one called itself not ready.
 	notReadyPeriods = 3
 	// handoverTime bounds the handing over of state after the last request, in milliseconds.
 	handoverTime = 30 * clock.Second
@@ -38,8 +39,8 @@
 	}
 }
 
-// drain calls the instance not ready, takes requests until the balancer has seen that, finishes those under way,
-// and hands over what only this instance has.
+// drain calls the instance not ready, refuses new requests as not run until the balancer has seen that, finishes those
+// under way, and hands over what only this instance has.
 func (h *House) drain(s *listeners) error {
 	log := h.Common.Log.WithName("drain")
 	log.Info("draining", "inFlight", h.inFlight.Count())
