--- a/pkg/tariff/choose.go
+++ b/pkg/tariff/choose.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/enquiry"
 	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/settings"
@@ -13,6 +14,12 @@
 // PinHeader is the response header that carries the signed session pin.
 const PinHeader = "Carawayknot-Pin"
 
+const (
+	// rateLimit bounds the wait for a verdict, in milliseconds, and ratePart the part of the time left that it may take.
+	rateLimit = 1 * clock.Second
+	ratePart  = 4
+)
+
 // charactersPerToken estimates the tokens of a prompt from its bytes.
 const charactersPerToken = 4
 
@@ -30,6 +37,14 @@
 	Rate(ctx context.Context, r platform.RateRequest) (float64, error)
 }
 
+// Room is the memory that one held answer takes up.
+type Room interface {
+	// Take holds n more bytes, and tells whether there was room.
+	Take(n int64) bool
+	// Close gives all of them back.
+	Close()
+}
+
 // Choose is the filter that chooses the version of a chat completion, and runs cascades.
 type Choose struct {
 	settings.Common
@@ -38,6 +53,8 @@
 	Rater    Rater
 	// Rated, if set, is told each verdict on a cascade's answer.
 	Rated func(platform.Rating)
+	// Open, if set, opens the room for an answer that is held until it is rated.
+	Open func() Room
 	// Verify, if set, is given each answer of a roll-out's new version, to have it rated at once; it must not wait.
 	Verify func(platform.RateRequest)
 }
@@ -141,6 +158,10 @@
 // or when nothing more may be tried.
 func (f *Choose) try(ctx context.Context, c *enquiry.Call, step Step, next enquiry.Handler) (done bool, err error) {
 	held := &holdWriter{Limit: f.Settings.Limits.RequestBytes}
+	if f.Open != nil {
+		held.Room = f.Open()
+		defer held.Room.Close()
+	}
 	w := c.Writer
 	c.Writer, c.Version = held, step.Version
 	err = next.Handle(ctx, c)
@@ -148,6 +169,10 @@
 	if ctx.Err() != nil {
 		return true, err
 	}
+	if held.tooLong {
+		// The sending filter took the refusal of further chunks for a caller that has gone.
+		return false, nil
+	}
 	if err != nil || !held.complete() {
 		return isFinal(err), err
 	}
@@ -172,6 +197,8 @@
 }
 
 func (f *Choose) rate(ctx context.Context, c *enquiry.Call, step Step, held *holdWriter) (float64, error) {
+	ctx, cancel := clock.WithTimeout(ctx, f.Clock, f.rateTime(c.Request))
+	defer cancel()
 	score, err := f.Rater.Rate(ctx, rateRequest(c, held.text()))
 	if err != nil {
 		f.Log.V(1).Info("The answer was not rated, the next version is asked.", "request", c.Request.ID, "error", err.Error())
@@ -183,6 +210,14 @@
 	return score, nil
 }
 
+// rateTime returns how long the verdict on an answer to the request is waited for, in milliseconds.
+func (f *Choose) rateTime(q *enquiry.Request) clock.Millis {
+	if q.Deadline == 0 {
+		return rateLimit
+	}
+	return min(rateLimit, max(0, q.Deadline-f.Clock.Now())/ratePart)
+}
+
 func rateRequest(c *enquiry.Call, answer string) platform.RateRequest {
 	return platform.RateRequest{
 		RequestID: c.SentID(),
