Wait until a frozen process has really stopped

Cause: TestP09HolderFrozenBetweenClaimAndSend failed once in a whole run: the booking had been sent, and the holder said MayHaveRun because its upstream sent no byte within the time limit. SIGSTOP returns before all threads have stopped, the test healed the way to the log at once, and a thread that still ran took the claim's answer and sent. Excluded: a late send after the wake, which would have been answered and not run into the limit for silence. Change: Freeze returns once each thread is in state T.

--- a/pkg/proctest/process.go
+++ b/pkg/proctest/process.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -90,8 +93,31 @@
 	<-p.done
 }
 
-// Freeze stops the process by SIGSTOP.
-func (p *Process) Freeze() { p.signal(syscall.SIGSTOP) }
+// Freeze stops the process by SIGSTOP and returns once all its threads have stopped.
+func (p *Process) Freeze() {
+	p.t.Helper()
+	p.signal(syscall.SIGSTOP)
+	Eventually(p.t, exitTime, p.Name+" has stopped", p.stopped)
+}
+
+// stopped tells whether each thread of the process is in state T of its stat file, which follows the name in brackets.
+func (p *Process) stopped() bool {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil || len(files) == 0 {
+		return false
+	}
+	for _, file := range files {
+		stat, err := os.ReadFile(file)
+		if err != nil {
+			return false
+		}
+		_, rest, _ := strings.Cut(string(stat), ") ")
+		if !strings.HasPrefix(rest, "T") {
+			return false
+		}
+	}
+	return true
+}
 
 // Thaw lets a frozen process go on by SIGCONT.
 func (p *Process) Thaw() { p.signal(syscall.SIGCONT) }
