--- a/pkg/platform/client_test.go
+++ b/pkg/platform/client_test.go
@@ -91,13 +91,9 @@
 			srv := serve(t, c.handler)
 			l := &platform.Log{BaseURL: srv.URL}
 			_, err := l.Append(t.Context(), "s", records("a"))
-			if diff := cmp.Diff(c.append, classify(err)); diff != "" {
-				t.Errorf("append (-want +got):\n%s", diff)
-			}
+			checkVerdict(t, "append", c.append, classify(err))
 			_, err = l.Read(t.Context(), "s", 0, 10, 0)
-			if diff := cmp.Diff(c.read, classify(err)); diff != "" {
-				t.Errorf("read (-want +got):\n%s", diff)
-			}
+			checkVerdict(t, "read", c.read, classify(err))
 		})
 	}
 }
@@ -113,13 +109,9 @@
 	}
 	l := &platform.Log{BaseURL: "http://" + address}
 	_, err = l.Append(t.Context(), "s", records("a"))
-	if diff := cmp.Diff(verdict{Unavailable: true}, classify(err)); diff != "" {
-		t.Errorf("append (-want +got):\n%s", diff)
-	}
+	checkVerdict(t, "append", verdict{Unavailable: true}, classify(err))
 	err = (&platform.Engines{}).Cancel(t.Context(), address, "r", false)
-	if diff := cmp.Diff(verdict{Unavailable: true}, classify(err)); diff != "" {
-		t.Errorf("cancel (-want +got):\n%s", diff)
-	}
+	checkVerdict(t, "cancel", verdict{Unavailable: true}, classify(err))
 }
 
 // TestClientSendsOnce closes the connection of every append after it took effect, on fresh and on reused connections.
@@ -157,9 +149,7 @@
 		t.Fatal(err)
 	}
 	want := verdict{Unavailable: true, Limited: &platform.LimitedError{Service: "weights", RetryAfter: 60 * clock.Second}}
-	if diff := cmp.Diff(want, classify(w.Fetch(t.Context(), "m@1"))); diff != "" {
-		t.Errorf("second fetch (-want +got):\n%s", diff)
-	}
+	checkVerdict(t, "second fetch", want, classify(w.Fetch(t.Context(), "m@1")))
 }
 
 func TestListIsSentAgainOnlyWhenItChanged(t *testing.T) {
--- a/pkg/platform/contract_log_test.go
+++ b/pkg/platform/contract_log_test.go
@@ -108,6 +108,21 @@
 	return v
 }
 
+// checkVerdict compares what an error was taken for.
+func checkVerdict(t *testing.T, what string, want, got verdict) {
+	t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", what, diff)
+	}
+}
+
+// onBoth runs a case against the stand-in and against the fake, each made anew.
+func onBoth[B any](t *testing.T, name string, standIn, fake func(*testing.T) B, run func(t *testing.T, backend B)) {
+	t.Helper()
+	t.Run("stand-in/"+name, func(t *testing.T) { run(t, standIn(t)) })
+	t.Run("fake/"+name, func(t *testing.T) { run(t, fake(t)) })
+}
+
 // texts returns the records of a batch that is read as a whole.
 func texts(b platform.Batch) []string {
 	var out []string
@@ -213,35 +228,26 @@
 			want: read{[]string{"3:d", "4:d"}, 0, 5},
 		},
 	}
-	for _, b := range []struct {
-		name string
-		make func(*testing.T) *logBackend
-	}{{"stand-in", httpLog}, {"fake", fakeLog}} {
-		for _, c := range cases {
-			t.Run(b.name+"/"+c.name, func(t *testing.T) {
-				ctx, l := t.Context(), b.make(t)
-				mustAppend(ctx, t, l, "a", "b", "c")
-				if c.prepare != nil {
-					c.prepare(ctx, t, l)
-				}
-				if c.append != nil {
-					first, err := l.Append(ctx, "s", records(c.append...))
-					if diff := cmp.Diff(c.failed, ignoreStatus(classify(err))); diff != "" {
-						t.Errorf("append (-want +got):\n%s", diff)
-					}
-					if first != c.first {
-						t.Errorf("first = %d, want %d", first, c.first)
-					}
-				}
-				got, err := l.Read(ctx, "s", c.from, c.limit, 0)
-				if diff := cmp.Diff(c.readFailed, ignoreStatus(classify(err))); diff != "" {
-					t.Errorf("read (-want +got):\n%s", diff)
-				}
-				if diff := cmp.Diff(c.want, read{texts(got), got.Oldest, got.End}); diff != "" {
-					t.Errorf("batch (-want +got):\n%s", diff)
+	for _, c := range cases {
+		onBoth(t, c.name, httpLog, fakeLog, func(t *testing.T, l *logBackend) {
+			ctx := t.Context()
+			mustAppend(ctx, t, l, "a", "b", "c")
+			if c.prepare != nil {
+				c.prepare(ctx, t, l)
+			}
+			if c.append != nil {
+				first, err := l.Append(ctx, "s", records(c.append...))
+				checkVerdict(t, "append", c.failed, ignoreStatus(classify(err)))
+				if first != c.first {
+					t.Errorf("first = %d, want %d", first, c.first)
 				}
-			})
-		}
+			}
+			got, err := l.Read(ctx, "s", c.from, c.limit, 0)
+			checkVerdict(t, "read", c.readFailed, ignoreStatus(classify(err)))
+			if diff := cmp.Diff(c.want, read{texts(got), got.Oldest, got.End}); diff != "" {
+				t.Errorf("batch (-want +got):\n%s", diff)
+			}
+		})
 	}
 }
 
--- a/pkg/platform/contract_test.go
+++ b/pkg/platform/contract_test.go
@@ -77,23 +77,15 @@
 		},
 		{name: "down", run: func(l *listBackend) { l.put(one); l.down(true) }, failed: verdict{Unavailable: true}},
 	}
-	for _, b := range []struct {
-		name string
-		make func(*testing.T) *listBackend
-	}{{"stand-in", httpList}, {"fake", fakeList}} {
-		for _, c := range cases {
-			t.Run(b.name+"/"+c.name, func(t *testing.T) {
-				l := b.make(t)
-				c.run(l)
-				got, err := l.Instances(t.Context())
-				if diff := cmp.Diff(c.failed, ignoreStatus(classify(err))); diff != "" {
-					t.Errorf("error (-want +got):\n%s", diff)
-				}
-				if diff := cmp.Diff(c.want, got.Instances); diff != "" {
-					t.Errorf("instances (-want +got):\n%s", diff)
-				}
-			})
-		}
+	for _, c := range cases {
+		onBoth(t, c.name, httpList, fakeList, func(t *testing.T, l *listBackend) {
+			c.run(l)
+			got, err := l.Instances(t.Context())
+			checkVerdict(t, "error", c.failed, ignoreStatus(classify(err)))
+			if diff := cmp.Diff(c.want, got.Instances); diff != "" {
+				t.Errorf("instances (-want +got):\n%s", diff)
+			}
+		})
 	}
 }
 
@@ -164,33 +156,23 @@
 		{name: "down", raters: all, down: true, limit: 10, failed: verdict{Unavailable: true}, rateFailed: verdict{Unavailable: true}},
 		{name: "answer lost", raters: all, lose: 1, limit: 10, want: whole, rateFailed: verdict{Unavailable: true, Unknown: true}},
 	}
-	for _, b := range []struct {
-		name string
-		make func(*testing.T) *ratingsBackend
-	}{{"stand-in", httpRatings}, {"fake", fakeRatings}} {
-		for _, c := range cases {
-			t.Run(b.name+"/"+c.name, func(t *testing.T) {
-				s := b.make(t)
-				s.raters(c.raters)
-				s.observe(fake.Answer{RequestID: "r1", Version: "m@1", Task: "chat"})
-				s.observe(fake.Answer{RequestID: "r2", Version: "m@2", Task: "chat"})
-				s.faults(c.down, c.lose)
-				got, err := s.Ratings(t.Context(), c.from, c.limit)
-				if diff := cmp.Diff(c.failed, ignoreStatus(classify(err))); diff != "" {
-					t.Errorf("ratings error (-want +got):\n%s", diff)
-				}
-				if diff := cmp.Diff(c.want, got); diff != "" {
-					t.Errorf("ratings (-want +got):\n%s", diff)
-				}
-				score, err := s.Rate(t.Context(), platform.RateRequest{RequestID: "r3", Version: "m@2"})
-				if diff := cmp.Diff(c.rateFailed, ignoreStatus(classify(err))); diff != "" {
-					t.Errorf("rate error (-want +got):\n%s", diff)
-				}
-				if diff := cmp.Diff(c.rate, score); diff != "" {
-					t.Errorf("score (-want +got):\n%s", diff)
-				}
-			})
-		}
+	for _, c := range cases {
+		onBoth(t, c.name, httpRatings, fakeRatings, func(t *testing.T, s *ratingsBackend) {
+			s.raters(c.raters)
+			s.observe(fake.Answer{RequestID: "r1", Version: "m@1", Task: "chat"})
+			s.observe(fake.Answer{RequestID: "r2", Version: "m@2", Task: "chat"})
+			s.faults(c.down, c.lose)
+			got, err := s.Ratings(t.Context(), c.from, c.limit)
+			checkVerdict(t, "ratings error", c.failed, ignoreStatus(classify(err)))
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("ratings (-want +got):\n%s", diff)
+			}
+			score, err := s.Rate(t.Context(), platform.RateRequest{RequestID: "r3", Version: "m@2"})
+			checkVerdict(t, "rate error", c.rateFailed, ignoreStatus(classify(err)))
+			if diff := cmp.Diff(c.rate, score); diff != "" {
+				t.Errorf("score (-want +got):\n%s", diff)
+			}
+		})
 	}
 }
 
@@ -281,44 +263,31 @@
 		},
 		{name: "down", down: true, orders: []platform.Order{order("a", 1)}, failed: down, loaded: down},
 	}
-	for _, b := range []struct {
-		name string
-		make func(*testing.T) *enginesBackend
-	}{{"stand-in", httpEngines}, {"fake", fakeEngines}} {
-		for _, c := range cases {
-			t.Run(b.name+"/"+c.name, func(t *testing.T) {
-				ctx, e := t.Context(), b.make(t)
-				e.faults(c.down, c.lose, c.ignore)
-				var err error
-				for _, o := range c.orders {
-					err = e.Order(ctx, e.address, o)
-				}
-				got := ignoreStatus(classify(err))
-				if got.Fenced != nil {
-					got.Fenced.Engine = ""
-				}
-				if diff := cmp.Diff(c.failed, got); diff != "" {
-					t.Errorf("order (-want +got):\n%s", diff)
-				}
-				if diff := cmp.Diff(c.taken, e.orders()); diff != "" {
-					t.Errorf("orders taken (-want +got):\n%s", diff)
-				}
-				load, err := e.Load(ctx, e.address)
-				if diff := cmp.Diff(c.loaded, ignoreStatus(classify(err))); diff != "" {
-					t.Errorf("load error (-want +got):\n%s", diff)
-				}
-				if diff := cmp.Diff(c.load, load); diff != "" {
-					t.Errorf("load (-want +got):\n%s", diff)
-				}
-				err = e.Cancel(ctx, e.address, "unknown", false)
-				if diff := cmp.Diff(c.loaded, ignoreStatus(classify(err))); diff != "" {
-					t.Errorf("cancel of an unknown request (-want +got):\n%s", diff)
-				}
-				_, err = e.CacheEvents(ctx, e.address, 0)
-				if diff := cmp.Diff(c.loaded, ignoreStatus(classify(err))); diff != "" {
-					t.Errorf("cache events (-want +got):\n%s", diff)
-				}
-			})
-		}
+	for _, c := range cases {
+		onBoth(t, c.name, httpEngines, fakeEngines, func(t *testing.T, e *enginesBackend) {
+			ctx := t.Context()
+			e.faults(c.down, c.lose, c.ignore)
+			var err error
+			for _, o := range c.orders {
+				err = e.Order(ctx, e.address, o)
+			}
+			got := ignoreStatus(classify(err))
+			if got.Fenced != nil {
+				got.Fenced.Engine = ""
+			}
+			checkVerdict(t, "order", c.failed, got)
+			if diff := cmp.Diff(c.taken, e.orders()); diff != "" {
+				t.Errorf("orders taken (-want +got):\n%s", diff)
+			}
+			load, err := e.Load(ctx, e.address)
+			checkVerdict(t, "load error", c.loaded, ignoreStatus(classify(err)))
+			if diff := cmp.Diff(c.load, load); diff != "" {
+				t.Errorf("load (-want +got):\n%s", diff)
+			}
+			err = e.Cancel(ctx, e.address, "unknown", false)
+			checkVerdict(t, "cancel of an unknown request", c.loaded, ignoreStatus(classify(err)))
+			_, err = e.CacheEvents(ctx, e.address, 0)
+			checkVerdict(t, "cache events", c.loaded, ignoreStatus(classify(err)))
+		})
 	}
 }
