Say once how a mesh carries calls, restarts members and is measured

Cause: the mesh of the tests carried two kinds of calls in the same lines, three places restarted a member, and six benchmarks set up the same sizes and rounds. Change: carryCall, restart, forSizes, exchanges, readLists; the three scenarios that cut the first node off share its steps.

--- a/pkg/caravan/capacity_test.go
+++ b/pkg/caravan/capacity_test.go
@@ -17,6 +17,16 @@
 // countersBytes is the size of one instance's version counters: 7 versions, 3 kinds of work, 12 bytes each.
 const countersBytes = 7 * 3 * 12
 
+// deployments are the numbers of instances that are measured.
+var deployments = []int{9, 60, 165, 330}
+
+// forSizes runs a benchmark for each number of instances.
+func forSizes(b *testing.B, sizes []int, run func(b *testing.B, size int)) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) { run(b, size) })
+	}
+}
+
 // exchange lets all nodes exchange once and publish their counters in turn.
 func (m *mesh) exchange(round int) {
 	list, err := m.list.Instances(m.t.Context())
@@ -42,6 +52,18 @@
 	m.clock.Advance(m.cfg.Times.PeerTick % clock.Millis(len(m.nodes)))
 }
 
+func (m *mesh) exchanges(rounds int) {
+	for i := range rounds {
+		m.exchange(i)
+	}
+}
+
+func (m *mesh) readLists() {
+	for _, n := range m.nodes {
+		n.readList()
+	}
+}
+
 func (m *mesh) bytes() int64 {
 	var sum int64
 	for _, n := range m.nodes {
@@ -67,29 +89,21 @@
 		{name: "restarts", round: func(m *mesh, i int) {
 			// One instance is replaced every ten periods.
 			if i%10 == 0 {
-				self := m.nodes[i/10%len(m.nodes)].self
-				self.Incarnation++
-				m.start(self)
+				m.restart(m.nodes[i/10%len(m.nodes)].self)
 			}
 		}},
 	}
 	for _, s := range scenarios {
-		for _, size := range []int{9, 60, 165, 330} {
+		for _, size := range deployments {
 			b.Run(fmt.Sprintf("%s/nodes=%d", s.name, size), func(b *testing.B) {
 				m := newMesh(b, namedMembers(size))
 				m.change(zoneOut("z", true, "first"))
-				for _, n := range m.nodes {
-					n.readList()
-				}
-				for i := range 20 {
-					m.exchange(i)
-				}
+				m.readLists()
+				m.exchanges(20)
 				if s.begin != nil {
 					s.begin(m)
 				}
-				for i := range 10 {
-					m.exchange(i)
-				}
+				m.exchanges(10)
 				before := m.bytes()
 				var oldest clock.Millis
 				b.ResetTimer()
@@ -117,71 +131,61 @@
 // BenchmarkHealing cuts half of the instances off from the other half for an hour of news, and reports the most that an
 // instance sends and receives in one period after that, and the periods until all hold the same.
 func BenchmarkHealing(b *testing.B) {
-	for _, size := range []int{8, 60, 330} {
-		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
-			m := newMesh(b, namedMembers(size))
-			m.change(zoneOut("z", true, "first"))
-			for i := range 10 {
-				m.exchange(i)
+	forSizes(b, []int{8, 60, 330}, func(b *testing.B, size int) {
+		m := newMesh(b, namedMembers(size))
+		m.change(zoneOut("z", true, "first"))
+		m.exchanges(10)
+		worst, periods := int64(0), 0
+		for i := range b.N {
+			m.cut = func(from, to *meshNode) bool { return m.indexOf(from)%2 != m.indexOf(to)%2 }
+			for _, n := range m.nodes {
+				for range 3600 * clock.Second / n.know.PublishPeriod() {
+					n.know.Gossip.Put("v", "", fmt.Appendf(make([]byte, countersBytes), "%d", n.rand.Uint64()))
+				}
 			}
-			worst, periods := int64(0), 0
-			for i := range b.N {
-				m.cut = func(from, to *meshNode) bool { return m.indexOf(from)%2 != m.indexOf(to)%2 }
+			m.exchange(i)
+			m.cut = nil
+			for period := 1; !m.alike(); period++ {
+				before := make([]int64, size)
+				for k, n := range m.nodes {
+					before[k] = n.sent + n.received
+				}
 				for _, n := range m.nodes {
-					for range 3600 * clock.Second / n.know.PublishPeriod() {
-						n.know.Gossip.Put("v", "", fmt.Appendf(make([]byte, countersBytes), "%d", n.rand.Uint64()))
-					}
+					n.round()
 				}
-				m.exchange(i)
-				m.cut = nil
-				for period := 1; !m.alike(); period++ {
-					before := make([]int64, size)
-					for k, n := range m.nodes {
-						before[k] = n.sent + n.received
-					}
-					for _, n := range m.nodes {
-						n.round()
-					}
-					for k, n := range m.nodes {
-						worst = max(worst, n.sent+n.received-before[k])
-					}
-					periods = max(periods, period)
+				for k, n := range m.nodes {
+					worst = max(worst, n.sent+n.received-before[k])
 				}
+				periods = max(periods, period)
 			}
-			b.ReportMetric(float64(worst), "most-B/node/s")
-			b.ReportMetric(float64(periods), "periods")
-		})
-	}
+		}
+		b.ReportMetric(float64(worst), "most-B/node/s")
+		b.ReportMetric(float64(periods), "periods")
+	})
 }
 
 // BenchmarkInForce appends a change while nine in ten instances can't read the log, and reports the time until all of them
 // hold it; at most one exchange period passes between two steps of an instance.
 func BenchmarkInForce(b *testing.B) {
-	for _, size := range []int{9, 60, 165, 330} {
-		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
-			m := newMesh(b, namedMembers(size))
-			m.change(zoneOut("z", true, "first"))
-			for i := range 10 {
-				m.exchange(i)
-			}
-			for i, n := range m.nodes {
-				n.view.Cut(i%10 != 0, i%10 != 0)
-			}
-			for i := range 10 {
+	forSizes(b, deployments, func(b *testing.B, size int) {
+		m := newMesh(b, namedMembers(size))
+		m.change(zoneOut("z", true, "first"))
+		m.exchanges(10)
+		for i, n := range m.nodes {
+			n.view.Cut(i%10 != 0, i%10 != 0)
+		}
+		m.exchanges(10)
+		var worst clock.Millis
+		for i := range b.N {
+			start := m.clock.Now()
+			r := m.change(zoneOut("z", i%2 == 0, fmt.Sprint(i)))
+			for !m.holds(r) {
 				m.exchange(i)
 			}
-			var worst clock.Millis
-			for i := range b.N {
-				start := m.clock.Now()
-				r := m.change(zoneOut("z", i%2 == 0, fmt.Sprint(i)))
-				for !m.holds(r) {
-					m.exchange(i)
-				}
-				worst = max(worst, m.clock.Now()-start)
-			}
-			b.ReportMetric(float64(worst), "ms-worst")
-		})
-	}
+			worst = max(worst, m.clock.Now()-start)
+		}
+		b.ReportMetric(float64(worst), "ms-worst")
+	})
 }
 
 func (m *mesh) holds(r catalogue.Revision) bool {
@@ -206,25 +210,19 @@
 
 // BenchmarkKnowledgeMemory reports the heap of one instance's knowledge.
 func BenchmarkKnowledgeMemory(b *testing.B) {
-	for _, size := range []int{9, 60, 165, 330} {
-		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
-			for range b.N {
-				before := heap()
-				m := newMesh(b, namedMembers(size))
-				for _, n := range m.nodes {
-					n.readList()
-				}
-				for i := range 30 {
-					m.exchange(i)
-				}
-				for _, n := range m.nodes {
-					n.pipes = nil
-				}
-				b.ReportMetric(float64(heap()-before)/float64(size), "heap-B/node")
-				runtime.KeepAlive(m)
+	forSizes(b, deployments, func(b *testing.B, size int) {
+		for range b.N {
+			before := heap()
+			m := newMesh(b, namedMembers(size))
+			m.readLists()
+			m.exchanges(30)
+			for _, n := range m.nodes {
+				n.pipes = nil
 			}
-		})
-	}
+			b.ReportMetric(float64(heap()-before)/float64(size), "heap-B/node")
+			runtime.KeepAlive(m)
+		}
+	})
 }
 
 func heap() int64 {
@@ -237,53 +235,45 @@
 
 // BenchmarkSpread reports how many exchange periods an item takes until all instances hold it.
 func BenchmarkSpread(b *testing.B) {
-	for _, size := range []int{9, 60, 165, 330} {
-		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
-			worst := 0
-			for i := range b.N {
-				m := newMesh(b, namedMembers(size))
+	forSizes(b, deployments, func(b *testing.B, size int) {
+		worst := 0
+		for i := range b.N {
+			m := newMesh(b, namedMembers(size))
+			for _, n := range m.nodes {
+				n.readList()
+				n.rand = rand.New(rand.NewPCG(uint64(i), uint64(m.indexOf(n))))
+			}
+			m.nodes[0].know.Gossip.Put("t", "k", []byte("x"))
+			for round := 1; ; round++ {
 				for _, n := range m.nodes {
-					n.readList()
-					n.rand = rand.New(rand.NewPCG(uint64(i), uint64(m.indexOf(n))))
+					n.round()
 				}
-				m.nodes[0].know.Gossip.Put("t", "k", []byte("x"))
-				for round := 1; ; round++ {
-					for _, n := range m.nodes {
-						n.round()
-					}
-					held := 0
-					for _, n := range m.nodes {
-						held += len(n.know.Gossip.Items("t"))
-					}
-					if held == size {
-						worst = max(worst, round)
-						break
-					}
+				held := 0
+				for _, n := range m.nodes {
+					held += len(n.know.Gossip.Items("t"))
+				}
+				if held == size {
+					worst = max(worst, round)
+					break
 				}
 			}
-			b.ReportMetric(float64(worst), "periods-to-all")
-		})
-	}
+		}
+		b.ReportMetric(float64(worst), "periods-to-all")
+	})
 }
 
 // BenchmarkAsk measures one exchange without its encoding.
 func BenchmarkAsk(b *testing.B) {
-	for _, size := range []int{9, 60, 165, 330} {
-		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
-			m := newMesh(b, namedMembers(size))
-			for _, n := range m.nodes {
-				n.readList()
-			}
-			for i := range 15 {
-				m.exchange(i)
-			}
-			start := time.Now()
-			for range b.N {
-				ask := m.nodes[0].know.Ask(false)
-				answer := m.nodes[1].know.Answer(ask)
-				m.nodes[0].know.Learn(m.nodes[1].self.Name, m.clock.Now(), answer)
-			}
-			b.ReportMetric(float64(time.Since(start).Nanoseconds())/float64(b.N), "ns/exchange")
-		})
-	}
+	forSizes(b, deployments, func(b *testing.B, size int) {
+		m := newMesh(b, namedMembers(size))
+		m.readLists()
+		m.exchanges(15)
+		start := time.Now()
+		for range b.N {
+			ask := m.nodes[0].know.Ask(false)
+			answer := m.nodes[1].know.Answer(ask)
+			m.nodes[0].know.Learn(m.nodes[1].self.Name, m.clock.Now(), answer)
+		}
+		b.ReportMetric(float64(time.Since(start).Nanoseconds())/float64(b.N), "ns/exchange")
+	})
 }
--- a/pkg/caravan/capacityparts_test.go
+++ b/pkg/caravan/capacityparts_test.go
@@ -12,35 +12,29 @@
 
 // BenchmarkCall measures one exchange over TCP on loopback, both sides together.
 func BenchmarkCall(b *testing.B) {
-	for _, size := range []int{9, 60, 165, 330} {
-		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
-			m := newMesh(b, namedMembers(size))
-			for _, n := range m.nodes {
-				n.readList()
-			}
-			m.logDown(true)
-			for i := range 10 {
-				m.exchange(i)
-			}
-			a, _ := startNetwork(b, "a", "k")
-			server, other := startNetwork(b, "b", "k")
-			if err := server.Register(ExchangeName, &Receiver{Exchange: m.nodes[1].ask}); err != nil {
+	forSizes(b, deployments, func(b *testing.B, size int) {
+		m := newMesh(b, namedMembers(size))
+		m.readLists()
+		m.logDown(true)
+		m.exchanges(10)
+		a, _ := startNetwork(b, "a", "k")
+		server, other := startNetwork(b, "b", "k")
+		if err := server.Register(ExchangeName, &Receiver{Exchange: m.nodes[1].ask}); err != nil {
+			b.Fatal(err)
+		}
+		a.SetMembers([]catalogue.Member{other})
+		ask := m.nodes[0].know.Ask(false)
+		sent, received := a.Traffic()
+		b.ResetTimer()
+		for range b.N {
+			var out Answer
+			if err := a.Call(b.Context(), "b", ExchangeName+".Ask", &ask, &out); err != nil {
 				b.Fatal(err)
 			}
-			a.SetMembers([]catalogue.Member{other})
-			ask := m.nodes[0].know.Ask(false)
-			sent, received := a.Traffic()
-			b.ResetTimer()
-			for range b.N {
-				var out Answer
-				if err := a.Call(b.Context(), "b", ExchangeName+".Ask", &ask, &out); err != nil {
-					b.Fatal(err)
-				}
-			}
-			sentAfter, receivedAfter := a.Traffic()
-			b.ReportMetric(float64(sentAfter-sent+receivedAfter-received)/float64(b.N), "B/call")
-		})
-	}
+		}
+		sentAfter, receivedAfter := a.Traffic()
+		b.ReportMetric(float64(sentAfter-sent+receivedAfter-received)/float64(b.N), "B/call")
+	})
 }
 
 // BenchmarkLinks reports the memory of open connections, of both sides together.
--- a/pkg/caravan/knowledge_test.go
+++ b/pkg/caravan/knowledge_test.go
@@ -37,10 +37,12 @@
 }
 
 func TestP12Freshness(t *testing.T) {
-	restart := func(m *mesh, name string) {
-		self := m.byName[name].self
-		self.Incarnation++
-		m.start(self)
+	// cutOffFirst leaves the first node without log and members while a change is accepted.
+	cutOffFirst := func(m *mesh) {
+		m.isolate("entry-000")
+		m.nodes[0].view.Cut(true, true)
+		m.change(zoneOut("z", true, "c2"))
+		m.run(20_000)
 	}
 	tests := []struct {
 		name  string
@@ -51,12 +53,7 @@
 	}{
 		{name: "no fault", nodes: 3, fault: func(m *mesh) {}, fresh: []int{0, 1, 2}},
 		{name: "log down for ten minutes", nodes: 9, fault: func(m *mesh) { m.logDown(true); m.run(600_000) }, fresh: []int{0, 4, 8}},
-		{name: "cut off from all while a change is accepted", nodes: 3, fault: func(m *mesh) {
-			m.isolate("entry-000")
-			m.nodes[0].view.Cut(true, true)
-			m.change(zoneOut("z", true, "c2"))
-			m.run(20_000)
-		}, fresh: []int{1, 2}, stale: []int{0}, old: []int{0}},
+		{name: "cut off from all while a change is accepted", nodes: 3, fault: cutOffFirst, fresh: []int{1, 2}, stale: []int{0}, old: []int{0}},
 		{name: "cut off from the log alone", nodes: 3, fault: func(m *mesh) {
 			m.nodes[0].view.Cut(true, true)
 			m.change(zoneOut("z", true, "c2"))
@@ -79,45 +76,39 @@
 		}, stale: []int{0, 1, 2, 3}},
 		{name: "started while the log is down", nodes: 9, fault: func(m *mesh) {
 			m.logDown(true)
-			restart(m, "entry-003")
+			m.restart(m.nodes[3].self)
 			m.run(20_000)
 		}, fresh: []int{0, 3, 8}},
 		{name: "holder restarted beside the one that was cut off", nodes: 3, fault: func(m *mesh) {
-			m.isolate("entry-000")
-			m.nodes[0].view.Cut(true, true)
-			m.change(zoneOut("z", true, "c2"))
-			m.run(20_000)
+			cutOffFirst(m)
 			m.logDown(true)
 			m.isolate("entry-001")
-			restart(m, "entry-002")
+			m.restart(m.nodes[2].self)
 			m.run(60_000)
 		}, stale: []int{0, 1, 2}, old: []int{0, 2}},
 		{name: "restarted beside the one that was cut off, with a short list", nodes: 5, fault: func(m *mesh) {
-			m.isolate("entry-000")
-			m.nodes[0].view.Cut(true, true)
-			m.change(zoneOut("z", true, "c2"))
-			m.run(20_000)
+			cutOffFirst(m)
 			m.logDown(true)
 			for _, n := range m.nodes[1:4] {
 				n.frozen = true
 				m.list.Remove(n.self.Name)
 			}
 			m.cut = nil
-			restart(m, "entry-004")
+			m.restart(m.nodes[4].self)
 			m.run(30_000)
 		}, stale: []int{0, 4}, old: []int{0, 4}},
 		{name: "head dropped, one restarted", nodes: 3, fault: func(m *mesh) {
 			m.change(zoneOut("z", true, "c2"))
 			m.run(10_000)
 			m.log.Trim(catalogue.StreamName, 1)
-			restart(m, "entry-002")
+			m.restart(m.nodes[2].self)
 			m.run(10_000)
 		}, fresh: []int{0, 1, 2}},
 		{name: "log emptied, one restarted", nodes: 3, fault: func(m *mesh) {
 			m.change(zoneOut("z", true, "c2"))
 			m.run(10_000)
 			m.log.Truncate(catalogue.StreamName, 0)
-			restart(m, "entry-002")
+			m.restart(m.nodes[2].self)
 			m.run(10_000)
 		}, fresh: []int{0, 1, 2}},
 		{name: "frozen while a change is accepted", nodes: 3, fault: func(m *mesh) {
@@ -257,9 +248,7 @@
 	case 5:
 		n.frozen = true
 	case 6:
-		self := n.self
-		self.Incarnation++
-		m.start(self)
+		m.restart(n.self)
 	case 7:
 		a, b := m.nodes[r.IntN(len(m.nodes))], m.nodes[r.IntN(len(m.nodes))]
 		m.cut = func(from, to *meshNode) bool {
--- a/pkg/caravan/mesh_test.go
+++ b/pkg/caravan/mesh_test.go
@@ -100,6 +100,12 @@
 	return n
 }
 
+// restart starts a member anew, with empty memory.
+func (m *mesh) restart(self catalogue.Member) {
+	self.Incarnation++
+	m.start(self)
+}
+
 func (m *mesh) indexOf(n *meshNode) int {
 	for i, other := range m.nodes {
 		if other == n {
@@ -115,43 +121,37 @@
 	if to == nil || to.frozen || n.mesh.isCut(n, to) {
 		return errors.New("cut off")
 	}
-	there, back := n.pipe(to), to.pipe(n)
 	receiver := &Receiver{Exchange: to.ask}
-	var req rpc.Request
-	var rep rpc.Response
-	var k int64
 	var err error
 	switch a := args.(type) {
 	case *Ask:
-		var in Ask
-		var out Answer
-		if k, err = there.carry(&rpc.Request{ServiceMethod: method, Seq: 9}, a, &req, &in); err != nil {
-			return err
-		}
-		n.count(to, k)
-		if err = receiver.Ask(&in, &out); err != nil {
-			return err
-		}
-		k, err = back.carry(&rpc.Response{ServiceMethod: method, Seq: 9}, &out, &rep, reply)
+		err = carryCall(n, to, method, a, receiver.Ask, reply)
 	case *StateAsk:
-		var in StateAsk
-		var out StateAnswer
-		if k, err = there.carry(&rpc.Request{ServiceMethod: method, Seq: 9}, a, &req, &in); err != nil {
-			return err
-		}
-		n.count(to, k)
-		if err = receiver.State(&in, &out); err != nil {
-			return err
-		}
-		k, err = back.carry(&rpc.Response{ServiceMethod: method, Seq: 9}, &out, &rep, reply)
+		err = carryCall(n, to, method, a, receiver.State, reply)
 	}
-	to.count(n, k)
-	if n.mesh.isCut(to, n) {
+	if err == nil && n.mesh.isCut(to, n) {
 		return errors.New("answer lost")
 	}
 	return err
 }
 
+// carryCall carries the arguments to the other node, has it serve them, and carries the answer back.
+func carryCall[In, Out any](n, to *meshNode, method string, args *In, serve func(*In, *Out) error, reply any) error {
+	var in In
+	var out Out
+	sent, err := n.pipe(to).carry(&rpc.Request{ServiceMethod: method, Seq: 9}, args, &rpc.Request{}, &in)
+	if err != nil {
+		return err
+	}
+	n.count(to, sent)
+	if err := serve(&in, &out); err != nil {
+		return err
+	}
+	sent, err = to.pipe(n).carry(&rpc.Response{ServiceMethod: method, Seq: 9}, &out, &rpc.Response{}, reply)
+	to.count(n, sent)
+	return err
+}
+
 func (n *meshNode) count(to *meshNode, bytes int64) {
 	n.sent += bytes
 	to.received += bytes
