--- a/pkg/archive/journal_test.go
+++ b/pkg/archive/journal_test.go
@@ -43,6 +43,16 @@
 	return err
 }
 
+// reader returns a journal that has read the whole log.
+func (b *bench) reader(name string) *Journal {
+	b.t.Helper()
+	j := b.journal(name)
+	if err := b.readAll(j); err != nil {
+		b.t.Fatal(err)
+	}
+	return j
+}
+
 func (b *bench) append(data []byte) catalogue.Revision {
 	b.t.Helper()
 	first, err := b.log.Append(b.t.Context(), catalogue.StreamName, [][]byte{data})
@@ -93,11 +103,7 @@
 func stateAt(t testing.TB, r catalogue.Revision) *catalogue.State {
 	b := newBench(t)
 	b.changes(int(r))
-	j := b.journal("peer")
-	if err := b.readAll(j); err != nil {
-		t.Fatal(err)
-	}
-	return j.State()
+	return b.reader("peer").State()
 }
 
 func zoneChange(t testing.TB, id, zone string, out bool, base catalogue.Revision) *catalogue.Change {
@@ -183,10 +189,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			b := newBench(t)
 			b.changes(10)
-			j := b.journal("a")
-			if err := b.readAll(j); err != nil {
-				t.Fatal(err)
-			}
+			j := b.reader("a")
 			before, provedBefore := j.State(), j.ProvedAt()
 			tt.fault(b)
 			err := b.readAll(j)
@@ -206,10 +209,7 @@
 func TestP12LogComesBack(t *testing.T) {
 	b := newBench(t)
 	b.changes(10)
-	j := b.journal("a")
-	if err := b.readAll(j); err != nil {
-		t.Fatal(err)
-	}
+	j := b.reader("a")
 	b.replace()
 	if err := b.readAll(j); !j.Replaced() {
 		t.Fatalf("the emptied log was not noticed: %v", err)
@@ -249,10 +249,7 @@
 		t.Errorf("330 instances appended %d checkpoints in four periods", appended)
 	}
 	b.log.Trim(catalogue.StreamName, 21)
-	late := b.journal("late")
-	if err := b.readAll(late); err != nil {
-		t.Error(err)
-	}
+	late := b.reader("late")
 	if got, want := late.State().Zones, journals[0].State().Zones; !cmp.Equal(got, want) {
 		t.Errorf("state from the checkpoint (-want +got):\n%s", cmp.Diff(want, got))
 	}
