Place the members, engines and services of all traces by the same code

Cause: the makers of both traces spread members, engines and replicas over zones in the same lines. Change: maker.members, engines and replicas; the zones of each trace stand in one place.

--- a/pkg/trace/make.go
+++ b/pkg/trace/make.go
@@ -128,6 +128,39 @@
 	}
 }
 
+// members adds entry instances, spread over the zones.
+func (m *maker) members(n int, zones []string) {
+	for i := range n {
+		m.trace.Members = append(m.trace.Members, Member{Name: fmt.Sprintf("entry-%d", i+1), Zone: zones[i%len(zones)]})
+	}
+}
+
+// engines adds engines, spread over the zones; versions returns those of the engine with index i.
+func (m *maker) engines(n int, zones []string, versions func(i int) []catalogue.VersionID) {
+	for i := range n {
+		m.trace.Upstreams = append(m.trace.Upstreams, Upstream{
+			Name:      fmt.Sprintf("engine-%d", i+1),
+			Zone:      zones[i%len(zones)],
+			Versions:  versions(i),
+			Bearable:  8,
+			ColdLimit: 2,
+		})
+	}
+}
+
+// replicas adds one replica of a plain service to each zone.
+func (m *maker) replicas(service string, zones []string) {
+	for i, zone := range zones {
+		m.trace.Upstreams = append(m.trace.Upstreams, Upstream{
+			Name:      fmt.Sprintf("%s-%d", service, i+1),
+			Zone:      zone,
+			Service:   service,
+			Bearable:  40,
+			ColdLimit: 8,
+		})
+	}
+}
+
 // version adds a version with its prices, speed, what operators state of it and what it really gives.
 func (m *maker) version(id catalogue.VersionID, in, out catalogue.Micros, first, each float64, tasks []taskQuality) {
 	v := catalogue.Version{ID: id, InputCost: in, OutputCost: out, Quality: map[string]float64{}}
--- a/pkg/trace/makechai.go
+++ b/pkg/trace/makechai.go
@@ -22,9 +22,7 @@
 		{Measure: MeasureColdFallOvers, AtMost: 0},
 		{Measure: MeasureFalseFindings, AtMost: 0},
 	}
-	for i := range 8 {
-		t.Members = append(t.Members, Member{Name: fmt.Sprintf("entry-%d", i+1), Zone: []string{"a", "b", "c"}[i%3]})
-	}
+	m.members(8, chaiZones)
 	m.chaiVersions()
 	m.chaiUpstreams()
 	m.chaiProfiles()
@@ -54,30 +52,13 @@
 }
 
 func (m *maker) chaiUpstreams() {
-	zones := []string{"a", "b", "c"}
 	pairs := [][]catalogue.VersionID{
 		{"baobab-s@1", "baobab-m@3"},
 		{"baobab-m@3", "baobab-l@2"},
 		{"baobab-s@1", "baobab-l@2"},
 	}
-	for i := range 10 {
-		m.trace.Upstreams = append(m.trace.Upstreams, Upstream{
-			Name:      fmt.Sprintf("engine-%d", i+1),
-			Zone:      zones[i%3],
-			Versions:  pairs[(i/3)%3],
-			Bearable:  8,
-			ColdLimit: 2,
-		})
-	}
-	for i, zone := range zones {
-		m.trace.Upstreams = append(m.trace.Upstreams, Upstream{
-			Name:      fmt.Sprintf("booking-desk-%d", i+1),
-			Zone:      zone,
-			Service:   "booking-desk",
-			Bearable:  40,
-			ColdLimit: 8,
-		})
-	}
+	m.engines(10, chaiZones, func(i int) []catalogue.VersionID { return pairs[(i/3)%3] })
+	m.replicas("booking-desk", chaiZones)
 }
 
 func (m *maker) chaiProfiles() {
@@ -94,6 +75,7 @@
 }
 
 var (
+	chaiZones = []string{"a", "b", "c"}
 	chaiLarge = []string{"moshi-front-desk", "arusha-front-desk", "safari-agents"}
 	chaiSmall = []string{"concierge-a", "concierge-b", "concierge-c", "marangu", "machame", "usa-river", "guests"}
 )
--- a/pkg/trace/makejemaa.go
+++ b/pkg/trace/makejemaa.go
@@ -22,9 +22,7 @@
 		{Measure: MeasureColdFallOvers, AtMost: 0},
 		{Measure: MeasureFalseFindings, AtMost: 0},
 	}
-	for i := range 8 {
-		t.Members = append(t.Members, Member{Name: fmt.Sprintf("entry-%d", i+1), Zone: []string{"a", "b", "c", "d"}[i%4]})
-	}
+	m.members(8, jemaaZones)
 	m.jemaaVersions()
 	m.jemaaUpstreams()
 	m.jemaaProfiles()
@@ -53,30 +51,13 @@
 }
 
 func (m *maker) jemaaUpstreams() {
-	zones := []string{"a", "b", "c", "d"}
 	sets := [][]catalogue.VersionID{
 		{"kilim-s@1", "kilim-m@4"},
 		{"kilim-m@4", "kilim-l@7", "kilim-l@8"},
 		{"kilim-s@1", "kilim-l@7", "kilim-l@8"},
 	}
-	for i := range 12 {
-		m.trace.Upstreams = append(m.trace.Upstreams, Upstream{
-			Name:      fmt.Sprintf("engine-%d", i+1),
-			Zone:      zones[i%4],
-			Versions:  sets[i/4],
-			Bearable:  8,
-			ColdLimit: 2,
-		})
-	}
-	for i, zone := range zones {
-		m.trace.Upstreams = append(m.trace.Upstreams, Upstream{
-			Name:      fmt.Sprintf("shopfront-%d", i+1),
-			Zone:      zone,
-			Service:   "shopfront",
-			Bearable:  40,
-			ColdLimit: 8,
-		})
-	}
+	m.engines(12, jemaaZones, func(i int) []catalogue.VersionID { return sets[i/4] })
+	m.replicas("shopfront", jemaaZones)
 }
 
 func (m *maker) jemaaProfiles() {
@@ -92,6 +73,7 @@
 }
 
 var (
+	jemaaZones = []string{"a", "b", "c", "d"}
 	jemaaLarge = []string{"dossier-room", "tunis-stalls", "kairouan-stalls"}
 	jemaaSmall = []string{"sfax", "gabes", "mahdia", "tozeur", "weavers", "buyers", "volunteers"}
 )
