--- a/pkg/house/probe.go
+++ b/pkg/house/probe.go
@@ -50,6 +50,10 @@
 		if !u.Cold || u.Share == 0 || s.PermitUpstream(u.Name) != nil || p.Flights.InFlight(u.Name) > 0 {
 			continue
 		}
+		if u.Load.InFlight >= coldLimit(u) {
+			// It still has what was sent while it was warm.
+			continue
+		}
 		if p.Flights.Acquire(u.Name, u.Share) {
 			p.probes.Go(func() { p.probe(context.WithoutCancel(ctx), s, u) })
 		}
--- a/pkg/house/publish.go
+++ b/pkg/house/publish.go
@@ -66,11 +66,13 @@
 // defaultColdLimit is what an upstream bears in cold start when operators state nothing.
 const defaultColdLimit = 1
 
+// coldLimit returns how many requests the upstream bears in cold start, over all instances.
+func coldLimit(u *catalogue.Upstream) int { return cmp.Or(u.Rule.ColdLimit, defaultColdLimit) }
+
 // share returns how many requests this instance may have in flight at the upstream.
 func (c *Control) share(u *catalogue.Upstream, members []catalogue.Member, now clock.Millis) int {
 	if u.Cold {
-		limit := cmp.Or(u.Rule.ColdLimit, defaultColdLimit)
-		return c.Shares.Share(u.Name, limit, now)
+		return c.Shares.Share(u.Name, coldLimit(u), now)
 	}
 	limit := c.ColdWatch.WarmRoom(u.Name)
 	if u.Rule.WarmLimit > 0 {
