End a call that was sent once the time of its claim is over

Cause: an upstream that sends a byte within each stall time held a call that must not run twice without any bound, and its instance in the drain: the time of the claim ended the context, which the attempt ignored once a byte had left. Excluded: the caller's own context and the deadline, which must not end such a call. Change: only a context whose time is over ends the attempt; the outcome is then not NotRun. Before: TestP09TrickledAnswerIsGivenUpInTheEnd: given up after 1,000,000 ms.

--- a/pkg/courier/attempt.go
+++ b/pkg/courier/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
 	"carawayknot.example/carawayknot/pkg/clock"
@@ -111,9 +112,10 @@
 }
 
 // giveUp ends the attempt because nobody waits for it any more.
-// A request that must not run twice is seen to its end once a byte of it has left.
+// A request that must not run twice is seen to its end once a byte of it has left, as long as the time of its claim allows;
+// that time is the context's, and it alone ends with context.DeadlineExceeded.
 func (a *attempt) giveUp(cause error) {
-	if !a.call.Request.Repeatable && a.sealed() {
+	if !a.call.Request.Repeatable && a.sealed() && !errors.Is(cause, context.DeadlineExceeded) {
 		return
 	}
 	a.stop(cause)
--- a/pkg/courier/once_test.go
+++ b/pkg/courier/once_test.go
@@ -106,6 +106,38 @@
 	}
 }
 
+// TestP09TrickledAnswerIsGivenUpInTheEnd has a service that sends a byte within each stall time and never ends. The claim's context
+// ends with its time; the outcome is then unknown, and the instance can drain.
+func TestP09TrickledAnswerIsGivenUpInTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{play: func(_ int, _ *http.Request, conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\nX-Request-Id: r-1\r\n\r\n")
+			for range 1000 {
+				time.Sleep(time.Second)
+				if _, err := io.WriteString(conn, "x"); err != nil {
+					return
+				}
+			}
+		}}
+		s := testSend(u.dial)
+		defer s.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		began := s.Clock.Now()
+		call := serviceCall(s, &recorder{}, http.MethodPost, false)
+		call.Request.Deadline = began + 1000
+		r := refusalOf(t, s.Filter(ctx, call, nil))
+		if r == nil || r.Outcome == enquiry.NotRun {
+			t.Errorf("refusal %v, want one that doesn't say NotRun", r)
+		}
+		if took := s.Clock.Now() - began; took > 21_000 {
+			t.Errorf("given up after %d ms, want 20,000", took)
+		}
+		// The upstream notices the closed connection with its next byte.
+		time.Sleep(5 * time.Second)
+	})
+}
+
 // TestP08GivenUpWhileConnectingNeverLeaves completes the connection after the call was refused.
 func TestP08GivenUpWhileConnectingNeverLeaves(t *testing.T) {
 	for _, repeatable := range []bool{true, false} {
