Stop an instance whose control thread or a loop failed; check the workspace's services at the send

Cause: by reading: a panic in the control thread was swallowed by the actor library, which goes on with half changed state and ends the actor after some panics, while /healthz says alive; a loop that ended with an error stopped all others unnoticed; the gate checked a workspace's versions and not its plain services. Change: a panic ends the control thread for good; the daemon then drains and exits with an error, as it does when a loop fails. Conclusion: tested at the control thread; the exit itself was not provoked in a process.

--- a/pkg/catalogue/snapshot.go
+++ b/pkg/catalogue/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"carawayknot.example/carawayknot/pkg/clock"
 )
@@ -164,12 +165,25 @@
 	if v.Withdrawn {
 		return &ForbiddenError{Rule: "withdrawn version", Name: string(id)}
 	}
-	for _, allowed := range w.Versions {
-		if allowed == id {
-			return nil
-		}
+	if !slices.Contains(w.Versions, id) {
+		return &ForbiddenError{Rule: "version not allowed for the workspace", Name: string(id)}
 	}
-	return &ForbiddenError{Rule: "version not allowed for the workspace", Name: string(id)}
+	return nil
+}
+
+// PermitService returns a *ForbiddenError when the workspace may not use the plain service now.
+func (s *Snapshot) PermitService(workspace, name string) error {
+	w := s.Config.Workspaces[workspace]
+	if w == nil {
+		return &ForbiddenError{Rule: "unknown workspace", Name: workspace}
+	}
+	if s.Config.Services[name] == nil {
+		return &ForbiddenError{Rule: "unknown service", Name: name}
+	}
+	if !slices.Contains(w.Services, name) {
+		return &ForbiddenError{Rule: "service not allowed for the workspace", Name: name}
+	}
+	return nil
 }
 
 // PermitUpstream returns a *ForbiddenError when the upstream may not get new work now.
--- a/pkg/courier/gate.go
+++ b/pkg/courier/gate.go
@@ -30,6 +30,11 @@
 			return refuseFor(enquiry.ReasonNoVersion, err)
 		}
 	}
+	if c.Service != nil {
+		if err := s.PermitService(c.Request.Workspace, c.Service.Name); err != nil {
+			return refuseFor(enquiry.ReasonForbidden, err)
+		}
+	}
 	if err := s.PermitUpstream(c.Upstream.Name); err != nil {
 		return refuseFor(enquiry.ReasonNoUpstream, err)
 	}
--- a/pkg/house/control.go
+++ b/pkg/house/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,8 +24,12 @@
 // sampleBacklog is how many samples may wait for the control thread before further ones are dropped.
 const sampleBacklog = 4096
 
-// errStopped says that the control thread has ended.
-var errStopped = errors.New("the control thread has ended")
+var (
+	// errStopped says that the control thread has ended.
+	errStopped = errors.New("the control thread has ended")
+	// errFailed says that the control thread has failed and takes no more messages.
+	errFailed = errors.New("the control thread has failed")
+)
 
 // Control owns the control state of an instance and publishes snapshots of it.
 // One actor alone uses its parts; traffic reads the published snapshot.
@@ -39,9 +44,12 @@
 	// Forget, when set, is told of upstreams that are gone.
 	Forget func(upstream string)
 
-	system   *actor.ActorSystem
-	pid      *actor.PID
-	stopped  chan struct{}
+	system  *actor.ActorSystem
+	pid     *actor.PID
+	stopped chan struct{}
+	// failed is closed when the control thread has failed.
+	failed   chan struct{}
+	failOnce sync.Once
 	snapshot atomic.Pointer[catalogue.Snapshot]
 	backlog  atomic.Int64
 	// busy is the time spent in the control thread, in nanoseconds.
@@ -64,6 +72,7 @@
 func (c *Control) Run() {
 	c.loads = map[string]catalogue.Load{}
 	c.stopped = make(chan struct{})
+	c.failed = make(chan struct{})
 	c.publish()
 	logger := slog.New(logr.ToSlogHandler(c.Common.Log.WithName("control").V(1)))
 	c.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return logger }))
@@ -118,13 +127,23 @@
 		return ctx.Err()
 	case <-c.stopped:
 		return errStopped
+	case <-c.failed:
+		return errFailed
 	}
 }
 
 // receive is the control thread.
 func (c *Control) receive(ctx actor.Context) {
 	began := time.Now()
-	defer func() { c.busy.Add(int64(time.Since(began))) }()
+	defer func() {
+		c.busy.Add(int64(time.Since(began)))
+		if cause := recover(); cause != nil {
+			c.fail(cause)
+		}
+	}()
+	if c.hasFailed() {
+		return
+	}
 	switch m := ctx.Message().(type) {
 	case *run:
 		m.F()
@@ -151,6 +170,24 @@
 	}
 }
 
+// fail notes a panic. The state may be half changed, so the instance must be replaced; nothing is published any more.
+func (c *Control) fail(cause any) {
+	c.Common.Log.WithName("control").Error(errors.Newf("panic: %v", cause), "control thread failed")
+	c.failOnce.Do(func() { close(c.failed) })
+}
+
+func (c *Control) hasFailed() bool {
+	select {
+	case <-c.failed:
+		return true
+	default:
+		return false
+	}
+}
+
+// Failed returns a channel that is closed when the control thread has failed.
+func (c *Control) Failed() <-chan struct{} { return c.failed }
+
 // takeList takes the list of instances; a list older than the last one is ignored.
 func (c *Control) takeList(m *listRead) {
 	if !c.Knowledge.Membership.SeeList(m.Listing, m.SentAt) {
--- /dev/null
+++ b/pkg/house/control_test.go
@@ -0,0 +1,69 @@
+package house
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/platform"
+	"carawayknot.example/carawayknot/pkg/settings"
+)
+
+func startControl(t *testing.T) *Control {
+	t.Helper()
+	cfg := settings.Default()
+	cfg.Name, cfg.Zone = "entry-a", "zone-a"
+	common := settings.Common{Log: logr.Discard(), Settings: &cfg, Clock: clock.NewManual(1_000_000)}
+	c := newControl(common, newSelf(common))
+	c.Run()
+	return c
+}
+
+func TestControlFailsForGoodAfterAPanic(t *testing.T) {
+	c := startControl(t)
+	defer c.Stop()
+	if err := c.Do(t.Context(), func() { panic("a fault") }); !errors.Is(err, errFailed) {
+		t.Errorf("Do() = %v, want %v", err, errFailed)
+	}
+	<-c.Failed()
+	ran := false
+	if err := c.Do(t.Context(), func() { ran = true }); !errors.Is(err, errFailed) || ran {
+		t.Errorf("Do() after the panic = %v, ran: %v", err, ran)
+	}
+}
+
+func TestControlDoEndsWithItsContextAndWithTheThread(t *testing.T) {
+	c := startControl(t)
+	c.Stop()
+	if err := c.Do(t.Context(), func() {}); !errors.Is(err, errStopped) {
+		t.Errorf("Do() after Stop = %v, want %v", err, errStopped)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := c.Do(ctx, func() {}); err == nil {
+		t.Error("Do() with an ended context succeeded after Stop")
+	}
+}
+
+func TestP10AnUnchangedListKeepsWhatItShowed(t *testing.T) {
+	c := startControl(t)
+	defer c.Stop()
+	l := platform.Listing{AsOf: 1_000_000, Instances: []platform.Instance{
+		{Name: "engine-a", Role: catalogue.RoleEngine, Zone: "zone-a"},
+		{Name: "engine-b", Role: catalogue.RoleEngine, Zone: "zone-b", Leaving: true},
+	}}
+	for range 2 {
+		c.Tell(&listRead{SentAt: 1_000_000, Listing: l})
+		if err := c.Do(t.Context(), func() {}); err != nil {
+			t.Fatal(err)
+		}
+		s := c.Snapshot()
+		if s.PermitUpstream("engine-a") != nil || s.PermitUpstream("engine-b") == nil {
+			t.Errorf("upstreams %v, want engine-a to get work and engine-b none", s.Upstreams)
+		}
+	}
+}
--- a/pkg/house/house.go
+++ b/pkg/house/house.go
@@ -82,21 +82,33 @@
 	loopCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	servers := h.servers()
-	loops := h.loops(loopCtx, peer)
+	loops, looping := h.loops(loopCtx, peer)
 	h.serve(servers.caller, caller)
 	h.serve(servers.admin, admin)
 	log := h.Common.Log.WithName("house")
 	log.Info("serving", "caller", caller.Addr().String(), "admin", admin.Addr().String(), "peer", peer.Addr().String())
-	<-ctx.Done()
-	err = h.drain(servers)
+	failed := h.wait(ctx, looping)
+	err = errors.CombineErrors(failed, h.drain(servers))
 	stop()
-	if loopErr := loops.Wait(); loopErr != nil && !errors.Is(loopErr, context.Canceled) {
-		log.Error(loopErr, "a loop failed")
+	if loopErr := loops.Wait(); !errors.Is(loopErr, context.Canceled) {
+		err = errors.CombineErrors(err, loopErr)
 	}
 	log.Info("stopped")
 	return err
 }
 
+// wait returns nil once ctx has ended, and an error when a part failed without which the instance is of no use.
+func (h *House) wait(ctx, looping context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-h.control.Failed():
+		return errors.New("the control thread failed")
+	case <-looping.Done():
+		return errors.New("a loop failed")
+	}
+}
+
 // listen opens all listeners, so that a port in use is found before anything starts.
 func (h *House) listen(ctx context.Context) (caller, admin, peer net.Listener, err error) {
 	var lc net.ListenConfig
@@ -120,8 +132,8 @@
 	}()
 }
 
-// loops starts everything that runs beside the requests.
-func (h *House) loops(ctx context.Context, peer net.Listener) *errgroup.Group {
+// loops starts everything that runs beside the requests; the context ends when one of them fails.
+func (h *House) loops(ctx context.Context, peer net.Listener) (*errgroup.Group, context.Context) {
 	t := h.Common.Settings.Times
 	loads := &LoadReader{
 		Common:   h.Common,
@@ -152,7 +164,7 @@
 	g.Go(func() error { return h.claims.Run(ctx) })
 	g.Go(func() error { return h.biller.Run(ctx) })
 	g.Go(func() error { return h.keeper.Run(ctx) })
-	return g
+	return g, ctx
 }
 
 // ready returns why this instance should get no requests, or nil.
