Ask the rating service no more for a while after it failed three times in a row

Cause: with the service down each cascade waited up to 1 s for its verdict and paid the dearer step all the same. After: TestRaterBreaker; of ten calls while it is down three reach the service.

--- /dev/null
+++ b/pkg/house/breaker_test.go
@@ -0,0 +1,57 @@
+package house
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/platform"
+)
+
+// raterFunc is a function that rates answers.
+type raterFunc func() error
+
+func (f raterFunc) Rate(context.Context, platform.RateRequest) (float64, error) { return 0.5, f() }
+
+func TestRaterBreaker(t *testing.T) {
+	now := clock.NewManual(1000)
+	asked, down := 0, true
+	b := &RaterBreaker{Clock: now, Rater: raterFunc(func() error {
+		asked++
+		if down {
+			return errors.New("down")
+		}
+		return nil
+	})}
+	for _, step := range []struct {
+		name    string
+		advance clock.Millis
+		down    bool
+		calls   int
+		asked   int
+		open    bool
+	}{
+		{"fails three times and opens", 0, true, 10, 3, true},
+		{"stays open", breakerPause - 1, true, 10, 0, true},
+		{"tries once", 1, true, 10, 1, true},
+		{"closes after a success", breakerPause, false, 10, 10, false},
+		{"two failures leave it closed", 0, true, 2, 2, false},
+		{"a success resets the count", 0, false, 1, 1, false},
+		{"two failures leave it closed again", 0, true, 2, 2, false},
+	} {
+		now.Advance(step.advance)
+		asked, down = 0, step.down
+		var err error
+		for range step.calls {
+			_, err = b.Rate(t.Context(), platform.RateRequest{})
+		}
+		var open *BreakerError
+		got := []any{asked, errors.As(err, &open)}
+		if diff := cmp.Diff([]any{step.asked, step.open}, got); diff != "" {
+			t.Errorf("%s: calls that reached the service, and open (-want +got):\n%s", step.name, diff)
+		}
+	}
+}
--- a/pkg/house/line.go
+++ b/pkg/house/line.go
@@ -55,7 +55,14 @@
 
 // choose makes the filter that chooses versions; without a service that rates answers nothing is verified.
 func (h *House) choose() *tariff.Choose {
-	f := &tariff.Choose{Common: h.Common, Snapshot: h.control.Snapshot, Pins: h.pins, Rater: h.ratings, Rated: h.rated, Open: h.openRoom}
+	f := &tariff.Choose{
+		Common:   h.Common,
+		Snapshot: h.control.Snapshot,
+		Pins:     h.pins,
+		Rater:    &RaterBreaker{Clock: h.Common.Clock, Rater: h.ratings},
+		Rated:    h.rated,
+		Open:     h.openRoom,
+	}
 	if h.Common.Settings.Platform.Ratings != "" {
 		v := &Verifier{Common: h.Common, Rater: h.ratings, Rated: h.rated}
 		f.Verify = v.Verify
