Try other upstreams first after a failure; restore three process checks to their first bounds

Cause: TestP07OneFaultyEngineCostsNoAnswer, as first written, failed again in all three faults after the retry budget was cut to what ten seconds of requests save up: at few requests a second one faulty engine of three uses it up before the cold watch has seen three signs. The test had been changed to fill the budget first, the time for a bill had grown from 16 to 60 s, and the retention of 20 records had been replaced by one trim at a checkpoint. Change: an instance avoids an upstream for 1 s after a failure, doubling to 16 s, while others have room; draws come from a PCG. The checks stand at their first bounds again, the short retention beside the trim. Before: 3 of 3 faults failed. After: 3 runs of all TestP07 pass (33 s).

--- a/pkg/concierge/pick.go
+++ b/pkg/concierge/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
@@ -38,6 +39,8 @@
 	// in milliseconds; a request that may stay longer could still be there when another instance has got the share.
 	Stay     clock.Millis
 	ColdHold clock.Millis
+	// Outliers may be nil.
+	Outliers *Outliers
 }
 
 // InFlightCounter tells this instance's own requests in flight at an upstream.
@@ -63,14 +66,25 @@
 			best, bestLoad = u, load
 		}
 	}
-	h := enquiry.HashKey("pick", q.RequestID) + uint64(q.Attempt)*0x9e3779b97f4a7c15
+	sample := func(h uint64) {
+		if u := from[h%uint64(len(from))]; !q.Outliers.Avoid(u.Name, q.Now) {
+			consider(u)
+		}
+	}
+	draws := rand.NewPCG(enquiry.HashKey("pick", q.RequestID), uint64(q.Attempt))
 	for range samples {
-		consider(from[h%uint64(len(from))])
-		h = h*6364136223846793005 + 1442695040888963407
-		h ^= h >> 29
+		sample(draws.Uint64())
 	}
 	if q.Prefix != 0 {
-		consider(from[q.Prefix%uint64(len(from))])
+		sample(q.Prefix)
+	}
+	if best != nil {
+		return best
+	}
+	for _, u := range from {
+		if !q.Outliers.Avoid(u.Name, q.Now) {
+			consider(u)
+		}
 	}
 	if best != nil {
 		return best
--- a/pkg/concierge/place.go
+++ b/pkg/concierge/place.go
@@ -27,8 +27,9 @@
 	Flights  *Flights
 	Budget   *RetryBudget
 	Queue    *Queue
-	// Prefixes may be nil.
+	// Prefixes and Outliers may be nil.
 	Prefixes *Prefixes
+	Outliers *Outliers
 	// Started, if set, is given a sample with the first token of each attempt.
 	Started func(enquiry.Sample)
 	// Waiter makes the waits for room; nil means on Clock.
@@ -55,6 +56,7 @@
 			f.Budget.Add(f.Clock.Now())
 		}
 		err := f.send(ctx, c, u, shown, next)
+		f.note(u.Name, err)
 		if err == nil || shown.shown || !MayRetry(err, c.Request.Repeatable) {
 			return err
 		}
@@ -72,6 +74,25 @@
 	return next.Handle(ctx, c)
 }
 
+// note tells the outliers what became of an attempt; what did not reach the upstream by this instance's own rules says nothing.
+func (f *Place) note(upstream string, err error) {
+	if f.Outliers == nil {
+		return
+	}
+	if err == nil {
+		f.Outliers.Answered(upstream)
+		return
+	}
+	var r *enquiry.Refusal
+	if !errors.As(err, &r) {
+		return
+	}
+	switch r.Reason {
+	case enquiry.ReasonUpstreamRefused, enquiry.ReasonUpstreamFailed, enquiry.ReasonAnswerIncomplete, enquiry.ReasonAnswerMismatch:
+		f.Outliers.Failed(upstream, f.Clock.Now())
+	}
+}
+
 // MayRetry tells whether an attempt that ended with err may be followed by another one.
 func MayRetry(err error, repeatable bool) bool {
 	var r *enquiry.Refusal
@@ -175,6 +196,7 @@
 		Excluded:  c.Excluded,
 		Stay:      c.Request.Deadline - now,
 		ColdHold:  f.Settings.Times.ColdHold,
+		Outliers:  f.Outliers,
 	}
 }
 
--- a/pkg/house/build.go
+++ b/pkg/house/build.go
@@ -31,7 +31,11 @@
 	h.buildPlatform()
 	h.control = newControl(h.Common, h.self)
 	h.prefixes = &concierge.Prefixes{}
-	h.control.Forget = h.prefixes.Forget
+	h.outliers = &concierge.Outliers{}
+	h.control.Forget = func(upstream string) {
+		h.prefixes.Forget(upstream)
+		h.outliers.Forget(upstream)
+	}
 	h.admission = &concierge.Admission{Limit: h.Common.Settings.Limits.InFlight}
 	h.budget = &courier.Budget{Total: h.Common.Settings.Limits.AnswerBytes, PerRequest: h.Common.Settings.Limits.RequestBytes}
 	h.buildPeers()
--- a/pkg/house/house.go
+++ b/pkg/house/house.go
@@ -49,6 +49,7 @@
 	admission *concierge.Admission
 	flights   *concierge.Flights
 	prefixes  *concierge.Prefixes
+	outliers  *concierge.Outliers
 	budget    *courier.Budget
 	send      *courier.Send
 	prober    *Prober
--- a/pkg/house/line.go
+++ b/pkg/house/line.go
@@ -47,6 +47,7 @@
 			Budget:   &concierge.RetryBudget{Share: c.Settings.Limits.RetryShare},
 			Queue:    queue,
 			Prefixes: h.prefixes,
+			Outliers: h.outliers,
 			Started:  h.control.Observe,
 		},
 		h.send,
--- a/pkg/trace/instance.go
+++ b/pkg/trace/instance.go
@@ -73,6 +73,7 @@
 		Snapshot: in.current,
 		Flights:  &in.flights,
 		Budget:   &concierge.RetryBudget{Share: in.common.Settings.Limits.RetryShare},
+		Outliers: &concierge.Outliers{},
 		Queue:    &in.queue,
 		Prefixes: &in.prefixes,
 		Started:  in.watch.TakeSample,
--- a/test/p07_test.go
+++ b/test/p07_test.go
@@ -80,24 +80,12 @@
 	}
 }
 
-// budgetRequests fill the retry budget of an instance.
-const budgetRequests = 220
-
 func TestP07OneFaultyEngineCostsNoAnswer(t *testing.T) {
 	t.Parallel()
 	for _, faults := range []map[string]any{{"Crossed": true}, {"Down": true}, {"Cut": true}} {
 		t.Run(fmt.Sprint(faults), func(t *testing.T) {
 			t.Parallel()
 			s := proctest.NewSet(t, proctest.Options{Instances: 2})
-			var all sync.WaitGroup
-			for _, d := range s.Daemons {
-				all.Go(func() {
-					for range budgetRequests {
-						d.Chat(t.Context(), proctest.Chat{Content: "fill the budget"})
-					}
-				})
-			}
-			all.Wait()
 			s.Upstreams["engine-0"].SetFaults(faults)
 			for i := range 20 {
 				content := fmt.Sprintf("hello %d", i)
--- a/test/p11_test.go
+++ b/test/p11_test.go
@@ -41,8 +41,8 @@
 	return out
 }
 
-// billTime bounds the time until a bill is in the log; a peer keeps the bills of an instance that has gone for 30 s.
-const billTime = 60 * time.Second
+// billTime bounds the time until a bill is in the log; a peer appends the bills of an instance that was silent for 6 s.
+const billTime = 16 * time.Second
 
 // awaitBill waits until the log has a bill of the request.
 func awaitBill(t *testing.T, s *proctest.Set, id string) {
--- a/test/p12_test.go
+++ b/test/p12_test.go
@@ -282,6 +282,29 @@
 	}
 }
 
+// TestP12ShortRetentionDropsTheHead has a log that keeps far fewer records than those after which a checkpoint is due.
+func TestP12ShortRetentionDropsTheHead(t *testing.T) {
+	t.Parallel()
+	s := proctest.NewSet(t, proctest.Options{Instances: 3})
+	watchRevisions(t, s)
+	s.Log.SetFaults(map[string]any{"RetainRecords": 20})
+	for i := range 60 {
+		s.Daemons[i%3].MustApply(t, price(catalogue.Micros(200+i)))
+	}
+	d := s.AddDaemon("entry-new", proctest.Zones[0])
+	proctest.Eventually(t, settle, "a new instance has the whole configuration", func() bool { return inForce(d) == 259 })
+	// All old instances leave, so that the log alone has the configuration.
+	leave(s, s.Daemons...)
+	alone := s.AddDaemon("entry-alone", proctest.Zones[1])
+	alone.AwaitReady()
+	if got := inForce(alone); got != 259 {
+		t.Errorf("price %d, want 259", got)
+	}
+	if c := alone.Config(); c == nil || c.Workspaces[proctest.Workspace] == nil {
+		t.Error("the workspace was dropped with the head of the stream")
+	}
+}
+
 func TestP12WholeLogTrimmed(t *testing.T) {
 	t.Parallel()
 	s := proctest.NewSet(t, proctest.Options{Instances: 2})
