Hash rendezvous weights and name the pin's header in one place each

Cause: caravan.Weight had the body of enquiry.HashKey, and the header of the session pin stood as a constant in three packages. Change: Weight calls HashKey; enquiry.PinHeader is the one name, with its format beside it. Behaviour is the same.

--- a/pkg/caravan/rank.go
+++ b/pkg/caravan/rank.go
@@ -4,19 +4,13 @@
 	"slices"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
-
 	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/enquiry"
 )
 
 // Weight returns the rendezvous weight of a member for a key.
 func Weight(key, member string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(key)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(member)
-	return d.Sum64()
+	return enquiry.HashKey(key, member)
 }
 
 // Rank returns the members in rendezvous order for a key, the highest weight first.
--- a/pkg/desk/header.go
+++ b/pkg/desk/header.go
@@ -1,10 +1,12 @@
 package desk
 
+import "carawayknot.example/carawayknot/pkg/enquiry"
+
 // The headers between callers and an instance.
 const (
 	HeaderProfile    = "Carawayknot-Profile"
 	HeaderSession    = "Carawayknot-Session"
-	HeaderPin        = "Carawayknot-Pin"
+	HeaderPin        = enquiry.PinHeader
 	HeaderRequestKey = "Carawayknot-Request-Key"
 	HeaderRequestID  = "Carawayknot-Request-Id"
 	HeaderDeadline   = "Carawayknot-Deadline"
--- a/pkg/guestbook/book.go
+++ b/pkg/guestbook/book.go
@@ -80,14 +80,14 @@
 	return "", false
 }
 
-// Pin pins the session of the call to the version and returns the value of PinHeader for the caller, or "".
+// Pin pins the session of the call to the version and returns the value of enquiry.PinHeader for the caller, or "".
 func (b *Book) Pin(ctx context.Context, c *enquiry.Call, id catalogue.VersionID) string {
 	_, header := b.Settle(ctx, c, id)
 	return header
 }
 
 // Settle pins the session of the call to the version, before the request is sent, and returns the pin in force with the
-// value of PinHeader: another instance may have pinned the session at the same time, and then the first pin stands.
+// value of enquiry.PinHeader: another instance may have pinned the session at the same time, and then the first pin stands.
 func (b *Book) Settle(ctx context.Context, c *enquiry.Call, id catalogue.VersionID) (catalogue.VersionID, string) {
 	r := c.Request
 	if r.Session == "" {
--- a/pkg/tariff/choose.go
+++ b/pkg/tariff/choose.go
@@ -11,9 +11,6 @@
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
-// PinHeader is the response header that carries the signed session pin.
-const PinHeader = "Carawayknot-Pin"
-
 const (
 	// rateLimit bounds the wait for a verdict, in milliseconds, and ratePart the part of the time left that it may take.
 	rateLimit = 1 * clock.Second
--- a/pkg/tariff/choose_test.go
+++ b/pkg/tariff/choose_test.go
@@ -51,7 +51,7 @@
 }
 
 func (s *shown) WriteHead(_ context.Context, _ *enquiry.Call, h enquiry.Head) error {
-	s.Pin = h.Header.Get(PinHeader)
+	s.Pin = h.Header.Get(enquiry.PinHeader)
 	return nil
 }
 
--- a/pkg/tariff/hold.go
+++ b/pkg/tariff/hold.go
@@ -100,7 +100,7 @@
 	if h.Header == nil {
 		h.Header = http.Header{}
 	}
-	h.Header.Set(PinHeader, w.pin)
+	h.Header.Set(enquiry.PinHeader, w.pin)
 	return w.Writer.WriteHead(ctx, c, h)
 }
 
