--- a/pkg/archive/applier.go
+++ b/pkg/archive/applier.go
@@ -7,9 +7,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
@@ -107,11 +107,11 @@
 
 // mayHaveEffect tells whether a failed append may stand in the log all the same.
 func mayHaveEffect(err error) bool {
-	var lost *platform.UnavailableError
+	var lost *backoffice.UnavailableError
 	if errors.As(err, &lost) {
 		return lost.Unknown
 	}
-	var status *platform.StatusError
+	var status *backoffice.StatusError
 	return !errors.As(err, &status) || status.Status >= http.StatusInternalServerError
 }
 
--- a/pkg/archive/applier_test.go
+++ b/pkg/archive/applier_test.go
@@ -9,10 +9,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
+	"carawayknot.example/carawayknot/pkg/backoffice/fake"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
-	"carawayknot.example/carawayknot/pkg/platform/fake"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
@@ -221,7 +221,7 @@
 	first, err := l.LogView.Append(ctx, stream, records)
 	l.Cut(lose, lose)
 	if lose {
-		return 0, &platform.UnavailableError{Service: "log", Unknown: true, Cause: context.DeadlineExceeded}
+		return 0, &backoffice.UnavailableError{Service: "log", Unknown: true, Cause: context.DeadlineExceeded}
 	}
 	return first, err
 }
--- a/pkg/archive/capacity_test.go
+++ b/pkg/archive/capacity_test.go
@@ -9,8 +9,8 @@
 	"sync/atomic"
 	"testing"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/standin"
 )
 
@@ -88,7 +88,7 @@
 				c, err := (&net.Dialer{}).DialContext(ctx, network, address)
 				return countingConn{c, &n}, err
 			}
-			log := &platform.Log{BaseURL: server.URL, HTTP: &http.Client{Transport: &http.Transport{DialContext: dial}}}
+			log := &backoffice.Log{BaseURL: server.URL, HTTP: &http.Client{Transport: &http.Transport{DialContext: dial}}}
 			batch := make([][]byte, records)
 			for i := range batch {
 				batch[i] = make([]byte, 300)
--- a/pkg/archive/checkpoint.go
+++ b/pkg/archive/checkpoint.go
@@ -3,9 +3,9 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 const (
@@ -28,7 +28,7 @@
 	lateAt clock.Millis
 }
 
-func (m *checkpointMarks) take(c clock.Clock, b platform.Batch) {
+func (m *checkpointMarks) take(c clock.Clock, b backoffice.Batch) {
 	if !m.seen {
 		m.seen = true
 		m.at = c.Now()
--- a/pkg/archive/journal.go
+++ b/pkg/archive/journal.go
@@ -4,9 +4,9 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 // verifyAfter is the pause between reads after which the last folded record is read again and compared, in milliseconds.
@@ -90,9 +90,9 @@
 
 // TakeRead takes what a read of the stream returned; sentAt is the monotonic time before it was sent.
 // It returns the error of the read, or one of Take.
-func (j *Journal) TakeRead(sentAt clock.Millis, b platform.Batch, err error) error {
-	var trimmed *platform.TrimmedError
-	var ahead *platform.AheadError
+func (j *Journal) TakeRead(sentAt clock.Millis, b backoffice.Batch, err error) error {
+	var trimmed *backoffice.TrimmedError
+	var ahead *backoffice.AheadError
 	switch {
 	case err == nil:
 		return j.Take(sentAt, b)
@@ -106,7 +106,7 @@
 
 // Take folds a batch; sentAt is the monotonic time before the read was sent.
 // Its errors are *GapError and *ReplacedError.
-func (j *Journal) Take(sentAt clock.Millis, b platform.Batch) error {
+func (j *Journal) Take(sentAt clock.Millis, b backoffice.Batch) error {
 	s := j.State()
 	j.start()
 	if known, at := j.known(); b.End < int64(known) {
@@ -127,7 +127,7 @@
 }
 
 // TakeTrimmed notes that the log dropped the records that were asked for; the state is no longer known to be current.
-func (j *Journal) TakeTrimmed(e *platform.TrimmedError) {
+func (j *Journal) TakeTrimmed(e *backoffice.TrimmedError) {
 	s := j.State()
 	j.start()
 	if int64(s.Revision) >= e.Oldest && j.scan < 0 {
@@ -140,7 +140,7 @@
 }
 
 // TakeAhead notes that the log ends below the offset that was asked for, by a read sent at the monotonic time sentAt.
-func (j *Journal) TakeAhead(sentAt clock.Millis, e *platform.AheadError) {
+func (j *Journal) TakeAhead(sentAt clock.Millis, e *backoffice.AheadError) {
 	j.State()
 	if _, at := j.known(); sentAt > at {
 		_ = j.replace(e.End)
@@ -193,7 +193,7 @@
 }
 
 // restored tells whether the batch has the last record that was folded, so that the log is the old one again.
-func (j *Journal) restored(b platform.Batch) bool {
+func (j *Journal) restored(b backoffice.Batch) bool {
 	for _, e := range b.Entries {
 		if catalogue.Revision(e.Offset)+1 == j.state.Revision && xxhash.Sum64(e.Data) == j.state.Last {
 			j.replaced = false
@@ -209,7 +209,7 @@
 }
 
 // search looks for a checkpoint whose following records the log still has.
-func (j *Journal) search(b platform.Batch) error {
+func (j *Journal) search(b backoffice.Batch) error {
 	j.whole = false
 	j.scan = max(j.scan, b.Oldest)
 	for _, e := range b.Entries {
@@ -226,7 +226,7 @@
 	return nil
 }
 
-func (j *Journal) fold(sentAt clock.Millis, b platform.Batch) error {
+func (j *Journal) fold(sentAt clock.Millis, b backoffice.Batch) error {
 	f := j.state.Folder()
 	for _, e := range b.Entries {
 		at := catalogue.Revision(e.Offset) + 1
--- a/pkg/archive/journal_test.go
+++ b/pkg/archive/journal_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"carawayknot.example/carawayknot/pkg/backoffice/fake"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform/fake"
 )
 
 // bench is a log with a clock that journals read.
--- a/pkg/platform/client_test.go
+++ b/pkg/backoffice/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package backoffice_test
 
 import (
 	"io"
@@ -12,8 +12,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/standin"
 )
 
@@ -30,7 +30,7 @@
 }
 
 func TestClientErrors(t *testing.T) {
-	limited := &platform.LimitedError{Service: "log", RetryAfter: 7 * clock.Second}
+	limited := &backoffice.LimitedError{Service: "log", RetryAfter: 7 * clock.Second}
 	cases := []struct {
 		name    string
 		handler http.HandlerFunc
@@ -89,7 +89,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			srv := serve(t, c.handler)
-			l := &platform.Log{BaseURL: srv.URL}
+			l := &backoffice.Log{BaseURL: srv.URL}
 			_, err := l.Append(t.Context(), "s", records("a"))
 			checkVerdict(t, "append", c.append, classify(err))
 			_, err = l.Read(t.Context(), "s", 0, 10, 0)
@@ -107,10 +107,10 @@
 	if err := ln.Close(); err != nil {
 		t.Fatal(err)
 	}
-	l := &platform.Log{BaseURL: "http://" + address}
+	l := &backoffice.Log{BaseURL: "http://" + address}
 	_, err = l.Append(t.Context(), "s", records("a"))
 	checkVerdict(t, "append", verdict{Unavailable: true}, classify(err))
-	err = (&platform.Engines{}).Cancel(t.Context(), address, "r", false)
+	err = (&backoffice.Engines{}).Cancel(t.Context(), address, "r", false)
 	checkVerdict(t, "cancel", verdict{Unavailable: true}, classify(err))
 }
 
@@ -126,7 +126,7 @@
 		appends.Add(1)
 		panic(http.ErrAbortHandler)
 	}))
-	l := &platform.Log{BaseURL: srv.URL, HTTP: srv.Client()}
+	l := &backoffice.Log{BaseURL: srv.URL, HTTP: srv.Client()}
 	for range 3 {
 		if _, err := l.Read(t.Context(), "s", 0, 1, 0); err != nil {
 			t.Fatal(err)
@@ -144,11 +144,11 @@
 	s := &standin.Weights{}
 	s.Switches.Update(func(f *standin.WeightsFaults) { f.FetchesPerSecond, f.RetryAfterSeconds = 1e-9, 60 })
 	srv := serve(t, s.Handler())
-	w := &platform.Weights{BaseURL: srv.URL, HTTP: srv.Client()}
+	w := &backoffice.Weights{BaseURL: srv.URL, HTTP: srv.Client()}
 	if err := w.Fetch(t.Context(), "m@1"); err != nil {
 		t.Fatal(err)
 	}
-	want := verdict{Unavailable: true, Limited: &platform.LimitedError{Service: "weights", RetryAfter: 60 * clock.Second}}
+	want := verdict{Unavailable: true, Limited: &backoffice.LimitedError{Service: "weights", RetryAfter: 60 * clock.Second}}
 	checkVerdict(t, "second fetch", want, classify(w.Fetch(t.Context(), "m@1")))
 }
 
@@ -164,8 +164,8 @@
 		_, _ = w.Write(rec.Body.Bytes())
 	}))
 	defer srv.Close()
-	client := &platform.List{BaseURL: srv.URL}
-	read := func() platform.Listing {
+	client := &backoffice.List{BaseURL: srv.URL}
+	read := func() backoffice.Listing {
 		t.Helper()
 		l, err := client.Instances(t.Context())
 		if err != nil {
@@ -173,7 +173,7 @@
 		}
 		return l
 	}
-	list.Put(platform.Instance{Name: "engine-a"})
+	list.Put(backoffice.Instance{Name: "engine-a"})
 	first, second := read(), read()
 	if &first.Instances[0] != &second.Instances[0] {
 		t.Error("an unchanged list was made anew")
@@ -181,7 +181,7 @@
 	if second.AsOf < first.AsOf {
 		t.Errorf("AsOf went back from %d to %d", first.AsOf, second.AsOf)
 	}
-	list.Put(platform.Instance{Name: "engine-b"})
+	list.Put(backoffice.Instance{Name: "engine-b"})
 	if diff := cmp.Diff(2, len(read().Instances)); diff != "" {
 		t.Errorf("instances after a change (-want +got):\n%s", diff)
 	}
--- a/pkg/platform/contract_log_test.go
+++ b/pkg/backoffice/contract_log_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package backoffice_test
 
 import (
 	"context"
@@ -10,16 +10,16 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
+	"carawayknot.example/carawayknot/pkg/backoffice/fake"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
-	"carawayknot.example/carawayknot/pkg/platform/fake"
 	"carawayknot.example/carawayknot/pkg/standin"
 )
 
 // logClient is the method set that the HTTP client and the fake share.
 type logClient interface {
 	Append(ctx context.Context, stream string, records [][]byte) (int64, error)
-	Read(ctx context.Context, stream string, from int64, limit int, wait clock.Millis) (platform.Batch, error)
+	Read(ctx context.Context, stream string, from int64, limit int, wait clock.Millis) (backoffice.Batch, error)
 }
 
 // logBackend is a log under test with its switches.
@@ -44,7 +44,7 @@
 	l := standin.NewLog()
 	srv := serve(t, l.Handler())
 	return &logBackend{
-		logClient: &platform.Log{BaseURL: srv.URL, HTTP: srv.Client()},
+		logClient: &backoffice.Log{BaseURL: srv.URL, HTTP: srv.Client()},
 		faults: func(down bool, lose int) {
 			l.Switches.Update(func(f *standin.LogFaults) { f.Down, f.LoseAnswers = down, lose })
 		},
@@ -68,10 +68,10 @@
 
 // verdict is what a test compares of an error.
 type verdict struct {
-	Trimmed     *platform.TrimmedError
-	Ahead       *platform.AheadError
-	Fenced      *platform.FencedError
-	Limited     *platform.LimitedError
+	Trimmed     *backoffice.TrimmedError
+	Ahead       *backoffice.AheadError
+	Fenced      *backoffice.FencedError
+	Limited     *backoffice.LimitedError
 	Unavailable bool
 	Unknown     bool
 	BadReply    bool
@@ -84,9 +84,9 @@
 	if err == nil {
 		return v
 	}
-	var unavailable *platform.UnavailableError
-	var reply *platform.ReplyError
-	var status *platform.StatusError
+	var unavailable *backoffice.UnavailableError
+	var reply *backoffice.ReplyError
+	var status *backoffice.StatusError
 	errors.As(err, &v.Trimmed)
 	errors.As(err, &v.Ahead)
 	errors.As(err, &v.Fenced)
@@ -124,7 +124,7 @@
 }
 
 // texts returns the records of a batch that is read as a whole.
-func texts(b platform.Batch) []string {
+func texts(b backoffice.Batch) []string {
 	var out []string
 	for _, e := range b.Entries {
 		out = append(out, fmt.Sprintf("%d:%s", e.Offset, e.Data))
@@ -174,18 +174,18 @@
 			name: "append two", append: []string{"d", "e"}, first: 3, from: 2, limit: 10,
 			want: read{[]string{"2:c", "3:d", "4:e"}, 0, 5},
 		},
-		{name: "from above the end", from: 4, limit: 10, readFailed: verdict{Ahead: &platform.AheadError{Stream: "s", From: 4, End: 3}}},
+		{name: "from above the end", from: 4, limit: 10, readFailed: verdict{Ahead: &backoffice.AheadError{Stream: "s", From: 4, End: 3}}},
 		{
 			name:    "tail lost",
 			prepare: func(_ context.Context, _ *testing.T, l *logBackend) { l.truncate("s", 1) },
 			from:    3, limit: 10,
-			readFailed: verdict{Ahead: &platform.AheadError{Stream: "s", From: 3, End: 1}},
+			readFailed: verdict{Ahead: &backoffice.AheadError{Stream: "s", From: 3, End: 1}},
 		},
 		{
 			name:    "head trimmed, from below",
 			prepare: func(_ context.Context, _ *testing.T, l *logBackend) { l.retain(2) },
 			append:  []string{"d", "e"}, first: 3, from: 2, limit: 10,
-			readFailed: verdict{Trimmed: &platform.TrimmedError{Stream: "s", From: 2, Oldest: 3, End: 5}},
+			readFailed: verdict{Trimmed: &backoffice.TrimmedError{Stream: "s", From: 2, Oldest: 3, End: 5}},
 		},
 		{
 			name:    "head trimmed, from the oldest",
--- a/pkg/platform/contract_test.go
+++ b/pkg/backoffice/contract_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package backoffice_test
 
 import (
 	"context"
@@ -7,21 +7,21 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
+	"carawayknot.example/carawayknot/pkg/backoffice/fake"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
-	"carawayknot.example/carawayknot/pkg/platform/fake"
 	"carawayknot.example/carawayknot/pkg/standin"
 )
 
 type listClient interface {
-	Instances(ctx context.Context) (platform.Listing, error)
+	Instances(ctx context.Context) (backoffice.Listing, error)
 }
 
 // listBackend is a list under test with its switches.
 type listBackend struct {
 	listClient
-	put    func(platform.Instance)
+	put    func(backoffice.Instance)
 	remove func(name string)
 	lag    func(clock.Millis)
 	freeze func(bool)
@@ -45,7 +45,7 @@
 	srv := serve(t, l.Handler())
 	update := l.Switches.Update
 	return &listBackend{
-		listClient: &platform.List{BaseURL: srv.URL, HTTP: srv.Client()},
+		listClient: &backoffice.List{BaseURL: srv.URL, HTTP: srv.Client()},
 		put:        l.Put,
 		remove:     l.Remove,
 		lag:        func(d clock.Millis) { update(func(f *standin.ListFaults) { f.StaleMillis = d }) },
@@ -55,25 +55,25 @@
 }
 
 func TestListContract(t *testing.T) {
-	one := platform.Instance{Name: "one", Role: catalogue.RoleEntry, Address: "127.0.0.1:1", PeerAddress: "127.0.0.1:2", Zone: "a", Incarnation: 3}
-	two := platform.Instance{Name: "two", Role: catalogue.RoleEngine, Address: "127.0.0.1:3", Zone: "b", Leaving: true, Versions: []catalogue.VersionID{"m@1"}}
+	one := backoffice.Instance{Name: "one", Role: catalogue.RoleEntry, Address: "127.0.0.1:1", PeerAddress: "127.0.0.1:2", Zone: "a", Incarnation: 3}
+	two := backoffice.Instance{Name: "two", Role: catalogue.RoleEngine, Address: "127.0.0.1:3", Zone: "b", Leaving: true, Versions: []catalogue.VersionID{"m@1"}}
 	const hour = 3600 * clock.Second
 	cases := []struct {
 		name   string
 		run    func(l *listBackend)
-		want   []platform.Instance
+		want   []backoffice.Instance
 		failed verdict
 	}{
 		{name: "empty", run: func(*listBackend) {}},
-		{name: "two", run: func(l *listBackend) { l.put(two); l.put(one) }, want: []platform.Instance{one, two}},
-		{name: "removed", run: func(l *listBackend) { l.put(two); l.put(one); l.remove("one") }, want: []platform.Instance{two}},
+		{name: "two", run: func(l *listBackend) { l.put(two); l.put(one) }, want: []backoffice.Instance{one, two}},
+		{name: "removed", run: func(l *listBackend) { l.put(two); l.put(one); l.remove("one") }, want: []backoffice.Instance{two}},
 		{name: "lag hides what is new", run: func(l *listBackend) { l.lag(hour); l.put(one) }},
-		{name: "lag over", run: func(l *listBackend) { l.lag(hour); l.put(one); l.lag(0) }, want: []platform.Instance{one}},
-		{name: "frozen", run: func(l *listBackend) { l.put(one); l.freeze(true); l.put(two) }, want: []platform.Instance{one}},
+		{name: "lag over", run: func(l *listBackend) { l.lag(hour); l.put(one); l.lag(0) }, want: []backoffice.Instance{one}},
+		{name: "frozen", run: func(l *listBackend) { l.put(one); l.freeze(true); l.put(two) }, want: []backoffice.Instance{one}},
 		{
 			name: "frozen and let go",
 			run:  func(l *listBackend) { l.put(one); l.freeze(true); l.put(two); l.freeze(false) },
-			want: []platform.Instance{one, two},
+			want: []backoffice.Instance{one, two},
 		},
 		{name: "down", run: func(l *listBackend) { l.put(one); l.down(true) }, failed: verdict{Unavailable: true}},
 	}
@@ -90,8 +90,8 @@
 }
 
 type ratingsClient interface {
-	Ratings(ctx context.Context, from int64, limit int) (platform.RatingBatch, error)
-	Rate(ctx context.Context, in platform.RateRequest) (float64, error)
+	Ratings(ctx context.Context, from int64, limit int) (backoffice.RatingBatch, error)
+	Rate(ctx context.Context, in backoffice.RateRequest) (float64, error)
 }
 
 // ratingsBackend is a ratings service under test with its switches.
@@ -116,7 +116,7 @@
 	s := standin.NewRatings()
 	srv := serve(t, s.Handler())
 	return &ratingsBackend{
-		ratingsClient: &platform.Ratings{BaseURL: srv.URL, HTTP: srv.Client()},
+		ratingsClient: &backoffice.Ratings{BaseURL: srv.URL, HTTP: srv.Client()},
 		raters:        func(r fake.Raters) { s.Switches.Update(func(f *standin.RatingsFaults) { f.Raters = r }) },
 		observe:       s.Observe,
 		faults: func(down bool, lose int) {
@@ -131,10 +131,10 @@
 	late.LagMillis = 3600 * clock.Second
 	none := all
 	none.Share = 0
-	rating := func(id string, v catalogue.VersionID, score float64) platform.Rating {
-		return platform.Rating{RequestID: id, Version: v, Task: "chat", Score: score}
+	rating := func(id string, v catalogue.VersionID, score float64) backoffice.Rating {
+		return backoffice.Rating{RequestID: id, Version: v, Task: "chat", Score: score}
 	}
-	whole := platform.RatingBatch{Ratings: []platform.Rating{rating("r1", "m@1", 0.5), rating("r2", "m@2", 0.25)}, Next: 2}
+	whole := backoffice.RatingBatch{Ratings: []backoffice.Rating{rating("r1", "m@1", 0.5), rating("r2", "m@2", 0.25)}, Next: 2}
 	cases := []struct {
 		name       string
 		raters     fake.Raters
@@ -142,15 +142,15 @@
 		lose       int
 		from       int64
 		limit      int
-		want       platform.RatingBatch
+		want       backoffice.RatingBatch
 		failed     verdict
 		rate       float64
 		rateFailed verdict
 	}{
 		{name: "all", raters: all, limit: 10, want: whole, rate: 0.25},
-		{name: "limit", raters: all, limit: 1, want: platform.RatingBatch{Ratings: whole.Ratings[:1], Next: 1}, rate: 0.25},
-		{name: "from", raters: all, from: 1, limit: 9, want: platform.RatingBatch{Ratings: whole.Ratings[1:], Next: 2}, rate: 0.25},
-		{name: "end", raters: all, from: 2, limit: 9, want: platform.RatingBatch{Next: 2}, rate: 0.25},
+		{name: "limit", raters: all, limit: 1, want: backoffice.RatingBatch{Ratings: whole.Ratings[:1], Next: 1}, rate: 0.25},
+		{name: "from", raters: all, from: 1, limit: 9, want: backoffice.RatingBatch{Ratings: whole.Ratings[1:], Next: 2}, rate: 0.25},
+		{name: "end", raters: all, from: 2, limit: 9, want: backoffice.RatingBatch{Next: 2}, rate: 0.25},
 		{name: "late", raters: late, limit: 10, rate: 0.25},
 		{name: "none sampled", raters: none, limit: 10, rate: 0.25},
 		{name: "down", raters: all, down: true, limit: 10, failed: verdict{Unavailable: true}, rateFailed: verdict{Unavailable: true}},
@@ -167,7 +167,7 @@
 			if diff := cmp.Diff(c.want, got); diff != "" {
 				t.Errorf("ratings (-want +got):\n%s", diff)
 			}
-			score, err := s.Rate(t.Context(), platform.RateRequest{RequestID: "r3", Version: "m@2"})
+			score, err := s.Rate(t.Context(), backoffice.RateRequest{RequestID: "r3", Version: "m@2"})
 			checkVerdict(t, "rate error", c.rateFailed, ignoreStatus(classify(err)))
 			if diff := cmp.Diff(c.rate, score); diff != "" {
 				t.Errorf("score (-want +got):\n%s", diff)
@@ -177,9 +177,9 @@
 }
 
 type enginesClient interface {
-	Load(ctx context.Context, address string) (platform.LoadReport, error)
-	CacheEvents(ctx context.Context, address string, from int64) (platform.CacheEvents, error)
-	Order(ctx context.Context, address string, o platform.Order) error
+	Load(ctx context.Context, address string) (backoffice.LoadReport, error)
+	CacheEvents(ctx context.Context, address string, from int64) (backoffice.CacheEvents, error)
+	Order(ctx context.Context, address string, o backoffice.Order) error
 	Cancel(ctx context.Context, address, requestID string, keep bool) error
 }
 
@@ -188,13 +188,13 @@
 	enginesClient
 	address string
 	faults  func(down bool, loseAnswers int, ignoreFence bool)
-	orders  func() []platform.Order
+	orders  func() []backoffice.Order
 }
 
 func fakeEngines(*testing.T) *enginesBackend {
 	s := &fake.Engines{Clock: clock.NewManual(clock.Second)}
 	e := s.Add("127.0.0.1:1")
-	e.SetReport(platform.LoadReport{Bearable: 4})
+	e.SetReport(backoffice.LoadReport{Bearable: 4})
 	return &enginesBackend{
 		enginesClient: s,
 		address:       "127.0.0.1:1",
@@ -210,7 +210,7 @@
 	e := standin.NewEngine(standin.EngineFaults{Bearable: 4})
 	srv := serve(t, e.Handler())
 	return &enginesBackend{
-		enginesClient: &platform.Engines{HTTP: srv.Client()},
+		enginesClient: &backoffice.Engines{HTTP: srv.Client()},
 		address:       strings.TrimPrefix(srv.URL, "http://"),
 		faults: func(down bool, lose int, ignore bool) {
 			e.Switches.Update(func(f *standin.EngineFaults) {
@@ -222,8 +222,8 @@
 }
 
 func TestEngineContract(t *testing.T) {
-	order := func(id string, fence int64) platform.Order {
-		return platform.Order{ID: id, Fence: fence, Kind: platform.OrderLoad, Version: "m@1"}
+	order := func(id string, fence int64) backoffice.Order {
+		return backoffice.Order{ID: id, Fence: fence, Kind: backoffice.OrderLoad, Version: "m@1"}
 	}
 	down := verdict{Unavailable: true}
 	cases := []struct {
@@ -231,37 +231,37 @@
 		down   bool
 		lose   int
 		ignore bool
-		orders []platform.Order
+		orders []backoffice.Order
 		// failed is the verdict on the last order.
 		failed verdict
-		taken  []platform.Order
-		load   platform.LoadReport
+		taken  []backoffice.Order
+		load   backoffice.LoadReport
 		loaded verdict
 	}{
-		{name: "no order", load: platform.LoadReport{Bearable: 4}},
+		{name: "no order", load: backoffice.LoadReport{Bearable: 4}},
 		{
-			name: "growing numbers", orders: []platform.Order{order("a", 1), order("b", 2)},
-			taken: []platform.Order{order("a", 1), order("b", 2)}, load: platform.LoadReport{Bearable: 4},
+			name: "growing numbers", orders: []backoffice.Order{order("a", 1), order("b", 2)},
+			taken: []backoffice.Order{order("a", 1), order("b", 2)}, load: backoffice.LoadReport{Bearable: 4},
 		},
 		{
-			name: "old number refused", orders: []platform.Order{order("a", 2), order("b", 1)},
-			failed: verdict{Fenced: &platform.FencedError{Fence: 1, Newest: 2}},
-			taken:  []platform.Order{order("a", 2)}, load: platform.LoadReport{Bearable: 4},
+			name: "old number refused", orders: []backoffice.Order{order("a", 2), order("b", 1)},
+			failed: verdict{Fenced: &backoffice.FencedError{Fence: 1, Newest: 2}},
+			taken:  []backoffice.Order{order("a", 2)}, load: backoffice.LoadReport{Bearable: 4},
 		},
 		{
-			name: "old number obeyed", ignore: true, orders: []platform.Order{order("a", 2), order("b", 1)},
-			taken: []platform.Order{order("a", 2), order("b", 1)}, load: platform.LoadReport{Bearable: 4},
+			name: "old number obeyed", ignore: true, orders: []backoffice.Order{order("a", 2), order("b", 1)},
+			taken: []backoffice.Order{order("a", 2), order("b", 1)}, load: backoffice.LoadReport{Bearable: 4},
 		},
 		{
-			name: "same order twice", orders: []platform.Order{order("a", 1), order("a", 1)},
-			taken: []platform.Order{order("a", 1)}, load: platform.LoadReport{Bearable: 4},
+			name: "same order twice", orders: []backoffice.Order{order("a", 1), order("a", 1)},
+			taken: []backoffice.Order{order("a", 1)}, load: backoffice.LoadReport{Bearable: 4},
 		},
 		{
-			name: "answer lost", lose: 1, orders: []platform.Order{order("a", 1)},
+			name: "answer lost", lose: 1, orders: []backoffice.Order{order("a", 1)},
 			failed: verdict{Unavailable: true, Unknown: true},
-			taken:  []platform.Order{order("a", 1)}, load: platform.LoadReport{Bearable: 4},
+			taken:  []backoffice.Order{order("a", 1)}, load: backoffice.LoadReport{Bearable: 4},
 		},
-		{name: "down", down: true, orders: []platform.Order{order("a", 1)}, failed: down, loaded: down},
+		{name: "down", down: true, orders: []backoffice.Order{order("a", 1)}, failed: down, loaded: down},
 	}
 	for _, c := range cases {
 		onBoth(t, c.name, httpEngines, fakeEngines, func(t *testing.T, e *enginesBackend) {
--- a/pkg/platform/errors.go
+++ b/pkg/backoffice/errors.go
@@ -1,4 +1,4 @@
-package platform
+package backoffice
 
 import (
 	"fmt"
--- a/pkg/platform/fake/engines.go
+++ b/pkg/backoffice/fake/engines.go
@@ -7,27 +7,27 @@
 
 	"github.com/cockroachdb/errors"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 // OrderBook is how an engine takes orders; it is safe for concurrent use.
 type OrderBook struct {
 	mu     sync.Mutex
 	newest int64
-	orders []platform.Order
+	orders []backoffice.Order
 }
 
 // Take takes an order and returns true when it is a new one.
-// Unless the book ignores fencing numbers, an old one gets a *platform.FencedError.
-func (b *OrderBook) Take(o platform.Order, ignoreFence bool) (bool, error) {
+// Unless the book ignores fencing numbers, an old one gets a *backoffice.FencedError.
+func (b *OrderBook) Take(o backoffice.Order, ignoreFence bool) (bool, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if o.Fence < b.newest && !ignoreFence {
-		return false, &platform.FencedError{Fence: o.Fence, Newest: b.newest}
+		return false, &backoffice.FencedError{Fence: o.Fence, Newest: b.newest}
 	}
 	b.newest = max(b.newest, o.Fence)
-	known := slices.ContainsFunc(b.orders, func(old platform.Order) bool { return old.ID == o.ID })
+	known := slices.ContainsFunc(b.orders, func(old backoffice.Order) bool { return old.ID == o.ID })
 	if !known {
 		b.orders = append(b.orders, o)
 	}
@@ -35,7 +35,7 @@
 }
 
 // Orders returns the orders that were taken, each once.
-func (b *OrderBook) Orders() []platform.Order {
+func (b *OrderBook) Orders() []backoffice.Order {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return slices.Clone(b.orders)
@@ -47,15 +47,15 @@
 	Orders OrderBook
 
 	mu          sync.Mutex
-	report      platform.LoadReport
-	events      []platform.CacheEvent
+	report      backoffice.LoadReport
+	events      []backoffice.CacheEvent
 	next        int64
 	ignoreFence bool
 	requests    map[string]bool
 }
 
 // SetReport sets what the engine reports of itself.
-func (e *Engine) SetReport(r platform.LoadReport) {
+func (e *Engine) SetReport(r backoffice.LoadReport) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.report = r
@@ -69,7 +69,7 @@
 }
 
 // Publish adds a cache event; the next one has a number above its own.
-func (e *Engine) Publish(ev platform.CacheEvent) {
+func (e *Engine) Publish(ev backoffice.CacheEvent) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.events, e.next = append(e.events, ev), ev.Seq+1
@@ -118,31 +118,31 @@
 	e := s.engines[address]
 	s.mu.Unlock()
 	if e == nil {
-		return nil, &platform.UnavailableError{Service: "engine " + address, Cause: errors.New("connection refused")}
+		return nil, &backoffice.UnavailableError{Service: "engine " + address, Cause: errors.New("connection refused")}
 	}
 	return e, e.gate.enter(ctx, s.Clock, "engine "+address)
 }
 
-// Load returns what the engine reports of itself; its error is *platform.UnavailableError.
-func (s *Engines) Load(ctx context.Context, address string) (platform.LoadReport, error) {
+// Load returns what the engine reports of itself; its error is *backoffice.UnavailableError.
+func (s *Engines) Load(ctx context.Context, address string) (backoffice.LoadReport, error) {
 	e, err := s.enter(ctx, address)
 	if err != nil {
-		return platform.LoadReport{}, err
+		return backoffice.LoadReport{}, err
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.report, nil
 }
 
-// CacheEvents returns the cache events from a number on; its error is *platform.UnavailableError.
-func (s *Engines) CacheEvents(ctx context.Context, address string, from int64) (platform.CacheEvents, error) {
+// CacheEvents returns the cache events from a number on; its error is *backoffice.UnavailableError.
+func (s *Engines) CacheEvents(ctx context.Context, address string, from int64) (backoffice.CacheEvents, error) {
 	e, err := s.enter(ctx, address)
 	if err != nil {
-		return platform.CacheEvents{}, err
+		return backoffice.CacheEvents{}, err
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	out := platform.CacheEvents{Next: max(from, e.next)}
+	out := backoffice.CacheEvents{Next: max(from, e.next)}
 	for _, ev := range e.events {
 		if ev.Seq >= from {
 			out.Events = append(out.Events, ev)
@@ -151,8 +151,8 @@
 	return out, nil
 }
 
-// Order gives the engine an order; its errors are *platform.FencedError and *platform.UnavailableError.
-func (s *Engines) Order(ctx context.Context, address string, o platform.Order) error {
+// Order gives the engine an order; its errors are *backoffice.FencedError and *backoffice.UnavailableError.
+func (s *Engines) Order(ctx context.Context, address string, o backoffice.Order) error {
 	e, err := s.enter(ctx, address)
 	if err != nil {
 		return err
@@ -161,7 +161,7 @@
 	ignore := e.ignoreFence
 	e.mu.Unlock()
 	_, err = e.Orders.Take(o, ignore)
-	var fenced *platform.FencedError
+	var fenced *backoffice.FencedError
 	if errors.As(err, &fenced) {
 		fenced.Engine = address
 	}
@@ -171,7 +171,7 @@
 	return err
 }
 
-// Cancel makes the engine let go of a request, or only stop it with keep; its error is *platform.UnavailableError.
+// Cancel makes the engine let go of a request, or only stop it with keep; its error is *backoffice.UnavailableError.
 func (s *Engines) Cancel(ctx context.Context, address, requestID string, keep bool) error {
 	e, err := s.enter(ctx, address)
 	if err != nil {
--- a/pkg/platform/fake/gate.go
+++ b/pkg/backoffice/fake/gate.go
@@ -6,8 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 // Faults are the switches that all fakes have.
@@ -49,13 +49,13 @@
 func (g *gate) enter(ctx context.Context, c clock.Clock, service string) error {
 	f := g.get()
 	if f.Down {
-		return &platform.UnavailableError{Service: service, Cause: errDown}
+		return &backoffice.UnavailableError{Service: service, Cause: errDown}
 	}
 	if f.Delay <= 0 {
 		return nil
 	}
 	if err := clock.Sleep(ctx, c, f.Delay); err != nil {
-		return &platform.UnavailableError{Service: service, Unknown: true, Cause: err}
+		return &backoffice.UnavailableError{Service: service, Unknown: true, Cause: err}
 	}
 	return nil
 }
@@ -68,5 +68,5 @@
 		return nil
 	}
 	g.faults.LoseAnswers--
-	return &platform.UnavailableError{Service: service, Unknown: true, Cause: errLost}
+	return &backoffice.UnavailableError{Service: service, Unknown: true, Cause: errLost}
 }
--- a/pkg/platform/fake/list.go
+++ b/pkg/backoffice/fake/list.go
@@ -7,8 +7,8 @@
 	"strings"
 	"sync"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 const listService = "list"
@@ -21,9 +21,9 @@
 	mu     sync.Mutex
 	lag    clock.Millis
 	freeze bool
-	frozen platform.Listing
+	frozen backoffice.Listing
 	// listings are the states of the list, oldest first, without those that are no longer shown.
-	listings []platform.Listing
+	listings []backoffice.Listing
 }
 
 // SetLag sets how far the list lags behind, in milliseconds.
@@ -44,22 +44,22 @@
 }
 
 // shown returns the list as it lags; l.mu is held.
-func (l *List) shown() platform.Listing {
+func (l *List) shown() backoffice.Listing {
 	asOf := l.Clock.Wall() - l.lag
 	for len(l.listings) > 1 && l.listings[1].AsOf <= asOf {
 		l.listings = l.listings[1:]
 	}
-	out := platform.Listing{AsOf: asOf}
+	out := backoffice.Listing{AsOf: asOf}
 	if len(l.listings) > 0 && l.listings[0].AsOf <= asOf {
 		out.Instances = l.listings[0].Instances
 	}
 	return out
 }
 
-// Instances returns the list as it is shown; its error is *platform.UnavailableError.
-func (l *List) Instances(ctx context.Context) (platform.Listing, error) {
+// Instances returns the list as it is shown; its error is *backoffice.UnavailableError.
+func (l *List) Instances(ctx context.Context) (backoffice.Listing, error) {
 	if err := l.enter(ctx, l.Clock, listService); err != nil {
-		return platform.Listing{}, err
+		return backoffice.Listing{}, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -70,27 +70,27 @@
 }
 
 // Put adds or replaces an instance.
-func (l *List) Put(in platform.Instance) {
-	l.change(func(byName map[string]platform.Instance) { byName[in.Name] = in })
+func (l *List) Put(in backoffice.Instance) {
+	l.change(func(byName map[string]backoffice.Instance) { byName[in.Name] = in })
 }
 
 // Remove drops an instance.
 func (l *List) Remove(name string) {
-	l.change(func(byName map[string]platform.Instance) { delete(byName, name) })
+	l.change(func(byName map[string]backoffice.Instance) { delete(byName, name) })
 }
 
-func (l *List) change(edit func(map[string]platform.Instance)) {
+func (l *List) change(edit func(map[string]backoffice.Instance)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	byName := map[string]platform.Instance{}
+	byName := map[string]backoffice.Instance{}
 	if n := len(l.listings); n > 0 {
 		for _, in := range l.listings[n-1].Instances {
 			byName[in.Name] = in
 		}
 	}
 	edit(byName)
-	instances := slices.SortedFunc(maps.Values(byName), func(a, b platform.Instance) int {
+	instances := slices.SortedFunc(maps.Values(byName), func(a, b backoffice.Instance) int {
 		return strings.Compare(a.Name, b.Name)
 	})
-	l.listings = append(l.listings, platform.Listing{AsOf: l.Clock.Wall(), Instances: instances})
+	l.listings = append(l.listings, backoffice.Listing{AsOf: l.Clock.Wall(), Instances: instances})
 }
--- a/pkg/platform/fake/log.go
+++ b/pkg/backoffice/fake/log.go
@@ -4,8 +4,8 @@
 	"context"
 	"sync"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 const logService = "log"
@@ -23,7 +23,7 @@
 // stream is one stream of the log; grown is closed at the next change.
 type stream struct {
 	oldest  int64
-	entries []platform.Entry
+	entries []backoffice.Entry
 	grown   chan struct{}
 }
 
@@ -78,7 +78,7 @@
 	s.wake()
 }
 
-// Append appends the records in order and returns the offset of the first one; its error is *platform.UnavailableError.
+// Append appends the records in order and returns the offset of the first one; its error is *backoffice.UnavailableError.
 func (l *Log) Append(ctx context.Context, name string, records [][]byte) (int64, error) {
 	if err := l.enter(ctx, l.Clock, logService); err != nil {
 		return 0, err
@@ -96,7 +96,7 @@
 	s := l.stream(name)
 	first := s.end()
 	for i, data := range records {
-		s.entries = append(s.entries, platform.Entry{
+		s.entries = append(s.entries, backoffice.Entry{
 			Offset: first + int64(i),
 			At:     l.Clock.Wall(),
 			Data:   append([]byte(nil), data...),
@@ -110,33 +110,33 @@
 }
 
 // Read returns at most limit records from an offset on; with none there it waits up to wait, in milliseconds.
-// Its errors are *platform.TrimmedError, *platform.AheadError and *platform.UnavailableError.
-func (l *Log) Read(ctx context.Context, name string, from int64, limit int, wait clock.Millis) (platform.Batch, error) {
+// Its errors are *backoffice.TrimmedError, *backoffice.AheadError and *backoffice.UnavailableError.
+func (l *Log) Read(ctx context.Context, name string, from int64, limit int, wait clock.Millis) (backoffice.Batch, error) {
 	if err := l.enter(ctx, l.Clock, logService); err != nil {
-		return platform.Batch{}, err
+		return backoffice.Batch{}, err
 	}
 	if err := l.awaitEntry(ctx, name, from, wait); err != nil {
-		return platform.Batch{}, &platform.UnavailableError{Service: logService, Cause: err}
+		return backoffice.Batch{}, &backoffice.UnavailableError{Service: logService, Cause: err}
 	}
 	if l.get().Down {
-		return platform.Batch{}, &platform.UnavailableError{Service: logService, Cause: errDown}
+		return backoffice.Batch{}, &backoffice.UnavailableError{Service: logService, Cause: errDown}
 	}
 	return l.batch(name, from, limit)
 }
 
-func (l *Log) batch(name string, from int64, limit int) (platform.Batch, error) {
+func (l *Log) batch(name string, from int64, limit int) (backoffice.Batch, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
 	if from < s.oldest {
-		return platform.Batch{}, &platform.TrimmedError{Stream: name, From: from, Oldest: s.oldest, End: s.end()}
+		return backoffice.Batch{}, &backoffice.TrimmedError{Stream: name, From: from, Oldest: s.oldest, End: s.end()}
 	}
 	if from > s.end() {
-		return platform.Batch{}, &platform.AheadError{Stream: name, From: from, Oldest: s.oldest, End: s.end()}
+		return backoffice.Batch{}, &backoffice.AheadError{Stream: name, From: from, Oldest: s.oldest, End: s.end()}
 	}
 	n := min(int64(limit), s.end()-from)
-	entries := append([]platform.Entry(nil), s.entries[from-s.oldest:][:n]...)
-	return platform.Batch{Entries: entries, Oldest: s.oldest, End: s.end()}, nil
+	entries := append([]backoffice.Entry(nil), s.entries[from-s.oldest:][:n]...)
+	return backoffice.Batch{Entries: entries, Oldest: s.oldest, End: s.end()}, nil
 }
 
 // awaitEntry returns once the stream has something at the offset, or after wait milliseconds.
--- a/pkg/platform/fake/logview.go
+++ b/pkg/backoffice/fake/logview.go
@@ -4,8 +4,8 @@
 	"context"
 	"sync"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 // LogView is the log as one instance sees it, which may be cut off from it in each direction.
@@ -33,7 +33,7 @@
 // Append is that of the log, unless it is cut off.
 func (v *LogView) Append(ctx context.Context, stream string, records [][]byte) (int64, error) {
 	there, back := v.cuts()
-	lost := &platform.UnavailableError{Service: logService, Unknown: true, Cause: errCut}
+	lost := &backoffice.UnavailableError{Service: logService, Unknown: true, Cause: errCut}
 	if there {
 		return 0, lost
 	}
@@ -45,13 +45,13 @@
 }
 
 // Read is that of the log, unless it is cut off.
-func (v *LogView) Read(ctx context.Context, stream string, from int64, limit int, wait clock.Millis) (platform.Batch, error) {
+func (v *LogView) Read(ctx context.Context, stream string, from int64, limit int, wait clock.Millis) (backoffice.Batch, error) {
 	if there, back := v.cuts(); there || back {
-		return platform.Batch{}, &platform.UnavailableError{Service: logService, Cause: errCut}
+		return backoffice.Batch{}, &backoffice.UnavailableError{Service: logService, Cause: errCut}
 	}
 	b, err := v.Log.Read(ctx, stream, from, limit, wait)
 	if there, back := v.cuts(); there || back {
-		return platform.Batch{}, &platform.UnavailableError{Service: logService, Cause: errCut}
+		return backoffice.Batch{}, &backoffice.UnavailableError{Service: logService, Cause: errCut}
 	}
 	return b, err
 }
--- a/pkg/platform/fake/ratings.go
+++ b/pkg/backoffice/fake/ratings.go
@@ -7,9 +7,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 const ratingService = "ratings"
@@ -66,7 +66,7 @@
 }
 
 type lateRating struct {
-	platform.Rating
+	backoffice.Rating
 	due clock.Millis
 }
 
@@ -86,19 +86,19 @@
 	}
 	score := s.raters.Score(a.RequestID, a.Version)
 	s.ratings = append(s.ratings, lateRating{
-		Rating: platform.Rating{RequestID: a.RequestID, Version: a.Version, Task: a.Task, Score: score},
+		Rating: backoffice.Rating{RequestID: a.RequestID, Version: a.Version, Task: a.Task, Score: score},
 		due:    s.Clock.Now() + s.raters.LagMillis,
 	})
 }
 
-// Ratings returns at most limit ratings from a position on; its error is *platform.UnavailableError.
-func (s *Ratings) Ratings(ctx context.Context, from int64, limit int) (platform.RatingBatch, error) {
+// Ratings returns at most limit ratings from a position on; its error is *backoffice.UnavailableError.
+func (s *Ratings) Ratings(ctx context.Context, from int64, limit int) (backoffice.RatingBatch, error) {
 	if err := s.enter(ctx, s.Clock, ratingService); err != nil {
-		return platform.RatingBatch{}, err
+		return backoffice.RatingBatch{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := platform.RatingBatch{Next: max(0, from)}
+	b := backoffice.RatingBatch{Next: max(0, from)}
 	for b.Next < int64(len(s.ratings)) && len(b.Ratings) < limit {
 		late := s.ratings[b.Next]
 		if late.due > s.Clock.Now() {
@@ -110,8 +110,8 @@
 	return b, nil
 }
 
-// Rate returns the score of one answer; its error is *platform.UnavailableError.
-func (s *Ratings) Rate(ctx context.Context, in platform.RateRequest) (float64, error) {
+// Rate returns the score of one answer; its error is *backoffice.UnavailableError.
+func (s *Ratings) Rate(ctx context.Context, in backoffice.RateRequest) (float64, error) {
 	if err := s.enter(ctx, s.Clock, ratingService); err != nil {
 		return 0, err
 	}
--- a/pkg/platform/list_bench_test.go
+++ b/pkg/backoffice/list_bench_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package backoffice_test
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"testing"
 
-	"carawayknot.example/carawayknot/pkg/platform"
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/standin"
 )
 
@@ -45,14 +45,14 @@
 		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
 			list := standin.NewList()
 			for i := range n {
-				list.Put(platform.Instance{Name: fmt.Sprintf("entry-%03d", i), Role: "Entry", Address: "10.0.0.1:8080", Zone: "zone-a"})
+				list.Put(backoffice.Instance{Name: fmt.Sprintf("entry-%03d", i), Role: "Entry", Address: "10.0.0.1:8080", Zone: "zone-a"})
 			}
 			srv := httptest.NewUnstartedServer(list.Handler())
 			counting := &countingListener{Listener: srv.Listener}
 			srv.Listener = counting
 			srv.Start()
 			defer srv.Close()
-			client := &platform.List{BaseURL: srv.URL}
+			client := &backoffice.List{BaseURL: srv.URL}
 			if _, err := client.Instances(b.Context()); err != nil {
 				b.Fatal(err)
 			}
--- a/pkg/caravan/capacityparts_test.go
+++ b/pkg/caravan/capacityparts_test.go
@@ -6,8 +6,8 @@
 	"slices"
 	"testing"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 // BenchmarkCall measures one exchange over TCP on loopback, both sides together.
@@ -63,15 +63,15 @@
 }
 
 // listOf returns the list of a deployment with that many entry instances and twice as many upstreams, less a tenth.
-func listOf(entries, upstreams int) platform.Listing {
-	l := platform.Listing{AsOf: 1_760_000_000_000}
+func listOf(entries, upstreams int) backoffice.Listing {
+	l := backoffice.Listing{AsOf: 1_760_000_000_000}
 	for _, m := range namedMembers(entries) {
-		l.Instances = append(l.Instances, platform.Instance{
+		l.Instances = append(l.Instances, backoffice.Instance{
 			Name: m.Name, Role: catalogue.RoleEntry, Address: "10.20.30.40:8080", PeerAddress: "10.20.30.40:8082", Zone: m.Zone, Incarnation: 1_760_000_000_000,
 		})
 	}
 	for i := range upstreams {
-		l.Instances = append(l.Instances, platform.Instance{
+		l.Instances = append(l.Instances, backoffice.Instance{
 			Name: fmt.Sprintf("engine-%03d", i), Role: catalogue.RoleEngine, Address: "10.20.30.40:9000", Zone: fmt.Sprintf("zone-%d", i%6),
 			Incarnation: 1_760_000_000_000, Versions: []catalogue.VersionID{catalogue.VersionID(fmt.Sprintf("model-%d@2026-11-01", i%7))},
 		})
@@ -89,7 +89,7 @@
 			}
 			m := &Membership{Self: namedMembers(1)[0]}
 			for range b.N {
-				var l platform.Listing
+				var l backoffice.Listing
 				if err := json.Unmarshal(data, &l); err != nil {
 					b.Fatal(err)
 				}
--- a/pkg/caravan/knowledge_test.go
+++ b/pkg/caravan/knowledge_test.go
@@ -5,10 +5,10 @@
 	"math/rand/v2"
 	"testing"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
+	"carawayknot.example/carawayknot/pkg/backoffice/fake"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
-	"carawayknot.example/carawayknot/pkg/platform/fake"
 )
 
 // fresh tells whether the node may decide on its configuration now.
@@ -265,7 +265,7 @@
 func TestP12HoldersThatWereNeverHeardCount(t *testing.T) {
 	m := newMesh(t, namedMembers(60))
 	for _, n := range m.nodes {
-		m.list.Put(platform.Instance{Name: n.self.Name, Role: catalogue.RoleEntry, PeerAddress: n.self.Name, Zone: n.self.Zone})
+		m.list.Put(backoffice.Instance{Name: n.self.Name, Role: catalogue.RoleEntry, PeerAddress: n.self.Name, Zone: n.self.Zone})
 	}
 	m.run(10_000)
 	r := m.change(zoneOut("z", true, "c1"))
--- a/pkg/caravan/membership.go
+++ b/pkg/caravan/membership.go
@@ -4,9 +4,9 @@
 	"slices"
 	"strings"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 const (
@@ -46,7 +46,7 @@
 
 // SeeList takes a list that was asked for at the monotonic time at, and tells whether it was used.
 // A list that is older than the last one is ignored.
-func (m *Membership) SeeList(l platform.Listing, at clock.Millis) bool {
+func (m *Membership) SeeList(l backoffice.Listing, at clock.Millis) bool {
 	older := m.seen && l.AsOf < m.listAsOf
 	if older && at-m.readAt < staleList {
 		return false
--- a/pkg/caravan/membership_test.go
+++ b/pkg/caravan/membership_test.go
@@ -5,17 +5,17 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
-func listing(asOf clock.Millis, members []catalogue.Member) platform.Listing {
-	l := platform.Listing{AsOf: asOf}
+func listing(asOf clock.Millis, members []catalogue.Member) backoffice.Listing {
+	l := backoffice.Listing{AsOf: asOf}
 	for _, m := range members {
-		l.Instances = append(l.Instances, platform.Instance{Name: m.Name, Role: catalogue.RoleEntry, Zone: m.Zone, Incarnation: m.Incarnation, Leaving: m.Leaving})
+		l.Instances = append(l.Instances, backoffice.Instance{Name: m.Name, Role: catalogue.RoleEntry, Zone: m.Zone, Incarnation: m.Incarnation, Leaving: m.Leaving})
 	}
-	l.Instances = append(l.Instances, platform.Instance{Name: "engine", Role: catalogue.RoleEngine})
+	l.Instances = append(l.Instances, backoffice.Instance{Name: "engine", Role: catalogue.RoleEngine})
 	return l
 }
 
--- a/pkg/caravan/mesh_test.go
+++ b/pkg/caravan/mesh_test.go
@@ -12,10 +12,10 @@
 	"github.com/go-logr/logr"
 
 	"carawayknot.example/carawayknot/pkg/archive"
+	"carawayknot.example/carawayknot/pkg/backoffice"
+	"carawayknot.example/carawayknot/pkg/backoffice/fake"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
-	"carawayknot.example/carawayknot/pkg/platform/fake"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
@@ -96,7 +96,7 @@
 		m.nodes = append(m.nodes, n)
 	}
 	m.byName[self.Name] = n
-	m.list.Put(platform.Instance{Name: self.Name, Role: catalogue.RoleEntry, PeerAddress: self.Name, Zone: self.Zone, Incarnation: self.Incarnation})
+	m.list.Put(backoffice.Instance{Name: self.Name, Role: catalogue.RoleEntry, PeerAddress: self.Name, Zone: self.Zone, Incarnation: self.Incarnation})
 	return n
 }
 
--- a/pkg/caravan/permit_test.go
+++ b/pkg/caravan/permit_test.go
@@ -6,9 +6,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
+	"carawayknot.example/carawayknot/pkg/backoffice/fake"
 	"carawayknot.example/carawayknot/pkg/catalogue"
-	"carawayknot.example/carawayknot/pkg/platform"
-	"carawayknot.example/carawayknot/pkg/platform/fake"
 )
 
 const permitted = catalogue.VersionID("chai@1")
@@ -59,8 +59,8 @@
 	return objectEdit(t, catalogue.KindWorkspace, "w", catalogue.Workspace{Name: "w", KeyDigest: string(digest), Versions: versions})
 }
 
-func engine(leaving bool) platform.Instance {
-	return platform.Instance{Name: "engine", Role: catalogue.RoleEngine, Zone: "zone-1", Leaving: leaving, Versions: []catalogue.VersionID{permitted}}
+func engine(leaving bool) backoffice.Instance {
+	return backoffice.Instance{Name: "engine", Role: catalogue.RoleEngine, Zone: "zone-1", Leaving: leaving, Versions: []catalogue.VersionID{permitted}}
 }
 
 // ban makes the request of send forbidden.
--- a/pkg/concierge/coldwatch.go
+++ b/pkg/concierge/coldwatch.go
@@ -1,9 +1,9 @@
 package concierge
 
 import (
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/enquiry"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 // ColdWatch infers which upstreams are in cold start and how many requests the warm ones bear.
@@ -18,7 +18,7 @@
 }
 
 // TakeLoad takes in a load report that was read at the time.
-func (w *ColdWatch) TakeLoad(name string, incarnation int64, r platform.LoadReport, at clock.Millis) {
+func (w *ColdWatch) TakeLoad(name string, incarnation int64, r backoffice.LoadReport, at clock.Millis) {
 	u := w.upstream(name)
 	if incarnation > u.incarnation {
 		u.restart(incarnation)
--- a/pkg/concierge/coldwatch_test.go
+++ b/pkg/concierge/coldwatch_test.go
@@ -5,9 +5,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/enquiry"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 const engine = "engine-a"
@@ -39,7 +39,7 @@
 	}
 }
 
-func (h *history) report(incarnation int64, r platform.LoadReport) {
+func (h *history) report(incarnation int64, r backoffice.LoadReport) {
 	h.at += 500
 	r.Bearable = 20
 	h.TakeLoad(engine, incarnation, r, h.at)
@@ -53,11 +53,11 @@
 	}{
 		{"at first sight", func(*history) {}, true},
 		{"warm after quick answers", func(h *history) { h.answers(firstAnswers, 100) }, false},
-		{"new incarnation", func(h *history) { h.answers(firstAnswers, 100); h.report(2, platform.LoadReport{}) }, true},
-		{"report says so", func(h *history) { h.answers(firstAnswers, 100); h.report(1, platform.LoadReport{Cold: true}) }, true},
+		{"new incarnation", func(h *history) { h.answers(firstAnswers, 100); h.report(2, backoffice.LoadReport{}) }, true},
+		{"report says so", func(h *history) { h.answers(firstAnswers, 100); h.report(1, backoffice.LoadReport{Cold: true}) }, true},
 		{"quick answers against the report", func(h *history) {
 			h.answers(firstAnswers, 100)
-			h.report(1, platform.LoadReport{Cold: true})
+			h.report(1, backoffice.LoadReport{Cold: true})
 			h.answers(firstAnswers, 100)
 		}, true},
 		{"slow first tokens without any announcement", func(h *history) { h.answers(firstAnswers, 100); h.answers(coldSigns, 600) }, true},
@@ -71,7 +71,7 @@
 		}, false},
 		{"slow because it is full", func(h *history) {
 			h.answers(firstAnswers, 100)
-			h.report(1, platform.LoadReport{InFlight: 18})
+			h.report(1, backoffice.LoadReport{InFlight: 18})
 			h.answers(coldSigns, 600)
 		}, false},
 		{"refusals while it is not full", func(h *history) { h.answers(firstAnswers, 100); h.fail(coldSigns) }, true},
@@ -82,15 +82,15 @@
 		}, false},
 		{"slow answers do not end a cold start", func(h *history) {
 			h.answers(firstAnswers, 100)
-			h.report(2, platform.LoadReport{})
+			h.report(2, backoffice.LoadReport{})
 			h.answers(10*firstAnswers, 600)
 		}, true},
 		{"slow answers that have only begun", func(h *history) { h.answers(firstAnswers, 100); h.starts(coldSigns, 600) }, true},
 		{"one slow answer that has begun, and reports that confirm it", func(h *history) {
 			h.answers(firstAnswers, 100)
-			h.report(1, platform.LoadReport{FirstTokenTime: 100})
-			h.report(1, platform.LoadReport{FirstTokenTime: 200})
-			h.report(1, platform.LoadReport{FirstTokenTime: 200})
+			h.report(1, backoffice.LoadReport{FirstTokenTime: 100})
+			h.report(1, backoffice.LoadReport{FirstTokenTime: 200})
+			h.report(1, backoffice.LoadReport{FirstTokenTime: 200})
 			h.starts(1, 600)
 		}, true},
 		{"a slow answer counts once", func(h *history) {
@@ -100,27 +100,27 @@
 		}, false},
 		{"quick answers that have only begun end no cold start", func(h *history) {
 			h.answers(firstAnswers, 100)
-			h.report(2, platform.LoadReport{})
+			h.report(2, backoffice.LoadReport{})
 			h.starts(10*firstAnswers, 100)
 		}, true},
 		{"slow by its reports", func(h *history) {
 			h.answers(firstAnswers, 100)
-			h.report(1, platform.LoadReport{FirstTokenTime: 100})
-			h.report(1, platform.LoadReport{FirstTokenTime: 400})
-			h.report(1, platform.LoadReport{FirstTokenTime: 400})
+			h.report(1, backoffice.LoadReport{FirstTokenTime: 100})
+			h.report(1, backoffice.LoadReport{FirstTokenTime: 400})
+			h.report(1, backoffice.LoadReport{FirstTokenTime: 400})
 		}, true},
 		{"slower by its reports since it is asked for other versions", func(h *history) {
 			h.answers(firstAnswers, 100)
-			h.report(1, platform.LoadReport{FirstTokenTime: 100})
+			h.report(1, backoffice.LoadReport{FirstTokenTime: 100})
 			for range 10 {
-				h.report(1, platform.LoadReport{FirstTokenTime: 250})
+				h.report(1, backoffice.LoadReport{FirstTokenTime: 250})
 			}
 		}, false},
 		{"slow by its reports since it is full", func(h *history) {
 			h.answers(firstAnswers, 100)
-			h.report(1, platform.LoadReport{FirstTokenTime: 100})
+			h.report(1, backoffice.LoadReport{FirstTokenTime: 100})
 			for range 10 {
-				h.report(1, platform.LoadReport{FirstTokenTime: 400, InFlight: 15})
+				h.report(1, backoffice.LoadReport{FirstTokenTime: 400, InFlight: 15})
 			}
 		}, false},
 		{"another instance noticed", func(h *history) {
@@ -141,7 +141,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			h := &history{}
-			h.report(1, platform.LoadReport{})
+			h.report(1, backoffice.LoadReport{})
 			tc.live(h)
 			if diff := cmp.Diff(tc.want, h.Cold(engine)); diff != "" {
 				t.Errorf("Cold() (-want +got):\n%s", diff)
@@ -159,12 +159,12 @@
 		{"begins low", func(*history) {}, firstWarmLimit, firstWarmLimit},
 		{"grows to what the upstream bears", func(h *history) {
 			for range 20 {
-				h.report(1, platform.LoadReport{InFlight: 3})
+				h.report(1, backoffice.LoadReport{InFlight: 3})
 			}
 		}, 20, 20},
 		{"falls while refusals go on", func(h *history) {
 			for range 20 {
-				h.report(1, platform.LoadReport{InFlight: 19})
+				h.report(1, backoffice.LoadReport{InFlight: 19})
 			}
 			for range 5 {
 				h.at += cutPause
@@ -173,22 +173,22 @@
 		}, 4, 8},
 		{"a burst of refusals counts once", func(h *history) {
 			for range 20 {
-				h.report(1, platform.LoadReport{InFlight: 19})
+				h.report(1, backoffice.LoadReport{InFlight: 19})
 			}
 			h.fail(8)
 		}, 16, 16},
 		{"falls while requests queue at the upstream", func(h *history) {
 			for range 20 {
-				h.report(1, platform.LoadReport{})
+				h.report(1, backoffice.LoadReport{})
 			}
 			for range 8 {
-				h.report(1, platform.LoadReport{InFlight: 20, Queued: 3})
+				h.report(1, backoffice.LoadReport{InFlight: 20, Queued: 3})
 			}
 		}, 6, 12},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			h := &history{}
-			h.report(1, platform.LoadReport{})
+			h.report(1, backoffice.LoadReport{})
 			h.answers(firstAnswers, 100)
 			tc.live(h)
 			if got := h.WarmLimit(engine); got < tc.low || got > tc.high {
--- a/pkg/concierge/prefix.go
+++ b/pkg/concierge/prefix.go
@@ -3,8 +3,8 @@
 import (
 	"sync"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/enquiry"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 // prefixLimit bounds the prompt prefixes that are known of one upstream.
@@ -30,7 +30,7 @@
 }
 
 // TakeEvents takes in cache events of an upstream; after a gap all that was known of it is dropped.
-func (p *Prefixes) TakeEvents(upstream string, events platform.CacheEvents) {
+func (p *Prefixes) TakeEvents(upstream string, events backoffice.CacheEvents) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	k := p.upstreams[upstream]
@@ -46,7 +46,7 @@
 	}
 }
 
-func (k *prefixes) take(e platform.CacheEvent) {
+func (k *prefixes) take(e backoffice.CacheEvent) {
 	if k.next != 0 && e.Seq != k.next {
 		clear(k.known)
 	}
--- a/pkg/concierge/verdict_test.go
+++ b/pkg/concierge/verdict_test.go
@@ -5,8 +5,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/enquiry"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 func TestP05VerdictsOfOthers(t *testing.T) {
@@ -20,15 +20,15 @@
 	for _, tc := range []struct {
 		name     string
 		verdicts []Verdict
-		report   platform.LoadReport
+		report   backoffice.LoadReport
 		want     result
 	}{
-		{"nobody asked it yet", nil, platform.LoadReport{Bearable: 20}, result{Cold: true, Limit: firstWarmLimit}},
-		{"another instance warmed it", []Verdict{warm}, platform.LoadReport{Bearable: 20}, result{Limit: 12}},
-		{"one of two finds it cold", []Verdict{warm, cold}, platform.LoadReport{Bearable: 20}, result{Cold: true, Limit: 12}},
-		{"it restarted since", []Verdict{old}, platform.LoadReport{Bearable: 20}, result{Cold: true, Limit: firstWarmLimit}},
-		{"it reports to be cold", []Verdict{warm}, platform.LoadReport{Bearable: 20, Cold: true}, result{Cold: true, Limit: 12}},
-		{"it bears less", []Verdict{warm}, platform.LoadReport{Bearable: 6}, result{Limit: 6}},
+		{"nobody asked it yet", nil, backoffice.LoadReport{Bearable: 20}, result{Cold: true, Limit: firstWarmLimit}},
+		{"another instance warmed it", []Verdict{warm}, backoffice.LoadReport{Bearable: 20}, result{Limit: 12}},
+		{"one of two finds it cold", []Verdict{warm, cold}, backoffice.LoadReport{Bearable: 20}, result{Cold: true, Limit: 12}},
+		{"it restarted since", []Verdict{old}, backoffice.LoadReport{Bearable: 20}, result{Cold: true, Limit: firstWarmLimit}},
+		{"it reports to be cold", []Verdict{warm}, backoffice.LoadReport{Bearable: 20, Cold: true}, result{Cold: true, Limit: 12}},
+		{"it bears less", []Verdict{warm}, backoffice.LoadReport{Bearable: 6}, result{Limit: 6}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var w ColdWatch
@@ -44,7 +44,7 @@
 
 func TestP05OwnVerdict(t *testing.T) {
 	var w ColdWatch
-	w.TakeLoad("engine-a", 1, platform.LoadReport{Bearable: 20}, 1000)
+	w.TakeLoad("engine-a", 1, backoffice.LoadReport{Bearable: 20}, 1000)
 	if diff := cmp.Diff([]Verdict(nil), w.Verdicts()); diff != "" {
 		t.Errorf("Verdicts() before a request (-want +got):\n%s", diff)
 	}
@@ -59,7 +59,7 @@
 	if diff := cmp.Diff(want, w.Verdicts()); diff != "" {
 		t.Errorf("Verdicts() after quick answers (-want +got):\n%s", diff)
 	}
-	w.TakeLoad("engine-a", 2, platform.LoadReport{Bearable: 20}, 3000)
+	w.TakeLoad("engine-a", 2, backoffice.LoadReport{Bearable: 20}, 3000)
 	if diff := cmp.Diff([]Verdict(nil), w.Verdicts()); diff != "" {
 		t.Errorf("Verdicts() after a restart (-want +got):\n%s", diff)
 	}
--- a/pkg/concierge/warmth.go
+++ b/pkg/concierge/warmth.go
@@ -1,8 +1,8 @@
 package concierge
 
 import (
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 const (
@@ -86,7 +86,7 @@
 	u.answers, u.quick, u.signs, u.slowReports, u.raisedReports = 0, 0, 0, 0, 0
 }
 
-func (u *warmth) takeReport(r *platform.LoadReport, at clock.Millis) {
+func (u *warmth) takeReport(r *backoffice.LoadReport, at clock.Millis) {
 	u.reported, u.bearable, u.inFlight = true, r.Bearable, r.InFlight
 	if r.Cold && !u.cold {
 		u.begin(true)
--- a/pkg/house/breaker.go
+++ b/pkg/house/breaker.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"sync"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/tariff"
 )
 
@@ -39,7 +39,7 @@
 }
 
 // Rate asks the service, or fails with a *BreakerError while the breaker is open.
-func (b *RaterBreaker) Rate(ctx context.Context, r platform.RateRequest) (float64, error) {
+func (b *RaterBreaker) Rate(ctx context.Context, r backoffice.RateRequest) (float64, error) {
 	if err := b.enter(); err != nil {
 		return 0, err
 	}
--- a/pkg/house/breaker_test.go
+++ b/pkg/house/breaker_test.go
@@ -7,14 +7,14 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 // raterFunc is a function that rates answers.
 type raterFunc func() error
 
-func (f raterFunc) Rate(context.Context, platform.RateRequest) (float64, error) { return 0.5, f() }
+func (f raterFunc) Rate(context.Context, backoffice.RateRequest) (float64, error) { return 0.5, f() }
 
 func TestRaterBreaker(t *testing.T) {
 	now := clock.NewManual(1000)
@@ -46,7 +46,7 @@
 		asked, down = 0, step.down
 		var err error
 		for range step.calls {
-			_, err = b.Rate(t.Context(), platform.RateRequest{})
+			_, err = b.Rate(t.Context(), backoffice.RateRequest{})
 		}
 		var open *BreakerError
 		got := []any{asked, errors.As(err, &open)}
--- a/pkg/house/build.go
+++ b/pkg/house/build.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"carawayknot.example/carawayknot/pkg/archive"
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/caravan"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
@@ -12,7 +13,6 @@
 	"carawayknot.example/carawayknot/pkg/desk"
 	"carawayknot.example/carawayknot/pkg/guestbook"
 	"carawayknot.example/carawayknot/pkg/ledger"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/reservation"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
@@ -60,10 +60,10 @@
 
 func (h *House) buildPlatform() {
 	p := h.Common.Settings.Platform
-	h.log = &platform.Log{BaseURL: p.Log}
-	h.list = &platform.List{BaseURL: p.List}
-	h.ratings = &platform.Ratings{BaseURL: p.Ratings}
-	h.engines = &platform.Engines{}
+	h.log = &backoffice.Log{BaseURL: p.Log}
+	h.list = &backoffice.List{BaseURL: p.List}
+	h.ratings = &backoffice.Ratings{BaseURL: p.Ratings}
+	h.engines = &backoffice.Engines{}
 }
 
 func (h *House) buildPeers() {
--- a/pkg/house/capacity_test.go
+++ b/pkg/house/capacity_test.go
@@ -6,10 +6,10 @@
 
 	"github.com/go-logr/logr"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/enquiry"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
@@ -21,17 +21,17 @@
 func (s size) name() string { return fmt.Sprintf("%d-nodes-%d-upstreams", s.members, s.upstreams) }
 
 // listOf returns a list of that size.
-func (s size) list(asOf clock.Millis) platform.Listing {
-	l := platform.Listing{AsOf: asOf}
+func (s size) list(asOf clock.Millis) backoffice.Listing {
+	l := backoffice.Listing{AsOf: asOf}
 	for i := range s.members {
 		name := fmt.Sprintf("entry-%03d", i)
-		l.Instances = append(l.Instances, platform.Instance{
+		l.Instances = append(l.Instances, backoffice.Instance{
 			Name: name, Role: catalogue.RoleEntry, Address: "10.0.0.1:8080", PeerAddress: "10.0.0.1:8082",
 			Zone: fmt.Sprintf("zone-%d", i%6), Incarnation: 1_796_000_000_000,
 		})
 	}
 	for i := range s.upstreams {
-		l.Instances = append(l.Instances, platform.Instance{
+		l.Instances = append(l.Instances, backoffice.Instance{
 			Name: fmt.Sprintf("engine-%03d", i), Role: catalogue.RoleEngine, Address: "10.0.1.1:9000",
 			Zone: fmt.Sprintf("zone-%d", i%6), Incarnation: 1, Versions: []catalogue.VersionID{"estate@3", "leaf@1"},
 		})
@@ -50,7 +50,7 @@
 	c.publish()
 	c.takeList(&listRead{SentAt: now.Now(), Listing: s.list(now.Wall())})
 	for _, u := range c.upstreams {
-		c.takeLoad(&loadRead{Name: u.Name, Incarnation: 1, Report: platform.LoadReport{Bearable: 32}, At: now.Now()})
+		c.takeLoad(&loadRead{Name: u.Name, Incarnation: 1, Report: backoffice.LoadReport{Bearable: 32}, At: now.Now()})
 	}
 	return c, now
 }
@@ -90,7 +90,7 @@
 	for _, s := range sizes {
 		b.Run(s.name(), func(b *testing.B) {
 			c, now := newBenchControl(s)
-			lists := []platform.Listing{s.list(0), s.list(0)}
+			lists := []backoffice.Listing{s.list(0), s.list(0)}
 			i := 0
 			b.ReportAllocs()
 			for b.Loop() {
--- a/pkg/house/control.go
+++ b/pkg/house/control.go
@@ -12,11 +12,11 @@
 	"github.com/go-logr/logr"
 
 	"carawayknot.example/carawayknot/pkg/archive"
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/caravan"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/concierge"
 	"carawayknot.example/carawayknot/pkg/enquiry"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/settings"
 	"carawayknot.example/carawayknot/pkg/tasting"
 )
@@ -56,8 +56,8 @@
 	busy    atomic.Int64
 	dropped atomic.Int64
 	// listed is the list taken last, upstreams are those in it that are no entry instances.
-	listed    []platform.Instance
-	upstreams []platform.Instance
+	listed    []backoffice.Instance
+	upstreams []backoffice.Instance
 	loads     map[string]catalogue.Load
 	health    map[catalogue.HealthKey]catalogue.Health
 	published publication
@@ -161,7 +161,7 @@
 	case *ratingsRead:
 		c.Ratings.TakeRatings(m.Ratings)
 	case *verdictGiven:
-		c.Ratings.TakeRatings([]platform.Rating{m.Rating})
+		c.Ratings.TakeRatings([]backoffice.Rating{m.Rating})
 	case *drainBegun:
 		c.draining = true
 		c.publish()
@@ -206,11 +206,11 @@
 }
 
 // sameSlice tells whether the list is the one taken last; the client returns the same slice while nothing changed.
-func sameSlice(a, b []platform.Instance) bool {
+func sameSlice(a, b []backoffice.Instance) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
-func (c *Control) takeUpstreams(listed []platform.Instance) {
+func (c *Control) takeUpstreams(listed []backoffice.Instance) {
 	before := map[string]int64{}
 	for _, u := range c.upstreams {
 		before[u.Name] = u.Incarnation
--- a/pkg/house/control_test.go
+++ b/pkg/house/control_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/go-logr/logr"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
@@ -52,7 +52,7 @@
 func TestP10AnUnchangedListKeepsWhatItShowed(t *testing.T) {
 	c := startControl(t)
 	defer c.Stop()
-	l := platform.Listing{AsOf: 1_000_000, Instances: []platform.Instance{
+	l := backoffice.Listing{AsOf: 1_000_000, Instances: []backoffice.Instance{
 		{Name: "engine-a", Role: catalogue.RoleEngine, Zone: "zone-a"},
 		{Name: "engine-b", Role: catalogue.RoleEngine, Zone: "zone-b", Leaving: true},
 	}}
--- a/pkg/house/gossip.go
+++ b/pkg/house/gossip.go
@@ -7,10 +7,10 @@
 	"slices"
 	"strconv"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/caravan"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/concierge"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/tasting"
 )
 
@@ -142,7 +142,7 @@
 
 // hasUpstream tells whether the list shows the upstream.
 func (c *Control) hasUpstream(upstream string) bool {
-	return slices.ContainsFunc(c.upstreams, func(i platform.Instance) bool { return i.Name == upstream })
+	return slices.ContainsFunc(c.upstreams, func(i backoffice.Instance) bool { return i.Name == upstream })
 }
 
 func (c *Control) decode(item *caravan.Item, v any) bool {
--- a/pkg/house/house.go
+++ b/pkg/house/house.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"carawayknot.example/carawayknot/pkg/archive"
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/caravan"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
@@ -18,7 +19,6 @@
 	"carawayknot.example/carawayknot/pkg/desk"
 	"carawayknot.example/carawayknot/pkg/guestbook"
 	"carawayknot.example/carawayknot/pkg/ledger"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/reservation"
 	"carawayknot.example/carawayknot/pkg/settings"
 	"carawayknot.example/carawayknot/pkg/tasting"
@@ -33,7 +33,7 @@
 	log       Log
 	list      List
 	ratings   Ratings
-	engines   *platform.Engines
+	engines   *backoffice.Engines
 	control   *Control
 	network   *caravan.Network
 	exchange  *caravan.Exchange
--- a/pkg/house/line.go
+++ b/pkg/house/line.go
@@ -1,11 +1,11 @@
 package house
 
 import (
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/concierge"
 	"carawayknot.example/carawayknot/pkg/courier"
 	"carawayknot.example/carawayknot/pkg/desk"
 	"carawayknot.example/carawayknot/pkg/enquiry"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/tariff"
 )
 
@@ -82,6 +82,6 @@
 	h.metrics.Observe(s)
 }
 
-func (h *House) rated(r platform.Rating) {
+func (h *House) rated(r backoffice.Rating) {
 	h.control.Tell(&verdictGiven{Rating: r})
 }
--- a/pkg/house/loops.go
+++ b/pkg/house/loops.go
@@ -8,9 +8,9 @@
 	"github.com/cockroachdb/errors"
 
 	"carawayknot.example/carawayknot/pkg/archive"
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 const (
@@ -30,18 +30,18 @@
 // Log is the log service as the daemon needs it.
 type Log interface {
 	Append(ctx context.Context, stream string, records [][]byte) (int64, error)
-	Read(ctx context.Context, stream string, from int64, limit int, wait clock.Millis) (platform.Batch, error)
+	Read(ctx context.Context, stream string, from int64, limit int, wait clock.Millis) (backoffice.Batch, error)
 }
 
 // List is the list of instances as the daemon needs it.
 type List interface {
-	Instances(ctx context.Context) (platform.Listing, error)
+	Instances(ctx context.Context) (backoffice.Listing, error)
 }
 
 // Ratings is the service that rates answers as the daemon needs it.
 type Ratings interface {
-	Ratings(ctx context.Context, from int64, limit int) (platform.RatingBatch, error)
-	Rate(ctx context.Context, r platform.RateRequest) (float64, error)
+	Ratings(ctx context.Context, from int64, limit int) (backoffice.RatingBatch, error)
+	Rate(ctx context.Context, r backoffice.RateRequest) (float64, error)
 }
 
 // every calls f in each period until ctx ends, with a growing pause after failures.
@@ -80,8 +80,8 @@
 	}
 	sentAt := h.Common.Clock.Now()
 	b, err := h.log.Read(ctx, catalogue.StreamName, from, readLimit, h.Common.Settings.Times.LogWait)
-	var trimmed *platform.TrimmedError
-	var ahead *platform.AheadError
+	var trimmed *backoffice.TrimmedError
+	var ahead *backoffice.AheadError
 	switch {
 	case errors.As(err, &trimmed):
 		return c.Do(ctx, func() { c.Journal.TakeTrimmed(trimmed); c.renew() })
@@ -93,7 +93,7 @@
 	return h.foldConfig(ctx, sentAt, b)
 }
 
-func (h *House) foldConfig(ctx context.Context, sentAt clock.Millis, b platform.Batch) error {
+func (h *House) foldConfig(ctx context.Context, sentAt clock.Millis, b backoffice.Batch) error {
 	c := h.control
 	var took error
 	var record []byte
--- a/pkg/house/message.go
+++ b/pkg/house/message.go
@@ -1,9 +1,9 @@
 package house
 
 import (
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/enquiry"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 // run asks the control thread to call F; Done is closed after it.
@@ -15,25 +15,25 @@
 // listRead carries the list of instances; SentAt is the monotonic time before the read was sent.
 type listRead struct {
 	SentAt  clock.Millis
-	Listing platform.Listing
+	Listing backoffice.Listing
 }
 
 // loadRead carries the load report of an upstream, read at the monotonic time At.
 type loadRead struct {
 	Name        string
 	Incarnation int64
-	Report      platform.LoadReport
+	Report      backoffice.LoadReport
 	At          clock.Millis
 }
 
 // ratingsRead carries late ratings.
 type ratingsRead struct {
-	Ratings []platform.Rating
+	Ratings []backoffice.Rating
 }
 
 // verdictGiven carries the verdict on a cascade's answer.
 type verdictGiven struct {
-	Rating platform.Rating
+	Rating backoffice.Rating
 }
 
 // sampleTaken carries what an attempt at an upstream showed.
--- a/pkg/house/metrics.go
+++ b/pkg/house/metrics.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/cockroachdb/errors"
 
-	"carawayknot.example/carawayknot/pkg/platform"
+	"carawayknot.example/carawayknot/pkg/backoffice"
 )
 
 // registerMetrics adds what the parts of a daemon spend and hold.
@@ -44,7 +44,7 @@
 
 // oldestKept returns the first offset that the log keeps, when err says that older ones are dropped.
 func oldestKept(err error) (int64, bool) {
-	var trimmed *platform.TrimmedError
+	var trimmed *backoffice.TrimmedError
 	if !errors.As(err, &trimmed) {
 		return 0, false
 	}
--- a/pkg/house/probe.go
+++ b/pkg/house/probe.go
@@ -7,12 +7,12 @@
 
 	"github.com/google/uuid"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/concierge"
 	"carawayknot.example/carawayknot/pkg/courier"
 	"carawayknot.example/carawayknot/pkg/enquiry"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
@@ -37,7 +37,7 @@
 
 // Loads reads the load reports of upstreams.
 type Loads interface {
-	Load(ctx context.Context, address string) (platform.LoadReport, error)
+	Load(ctx context.Context, address string) (backoffice.LoadReport, error)
 }
 
 // Round begins a probe of each idle cold upstream and waits for none, since a silent one would hold up the others.
--- a/pkg/house/probe_test.go
+++ b/pkg/house/probe_test.go
@@ -11,11 +11,11 @@
 	"github.com/go-logr/logr"
 	"github.com/google/go-cmp/cmp"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/concierge"
 	"carawayknot.example/carawayknot/pkg/enquiry"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
@@ -28,15 +28,15 @@
 }
 
 // Load reads a load report.
-func (l *silentLoads) Load(ctx context.Context, address string) (platform.LoadReport, error) {
+func (l *silentLoads) Load(ctx context.Context, address string) (backoffice.LoadReport, error) {
 	l.mu.Lock()
 	l.asked[address]++
 	l.mu.Unlock()
 	if address == l.silent {
 		<-ctx.Done()
-		return platform.LoadReport{}, context.Cause(ctx)
+		return backoffice.LoadReport{}, context.Cause(ctx)
 	}
-	return platform.LoadReport{Bearable: 8}, ctx.Err()
+	return backoffice.LoadReport{Bearable: 8}, ctx.Err()
 }
 
 // A cold upstream that takes connections and never answers must not keep the others cold.
--- a/pkg/house/publish.go
+++ b/pkg/house/publish.go
@@ -4,9 +4,9 @@
 	"cmp"
 	"slices"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 // publish makes a new snapshot of the whole control state.
@@ -42,7 +42,7 @@
 }
 
 // upstream joins what the list, the configuration, the reports and the own samples say of an upstream.
-func (c *Control) upstream(i *platform.Instance, s *catalogue.Snapshot, now clock.Millis) *catalogue.Upstream {
+func (c *Control) upstream(i *backoffice.Instance, s *catalogue.Snapshot, now clock.Millis) *catalogue.Upstream {
 	u := &catalogue.Upstream{
 		Name:        i.Name,
 		Role:        i.Role,
--- a/pkg/house/verify.go
+++ b/pkg/house/verify.go
@@ -4,8 +4,8 @@
 	"context"
 	"sync"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
@@ -21,14 +21,14 @@
 	Common settings.Common
 	Rater  Ratings
 	// Rated is told each verdict.
-	Rated func(platform.Rating)
+	Rated func(backoffice.Rating)
 
 	mu   sync.Mutex
 	busy int
 }
 
 // Verify has the answer rated in the background, unless many are being rated.
-func (v *Verifier) Verify(r platform.RateRequest) {
+func (v *Verifier) Verify(r backoffice.RateRequest) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.busy >= verifyLimit {
@@ -38,7 +38,7 @@
 	go v.rate(r)
 }
 
-func (v *Verifier) rate(r platform.RateRequest) {
+func (v *Verifier) rate(r backoffice.RateRequest) {
 	defer func() {
 		v.mu.Lock()
 		defer v.mu.Unlock()
@@ -51,5 +51,5 @@
 		v.Common.Log.WithName("verify").V(1).Info("answer not rated", "request", r.RequestID, "why", err.Error())
 		return
 	}
-	v.Rated(platform.Rating{RequestID: r.RequestID, Version: r.Version, Task: r.Task, Score: score})
+	v.Rated(backoffice.Rating{RequestID: r.RequestID, Version: r.Version, Task: r.Task, Score: score})
 }
--- a/pkg/ledger/batcher.go
+++ b/pkg/ledger/batcher.go
@@ -8,8 +8,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"golang.org/x/time/rate"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
@@ -147,7 +147,7 @@
 			break
 		}
 	}
-	return 0, &platform.UnavailableError{Service: "log", Unknown: p.sent, Cause: cause}
+	return 0, &backoffice.UnavailableError{Service: "log", Unknown: p.sent, Cause: cause}
 }
 
 // Run appends what callers hand in until ctx ends.
--- a/pkg/ledger/batcher_test.go
+++ b/pkg/ledger/batcher_test.go
@@ -12,9 +12,9 @@
 	"github.com/go-logr/logr"
 	"github.com/google/go-cmp/cmp"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
+	"carawayknot.example/carawayknot/pkg/backoffice/fake"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
-	"carawayknot.example/carawayknot/pkg/platform/fake"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
@@ -221,7 +221,7 @@
 			}
 		}
 		var got []string
-		note := func(_ clock.Millis, b platform.Batch) {
+		note := func(_ clock.Millis, b backoffice.Batch) {
 			line := fmt.Sprintf("%d entries, oldest %d, end %d", len(b.Entries), b.Oldest, b.End)
 			if len(got) == 0 || got[len(got)-1] != line {
 				got = append(got, line)
--- a/pkg/ledger/bench_test.go
+++ b/pkg/ledger/bench_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/google/uuid"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/enquiry"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 func chatBill(b *testing.B) *Bill {
@@ -33,7 +33,7 @@
 				if f.Remembered() == window {
 					f = &Fold{next: offset}
 				}
-				f.Add(platform.Entry{Offset: offset, At: l.At, Data: data})
+				f.Add(backoffice.Entry{Offset: offset, At: l.At, Data: data})
 				offset++
 			}
 			b.ReportMetric(float64(size), "log-B/bill")
--- a/pkg/ledger/bill_test.go
+++ b/pkg/ledger/bill_test.go
@@ -13,11 +13,11 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
+	"carawayknot.example/carawayknot/pkg/backoffice/fake"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/enquiry"
-	"carawayknot.example/carawayknot/pkg/platform"
-	"carawayknot.example/carawayknot/pkg/platform/fake"
 )
 
 // office is a log and three instances of two availability zones that hold bills for one another.
@@ -408,7 +408,7 @@
 		return data
 	}
 	f := &Fold{Window: 10 * minute}
-	entries := []platform.Entry{
+	entries := []backoffice.Entry{
 		{Offset: 0, At: 100 * minute, Data: bill("r1", 100*minute)},
 		{Offset: 1, At: 105 * minute, Data: bill("r1", 100*minute)},
 		{Offset: 1, At: 105 * minute, Data: bill("r2", 105*minute)}, // an offset again
--- a/pkg/ledger/errors.go
+++ b/pkg/ledger/errors.go
@@ -5,8 +5,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 // FullError says that a bounded queue has no room; nothing was appended.
@@ -50,8 +50,8 @@
 		full        *FullError
 		down        *DownError
 		closed      *ClosedError
-		unavailable *platform.UnavailableError
-		status      *platform.StatusError
+		unavailable *backoffice.UnavailableError
+		status      *backoffice.StatusError
 	)
 	if errors.As(err, &full) || errors.As(err, &down) || errors.As(err, &closed) {
 		return false
--- a/pkg/ledger/fold.go
+++ b/pkg/ledger/fold.go
@@ -3,9 +3,9 @@
 import (
 	"container/list"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 // defaultWindow is how long after the end of a request its bill may come a second time, in milliseconds.
@@ -46,7 +46,7 @@
 }
 
 // Add folds one entry and tells whether it was counted in a total.
-func (f *Fold) Add(e platform.Entry) bool {
+func (f *Fold) Add(e backoffice.Entry) bool {
 	if e.Offset < f.next {
 		return false
 	}
--- a/pkg/ledger/tail.go
+++ b/pkg/ledger/tail.go
@@ -5,8 +5,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
@@ -19,7 +19,7 @@
 
 // Reader is the log service as a Tail needs it.
 type Reader interface {
-	Read(ctx context.Context, stream string, from int64, limit int, wait clock.Millis) (platform.Batch, error)
+	Read(ctx context.Context, stream string, from int64, limit int, wait clock.Millis) (backoffice.Batch, error)
 }
 
 // Tail follows one stream of the log.
@@ -37,7 +37,7 @@
 // A batch that goes up to its End proves that the stream was read to its end as of that time. An Oldest above the
 // expected offset shows that records were trimmed unread, and an End below it that the log lost its tail. Outages are
 // waited out with back-off; Run ends with ctx.
-func (t *Tail) Run(ctx context.Context, take func(sentAt clock.Millis, b platform.Batch)) error {
+func (t *Tail) Run(ctx context.Context, take func(sentAt clock.Millis, b backoffice.Batch)) error {
 	log := t.Common.Log.WithName("ledger")
 	pause := newBackOff()
 	for ctx.Err() == nil {
@@ -69,7 +69,7 @@
 	return nil
 }
 
-func (t *Tail) read(ctx context.Context) (platform.Batch, error) {
+func (t *Tail) read(ctx context.Context) (backoffice.Batch, error) {
 	var wait clock.Millis
 	if t.atEnd {
 		wait = t.Common.Settings.Times.LogWait
@@ -80,18 +80,18 @@
 }
 
 // move goes to an offset that the log has when err says that it doesn't have the next one.
-func (t *Tail) move(err error) (platform.Batch, bool) {
+func (t *Tail) move(err error) (backoffice.Batch, bool) {
 	var (
-		trimmed *platform.TrimmedError
-		ahead   *platform.AheadError
+		trimmed *backoffice.TrimmedError
+		ahead   *backoffice.AheadError
 	)
 	switch {
 	case errors.As(err, &trimmed) && trimmed.Oldest > t.From:
 		t.From = trimmed.Oldest
-		return platform.Batch{Oldest: trimmed.Oldest, End: max(trimmed.End, trimmed.Oldest)}, true
+		return backoffice.Batch{Oldest: trimmed.Oldest, End: max(trimmed.End, trimmed.Oldest)}, true
 	case errors.As(err, &ahead) && ahead.End < t.From:
 		t.From = ahead.End
-		return platform.Batch{Oldest: ahead.Oldest, End: ahead.End}, true
+		return backoffice.Batch{Oldest: ahead.Oldest, End: ahead.End}, true
 	}
-	return platform.Batch{}, false
+	return backoffice.Batch{}, false
 }
--- a/pkg/ledger/workspace_test.go
+++ b/pkg/ledger/workspace_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"carawayknot.example/carawayknot/pkg/platform"
+	"carawayknot.example/carawayknot/pkg/backoffice"
 )
 
 // Callers choose the ids of their requests, so that those of two workspaces may be the same.
@@ -22,7 +22,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		f.Add(platform.Entry{Offset: int64(n), Data: data})
+		f.Add(backoffice.Entry{Offset: int64(n), Data: data})
 		if err := k.Hold(&HoldArgs{Bills: []*Bill{l}}, &HoldReply{}); err != nil {
 			t.Fatal(err)
 		}
--- a/pkg/platform/doc.go
+++ /dev/null
@@ -1,3 +0,0 @@
-// Package platform has the clients of the platform's services: log, list of instances, ratings, weight store and the
-// control side of model engines. docs/PLATFORM.md has the protocols.
-package platform
--- a/pkg/proctest/daemon.go
+++ b/pkg/proctest/daemon.go
@@ -14,9 +14,9 @@
 	"testing"
 	"time"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
@@ -83,7 +83,7 @@
 // Enlist puts the daemon on the list, leaving or not.
 func (d *Daemon) Enlist(leaving bool) {
 	d.set.T.Helper()
-	d.set.List.List(platform.Instance{
+	d.set.List.List(backoffice.Instance{
 		Name:        d.Settings.Name,
 		Role:        catalogue.RoleEntry,
 		Address:     d.Settings.CallerAddress,
@@ -146,7 +146,7 @@
 
 // serveList shows the daemon the list, with its own relays as the addresses of its peers.
 func (d *Daemon) serveList(w http.ResponseWriter, r *http.Request) {
-	listing, err := (&platform.List{BaseURL: d.set.List.URL()}).Instances(r.Context())
+	listing, err := (&backoffice.List{BaseURL: d.set.List.URL()}).Instances(r.Context())
 	if err != nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/pkg/proctest/logged.go
+++ b/pkg/proctest/logged.go
@@ -6,23 +6,23 @@
 
 	"github.com/cockroachdb/errors"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 // Records returns all that the log keeps of a stream, oldest first.
-func (s *Set) Records(stream string) []platform.Entry {
+func (s *Set) Records(stream string) []backoffice.Entry {
 	s.T.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), readyTime)
 	defer cancel()
-	l := &platform.Log{BaseURL: s.Log.URL()}
+	l := &backoffice.Log{BaseURL: s.Log.URL()}
 	oldest, err := l.Read(ctx, stream, 0, 1, 0)
 	from := oldest.Oldest
-	var trimmed *platform.TrimmedError
+	var trimmed *backoffice.TrimmedError
 	if errors.As(err, &trimmed) {
 		from = trimmed.Oldest
 	}
-	var out []platform.Entry
+	var out []backoffice.Entry
 	for {
 		b, err := l.Read(ctx, stream, from, 1000, 0)
 		if err != nil {
@@ -55,7 +55,7 @@
 	if err != nil {
 		s.T.Fatal(err)
 	}
-	l := &platform.Log{BaseURL: s.Log.URL()}
+	l := &backoffice.Log{BaseURL: s.Log.URL()}
 	if _, err := l.Append(s.T.Context(), catalogue.StreamName, [][]byte{raw}); err != nil {
 		s.T.Fatal(err)
 	}
--- a/pkg/proctest/set.go
+++ b/pkg/proctest/set.go
@@ -6,8 +6,8 @@
 	"path/filepath"
 	"testing"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/settings"
 	"carawayknot.example/carawayknot/pkg/standin"
 )
@@ -137,7 +137,7 @@
 // EnlistEngine puts an engine on the list, leaving or not.
 func (s *Set) EnlistEngine(u Upstream, leaving bool) {
 	s.T.Helper()
-	s.List.List(platform.Instance{
+	s.List.List(backoffice.Instance{
 		Name: u.Name, Role: catalogue.RoleEngine, Address: s.Upstreams[u.Name].Address, Zone: u.Zone,
 		Incarnation: 1, Leaving: leaving, Versions: u.Faults.(standin.EngineFaults).Versions,
 	})
@@ -146,7 +146,7 @@
 func (s *Set) addService(u Upstream) {
 	s.T.Helper()
 	s.Upstreams[u.Name] = StartStandIn(s.T, "service", u.Name, u.Faults)
-	s.List.List(platform.Instance{
+	s.List.List(backoffice.Instance{
 		Name: u.Name, Role: catalogue.RoleService, Address: s.Upstreams[u.Name].Address, Zone: u.Zone,
 		Incarnation: 1, Service: ServiceName,
 	})
--- a/pkg/proctest/standin.go
+++ b/pkg/proctest/standin.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"carawayknot.example/carawayknot/pkg/platform"
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/standin"
 )
 
@@ -92,7 +92,7 @@
 }
 
 // List puts an instance on the list.
-func (s *StandIn) List(in platform.Instance) {
+func (s *StandIn) List(in backoffice.Instance) {
 	s.t.Helper()
 	s.do(http.MethodPut, "/instances/"+in.Name, in, nil)
 }
--- a/pkg/reservation/bench_test.go
+++ b/pkg/reservation/bench_test.go
@@ -13,10 +13,10 @@
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/enquiry"
 	"carawayknot.example/carawayknot/pkg/ledger"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
@@ -44,7 +44,7 @@
 			table := Table{Skew: 1 << 40, MaxAge: 1 << 40, MaxKeys: live, MaxAnswerBytes: 1 << 40}
 			offset, size := int64(0), 0
 			fold := func(data []byte) {
-				table.Fold(platform.Entry{Offset: offset, At: clock.Millis(offset), Data: data}, 1)
+				table.Fold(backoffice.Entry{Offset: offset, At: clock.Millis(offset), Data: data}, 1)
 				offset++
 			}
 			before := heapBytes()
--- a/pkg/reservation/book.go
+++ b/pkg/reservation/book.go
@@ -6,9 +6,9 @@
 
 	"github.com/google/uuid"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/ledger"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
@@ -44,7 +44,7 @@
 
 // Follower hands over the claims stream from its start on; *ledger.Tail is one.
 type Follower interface {
-	Run(ctx context.Context, take func(sentAt clock.Millis, b platform.Batch)) error
+	Run(ctx context.Context, take func(sentAt clock.Millis, b backoffice.Batch)) error
 }
 
 // Book holds the claims of one stream and lets the request of each key run at most once; it is safe for concurrent use.
@@ -121,7 +121,7 @@
 }
 
 // take folds one batch of the stream.
-func (b *Book) take(sentAt clock.Millis, batch platform.Batch) {
+func (b *Book) take(sentAt clock.Millis, batch backoffice.Batch) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.Common.Clock.Now()
@@ -142,7 +142,7 @@
 	}
 }
 
-func (b *Book) fold(e platform.Entry, now clock.Millis) {
+func (b *Book) fold(e backoffice.Entry, now clock.Millis) {
 	r := b.table.Fold(e, now)
 	switch {
 	case r.Claim != nil:
--- a/pkg/reservation/sim_test.go
+++ b/pkg/reservation/sim_test.go
@@ -12,11 +12,11 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
+	"carawayknot.example/carawayknot/pkg/backoffice/fake"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/enquiry"
 	"carawayknot.example/carawayknot/pkg/ledger"
-	"carawayknot.example/carawayknot/pkg/platform"
-	"carawayknot.example/carawayknot/pkg/platform/fake"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
@@ -63,7 +63,7 @@
 
 func (s *sim) end() int64 {
 	b, err := s.log.Read(context.Background(), StreamName, 0, 1, 0)
-	var trimmed *platform.TrimmedError
+	var trimmed *backoffice.TrimmedError
 	if errors.As(err, &trimmed) {
 		return trimmed.End
 	}
@@ -155,8 +155,10 @@
 
 var errBroken = errors.New("connection broke")
 
-func lost() error       { return &platform.UnavailableError{Service: "log", Unknown: true, Cause: errBroken} }
-func refused() error    { return &platform.UnavailableError{Service: "log", Cause: errBroken} }
+func lost() error {
+	return &backoffice.UnavailableError{Service: "log", Unknown: true, Cause: errBroken}
+}
+func refused() error    { return &backoffice.UnavailableError{Service: "log", Cause: errBroken} }
 func (s *sim) lag() int { return 1 + s.roll(8, "lag") }
 
 // fault is a failure of one append.
@@ -220,16 +222,16 @@
 }
 
 // Read is the log as this instance reaches it.
-func (i *instance) Read(ctx context.Context, _ string, from int64, limit int, wait clock.Millis) (platform.Batch, error) {
+func (i *instance) Read(ctx context.Context, _ string, from int64, limit int, wait clock.Millis) (backoffice.Batch, error) {
 	i.reads++
 	i.sim.sleep(i.sim.lag())
 	if !i.gate() || i.deaf.Load() || i.sim.roll(100, "read %s %d", i.name, i.reads) < i.sim.chaos/2 {
-		return platform.Batch{}, refused()
+		return backoffice.Batch{}, refused()
 	}
 	b, err := i.sim.log.Read(ctx, StreamName, from, limit, wait)
 	i.sim.sleep(i.sim.lag())
 	if !i.gate() {
-		return platform.Batch{}, refused()
+		return backoffice.Batch{}, refused()
 	}
 	return b, err
 }
--- a/pkg/reservation/table.go
+++ b/pkg/reservation/table.go
@@ -3,8 +3,8 @@
 import (
 	"container/heap"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 // Slot is what the stream says of one key.
@@ -44,7 +44,7 @@
 }
 
 // Fold takes one entry and returns its record.
-func (t *Table) Fold(e platform.Entry, readAt clock.Millis) *Record {
+func (t *Table) Fold(e backoffice.Entry, readAt clock.Millis) *Record {
 	if e.Offset < t.next {
 		return &Record{}
 	}
@@ -103,7 +103,7 @@
 
 func (t *Table) raise(floor clock.Millis) { t.floor = max(t.floor, floor) }
 
-func (t *Table) foldClaim(c *Claim, e platform.Entry, readAt clock.Millis) {
+func (t *Table) foldClaim(c *Claim, e backoffice.Entry, readAt clock.Millis) {
 	if c.KeyAt > e.At+t.Skew || c.ID == "" || c.Key == "" {
 		return
 	}
--- a/pkg/reservation/table_test.go
+++ b/pkg/reservation/table_test.go
@@ -9,8 +9,8 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 func TestMain(m *testing.M) {
@@ -97,7 +97,7 @@
 				if err != nil {
 					rt.Fatal(err)
 				}
-				e := platform.Entry{Offset: offset, At: at, Data: data}
+				e := backoffice.Entry{Offset: offset, At: at, Data: data}
 				table.Fold(e, at)
 				table.Fold(e, at)
 			}
@@ -138,7 +138,7 @@
 	f.Fuzz(func(t *testing.T, first, second []byte) {
 		table := Table{Skew: 5, MaxAge: 100, MaxKeys: 1, MaxAnswerBytes: 10}
 		for offset, data := range [][]byte{first, second, first} {
-			table.Fold(platform.Entry{Offset: int64(offset), At: 1000, Data: data}, 1)
+			table.Fold(backoffice.Entry{Offset: int64(offset), At: 1000, Data: data}, 1)
 		}
 		if table.Len() > 1 || table.answerBytes > 10 || table.Next() != 3 {
 			t.Errorf("%d keys, %d bytes of answers, next offset %d", table.Len(), table.answerBytes, table.Next())
--- a/pkg/standin/cancel_test.go
+++ b/pkg/standin/cancel_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 func TestEngineCancel(t *testing.T) {
@@ -46,7 +46,7 @@
 				t.Errorf("first event (-want +got):\n%s", diff)
 			}
 			address := strings.TrimPrefix(srv.URL, "http://")
-			if err := (&platform.Engines{}).Cancel(t.Context(), address, "r", c.keep); err != nil {
+			if err := (&backoffice.Engines{}).Cancel(t.Context(), address, "r", c.keep); err != nil {
 				t.Fatal(err)
 			}
 			if _, err := io.ReadAll(resp.Body); err == nil {
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -7,10 +7,10 @@
 	"strings"
 	"sync"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
+	"carawayknot.example/carawayknot/pkg/backoffice/fake"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
-	"carawayknot.example/carawayknot/pkg/platform/fake"
 )
 
 // EngineFaults are the properties and switches of an engine.
@@ -74,8 +74,8 @@
 	stats     EngineStats
 	starts    []Start
 	orders    fake.OrderBook
-	events    []platform.CacheEvent
-	report    platform.LoadReport
+	events    []backoffice.CacheEvent
+	report    backoffice.LoadReport
 	reportAt  clock.Millis
 }
 
--- a/pkg/standin/enginecontrol.go
+++ b/pkg/standin/enginecontrol.go
@@ -7,9 +7,9 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 const (
@@ -81,7 +81,7 @@
 	if seq%eventGap == 0 {
 		return
 	}
-	e.events = append(e.events, platform.CacheEvent{Seq: seq, Prefix: xxhash.Sum64String(prompt)})
+	e.events = append(e.events, backoffice.CacheEvent{Seq: seq, Prefix: xxhash.Sum64String(prompt)})
 	if n := len(e.events) - defaultMax; n > 0 {
 		e.events = e.events[n:]
 	}
@@ -106,7 +106,7 @@
 }
 
 // Orders returns the orders that the engine took, each once.
-func (e *Engine) Orders() []platform.Order { return e.orders.Orders() }
+func (e *Engine) Orders() []backoffice.Order { return e.orders.Orders() }
 
 func (e *Engine) becomeCold(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
@@ -139,7 +139,7 @@
 	e.sweep(now)
 	if e.reportAt == 0 || now-e.reportAt >= f.LagMillis {
 		cold := f.cold(now - e.coldSince)
-		e.report = platform.LoadReport{
+		e.report = backoffice.LoadReport{
 			InFlight:       e.stats.InFlight,
 			Bearable:       f.limit(cold && !f.HideCold),
 			Cold:           cold && !f.HideCold,
@@ -156,7 +156,7 @@
 	from := number(r, "from", 0)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	out := platform.CacheEvents{Next: int64(e.stats.Requests) + 1}
+	out := backoffice.CacheEvents{Next: int64(e.stats.Requests) + 1}
 	for _, ev := range e.events {
 		if ev.Seq >= from {
 			out.Events = append(out.Events, ev)
@@ -166,12 +166,12 @@
 }
 
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
-	var o platform.Order
+	var o backoffice.Order
 	if !readJSON(w, r, &o) {
 		return
 	}
 	added, err := e.orders.Take(o, e.Switches.Get().IgnoreFence)
-	var fenced *platform.FencedError
+	var fenced *backoffice.FencedError
 	if errors.As(err, &fenced) {
 		writeJSON(w, http.StatusConflict, struct{ Newest int64 }{fenced.Newest})
 		return
@@ -183,14 +183,14 @@
 }
 
 // obey carries out an order.
-func (e *Engine) obey(o platform.Order) {
+func (e *Engine) obey(o backoffice.Order) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch o.Kind {
-	case platform.OrderLoad:
+	case backoffice.OrderLoad:
 		e.coldSince = realClock.Now()
 		e.setVersion(o.Version, true)
-	case platform.OrderUnload:
+	case backoffice.OrderUnload:
 		e.setVersion(o.Version, false)
 	}
 }
--- a/pkg/standin/job.go
+++ b/pkg/standin/job.go
@@ -10,9 +10,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"carawayknot.example/carawayknot/pkg/backoffice/fake"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform/fake"
 )
 
 const (
--- a/pkg/standin/list.go
+++ b/pkg/standin/list.go
@@ -7,9 +7,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
+	"carawayknot.example/carawayknot/pkg/backoffice/fake"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
-	"carawayknot.example/carawayknot/pkg/platform/fake"
 )
 
 // ListFaults are the switches of the list.
@@ -50,7 +50,7 @@
 }
 
 // Put adds or replaces an instance.
-func (l *List) Put(in platform.Instance) { l.store.Put(in) }
+func (l *List) Put(in backoffice.Instance) { l.store.Put(in) }
 
 // Remove drops an instance.
 func (l *List) Remove(name string) { l.store.Remove(name) }
@@ -68,7 +68,7 @@
 	}
 	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(raw), 16))
 	w.Header().Set("ETag", tag)
-	w.Header().Set(platform.AsOfHeader, strconv.FormatInt(int64(listing.AsOf), 10))
+	w.Header().Set(backoffice.AsOfHeader, strconv.FormatInt(int64(listing.AsOf), 10))
 	if r.Header.Get("If-None-Match") == tag {
 		w.WriteHeader(http.StatusNotModified)
 		return
@@ -77,7 +77,7 @@
 }
 
 func (l *List) put(w http.ResponseWriter, r *http.Request) {
-	var in platform.Instance
+	var in backoffice.Instance
 	if !readJSON(w, r, &in) {
 		return
 	}
--- a/pkg/standin/log.go
+++ b/pkg/standin/log.go
@@ -7,9 +7,9 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
+	"carawayknot.example/carawayknot/pkg/backoffice/fake"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
-	"carawayknot.example/carawayknot/pkg/platform/fake"
 )
 
 // LogFaults are the switches of the log.
@@ -46,7 +46,7 @@
 }
 
 func (l *Log) append(w http.ResponseWriter, r *http.Request) {
-	var in platform.AppendRequest
+	var in backoffice.AppendRequest
 	if !readJSON(w, r, &in) {
 		return
 	}
@@ -61,7 +61,7 @@
 		refuse(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
-	writeJSON(w, http.StatusOK, platform.AppendReply{First: first})
+	writeJSON(w, http.StatusOK, backoffice.AppendReply{First: first})
 }
 
 func (l *Log) allow(perSecond float64) bool {
@@ -87,15 +87,15 @@
 	limit := int(max(1, number(r, "max", defaultMax)))
 	pause := min(maxWait, clock.Millis(number(r, "wait", 0)))
 	b, err := l.store.Read(r.Context(), r.PathValue("stream"), number(r, "from", 0), limit, pause)
-	var trimmed *platform.TrimmedError
-	var ahead *platform.AheadError
+	var trimmed *backoffice.TrimmedError
+	var ahead *backoffice.AheadError
 	switch {
 	case l.Switches.Get().Down:
 		refuse(w, http.StatusServiceUnavailable, "down")
 	case errors.As(err, &trimmed):
-		writeJSON(w, http.StatusGone, platform.Batch{Oldest: trimmed.Oldest, End: trimmed.End})
+		writeJSON(w, http.StatusGone, backoffice.Batch{Oldest: trimmed.Oldest, End: trimmed.End})
 	case errors.As(err, &ahead):
-		writeJSON(w, http.StatusConflict, platform.Batch{Oldest: ahead.Oldest, End: ahead.End})
+		writeJSON(w, http.StatusConflict, backoffice.Batch{Oldest: ahead.Oldest, End: ahead.End})
 	case err != nil:
 		refuse(w, http.StatusServiceUnavailable, err.Error())
 	default:
--- a/pkg/standin/new.go
+++ b/pkg/standin/new.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"carawayknot.example/carawayknot/pkg/platform/fake"
+	"carawayknot.example/carawayknot/pkg/backoffice/fake"
 )
 
 // reportTimeout bounds telling the ratings stand-in of an answer.
--- a/pkg/standin/ratings.go
+++ b/pkg/standin/ratings.go
@@ -3,8 +3,8 @@
 import (
 	"net/http"
 
-	"carawayknot.example/carawayknot/pkg/platform"
-	"carawayknot.example/carawayknot/pkg/platform/fake"
+	"carawayknot.example/carawayknot/pkg/backoffice"
+	"carawayknot.example/carawayknot/pkg/backoffice/fake"
 )
 
 const (
@@ -68,7 +68,7 @@
 }
 
 func (s *Ratings) rate(w http.ResponseWriter, r *http.Request) {
-	var in platform.RateRequest
+	var in backoffice.RateRequest
 	if !readJSON(w, r, &in) {
 		return
 	}
@@ -77,5 +77,5 @@
 		refuse(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
-	writeJSON(w, http.StatusOK, platform.RateReply{Score: score})
+	writeJSON(w, http.StatusOK, backoffice.RateReply{Score: score})
 }
--- a/pkg/standin/service.go
+++ b/pkg/standin/service.go
@@ -8,8 +8,8 @@
 	"strings"
 	"sync"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 // Place names where a service breaks the connection.
@@ -106,7 +106,7 @@
 }
 
 func (s *Service) load(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, platform.LoadReport{InFlight: s.Runs().Active, Bearable: s.Switches.Get().Bearable})
+	writeJSON(w, http.StatusOK, backoffice.LoadReport{InFlight: s.Runs().Active, Bearable: s.Switches.Get().Bearable})
 }
 
 // breaks tells whether the connection breaks at the place now, and counts it.
--- a/pkg/tariff/choose.go
+++ b/pkg/tariff/choose.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/enquiry"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
@@ -31,7 +31,7 @@
 
 // Rater gives a verdict on an answer at once.
 type Rater interface {
-	Rate(ctx context.Context, r platform.RateRequest) (float64, error)
+	Rate(ctx context.Context, r backoffice.RateRequest) (float64, error)
 }
 
 // Room is the memory that one held answer takes up.
@@ -49,11 +49,11 @@
 	Pins     Pins
 	Rater    Rater
 	// Rated, if set, is told each verdict on a cascade's answer.
-	Rated func(platform.Rating)
+	Rated func(backoffice.Rating)
 	// Open, if set, opens the room for an answer that is held until it is rated.
 	Open func() Room
 	// Verify, if set, is given each answer of a roll-out's new version, to have it rated at once; it must not wait.
-	Verify func(platform.RateRequest)
+	Verify func(backoffice.RateRequest)
 }
 
 // Filter sets the version of the call and passes it on, once a step of the plan.
@@ -202,7 +202,7 @@
 		return 0, err
 	}
 	if f.Rated != nil {
-		f.Rated(platform.Rating{RequestID: c.SentID(), Version: step.Version.ID, Task: c.Profile.Task, Score: score})
+		f.Rated(backoffice.Rating{RequestID: c.SentID(), Version: step.Version.ID, Task: c.Profile.Task, Score: score})
 	}
 	return score, nil
 }
@@ -215,8 +215,8 @@
 	return min(rateLimit, max(0, q.Deadline-f.Clock.Now())/ratePart)
 }
 
-func rateRequest(c *enquiry.Call, answer string) platform.RateRequest {
-	return platform.RateRequest{
+func rateRequest(c *enquiry.Call, answer string) backoffice.RateRequest {
+	return backoffice.RateRequest{
 		RequestID: c.SentID(),
 		Version:   c.Version.ID,
 		Task:      c.Profile.Task,
--- a/pkg/tariff/choose_test.go
+++ b/pkg/tariff/choose_test.go
@@ -9,10 +9,10 @@
 	"github.com/go-logr/logr"
 	"github.com/google/go-cmp/cmp"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/enquiry"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
@@ -39,7 +39,7 @@
 	err   error
 }
 
-func (r fakeRater) Rate(context.Context, platform.RateRequest) (float64, error) {
+func (r fakeRater) Rate(context.Context, backoffice.RateRequest) (float64, error) {
 	return r.score, r.err
 }
 
@@ -198,9 +198,9 @@
 		name string
 		held bool
 		pin  catalogue.VersionID
-		want []platform.RateRequest
+		want []backoffice.RateRequest
 	}{
-		{"new version", false, "model-1@2", []platform.RateRequest{{RequestID: "r1", Version: "model-1@2", Task: task, Answer: "model-1@2"}}},
+		{"new version", false, "model-1@2", []backoffice.RateRequest{{RequestID: "r1", Version: "model-1@2", Task: task, Answer: "model-1@2"}}},
 		{"old version", false, "model-1@1", nil},
 		{"held new version", true, "model-1@2", nil},
 	} {
@@ -210,8 +210,8 @@
 			q.Request.Session = "s"
 			f := newChoose(q, nil)
 			f.Pins = &fakePins{pinned: tc.pin}
-			var got []platform.RateRequest
-			f.Verify = func(r platform.RateRequest) { got = append(got, r) }
+			var got []backoffice.RateRequest
+			f.Verify = func(r backoffice.RateRequest) { got = append(got, r) }
 			c := &enquiry.Call{Request: q.Request, Profile: q.Profile, Writer: &shown{}}
 			if err := f.Filter(context.Background(), c, answer("", 0)); err != nil {
 				t.Fatal(err)
--- a/pkg/tariff/rate_test.go
+++ b/pkg/tariff/rate_test.go
@@ -8,16 +8,16 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/enquiry"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 // silentRater takes requests and never answers.
 type silentRater struct{}
 
 // Rate returns once ctx ends.
-func (silentRater) Rate(ctx context.Context, _ platform.RateRequest) (float64, error) {
+func (silentRater) Rate(ctx context.Context, _ backoffice.RateRequest) (float64, error) {
 	<-ctx.Done()
 	return 0, ctx.Err()
 }
--- a/pkg/tasting/book.go
+++ b/pkg/tasting/book.go
@@ -4,9 +4,9 @@
 	"cmp"
 	"slices"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/enquiry"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 const (
@@ -92,7 +92,7 @@
 }
 
 // TakeRatings takes in ratings; those of answers that other instances sent are left to them.
-func (b *Book) TakeRatings(ratings []platform.Rating) {
+func (b *Book) TakeRatings(ratings []backoffice.Rating) {
 	for _, r := range ratings {
 		task, found := b.sent.remove(sentKey{id: r.RequestID, version: r.Version})
 		if !found {
--- a/pkg/tasting/book_test.go
+++ b/pkg/tasting/book_test.go
@@ -8,10 +8,10 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/enquiry"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 const (
@@ -55,7 +55,7 @@
 	for range n {
 		name := f.sample(id, enquiry.ResultComplete, 1100)
 		score := min(1, max(0, mean+deviation*f.rand.NormFloat64()))
-		f.TakeRatings([]platform.Rating{{RequestID: name, Version: id, Task: task, Score: score}})
+		f.TakeRatings([]backoffice.Rating{{RequestID: name, Version: id, Task: task, Score: score}})
 	}
 }
 
@@ -145,10 +145,10 @@
 func TestRatingsCountOnce(t *testing.T) {
 	f := newFeed(rollOut())
 	name := f.sample(oldVersion, enquiry.ResultComplete, 1100)
-	mine := platform.Rating{RequestID: name, Version: oldVersion, Task: task, Score: 0.8}
-	others := platform.Rating{RequestID: "of another instance", Version: oldVersion, Task: task, Score: 0.1}
-	f.TakeRatings([]platform.Rating{mine, others})
-	f.TakeRatings([]platform.Rating{mine, others})
+	mine := backoffice.Rating{RequestID: name, Version: oldVersion, Task: task, Score: 0.8}
+	others := backoffice.Rating{RequestID: "of another instance", Version: oldVersion, Task: task, Score: 0.1}
+	f.TakeRatings([]backoffice.Rating{mine, others})
+	f.TakeRatings([]backoffice.Rating{mine, others})
 	got := f.Health()[catalogue.HealthKey{Version: oldVersion, Task: task}]
 	if diff := cmp.Diff([]float64{1, 0.8}, []float64{float64(got.Rated), got.Mean}); diff != "" {
 		t.Errorf("ratings and mean (-want +got):\n%s", diff)
@@ -159,7 +159,7 @@
 func TestRatingsCountForTheTaskOfTheAnswer(t *testing.T) {
 	f := newFeed(rollOut())
 	name := f.sample(oldVersion, enquiry.ResultComplete, 1100)
-	f.TakeRatings([]platform.Rating{{RequestID: name, Version: oldVersion, Score: 0.8}})
+	f.TakeRatings([]backoffice.Rating{{RequestID: name, Version: oldVersion, Score: 0.8}})
 	got := f.Health()[catalogue.HealthKey{Version: oldVersion, Task: task}]
 	if diff := cmp.Diff([]float64{1, 0.8}, []float64{float64(got.Rated), got.Mean}); diff != "" {
 		t.Errorf("ratings and mean (-want +got):\n%s", diff)
--- a/pkg/trace/engine.go
+++ b/pkg/trace/engine.go
@@ -3,9 +3,9 @@
 import (
 	"slices"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 const (
@@ -47,7 +47,7 @@
 	sends     int
 
 	prefixes []uint64
-	events   []platform.CacheEvent
+	events   []backoffice.CacheEvent
 	seq      int64
 
 	firstToken float64
@@ -151,12 +151,12 @@
 
 func (e *engine) publish(prefix uint64, dropped bool) {
 	e.seq++
-	e.events = append(e.events, platform.CacheEvent{Seq: e.seq, Prefix: prefix, Dropped: dropped})
+	e.events = append(e.events, backoffice.CacheEvent{Seq: e.seq, Prefix: prefix, Dropped: dropped})
 }
 
 // report returns what the engine says of itself; it does not announce a cold start.
-func (e *engine) report() platform.LoadReport {
-	return platform.LoadReport{
+func (e *engine) report() backoffice.LoadReport {
+	return backoffice.LoadReport{
 		InFlight:       e.inFlight,
 		Bearable:       e.spec.Bearable,
 		FirstTokenTime: e.firstToken,
--- a/pkg/trace/instance.go
+++ b/pkg/trace/instance.go
@@ -5,12 +5,12 @@
 
 	"github.com/go-logr/logr"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/caravan"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/concierge"
 	"carawayknot.example/carawayknot/pkg/enquiry"
-	"carawayknot.example/carawayknot/pkg/platform"
 	"carawayknot.example/carawayknot/pkg/settings"
 	"carawayknot.example/carawayknot/pkg/tariff"
 	"carawayknot.example/carawayknot/pkg/tasting"
@@ -87,20 +87,20 @@
 		Snapshot: in.current,
 		Pins:     worldPins{in.world},
 		Rater:    worldRater{in.world},
-		Rated:    func(r platform.Rating) { in.book.TakeRatings([]platform.Rating{r}) },
+		Rated:    func(r backoffice.Rating) { in.book.TakeRatings([]backoffice.Rating{r}) },
 		Verify:   in.verify,
 	}
 }
 
 // verify gives the true rating of an answer after the time a verdict takes.
-func (in *instance) verify(q platform.RateRequest) {
+func (in *instance) verify(q backoffice.RateRequest) {
 	w, now := in.world, in.run.loop.clock.Now()
 	score := w.score(&Request{ID: q.RequestID}, catalogue.HealthKey{Version: q.Version, Task: q.Task})
-	r := platform.Rating{RequestID: q.RequestID, Version: q.Version, Task: q.Task, Score: score}
+	r := backoffice.Rating{RequestID: q.RequestID, Version: q.Version, Task: q.Task, Score: score}
 	at := now + verdictTime
 	in.run.loop.at(at, func() {
 		w.verdicts = append(w.verdicts, timedRating{at: at, answered: now, rating: r})
-		in.book.TakeRatings([]platform.Rating{r})
+		in.book.TakeRatings([]backoffice.Rating{r})
 		in.hold()
 	})
 }
@@ -147,7 +147,7 @@
 	if len(fresh) == 0 {
 		return
 	}
-	var kept []platform.CacheEvent
+	var kept []backoffice.CacheEvent
 	for _, ev := range fresh {
 		if in.world.trace.fraction("event", e.spec.Name+string(rune(ev.Seq))) >= eventLoss {
 			kept = append(kept, ev)
@@ -155,7 +155,7 @@
 	}
 	name := e.spec.Name
 	in.run.loop.at(in.run.loop.clock.Now()+eventDelay, func() {
-		in.prefixes.TakeEvents(name, platform.CacheEvents{Events: kept})
+		in.prefixes.TakeEvents(name, backoffice.CacheEvents{Events: kept})
 	})
 }
 
@@ -196,7 +196,7 @@
 
 func (in *instance) readRatings() {
 	all := in.world.ratings
-	var fresh []platform.Rating
+	var fresh []backoffice.Rating
 	for _, r := range all[in.cursor:] {
 		fresh = append(fresh, r.rating)
 	}
@@ -250,7 +250,7 @@
 const verdictTime = 100
 
 // Rate waits and returns the rating.
-func (r worldRater) Rate(ctx context.Context, q platform.RateRequest) (float64, error) {
+func (r worldRater) Rate(ctx context.Context, q backoffice.RateRequest) (float64, error) {
 	processOf(ctx).sleep(verdictTime)
 	return r.world.score(&Request{ID: q.RequestID}, catalogue.HealthKey{Version: q.Version, Task: q.Task}), nil
 }
--- a/pkg/trace/world.go
+++ b/pkg/trace/world.go
@@ -7,9 +7,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"carawayknot.example/carawayknot/pkg/backoffice"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/platform"
 )
 
 const (
@@ -54,7 +54,7 @@
 type timedRating struct {
 	at       clock.Millis
 	answered clock.Millis
-	rating   platform.Rating
+	rating   backoffice.Rating
 }
 
 func newWorld(t *Trace, l *loop) *world {
@@ -191,7 +191,7 @@
 	}
 	span := float64(t.Ratings.MaxDelay - t.Ratings.MinDelay)
 	delay := t.Ratings.MinDelay + clock.Millis(span*t.fraction("delay", r.ID))
-	rating := platform.Rating{RequestID: r.ID, Version: k.Version, Task: k.Task, Score: w.score(r, k)}
+	rating := backoffice.Rating{RequestID: r.ID, Version: k.Version, Task: k.Task, Score: w.score(r, k)}
 	now := w.loop.clock.Now()
 	late := timedRating{at: now + delay, answered: now, rating: rating}
 	w.loop.at(late.at, func() { w.ratings = append(w.ratings, late) })
