Serve routes on the users' platform: the whole path, thin

Cause: nothing of the system ran on the users' platform; its calls, topics and headers were unknown to the daemon. Change: carawayknotd entry, with settings from deploy/settings.json. platform/ has names, formats and calls; pkg/gatehouse assembles control state from the store's topics, the line Direct, Sizes, Dispatch, Relay, readiness and drain.

--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -17,11 +17,13 @@
 type Serve func(ctx context.Context, common settings.Common) error
 
 // RunDaemon carries out the command line of the daemon and returns the exit code.
-func RunDaemon(args []string, stdout, stderr io.Writer, serve Serve) int {
+func RunDaemon(args []string, stdout, stderr io.Writer, serve Serve, routes ServeRoutes) int {
 	k := newParser("carawayknotd", "An entry instance of carawayknot.", stdout, stderr)
-	file := k.Flag("settings", "The settings file, JSON with comments.").Short('s').Required().String()
-	check := k.Flag("check", "Check the settings and the key files, then exit.").Bool()
-	k.Action(func(*kingpin.ParseContext) error {
+	addRoutes(k, stdout, routes)
+	own := k.Command("serve", "Serve callers by the own interface.").Default()
+	file := own.Flag("settings", "The settings file, JSON with comments.").Short('s').Required().String()
+	check := own.Flag("check", "Check the settings and the key files, then exit.").Bool()
+	own.Action(func(*kingpin.ParseContext) error {
 		s, err := loadSettings(*file)
 		if err != nil {
 			return &exitError{code: ExitUsage, cause: err}
--- a/pkg/app/daemon_test.go
+++ b/pkg/app/daemon_test.go
@@ -43,7 +43,7 @@
 			code := RunDaemon(c.args, &out, &out, func(_ context.Context, common settings.Common) error {
 				served = common.Settings.Name == "entry-1" && common.Clock != nil
 				return c.serve
-			})
+			}, ServeRoutes{})
 			if code != c.code || served != c.served || !strings.Contains(out.String(), c.out) {
 				t.Errorf("exit code %d, served %t, want %d, %t and %q:\n%s", code, served, c.code, c.served, c.out, out.String())
 			}
--- a/pkg/catalogue/snapshot.go
+++ b/pkg/catalogue/snapshot.go
@@ -28,8 +28,14 @@
 	// Service is the name of the plain service.
 	Service string
 	Leaving bool
+	// Release is the version of the software that the upstream runs, where its service has releases.
+	Release string
 	// Incarnation grows with each restart under the same name.
 	Incarnation int64
+	// Slots is how many requests the upstream runs at once; 0 when it is not known.
+	Slots int
+	// ColdUntil is the monotonic time until which a service's upstream is cold, in milliseconds.
+	ColdUntil clock.Millis
 	// ZoneOut is true while operators have its availability zone taken out.
 	ZoneOut bool
 	// Cold is true while the upstream is taken to be in cold start.
@@ -122,6 +128,12 @@
 	Health  map[HealthKey]Health
 	// Draining is true when this instance is shutting down.
 	Draining bool
+	// Routes is the configuration where requests are told apart by routes; it is nil until one was read.
+	Routes *RouteTable
+	// Moves are the moves to new releases, by service.
+	Moves map[string]*ReleaseMove
+	// Pools are the upstreams that may get new work, by service and sorted by name.
+	Pools map[string][]*Upstream
 }
 
 // StaleError says that the snapshot is too old to decide on; both times are in milliseconds.
--- a/pkg/desk/refusal.go
+++ b/pkg/desk/refusal.go
@@ -50,6 +50,7 @@
 	enquiry.ReasonAnswerIncomplete: http.StatusBadGateway,
 	enquiry.ReasonAnswerMismatch:   http.StatusBadGateway,
 	enquiry.ReasonCallerGone:       statusCallerGone,
+	enquiry.ReasonUnsure:           http.StatusBadGateway,
 }
 
 // status returns the HTTP status of a refusal.
--- a/pkg/enquiry/answer.go
+++ b/pkg/enquiry/answer.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Chunk is a piece of an answer; Offset counts the tokens before it.
@@ -16,6 +18,19 @@
 type Head struct {
 	Status int
 	Header http.Header
+	// Length is the length of the body in bytes, -1 when it is not known.
+	Length int64
+	// Confidence is the model's own opinion of its answer, from 0 to 100; -1 when it gave none.
+	Confidence int
+	// Load is what the upstream says of its load; it is nil when it says nothing.
+	Load *LoadReport
+}
+
+// LoadReport is the load that an upstream tells with an answer.
+type LoadReport struct {
+	Running int
+	Waiting int
+	Slots   int
 }
 
 // End closes an answer that is complete.
@@ -25,6 +40,9 @@
 	OutputTokens int
 }
 
+// ErrTurnedDown is returned by a writer that has no use for the answer because another one is asked for in its place.
+var ErrTurnedDown = errors.New("the answer was turned down")
+
 // Writer takes an answer in order: one Head, chunks or bytes, one End.
 // An answer without End is incomplete, and the writer tells the caller so.
 type Writer interface {
--- a/pkg/enquiry/outcome.go
+++ b/pkg/enquiry/outcome.go
@@ -47,6 +47,7 @@
 	ReasonAnswerIncomplete Reason = "AnswerIncomplete"
 	ReasonAnswerMismatch   Reason = "AnswerMismatch"
 	ReasonCallerGone       Reason = "CallerGone"
+	ReasonUnsure           Reason = "Unsure"
 )
 
 // Refusal is the error a caller gets in place of an answer; RetryAfter is in milliseconds, 0 when asking again can't help.
--- a/pkg/enquiry/request.go
+++ b/pkg/enquiry/request.go
@@ -50,6 +50,33 @@
 	Header http.Header
 	// Body is the body of a plain service call.
 	Body []byte
+	// Target is the target of a routed request as it came, path and query.
+	Target string
+	// Host is the host that a routed request names.
+	Host string
+	// Credential is the key that a routed request carries; no upstream gets it.
+	Credential string
+	// Prompt describes the prompt of a routed request to a model; it is nil for other calls.
+	Prompt *Prompt
+	// After is the id of the last event that the caller has of the stream; it is empty at its beginning.
+	After string
+}
+
+// Prompt is what the caller of a model says of the prompt.
+type Prompt struct {
+	// Model is the model that the caller names.
+	Model string
+	// Tokens is the length of the prompt, and MostTokens bounds the answer.
+	Tokens     int
+	MostTokens int
+	// Parts are the parts of the prompt in order; other requests share all but the last.
+	Parts []PromptPart
+}
+
+// PromptPart is a part of a prompt that caches know by its id.
+type PromptPart struct {
+	ID     string
+	Tokens int
 }
 
 // Call is a request on its way through the filters; each filter fills in the fields it decides.
@@ -82,6 +109,25 @@
 	BeforeSend func(now clock.Millis) *Refusal
 	// Writer takes the answer.
 	Writer Writer
+	// Route is the route of a routed request, and Model the model chosen for it.
+	Route *catalogue.Route
+	Model string
+	// Release is the release of the service's software that the call keeps to; it is empty while none was chosen.
+	Release string
+	// Pool is the service that was chosen for a routed request.
+	Pool *catalogue.Pool
+	// Priority is the rank of a routed request, 0 is the highest.
+	Priority int
+	// After is the id of the last event that was passed on.
+	After string
+	// TableVersion is the version of the configuration that the route is of.
+	TableVersion int64
+	// Runs counts the attempts that an upstream may have executed.
+	Runs int
+	// Headed is true once the caller has the head of the answer.
+	Headed bool
+	// FirstByteLimit bounds the time to the beginning of the answer where the call may be repeated, in milliseconds; 0 is no bound.
+	FirstByteLimit clock.Millis
 }
 
 // SentID returns the id under which the upstream knows the latest attempt.
--- a/pkg/enquiry/sample.go
+++ b/pkg/enquiry/sample.go
@@ -33,4 +33,6 @@
 	FirstToken clock.Millis
 	Total      clock.Millis
 	Tokens     int
+	// Load is what the upstream said of its load; it is nil when it said nothing.
+	Load *LoadReport
 }
--- /dev/null
+++ b/pkg/gatehouse/drain.go
@@ -0,0 +1,34 @@
+package gatehouse
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayknot.example/carawayknot/pkg/clock"
+)
+
+const (
+	// noticeTime is how long requests are still served after the instance called itself not ready, in milliseconds: the
+	// balancer asks once a second and takes an instance out after two misses.
+	noticeTime clock.Millis = 3000
+	// endMargin is kept from the grace time for the end of the process, in milliseconds.
+	endMargin clock.Millis = 700
+)
+
+// drain calls the instance not ready, serves until the balancer has noticed, and ends when the last request has.
+func (h *House) drain(s *http.Server) error {
+	began := h.Clock.Now()
+	h.draining.Store(true)
+	h.control.Tell(drainBegun{})
+	h.Log.Info("draining", "inFlight", h.inFlight.Count())
+	ctx, cancel := clock.WithTimeout(context.Background(), h.Clock, h.Settings.Bounds.Grace()-endMargin)
+	defer cancel()
+	_ = clock.Sleep(ctx, h.Clock, noticeTime)
+	err := s.Shutdown(ctx)
+	if err != nil {
+		h.Log.Info("requests cut at the end of the grace time", "inFlight", h.inFlight.Count(), "afterMs", h.Clock.Now()-began)
+	}
+	return errors.Wrap(err, "drain")
+}
--- /dev/null
+++ b/pkg/gatehouse/line.go
@@ -0,0 +1,80 @@
+package gatehouse
+
+import (
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/concierge"
+	"carawayknot.example/carawayknot/pkg/courier"
+	"carawayknot.example/carawayknot/pkg/desk"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+	"carawayknot.example/carawayknot/pkg/tariff"
+)
+
+const (
+	// descriptorsPerRequest are the sockets of a request: one to the caller and one to the upstream, and one that is closing.
+	descriptorsPerRequest = 3
+	// kilobytesPerRequest is the memory that a request takes at most on average: its body, buffers and stacks.
+	kilobytesPerRequest = 128
+	// memoryPart is the part of the memory that requests may take.
+	memoryPart = 0.5
+)
+
+// line joins the filters that a request passes, in order.
+func (h *House) line() enquiry.Handler {
+	budgets := &concierge.Budgets{Share: h.Settings.Policy.RetryShare}
+	h.relay = &courier.Relay{
+		Clock:   h.Clock,
+		Log:     h.Log.WithName("courier"),
+		Wire:    h.Wire,
+		Permit:  h.permit,
+		Dial:    h.Dial,
+		Observe: h.observe,
+	}
+	h.relay.Open()
+	return enquiry.Line(
+		&desk.Direct{Snapshot: h.control.Snapshot, Clock: h.Clock, Age: h.control.Age, Denial: h.Settings.Bounds.ConfigApply, Keys: h.keyLimit()},
+		&tariff.Sizes{Log: h.Log.WithName("tariff"), Least: h.Settings.Policy.LeastConfidence, Budgets: budgets},
+		&concierge.Dispatch{
+			Clock:    h.Clock,
+			Log:      h.Log.WithName("concierge"),
+			Zone:     h.Settings.Zone,
+			Snapshot: h.control.Snapshot,
+			Board:    h.board,
+			Outliers: h.outliers,
+			Releases: &concierge.Releases{SessionTime: h.Settings.Bounds.Session()},
+			Budgets:  budgets,
+		},
+		h.relay,
+	)
+}
+
+func (h *House) intake() Intake {
+	m := h.Settings.Machine
+	limit := min(m.Descriptors/descriptorsPerRequest, int(memoryPart*float64(m.MemoryMegabytes<<10)/kilobytesPerRequest))
+	return Intake{
+		Log:      h.Log.WithName("desk"),
+		Clock:    h.Clock,
+		Line:     h.line(),
+		Snapshot: h.control.Snapshot,
+		InFlight: h.inFlight,
+		Limit:    limit,
+		Closing:  h.draining.Load,
+	}
+}
+
+func (h *House) keyLimit() clock.Millis { return h.Settings.Bounds.Revocation - staleMargin }
+
+// permit checks a call once more right before its first byte leaves, on the view as it is then.
+func (h *House) permit(c *enquiry.Call) error {
+	s, now := h.control.Snapshot(), h.Clock.Now()
+	if r := desk.KeyRefusal(s, c, h.control.Age(now), h.keyLimit()); r != nil {
+		return r
+	}
+	for _, u := range s.Pools[c.Upstream.Service] {
+		if u.Name == c.Upstream.Name && u.Incarnation == c.Upstream.Incarnation {
+			return nil
+		}
+	}
+	return &enquiry.Refusal{Outcome: enquiry.NotRun, Reason: enquiry.ReasonUpstreamRefused, Detail: "the upstream may get no new work",
+		Cause: &catalogue.ForbiddenError{Rule: "the upstream is leaving or gone"}}
+}
--- /dev/null
+++ b/pkg/gatehouse/moves.go
@@ -0,0 +1,82 @@
+package gatehouse
+
+import (
+	"context"
+
+	"carawayknot.example/carawayknot/pkg/archive"
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+)
+
+// comparisonOf returns the comparison of a service's releases, a new one for a new target.
+func (h *House) comparisonOf(service, target string) *comparison {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	k := h.comparisons[service]
+	if k == nil || k.target != target {
+		k = &comparison{target: target}
+		h.comparisons[service] = k
+	}
+	return k
+}
+
+// observe takes in what an attempt showed.
+func (h *House) observe(c *enquiry.Call, s enquiry.Sample) {
+	h.board.Report(s.Upstream, s.Load, s.At)
+	m := h.control.Snapshot().Moves[c.Upstream.Service]
+	if m == nil || m.State != catalogue.ReleaseRunning {
+		return
+	}
+	h.comparisonOf(m.Service, m.Target).Take(c.Route.Name, c.Model, c.Upstream.Release == m.Target, s)
+}
+
+func (h *House) told(service, target string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.toldMoves[service] == target
+}
+
+func (h *House) markTold(service, target string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.toldMoves[service] = target
+}
+
+// noteTold remembers which moves another instance has told of.
+func (h *House) noteTold(b archive.Batch[catalogue.ReleaseStatus]) {
+	for _, st := range b.Items {
+		if !st.Removed {
+			h.markTold(st.Service, st.Target)
+		}
+	}
+}
+
+// revert has a move told as reverted, again and again until the store has it.
+func (h *House) revert(m *catalogue.ReleaseMove) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reverting[m.Service] = m
+}
+
+func (h *House) retryReverts(ctx context.Context) error {
+	m := &Mover{House: h}
+	for {
+		if err := clock.Sleep(ctx, h.Clock, movePeriod); err != nil {
+			return err
+		}
+		h.mu.Lock()
+		var open []*catalogue.ReleaseMove
+		for _, move := range h.reverting {
+			open = append(open, move)
+		}
+		h.mu.Unlock()
+		for _, move := range open {
+			if m.put(ctx, move, catalogue.ReleaseReverted) {
+				h.mu.Lock()
+				delete(h.reverting, move.Service)
+				h.mu.Unlock()
+			}
+		}
+	}
+}
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -23,9 +23,9 @@
 
 var nameForm = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
 
-// check returns the *FieldError of the first field that can't be used.
-func (d *decoder) check(s *Settings) error {
-	for _, c := range checks(s) {
+// verify returns the *FieldError of the first field that can't be used.
+func (d *decoder) verify(checks []fieldCheck) error {
+	for _, c := range checks {
 		if c.ok {
 			continue
 		}
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -40,7 +40,7 @@
 	if err := d.decode(&v, &s); err != nil {
 		return nil, err
 	}
-	if err := d.check(&s); err != nil {
+	if err := d.verify(checks(&s)); err != nil {
 		return nil, err
 	}
 	return &s, nil
--- /dev/null
+++ b/pkg/tariff/sizes.go
@@ -0,0 +1,73 @@
+package tariff
+
+import (
+	"context"
+	"errors"
+
+	"github.com/go-logr/logr"
+
+	"carawayknot.example/carawayknot/pkg/concierge"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+)
+
+// Sizes is the filter that chooses the model of a routed call: the smallest one first, and the largest when the small one is not
+// sure enough of its answer. The answer of the small one is dropped before the caller gets any of it.
+type Sizes struct {
+	Log logr.Logger
+	// Least is the confidence below which an answer is dropped, from 0 to 100.
+	Least int
+	// Budgets bounds the sends beyond the first.
+	Budgets *concierge.Budgets
+}
+
+// Filter answers the call by one model after another.
+func (f *Sizes) Filter(ctx context.Context, c *enquiry.Call, next enquiry.Handler) error {
+	if c.Request.Prompt == nil {
+		return next.Handle(ctx, c)
+	}
+	sizes := c.Route.Sizes
+	if len(sizes) == 0 || c.Request.Prompt.Model != "" {
+		c.Model = c.Request.Prompt.Model
+		return next.Handle(ctx, c)
+	}
+	out := c.Writer
+	w := &sureWriter{Writer: out, sizes: f, more: len(sizes) > 1 && c.Route.MaxAttempts > 1}
+	c.Writer = w
+	defer func() { c.Writer = out }()
+	c.Model = sizes[0]
+	err := next.Handle(ctx, c)
+	if !w.dropped {
+		return err
+	}
+	w.more = false
+	c.After, c.Model = c.Request.After, sizes[len(sizes)-1]
+	f.Log.Info("model not sure", "request", c.Request.ID, "route", c.Route.Name, "model", sizes[0], "confidence", w.confidence,
+		"least", f.Least, "next", c.Model)
+	err = next.Handle(ctx, c)
+	var r *enquiry.Refusal
+	if c.Headed || !errors.As(err, &r) || r.Outcome != enquiry.NotRun || ctx.Err() != nil {
+		return err
+	}
+	// An unsure answer is better than none.
+	c.Model = sizes[0]
+	return next.Handle(ctx, c)
+}
+
+// sureWriter turns down the head of an answer whose model is not sure enough.
+type sureWriter struct {
+	enquiry.Writer
+	sizes *Sizes
+	// more is true while a larger model is left to ask.
+	more       bool
+	dropped    bool
+	confidence int
+}
+
+// WriteHead passes the head on unless a larger model is to be asked.
+func (w *sureWriter) WriteHead(ctx context.Context, c *enquiry.Call, h enquiry.Head) error {
+	if w.more && h.Confidence >= 0 && h.Confidence < w.sizes.Least && h.Status < 300 && w.sizes.Budgets.Take(c.Pool.Name) {
+		w.dropped, w.confidence = true, h.Confidence
+		return enquiry.ErrTurnedDown
+	}
+	return w.Writer.WriteHead(ctx, c, h)
+}
