Judge a release by answers that are late for their model and prompt

Change: slow is three times what the model usually takes for a prompt of that length, counted alike on both releases, and apart from failures; five slow answers and a rise of 0.25 are needed. The beginning of an answer is asked for elsewhere only after three times the usual time, where before long prompts were cut at 0.7 of the target and read again.

--- a/pkg/concierge/dispatch.go
+++ b/pkg/concierge/dispatch.go
@@ -38,6 +38,8 @@
 	Releases *Releases
 	// Budgets bounds the sends beyond the first.
 	Budgets *Budgets
+	// Paces has how long models take to begin their answers.
+	Paces *Paces
 }
 
 // FailedAnswer is an upstream's own answer that tells of a failure; it is passed on when nothing better comes.
@@ -172,15 +174,19 @@
 	}
 	c.FirstByteLimit = 0
 	if len(warm) > 1 && !c.Headed && c.Runs+1 < c.Route.MaxAttempts {
-		part := callFirstPart
-		if c.Route.Streaming {
-			part = streamFirstPart
-		}
-		c.FirstByteLimit = clock.Millis(part * float64(c.Route.Target))
+		c.FirstByteLimit = f.firstByteLimit(c)
 	}
 	return u, nil
 }
 
+// firstByteLimit returns the time after which the beginning of the answer is asked for elsewhere.
+func (f *Dispatch) firstByteLimit(c *enquiry.Call) clock.Millis {
+	if c.Request.Prompt == nil {
+		return clock.Millis(callFirstPart * float64(c.Route.Target))
+	}
+	return f.Paces.Limit(c.Model, c.Request.Prompt.Tokens, clock.Millis(streamFirstPart*float64(c.Route.Target)))
+}
+
 // chooseCold picks a cold upstream that bears one more request of this instance.
 func (f *Dispatch) chooseCold(s *catalogue.Snapshot, pool *catalogue.Pool, cold []*catalogue.Upstream, now clock.Millis) *catalogue.Upstream {
 	rate := coldPart * pool.ColdRate / float64(max(leastMembers, len(s.Members)))
--- a/pkg/gatehouse/house.go
+++ b/pkg/gatehouse/house.go
@@ -74,6 +74,7 @@
 	relay    *courier.Relay
 	board    *concierge.Board
 	outliers *concierge.Outliers
+	paces    *concierge.Paces
 	inFlight *desk.InFlight
 	draining atomic.Bool
 	wake     chan struct{}
@@ -123,6 +124,7 @@
 func (h *House) build() {
 	h.board = &concierge.Board{}
 	h.outliers = &concierge.Outliers{}
+	h.paces = &concierge.Paces{}
 	h.inFlight = &desk.InFlight{}
 	h.wake = make(chan struct{}, 1)
 	h.comparisons = map[string]*comparison{}
--- a/pkg/gatehouse/line.go
+++ b/pkg/gatehouse/line.go
@@ -43,6 +43,7 @@
 			Outliers: h.outliers,
 			Releases: &concierge.Releases{SessionTime: h.Settings.Bounds.Session()},
 			Budgets:  budgets,
+			Paces:    h.paces,
 		},
 		h.relay,
 	)
--- a/pkg/gatehouse/move.go
+++ b/pkg/gatehouse/move.go
@@ -46,14 +46,14 @@
 			continue
 		}
 		k := h.comparisonOf(service, move.Target)
-		bad, answers, failures := k.Bad()
+		v := k.Verdict()
 		delay := clock.Millis(enquiry.Fraction("spread "+service+move.Target, h.Settings.Name) * float64(spreadTime))
 		switch {
-		case bad:
-			h.Log.Info("release is bad", "service", service, "target", move.Target, "answers", answers, "bad", failures)
+		case v.Bad:
+			h.Log.Info("release is bad", "service", service, "target", move.Target, "answers", v.Answers, "failed", v.Failed, "slow", v.Slow)
 			m.settle(ctx, move, catalogue.ReleaseReverted)
 		case now >= move.StartedAt+clock.Millis(completePart*float64(move.Span))+delay && hasRelease(s, service, move.Target):
-			h.Log.Info("release is good", "service", service, "target", move.Target, "answers", answers, "bad", failures)
+			h.Log.Info("release is good", "service", service, "target", move.Target, "answers", v.Answers, "failed", v.Failed, "slow", v.Slow)
 			m.settle(ctx, move, catalogue.ReleaseCompleted)
 		case now >= move.StartedAt+delay && !h.told(service, move.Target):
 			m.put(ctx, move, catalogue.ReleaseRunning)
--- a/pkg/gatehouse/moves.go
+++ b/pkg/gatehouse/moves.go
@@ -24,11 +24,23 @@
 // observe takes in what an attempt showed.
 func (h *House) observe(c *enquiry.Call, s enquiry.Sample) {
 	h.board.Report(s.Upstream, s.Load, s.At)
+	model, tokens, took := c.Model, 0, s.FirstToken
+	if c.Request.Prompt != nil {
+		tokens = c.Request.Prompt.Tokens
+	}
+	if model == "" {
+		model = c.Route.Name
+	}
+	slow := false
+	if took > 0 {
+		slow = h.paces.Slow(model, tokens, took)
+		h.paces.Take(model, tokens, took)
+	}
 	m := h.control.Snapshot().Moves[c.Upstream.Service]
 	if m == nil || m.State != catalogue.ReleaseRunning {
 		return
 	}
-	h.comparisonOf(m.Service, m.Target).Take(c.Route.Name, c.Model, c.Upstream.Release == m.Target, s)
+	h.comparisonOf(m.Service, m.Target).Take(c.Route.Name, c.Upstream.Release == m.Target, s.Result, slow)
 }
 
 func (h *House) told(service, target string) bool {
--- a/pkg/tasting/comparison.go
+++ b/pkg/tasting/comparison.go
@@ -3,21 +3,18 @@
 import (
 	"sync"
 
-	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/enquiry"
 )
 
 const (
-	// leastBad is how many bad answers of a new release are seen before it is found to be bad.
-	leastBad = 3
-	// badRise is how much larger the share of bad answers of a bad release is than that of the old one.
-	badRise = 0.2
-	// lateFactor and lateLeast tell an answer that is far slower than those of the old release; bad releases take four times
-	// as long and more.
-	lateFactor = 2.5
-	lateLeast  = 150.0
-	// usualWeight is the weight of the newest answer in the usual time.
-	usualWeight = 0.1
+	// leastFailed and leastSlow are how many failed or slow answers of a new release are seen before it is found to be bad;
+	// queues make single answers slow, so that more of those are needed.
+	leastFailed = 3
+	leastSlow   = 5
+	// failedRise and slowRise are how much larger the share of such answers is than that of the old release; bad releases
+	// fail or are slow on a third of their requests and more.
+	failedRise = 0.2
+	slowRise   = 0.25
 )
 
 // Comparison compares the answers of a new release with those of the old one; it is safe for concurrent use.
@@ -27,25 +24,13 @@
 }
 
 // tally counts the answers on one route.
-type tally struct {
-	old, target count
-	// usual is the usual time of the old release, in milliseconds, by what the answers are made by.
-	usual map[string]float64
-}
-
-type count struct{ answers, bad float64 }
+type tally struct{ old, target count }
 
-func (c count) share() float64 {
-	if c.answers == 0 {
-		return 0
-	}
-	return c.bad / c.answers
-}
+type count struct{ answers, failed, slow float64 }
 
-// Take notes one attempt; model tells answers apart that take different times.
-func (k *Comparison) Take(route, model string, onTarget bool, s enquiry.Sample) {
-	switch s.Result {
-	case enquiry.ResultRefused, enquiry.ResultCancelled:
+// Take notes one attempt; slow tells that its answer was far later than usual for its prompt.
+func (k *Comparison) Take(route string, onTarget bool, result enquiry.Result, slow bool) {
+	if result == enquiry.ResultRefused || result == enquiry.ResultCancelled {
 		return
 	}
 	k.mu.Lock()
@@ -55,55 +40,57 @@
 		if k.routes == nil {
 			k.routes = map[string]*tally{}
 		}
-		t = &tally{usual: map[string]float64{}}
+		t = &tally{}
 		k.routes[route] = t
 	}
-	bad := s.Result != enquiry.ResultComplete
-	took := float64(firstOf(s))
-	usual, known := t.usual[model]
+	c := &t.old
 	if onTarget {
-		if known && took > lateFactor*usual+lateLeast {
-			bad = true
-		}
-		t.target.add(bad)
-		return
-	}
-	t.old.add(bad)
-	if !bad {
-		if !known {
-			usual = took
-		}
-		t.usual[model] = usual + usualWeight*(took-usual)
+		c = &t.target
 	}
-}
-
-func (c *count) add(bad bool) {
 	c.answers++
-	if bad {
-		c.bad++
+	switch {
+	case result != enquiry.ResultComplete:
+		c.failed++
+	case slow:
+		c.slow++
 	}
 }
 
-func firstOf(s enquiry.Sample) clock.Millis {
-	if s.FirstToken > 0 {
-		return s.FirstToken
-	}
-	return s.Total
+// Verdict is what is known of a new release.
+type Verdict struct {
+	Bad bool
+	// Answers, Failed and Slow count the answers of the new release.
+	Answers, Failed, Slow float64
 }
 
-// Bad tells whether the new release is found to be bad, on any route or over all of them, and counts its answers.
-func (k *Comparison) Bad() (bad bool, answers, failures float64) {
+// Verdict tells whether the new release is found to be bad, on any route or over all of them.
+func (k *Comparison) Verdict() Verdict {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var old, target count
+	bad := false
 	for _, t := range k.routes {
-		old.answers, old.bad = old.answers+t.old.answers, old.bad+t.old.bad
-		target.answers, target.bad = target.answers+t.target.answers, target.bad+t.target.bad
+		old.add(t.old)
+		target.add(t.target)
 		bad = bad || worse(t.old, t.target)
 	}
-	return bad || worse(old, target), target.answers, target.bad
+	return Verdict{Bad: bad || worse(old, target), Answers: target.answers, Failed: target.failed, Slow: target.slow}
+}
+
+func (c *count) add(d count) {
+	c.answers += d.answers
+	c.failed += d.failed
+	c.slow += d.slow
 }
 
 func worse(old, target count) bool {
-	return target.bad >= leastBad && target.share() > old.share()+badRise
+	return target.failed >= leastFailed && target.failed/target.answers > share(old.failed, old.answers)+failedRise ||
+		target.slow >= leastSlow && target.slow/target.answers > share(old.slow, old.answers)+slowRise
+}
+
+func share(part, of float64) float64 {
+	if of == 0 {
+		return 0
+	}
+	return part / of
 }
