Keep prompts that take long to read apart from the others

Excluded: the target of the small model, which begins in 0.1 s. Change: two of nine upstreams, the same on all instances by rendezvous, take the prompts whose usual time is above 700 ms, as long as the loads of the two groups are near.

--- a/pkg/concierge/dispatch.go
+++ b/pkg/concierge/dispatch.go
@@ -164,6 +164,7 @@
 	q := &Choice{Now: now, Zone: f.Zone, Board: f.Board, Outliers: f.Outliers}
 	if c.Route.Affinity {
 		q.Key = PromptKey(c)
+		q.Long = f.long(c)
 	}
 	u := q.Choose(warm)
 	if u == nil {
@@ -179,6 +180,15 @@
 	return u, nil
 }
 
+// long tells whether the prompt of the call takes long to read for the model that was chosen.
+func (f *Dispatch) long(c *enquiry.Call) bool {
+	if c.Request.Prompt == nil {
+		return false
+	}
+	expected, known := f.Paces.Expect(c.Model, c.Request.Prompt.Tokens)
+	return known && expected >= longTime
+}
+
 // firstByteLimit returns the time after which the beginning of the answer is asked for elsewhere.
 func (f *Dispatch) firstByteLimit(c *enquiry.Call) clock.Millis {
 	if c.Request.Prompt == nil {
--- a/pkg/concierge/route.go
+++ b/pkg/concierge/route.go
@@ -16,6 +16,17 @@
 	boundedSlack = 3.0
 	// zoneSlack is the load that an upstream of the own zone may have more than the least loaded one, in parts of its slots.
 	zoneSlack = 0.25
+	// laneShare is the part of the upstreams that take the prompts that take long, where there are leastLanes or more. On the
+	// users' sites those prompts are a fifth of the work.
+	laneShare  = 0.23
+	leastLanes = 5
+	// laneSlack and laneFactor tell when the load of one group is so much higher that the other one takes its requests.
+	laneSlack  = 4.0
+	laneFactor = 2.0
+	// laneKey is the rendezvous key of the upstreams for long prompts.
+	laneKey = "long prompts"
+	// longTime is the usual time to the beginning of an answer from which on a prompt takes long, in milliseconds.
+	longTime clock.Millis = 700
 	// unknownSlots is what an upstream is taken to run at once that tells nothing.
 	unknownSlots = 8
 )
@@ -29,6 +40,8 @@
 	Board *Board
 	// Outliers are tried last; it may be nil.
 	Outliers *Outliers
+	// Long is true for a request whose prompt takes so long to read that others would wait behind it.
+	Long bool
 }
 
 // Choose returns the upstream for one attempt, or nil when there is none.
@@ -45,22 +58,42 @@
 	if len(sound) == 0 {
 		return nil
 	}
-	if q.Key != "" {
-		return q.home(sound)
+	if q.Key == "" {
+		return q.least(sound)
 	}
-	return q.least(sound)
+	return q.byLane(sound)
 }
 
-// home returns the first upstream in rendezvous order whose load is near the mean.
-func (q *Choice) home(from []*catalogue.Upstream) *catalogue.Upstream {
-	total := 0.0
-	for _, u := range from {
-		total += q.Board.Load(u.Name, q.Now)
+// byLane keeps prompts that take long apart from the others, so that short ones don't wait behind them. Which upstreams take
+// the long ones is the same on all instances.
+func (q *Choice) byLane(from []*catalogue.Upstream) *catalogue.Upstream {
+	if len(from) < leastLanes {
+		return q.home(from)
 	}
-	bound := boundedLoad*total/float64(len(from)) + boundedSlack
+	ranked := ranked(laneKey, from)
+	n := max(1, int(laneShare*float64(len(from))))
+	lane, rest := ranked[:n], ranked[n:]
+	if q.Long {
+		u := q.least(lane)
+		if other := q.least(rest); q.load(u) > q.load(other)+laneSlack {
+			return other
+		}
+		return u
+	}
+	u := q.home(rest)
+	if free := q.least(lane); q.load(u) > laneFactor*q.load(free)+laneSlack {
+		return free
+	}
+	return u
+}
+
+func (q *Choice) load(u *catalogue.Upstream) float64 { return q.Board.Load(u.Name, q.Now) }
+
+// ranked returns the upstreams in rendezvous order for a key, the highest weight first.
+func ranked(key string, from []*catalogue.Upstream) []*catalogue.Upstream {
 	ranked := slices.Clone(from)
 	slices.SortFunc(ranked, func(a, b *catalogue.Upstream) int {
-		wa, wb := enquiry.HashKey(q.Key, a.Name), enquiry.HashKey(q.Key, b.Name)
+		wa, wb := enquiry.HashKey(key, a.Name), enquiry.HashKey(key, b.Name)
 		switch {
 		case wa > wb:
 			return -1
@@ -69,8 +102,18 @@
 		}
 		return strings.Compare(a.Name, b.Name)
 	})
-	for _, u := range ranked {
-		if q.Board.Load(u.Name, q.Now) <= bound {
+	return ranked
+}
+
+// home returns the first upstream in rendezvous order whose load is near the mean.
+func (q *Choice) home(from []*catalogue.Upstream) *catalogue.Upstream {
+	total := 0.0
+	for _, u := range from {
+		total += q.load(u)
+	}
+	bound := boundedLoad*total/float64(len(from)) + boundedSlack
+	for _, u := range ranked(q.Key, from) {
+		if q.load(u) <= bound {
 			return u
 		}
 	}
@@ -86,7 +129,7 @@
 		if slots <= 0 {
 			slots = unknownSlots
 		}
-		load := q.Board.Load(u.Name, q.Now) / float64(slots)
+		load := q.load(u) / float64(slots)
 		if u.Zone != q.Zone {
 			load += zoneSlack
 		}
