Read the store by way of the longest running instance of a zone

Change: instances enter themselves in a topic of ours; where a zone has six or more, each reads of the one that runs longest, which alone reads the store. An answer carries its age, counted over two reads of the store, so that bounds hold; one that is too old or doesn't come is replaced by a read of the store at once.

--- /dev/null
+++ b/pkg/archive/decoded.go
@@ -0,0 +1,48 @@
+package archive
+
+import (
+	"context"
+
+	"github.com/go-logr/logr"
+
+	"carawayknot.example/carawayknot/pkg/clock"
+)
+
+// Decoded is a topic whose records are decoded; one that can't be read is skipped and logged.
+type Decoded[T any] struct {
+	Source Source
+	Log    logr.Logger
+	Name   TopicName
+	Decode func(r Record) (T, error)
+}
+
+// Newest returns the newest item of each key.
+func (t *Decoded[T]) Newest(ctx context.Context) (Batch[T], error) {
+	b, err := t.Source.Newest(ctx, t.Name)
+	if err != nil {
+		return Batch[T]{}, err
+	}
+	return t.decode(b), nil
+}
+
+// Read returns the items from a position on.
+func (t *Decoded[T]) Read(ctx context.Context, from int64, wait clock.Millis) (Batch[T], error) {
+	b, err := t.Source.Read(ctx, t.Name, from, wait)
+	if err != nil {
+		return Batch[T]{}, err
+	}
+	return t.decode(b), nil
+}
+
+func (t *Decoded[T]) decode(b Batch[Record]) Batch[T] {
+	out := Batch[T]{Whole: b.Whole, Next: b.Next, SentAt: b.SentAt}
+	for _, r := range b.Items {
+		item, err := t.Decode(r)
+		if err != nil {
+			t.Log.Info("skipped a record", "topic", t.Name, "key", r.Key, "cause", err.Error())
+			continue
+		}
+		out.Items = append(out.Items, item)
+	}
+	return out
+}
--- a/pkg/archive/follower.go
+++ b/pkg/archive/follower.go
@@ -32,8 +32,9 @@
 }
 
 const (
-	// followerCallTime bounds a read beyond the time that it waits; a store in order answers in 4 ms, a slow one in 250 ms.
-	followerCallTime = 700 * clock.Millis(1)
+	// followerCallTime bounds a read beyond the time that it waits: a store in order answers in 4 ms, a slow one in 250 ms, and
+	// the list is read with a pause of 700 ms.
+	followerCallTime = 1400 * clock.Millis(1)
 	// followerPause is the pause after a failed read; half a bound of 5 s leaves room for five tries.
 	followerPause = 300 * clock.Millis(1)
 	// newestTime bounds reading the newest items of all keys, which takes several calls.
@@ -47,9 +48,8 @@
 	Topic Topic[T]
 	// Name is that of the topic, for logs.
 	Name string
-	// Wait is how long a read waits for new records, and Pause is how long the follower rests after a read that gave some.
-	Wait  clock.Millis
-	Pause clock.Millis
+	// Wait is how long a read waits for new records.
+	Wait clock.Millis
 	// Apply takes each batch, also an empty one.
 	Apply func(Batch[T])
 
@@ -77,9 +77,6 @@
 		whole = false
 		f.next = b.Next
 		f.Apply(b)
-		if len(b.Items) > 0 && f.Pause > 0 {
-			_ = clock.Sleep(ctx, f.Clock, f.Pause)
-		}
 	}
 	return ctx.Err()
 }
--- /dev/null
+++ b/pkg/archive/source.go
@@ -0,0 +1,132 @@
+package archive
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayknot.example/carawayknot/pkg/clock"
+)
+
+// TopicName names a topic of the platform's log, apart from how the platform spells it.
+type TopicName string
+
+// The topics that an instance follows.
+const (
+	TopicOperations TopicName = "Operations"
+	TopicListings   TopicName = "Listings"
+	TopicStatuses   TopicName = "Statuses"
+	TopicMembers    TopicName = "Members"
+)
+
+// Record is a record of a topic as it is stored; without a value the key is dropped.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// Source reads topics; it may be the store itself or another instance that follows it.
+type Source interface {
+	// Newest returns the newest record of each key.
+	Newest(ctx context.Context, topic TopicName) (Batch[Record], error)
+	// Read returns the records from a position on, and waits for the first one for up to wait; it fails with ErrTrimmed.
+	Read(ctx context.Context, topic TopicName, from int64, wait clock.Millis) (Batch[Record], error)
+}
+
+// tailRecords is how many records of a topic are kept for other instances; one that is further behind reads the newest of each key.
+const tailRecords = 256
+
+// Cache keeps what an instance read of the topics, for other instances to read; it is safe for concurrent use.
+type Cache struct {
+	mu     sync.Mutex
+	topics map[TopicName]*cached
+}
+
+type cached struct {
+	newest map[string]Record
+	// tail has the records before next.
+	tail   []Record
+	next   int64
+	sentAt clock.Millis
+	// changed is closed when records come or the read is newer.
+	changed chan struct{}
+}
+
+// Take keeps what a read gave.
+func (c *Cache) Take(topic TopicName, b Batch[Record]) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.topics[topic]
+	if t == nil || b.Whole {
+		fresh := &cached{newest: map[string]Record{}, next: b.Next, changed: make(chan struct{})}
+		if t != nil {
+			close(t.changed)
+		}
+		if c.topics == nil {
+			c.topics = map[TopicName]*cached{}
+		}
+		t = fresh
+		c.topics[topic] = t
+	}
+	for _, r := range b.Items {
+		if len(r.Value) == 0 {
+			delete(t.newest, r.Key)
+		} else {
+			t.newest[r.Key] = r
+		}
+	}
+	if !b.Whole {
+		t.tail = append(t.tail, b.Items...)
+		if b.Next-t.next != int64(len(b.Items)) {
+			// Records that can't be read have positions too; without them the tail can't be counted back.
+			t.tail = nil
+		}
+		if len(t.tail) > tailRecords {
+			t.tail = append([]Record(nil), t.tail[len(t.tail)-tailRecords:]...)
+		}
+	}
+	t.next, t.sentAt = b.Next, b.SentAt
+	if len(b.Items) > 0 {
+		close(t.changed)
+		t.changed = make(chan struct{})
+	}
+}
+
+// Whole returns the newest record of each key, and whether the topic was read at all.
+func (c *Cache) Whole(topic TopicName) (Batch[Record], bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.topics[topic]
+	if t == nil {
+		return Batch[Record]{}, false
+	}
+	b := Batch[Record]{Whole: true, Next: t.next, SentAt: t.sentAt}
+	for _, r := range t.newest {
+		b.Items = append(b.Items, r)
+	}
+	return b, true
+}
+
+// ErrBehind says that a cache has not read as far as it was asked for.
+var ErrBehind = errors.New("the topic was not read so far")
+
+// After returns the records from a position on, and a channel that is closed with the next ones; it fails with ErrTrimmed or
+// ErrBehind. Without a channel the topic is not followed here.
+func (c *Cache) After(topic TopicName, from int64) (Batch[Record], <-chan struct{}, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.topics[topic]
+	if t == nil {
+		return Batch[Record]{}, nil, ErrBehind
+	}
+	if from > t.next {
+		return Batch[Record]{}, t.changed, ErrBehind
+	}
+	if from < t.next-int64(len(t.tail)) {
+		return Batch[Record]{}, nil, ErrTrimmed
+	}
+	b := Batch[Record]{Next: t.next, SentAt: t.sentAt}
+	b.Items = append(b.Items, t.tail[int64(len(t.tail))-(t.next-from):]...)
+	return b, t.changed, nil
+}
--- a/pkg/caravan/network.go
+++ b/pkg/caravan/network.go
@@ -118,11 +118,16 @@
 // Call calls a method of a member; the reply must not be used after an error.
 // Its errors are *CallError, which tells whether the call may have taken effect.
 func (n *Network) Call(ctx context.Context, member, method string, args, reply any) error {
+	return n.CallWithin(ctx, callTime, member, method, args, reply)
+}
+
+// CallWithin is Call with a bound on its time, in milliseconds.
+func (n *Network) CallWithin(ctx context.Context, limit clock.Millis, member, method string, args, reply any) error {
 	l, err := n.link(member)
 	if err != nil {
 		return &CallError{Member: member, Method: method, Cause: err}
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTime.Duration())
+	ctx, cancel := context.WithTimeout(ctx, limit.Duration())
 	defer cancel()
 	client, err := l.dial(ctx, n)
 	if err != nil {
--- a/pkg/gatehouse/control.go
+++ b/pkg/gatehouse/control.go
@@ -18,6 +18,8 @@
 	Log   logr.Logger
 	// Forget is told of upstreams that are gone.
 	Forget func(upstream string)
+	// Changed is told of the entry instances when they change.
+	Changed func(members []catalogue.Member)
 
 	view     View
 	draining bool
@@ -92,6 +94,13 @@
 			c.publish()
 			c.logListings(m, now)
 		}
+	case archive.Batch[MemberRecord]:
+		c.view.TakeMembers(m)
+		if len(m.Items) > 0 || m.Whole {
+			c.publish()
+			c.Changed(c.Snapshot().Members)
+			c.Log.Info("members read", "members", len(c.Snapshot().Members), "changed", len(m.Items))
+		}
 	case archive.Batch[catalogue.ReleaseStatus]:
 		c.view.TakeStatuses(m, now)
 		if len(m.Items) > 0 || m.Whole {
--- a/pkg/gatehouse/drain.go
+++ b/pkg/gatehouse/drain.go
@@ -23,6 +23,7 @@
 	h.draining.Store(true)
 	h.control.Tell(drainBegun{})
 	h.Log.Info("draining", "inFlight", h.inFlight.Count())
+	go h.leave()
 	ctx, cancel := clock.WithTimeout(context.Background(), h.Clock, h.Settings.Bounds.Grace()-endMargin)
 	defer cancel()
 	_ = clock.Sleep(ctx, h.Clock, noticeTime)
--- a/pkg/gatehouse/house.go
+++ b/pkg/gatehouse/house.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"carawayknot.example/carawayknot/pkg/archive"
+	"carawayknot.example/carawayknot/pkg/caravan"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/concierge"
@@ -27,10 +28,10 @@
 	operationsWait clock.Millis = 1500
 	// listWait is the same for the list of upstreams, where nothing depends on a read that brings nothing.
 	listWait clock.Millis = 4000
-	// listPause gathers changes of the list, in milliseconds; leaving upstreams get no work after 2 s.
-	listPause clock.Millis = 700
+	// membersWait is the same for the members.
+	membersWait clock.Millis = 20000
 	// statusWait is how long a read of the statuses of moves waits, in milliseconds.
-	statusWait clock.Millis = 5000
+	statusWait clock.Millis = 10000
 	// staleMargin is kept from the bound on the use of keys, in milliseconds, for the way to the upstream.
 	staleMargin clock.Millis = 400
 	// readyPart is the part of the bound on the use of keys up to which an instance without the store calls itself ready.
@@ -56,20 +57,31 @@
 	Closing func() bool
 }
 
+// Decoders turn stored records into what they say.
+type Decoders interface {
+	Operation(r archive.Record) (catalogue.Operation, error)
+	Listing(r archive.Record) (catalogue.Listing, error)
+	Status(r archive.Record) (catalogue.ReleaseStatus, error)
+}
+
 // House is an entry instance that serves routes; its exported fields are set before Run.
 type House struct {
-	Settings   *settings.Entry
-	Clock      clock.Clock
-	Log        logr.Logger
-	Operations archive.Topic[catalogue.Operation]
-	Listings   archive.Topic[catalogue.Listing]
-	Statuses   archive.Topic[catalogue.ReleaseStatus]
-	Status     StatusWriter
-	Wire       courier.Wire
-	Adapter    Adapter
+	Settings *settings.Entry
+	Clock    clock.Clock
+	Log      logr.Logger
+	// Store reads the topics, and Records writes to them.
+	Store    archive.Source
+	Records  RecordWriter
+	Decoders Decoders
+	Status   StatusWriter
+	Wire     courier.Wire
+	Adapter  Adapter
 	// Dial connects to upstreams.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
+	self     catalogue.Member
+	network  *caravan.Network
+	shared   *caravan.Shared
 	control  *Control
 	relay    *courier.Relay
 	board    *concierge.Board
@@ -78,6 +90,10 @@
 	inFlight *desk.InFlight
 	draining atomic.Bool
 	wake     chan struct{}
+	// enrolled is closed once this instance is in the members' topic, and membersKnown once that was read.
+	enrolled     chan struct{}
+	membersKnown chan struct{}
+	membersOnce  sync.Once
 
 	mu          sync.Mutex
 	comparisons map[string]*comparison
@@ -87,7 +103,9 @@
 
 // Run serves until ctx ends, then drains.
 func (h *House) Run(ctx context.Context) error {
-	h.build()
+	if err := h.build(); err != nil {
+		return err
+	}
 	h.control.Run()
 	defer h.control.Stop()
 	var lc net.ListenConfig
@@ -95,6 +113,10 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
+	peer, err := lc.Listen(ctx, "tcp", h.Settings.PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
 	caller, err := lc.Listen(ctx, "tcp", h.Settings.CallerAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen")
@@ -103,7 +125,7 @@
 	callerServer := desk.NewServer(h.Adapter.Handler(h.intake()))
 	loopCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	loops, looping := h.loops(loopCtx)
+	loops, looping := h.loops(loopCtx, peer)
 	h.serve("ready", readyServer, ready)
 	h.serve("caller", callerServer, caller)
 	h.Log.Info("started", "caller", h.Settings.CallerAddress, "store", h.Settings.StoreAddress, "zone", h.Settings.Zone)
@@ -121,12 +143,13 @@
 	return err
 }
 
-func (h *House) build() {
+func (h *House) build() error {
 	h.board = &concierge.Board{}
 	h.outliers = &concierge.Outliers{}
 	h.paces = &concierge.Paces{}
 	h.inFlight = &desk.InFlight{}
 	h.wake = make(chan struct{}, 1)
+	h.enrolled, h.membersKnown = make(chan struct{}), make(chan struct{})
 	h.comparisons = map[string]*comparison{}
 	h.toldMoves = map[string]string{}
 	h.reverting = map[string]*catalogue.ReleaseMove{}
@@ -134,6 +157,20 @@
 		h.board.Forget(upstream)
 		h.outliers.Forget(upstream)
 	}}
+	h.self = catalogue.Member{
+		Name: h.Settings.Name, PeerAddress: h.Settings.PeerAddress, Zone: h.Settings.Zone, Incarnation: int64(h.Clock.Wall()),
+	}
+	common := settings.Common{Log: h.Log, Clock: h.Clock}
+	h.network = &caravan.Network{Common: common, Self: h.self}
+	h.control.Changed = func(members []catalogue.Member) {
+		h.network.SetMembers(members)
+		h.membersOnce.Do(func() { close(h.membersKnown) })
+	}
+	cache := &archive.Cache{}
+	h.shared = &caravan.Shared{
+		Clock: h.Clock, Network: h.network, Store: h.Store, Cache: cache, Drain: h.Settings.Bounds.Drain, Seniors: h.seniors,
+	}
+	return h.network.Register(caravan.ReaderName, &caravan.Reader{Clock: h.Clock, Cache: cache})
 }
 
 func (h *House) serve(name string, s *http.Server, l net.Listener) {
@@ -145,24 +182,61 @@
 }
 
 // loops starts what runs beside the requests.
-func (h *House) loops(ctx context.Context) (*errgroup.Group, context.Context) {
+func (h *House) loops(ctx context.Context, peer net.Listener) (*errgroup.Group, context.Context) {
 	g, ctx := errgroup.WithContext(ctx)
-	log := h.Log.WithName("store")
-	operations := &archive.Follower[catalogue.Operation]{
-		Clock: h.Clock, Log: log, Topic: h.Operations, Name: "operations", Wait: operationsWait,
-		Apply: func(b archive.Batch[catalogue.Operation]) { h.control.Tell(b); h.wakeMover(b) },
-	}
-	listings := &archive.Follower[catalogue.Listing]{
-		Clock: h.Clock, Log: log, Topic: h.Listings, Name: "list", Wait: listWait, Pause: listPause,
-		Apply: func(b archive.Batch[catalogue.Listing]) { h.control.Tell(b) },
-	}
-	g.Go(func() error { return operations.Run(ctx) })
-	g.Go(func() error { return listings.Run(ctx) })
+	g.Go(func() error {
+		h.awaitMembers(ctx)
+		return follow(ctx, h, archive.TopicOperations, operationsWait, h.Decoders.Operation, h.wakeMover)
+	})
+	g.Go(func() error {
+		h.awaitMembers(ctx)
+		return follow(ctx, h, archive.TopicListings, listWait, h.Decoders.Listing, nil)
+	})
+	g.Go(func() error { return h.followMembers(ctx) })
+	g.Go(func() error { return h.enrol(ctx) })
+	g.Go(func() error { return h.network.Serve(ctx, peer) })
 	g.Go(func() error { return h.followMoves(ctx) })
 	g.Go(func() error { return h.retryReverts(ctx) })
+	g.Go(func() error { return h.report(ctx) })
 	return g, ctx
 }
 
+// follow keeps up with a topic and tells the control thread, and then what else is to know.
+func follow[T any](ctx context.Context, h *House, name archive.TopicName, wait clock.Millis, decode func(archive.Record) (T, error), also func(archive.Batch[T])) error {
+	log := h.Log.WithName("store")
+	f := &archive.Follower[T]{
+		Clock: h.Clock, Log: log, Name: string(name), Wait: wait,
+		Topic: &archive.Decoded[T]{Source: h.shared, Log: log, Name: name, Decode: decode},
+		Apply: func(b archive.Batch[T]) {
+			h.control.Tell(b)
+			if also != nil {
+				also(b)
+			}
+		},
+	}
+	return f.Run(ctx)
+}
+
+// reportPeriod is the time between the lines that tell how the instance is, in milliseconds.
+const reportPeriod clock.Millis = 10 * clock.Second
+
+// report logs now and then how the instance is.
+func (h *House) report(ctx context.Context) error {
+	for {
+		if err := clock.Sleep(ctx, h.Clock, reportPeriod); err != nil {
+			return err
+		}
+		s := h.control.Snapshot()
+		direct, peers := h.shared.Reads()
+		values := []any{"inFlight", h.inFlight.Count(), "viewAgeMs", h.control.Age(h.Clock.Now()), "upstreams", len(s.Upstreams),
+			"members", len(s.Members), "storeReads", direct, "instanceReads", peers}
+		if s.Routes != nil {
+			values = append(values, "table", s.Routes.Version)
+		}
+		h.Log.Info("status", values...)
+	}
+}
+
 // wakeMover starts the following of moves once one is ordered.
 func (h *House) wakeMover(b archive.Batch[catalogue.Operation]) {
 	for _, op := range b.Items {
@@ -184,14 +258,7 @@
 		return ctx.Err()
 	}
 	g, ctx := errgroup.WithContext(ctx)
-	statuses := &archive.Follower[catalogue.ReleaseStatus]{
-		Clock: h.Clock, Log: h.Log.WithName("store"), Topic: h.Statuses, Name: "statuses", Wait: statusWait,
-		Apply: func(b archive.Batch[catalogue.ReleaseStatus]) {
-			h.noteTold(b)
-			h.control.Tell(b)
-		},
-	}
-	g.Go(func() error { return statuses.Run(ctx) })
+	g.Go(func() error { return follow(ctx, h, archive.TopicStatuses, statusWait, h.Decoders.Status, h.noteTold) })
 	g.Go(func() error {
 		m := &Mover{House: h}
 		for {
--- a/pkg/gatehouse/view.go
+++ b/pkg/gatehouse/view.go
@@ -19,6 +19,7 @@
 	// moves are the orders that are not settled, with their state.
 	moves     map[string]*catalogue.ReleaseMove
 	upstreams map[string]*catalogue.Upstream
+	members   map[string]catalogue.Member
 	// listed and statusKnown are true once the list and the statuses were read.
 	listed      bool
 	statusKnown bool
@@ -144,6 +145,20 @@
 	return gone
 }
 
+// TakeMembers takes in the entry instances.
+func (v *View) TakeMembers(b archive.Batch[MemberRecord]) {
+	if b.Whole || v.members == nil {
+		v.members = map[string]catalogue.Member{}
+	}
+	for _, m := range b.Items {
+		if m.Removed {
+			delete(v.members, m.Member.Name)
+			continue
+		}
+		v.members[m.Member.Name] = m.Member
+	}
+}
+
 // Snapshot returns what traffic decides on.
 func (v *View) Snapshot(draining bool) *catalogue.Snapshot {
 	s := &catalogue.Snapshot{Routes: v.table, Moves: v.moves, Draining: draining, Pools: map[string][]*catalogue.Upstream{}}
@@ -154,6 +169,10 @@
 		s.Pools[u.Service] = append(s.Pools[u.Service], u)
 		s.Upstreams = append(s.Upstreams, u)
 	}
+	for _, m := range v.members {
+		s.Members = append(s.Members, m)
+	}
+	slices.SortFunc(s.Members, func(a, b catalogue.Member) int { return strings.Compare(a.Name, b.Name) })
 	byName := func(a, b *catalogue.Upstream) int { return strings.Compare(a.Name, b.Name) }
 	for _, p := range s.Pools {
 		slices.SortFunc(p, byName)
--- a/pkg/settings/entry.go
+++ b/pkg/settings/entry.go
@@ -15,10 +15,11 @@
 	Name string
 	// Zone is the availability zone of this instance.
 	Zone string
-	// CallerAddress, ReadyAddress and AdminAddress are listen addresses, as ip:port.
+	// CallerAddress, ReadyAddress, AdminAddress and PeerAddress are listen addresses, as ip:port.
 	CallerAddress string
 	ReadyAddress  string
 	AdminAddress  string
+	PeerAddress   string
 	// StoreAddress is that of the platform's store, as ip:port.
 	StoreAddress string
 	Machine      Machine
@@ -134,6 +135,7 @@
 		address("CallerAddress", e.CallerAddress),
 		address("ReadyAddress", e.ReadyAddress),
 		address("AdminAddress", e.AdminAddress),
+		address("PeerAddress", e.PeerAddress),
 		address("StoreAddress", e.StoreAddress),
 		{"Machine.MemoryMegabytes", m.MemoryMegabytes >= minMegabytes && m.MemoryMegabytes <= maxMegabytes, "a number of megabytes from 32 to 1048576"},
 		{"Machine.Descriptors", m.Descriptors >= minDescriptors, "a whole number of at least 64"},
