Tell each other the prompts under way, and bound the homes of prompts by that work

Change: each instance tells the oldest of its zone what prompts it has under way, those tell each other the sums of their zones, each 350 ms; a home is used while its work is below 1.4 of the mean and 12,000 tokens. Work is tokens times the cost of the model.

--- a/pkg/concierge/board.go
+++ b/pkg/concierge/board.go
@@ -12,16 +12,20 @@
 // that a report says little after some answers' time.
 const reportHalfLife = 1500.0
 
-// Board knows the load of upstreams from this instance's own requests and from what came with answers.
-// It is safe for concurrent use.
+// Board knows the load of upstreams from this instance's own requests, from what other instances tell and from what came with
+// answers. It is safe for concurrent use.
 type Board struct {
 	mu    sync.Mutex
 	seats map[string]*seat
+	// told is the work of other instances, by upstream.
+	told map[string]float32
 }
 
 // seat is what is known of one upstream.
 type seat struct {
 	own int
+	// work is the part of the own requests that is still ahead of the upstream.
+	work float64
 	// others is the load of other instances as of reportAt.
 	others   float64
 	reportAt clock.Millis
@@ -55,11 +59,21 @@
 	return s
 }
 
-// Begin counts a request that is sent to the upstream.
-func (b *Board) Begin(upstream string) {
+// Begin counts a request of so much work that is sent to the upstream.
+func (b *Board) Begin(upstream string, work float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.seat(upstream).own++
+	s := b.seat(upstream)
+	s.own++
+	s.work += work
+}
+
+// Done takes work off that an upstream has done, or that has left it.
+func (b *Board) Done(upstream string, work float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.seat(upstream)
+	s.work = math.Max(0, s.work-work)
 }
 
 // End counts a request that has left the upstream.
@@ -69,6 +83,37 @@
 	b.seat(upstream).own--
 }
 
+// Own returns the work of this instance's requests that is ahead of the upstreams.
+func (b *Board) Own() map[string]float32 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	work := map[string]float32{}
+	for name, s := range b.seats {
+		if s.work > 0 {
+			work[name] = float32(s.work)
+		}
+	}
+	return work
+}
+
+// Tell takes the work of other instances that is ahead of the upstreams.
+func (b *Board) Tell(work map[string]float32) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.told = work
+}
+
+// Work returns the work of all instances that is ahead of the upstream, as far as it is known.
+func (b *Board) Work(upstream string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	work := float64(b.told[upstream])
+	if s := b.seats[upstream]; s != nil {
+		work += s.work
+	}
+	return work
+}
+
 // Report notes what an upstream said of its load.
 func (b *Board) Report(upstream string, r *enquiry.LoadReport, now clock.Millis) {
 	if r == nil {
--- a/pkg/concierge/dispatch.go
+++ b/pkg/concierge/dispatch.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
+	"sync"
 
 	"github.com/go-logr/logr"
 
@@ -126,11 +128,32 @@
 }
 
 func (f *Dispatch) send(ctx context.Context, c *enquiry.Call, next enquiry.Handler) error {
-	f.Board.Begin(c.Upstream.Name)
-	defer f.Board.End(c.Upstream.Name)
+	upstream, work := c.Upstream.Name, f.work(c)
+	f.Board.Begin(upstream, work)
+	defer f.Board.End(upstream)
+	var once sync.Once
+	c.Begun = func() { once.Do(func() { f.Board.Done(upstream, work) }) }
+	defer c.Begun()
 	return next.Handle(ctx, c)
 }
 
+// work returns what the call asks of an engine before its answer begins, in tokens of the largest model; models cost as they
+// work.
+func (f *Dispatch) work(c *enquiry.Call) float64 {
+	p := c.Request.Prompt
+	if p == nil {
+		return 0
+	}
+	largest := 0.0
+	for _, cost := range c.Pool.ModelCosts {
+		largest = max(largest, cost)
+	}
+	if largest <= 0 {
+		return float64(p.Tokens)
+	}
+	return float64(p.Tokens) * c.Pool.ModelCosts[c.Model] / largest
+}
+
 // note remembers what the attempt showed of its upstream.
 func (f *Dispatch) note(c *enquiry.Call, u *catalogue.Upstream, err error) {
 	now := f.Clock.Now()
@@ -161,7 +184,7 @@
 	from := f.release(s, c, s.Pools[service], now)
 	from = others(from, c.Excluded)
 	warm, cold := byWarmth(from, now)
-	q := &Choice{Now: now, Zone: f.Zone, Board: f.Board, Outliers: f.Outliers}
+	q := &Choice{Now: now, Zone: f.Zone, Board: f.Board, Outliers: f.Outliers, Draw: c.Request.ID + strconv.Itoa(c.Attempts)}
 	if c.Route.Affinity {
 		q.Key = PromptKey(c)
 		q.Long = f.long(c)
--- a/pkg/concierge/route.go
+++ b/pkg/concierge/route.go
@@ -10,18 +10,20 @@
 )
 
 const (
-	// boundedLoad is how far above the mean the load of an upstream may be while it is still the home of a prompt.
-	boundedLoad = 1.4
-	// boundedSlack is added to that bound, in requests, so that few requests don't move homes.
-	boundedSlack = 3.0
+	// boundedWork is how far above the mean the work of an upstream may be while it is still the home of a prompt.
+	boundedWork = 1.4
+	// boundedSlack is added to that bound, in tokens of the largest model, so that a single prompt doesn't move homes; an engine
+	// reads that in a quarter of a second.
+	boundedSlack = 12000.0
 	// zoneSlack is the load that an upstream of the own zone may have more than the least loaded one, in parts of its slots.
 	zoneSlack = 0.25
 	// laneShare is the part of the upstreams that take the prompts that take long, where there are leastLanes or more. On the
 	// users' sites those prompts are a fifth of the work.
 	laneShare  = 0.23
 	leastLanes = 5
-	// laneSlack and laneFactor tell when the load of one group is so much higher that the other one takes its requests.
-	laneSlack  = 4.0
+	// laneSlack and laneFactor tell when the work of one group is so much higher that the other one takes its requests; the
+	// slack is in tokens of the largest model.
+	laneSlack  = 40000.0
 	laneFactor = 2.0
 	// laneKey is the rendezvous key of the upstreams for long prompts.
 	laneKey = "long prompts"
@@ -40,6 +42,8 @@
 	Board *Board
 	// Outliers are tried last; it may be nil.
 	Outliers *Outliers
+	// Draw breaks ties differently for each attempt, so that instances which know nothing of each other spread their requests.
+	Draw string
 	// Long is true for a request whose prompt takes so long to read that others would wait behind it.
 	Long bool
 }
@@ -74,19 +78,33 @@
 	n := max(1, int(laneShare*float64(len(from))))
 	lane, rest := ranked[:n], ranked[n:]
 	if q.Long {
-		u := q.least(lane)
-		if other := q.least(rest); q.load(u) > q.load(other)+laneSlack {
+		u := q.idlest(lane)
+		if other := q.idlest(rest); q.work(u) > q.work(other)+laneSlack {
 			return other
 		}
 		return u
 	}
 	u := q.home(rest)
-	if free := q.least(lane); q.load(u) > laneFactor*q.load(free)+laneSlack {
+	if free := q.idlest(lane); q.work(u) > laneFactor*q.work(free)+laneSlack {
 		return free
 	}
 	return u
 }
 
+// idlest returns the upstream with the least work ahead of it.
+func (q *Choice) idlest(from []*catalogue.Upstream) *catalogue.Upstream {
+	var best *catalogue.Upstream
+	least := 0.0
+	for _, u := range ranked(q.Draw, from) {
+		if w := q.work(u); best == nil || w < least {
+			best, least = u, w
+		}
+	}
+	return best
+}
+
+func (q *Choice) work(u *catalogue.Upstream) float64 { return q.Board.Work(u.Name) }
+
 func (q *Choice) load(u *catalogue.Upstream) float64 { return q.Board.Load(u.Name, q.Now) }
 
 // ranked returns the upstreams in rendezvous order for a key, the highest weight first.
@@ -105,26 +123,26 @@
 	return ranked
 }
 
-// home returns the first upstream in rendezvous order whose load is near the mean.
+// home returns the first upstream in rendezvous order whose work is near the mean.
 func (q *Choice) home(from []*catalogue.Upstream) *catalogue.Upstream {
 	total := 0.0
 	for _, u := range from {
-		total += q.load(u)
+		total += q.work(u)
 	}
-	bound := boundedLoad*total/float64(len(from)) + boundedSlack
+	bound := boundedWork*total/float64(len(from)) + boundedSlack
 	for _, u := range ranked(q.Key, from) {
-		if q.load(u) <= bound {
+		if q.work(u) <= bound {
 			return u
 		}
 	}
-	return q.least(from)
+	return q.idlest(from)
 }
 
 // least returns the least loaded upstream; those of the own zone go first while they are not much fuller.
 func (q *Choice) least(from []*catalogue.Upstream) *catalogue.Upstream {
 	var best *catalogue.Upstream
 	bestLoad := 0.0
-	for _, u := range from {
+	for _, u := range ranked(q.Draw, from) {
 		slots := u.Slots
 		if slots <= 0 {
 			slots = unknownSlots
--- a/pkg/courier/stream.go
+++ b/pkg/courier/stream.go
@@ -78,6 +78,9 @@
 	c := p.call
 	if p.first == 0 {
 		p.first = max(1, p.Clock.Now()-p.began)
+		if c.Begun != nil {
+			c.Begun()
+		}
 	}
 	if err := p.passHead(head); err != nil {
 		return err
--- a/pkg/enquiry/request.go
+++ b/pkg/enquiry/request.go
@@ -124,6 +124,8 @@
 	TableVersion int64
 	// Runs counts the attempts that an upstream may have executed.
 	Runs int
+	// Begun, when set, is called when the answer begins.
+	Begun func()
 	// Headed is true once the caller has the head of the answer.
 	Headed bool
 	// FirstByteLimit bounds the time to the beginning of the answer where the call may be repeated, in milliseconds; 0 is no bound.
--- a/pkg/gatehouse/house.go
+++ b/pkg/gatehouse/house.go
@@ -82,6 +82,7 @@
 	self     catalogue.Member
 	network  *caravan.Network
 	shared   *caravan.Shared
+	loads    *caravan.Loads
 	control  *Control
 	relay    *courier.Relay
 	board    *concierge.Board
@@ -170,7 +171,13 @@
 	h.shared = &caravan.Shared{
 		Clock: h.Clock, Network: h.network, Store: h.Store, Cache: cache, Drain: h.Settings.Bounds.Drain, Seniors: h.seniors,
 	}
-	return h.network.Register(caravan.ReaderName, &caravan.Reader{Clock: h.Clock, Cache: cache})
+	h.loads = &caravan.Loads{
+		Clock: h.Clock, Self: h.self.Name, Zone: h.self.Zone, Network: h.network, Own: h.board.Own, Others: h.board.Tell, Heads: h.heads,
+	}
+	return errors.CombineErrors(
+		h.network.Register(caravan.ReaderName, &caravan.Reader{Clock: h.Clock, Cache: cache}),
+		h.network.Register(caravan.LoadsName, h.loads),
+	)
 }
 
 func (h *House) serve(name string, s *http.Server, l net.Listener) {
@@ -198,6 +205,7 @@
 	g.Go(func() error { return h.followMoves(ctx) })
 	g.Go(func() error { return h.retryReverts(ctx) })
 	g.Go(func() error { return h.report(ctx) })
+	g.Go(func() error { return h.loads.Run(ctx) })
 	return g, ctx
 }
 
--- a/pkg/gatehouse/members.go
+++ b/pkg/gatehouse/members.go
@@ -103,6 +103,21 @@
 	return names, zone
 }
 
+// heads returns the member of each zone that runs longest.
+func (h *House) heads() map[string]string {
+	oldest := map[string]catalogue.Member{}
+	for _, m := range h.control.Snapshot().Members {
+		if old, known := oldest[m.Zone]; !known || compareAge(m, old) < 0 {
+			oldest[m.Zone] = m
+		}
+	}
+	names := make(map[string]string, len(oldest))
+	for zone, m := range oldest {
+		names[zone] = m.Name
+	}
+	return names
+}
+
 func compareAge(a, b catalogue.Member) int {
 	switch {
 	case a.Incarnation < b.Incarnation:
