--- a/pkg/caravan/shared.go
+++ b/pkg/caravan/shared.go
@@ -47,6 +47,8 @@
 	// Seniors returns the other instances of the zone that run longer than this one, the longest first, and how many there
 	// are in the zone.
 	Seniors func() (names []string, zone int)
+	// Await returns once the members are known, or after a while.
+	Await func(ctx context.Context)
 
 	down downMarks
 	// direct and peers count the reads of the store and of other instances, by topic.
@@ -67,6 +69,9 @@
 
 // Read returns the records from a position on.
 func (s *Shared) Read(ctx context.Context, topic archive.TopicName, from int64, wait clock.Millis) (archive.Batch[archive.Record], error) {
+	if topic != archive.TopicMembers {
+		s.Await(ctx)
+	}
 	b, err := s.ask(ctx, ReadArgs{Topic: topic, From: from, Wait: min(wait, s.part(peerPart))})
 	if !errors.Is(err, errNoPeer) {
 		return s.keep(topic, b, err)
--- a/pkg/gatehouse/house.go
+++ b/pkg/gatehouse/house.go
@@ -169,7 +169,7 @@
 	}
 	cache := &archive.Cache{}
 	h.shared = &caravan.Shared{
-		Clock: h.Clock, Network: h.network, Store: h.Store, Cache: cache, Drain: h.Settings.Bounds.Drain, Seniors: h.seniors,
+		Clock: h.Clock, Network: h.network, Store: h.Store, Cache: cache, Drain: h.Settings.Bounds.Drain, Seniors: h.seniors, Await: h.awaitMembers,
 	}
 	h.loads = &caravan.Loads{
 		Clock: h.Clock, Self: h.self.Name, Zone: h.self.Zone, Network: h.network, Own: h.board.Own, Others: h.board.Tell, Heads: h.heads,
@@ -192,13 +192,9 @@
 func (h *House) loops(ctx context.Context, peer net.Listener) (*errgroup.Group, context.Context) {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
-		h.awaitMembers(ctx)
 		return follow(ctx, h, archive.TopicOperations, operationsWait, h.Decoders.Operation, h.wakeMover)
 	})
-	g.Go(func() error {
-		h.awaitMembers(ctx)
-		return follow(ctx, h, archive.TopicListings, listWait, h.Decoders.Listing, nil)
-	})
+	g.Go(func() error { return follow(ctx, h, archive.TopicListings, listWait, h.Decoders.Listing, nil) })
 	g.Go(func() error { return h.followMembers(ctx) })
 	g.Go(func() error { return h.enrol(ctx) })
 	g.Go(func() error { return h.network.Serve(ctx, peer) })
--- a/pkg/gatehouse/members.go
+++ b/pkg/gatehouse/members.go
@@ -16,8 +16,9 @@
 	// gatherTime is how long the members are not read after this one was entered, in milliseconds: instances that are started
 	// together are so read at once, which saves a read for each of them.
 	gatherTime clock.Millis = 350
-	// membersTime is how long the other topics wait for the members to be known, in milliseconds.
-	membersTime clock.Millis = 1500
+	// membersTime is how long the members are waited for before the other topics are read on, in milliseconds; it is below what
+	// a read may take.
+	membersTime clock.Millis = 1000
 	// enrolPause is the pause between tries to enter this instance in the members' topic, in milliseconds.
 	enrolPause clock.Millis = 1000
 	// enrolTime bounds one try, in milliseconds.
