--- a/pkg/courier/relay.go
+++ b/pkg/courier/relay.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/enquiry"
 )
@@ -295,6 +296,7 @@
 		RequestID:  p.call.Request.ID,
 		Workspace:  p.call.Request.Workspace,
 		Upstream:   p.call.Upstream.Name,
+		Version:    catalogue.VersionID(p.call.Model),
 		Result:     resultOf(err),
 		FirstToken: p.first,
 		Load:       p.load,
--- a/pkg/desk/metrics.go
+++ b/pkg/desk/metrics.go
@@ -97,13 +97,19 @@
 	}
 }
 
+// Count counts a call that went through a line; took is in milliseconds.
+func (m *Metrics) Count(c *enquiry.Call, err error, took clock.Millis) { m.observe(c, err, took) }
+
 // observe counts a call that went through the line.
 func (m *Metrics) observe(c *enquiry.Call, err error, took clock.Millis) {
 	if m == nil {
 		return
 	}
 	kind := "chat"
-	if c.Request.Service != "" {
+	switch {
+	case c.Route != nil:
+		kind = c.Route.Name
+	case c.Request.Service != "":
 		kind = "service"
 	}
 	m.seconds.WithLabelValues(kind).Observe(took.Seconds())
--- a/pkg/gatehouse/house.go
+++ b/pkg/gatehouse/house.go
@@ -78,7 +78,13 @@
 	Adapter  Adapter
 	// Dial connects to upstreams.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Reloads has settings that were read anew; it may be nil.
+	Reloads <-chan *settings.Entry
+	// LogDropped returns how many log lines were dropped; it may be nil.
+	LogDropped func() int64
 
+	metrics  *desk.Metrics
+	least    atomic.Int32
 	self     catalogue.Member
 	network  *caravan.Network
 	shared   *caravan.Shared
@@ -122,11 +128,17 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
+	admin, err := lc.Listen(ctx, "tcp", h.Settings.AdminAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	adminServer := desk.NewServer(h.adminHandler())
 	readyServer := desk.NewServer(http.HandlerFunc(h.serveReady))
 	callerServer := desk.NewServer(h.Adapter.Handler(h.intake()))
 	loopCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	loops, looping := h.loops(loopCtx, peer)
+	h.serve("admin", adminServer, admin)
 	h.serve("ready", readyServer, ready)
 	h.serve("caller", callerServer, caller)
 	h.Log.Info("started", "caller", h.Settings.CallerAddress, "store", h.Settings.StoreAddress, "zone", h.Settings.Zone)
@@ -139,12 +151,14 @@
 	stop()
 	_ = loops.Wait()
 	h.relay.Close()
-	_ = readyServer.Close()
+	err = errors.CombineErrors(err, errors.CombineErrors(readyServer.Close(), adminServer.Close()))
 	h.Log.Info("stopped", "inFlight", h.inFlight.Count())
 	return err
 }
 
 func (h *House) build() error {
+	h.metrics = desk.NewMetrics()
+	h.least.Store(int32(h.Settings.Policy.LeastConfidence))
 	h.board = &concierge.Board{}
 	h.outliers = &concierge.Outliers{}
 	h.paces = &concierge.Paces{}
@@ -202,6 +216,7 @@
 	g.Go(func() error { return h.retryReverts(ctx) })
 	g.Go(func() error { return h.report(ctx) })
 	g.Go(func() error { return h.loads.Run(ctx) })
+	g.Go(func() error { return h.reload(ctx) })
 	return g, ctx
 }
 
@@ -237,6 +252,9 @@
 		if s.Routes != nil {
 			values = append(values, "table", s.Routes.Version)
 		}
+		if h.LogDropped != nil {
+			values = append(values, "linesDropped", h.LogDropped())
+		}
 		h.Log.Info("status", values...)
 	}
 }
--- a/pkg/gatehouse/line.go
+++ b/pkg/gatehouse/line.go
@@ -1,6 +1,8 @@
 package gatehouse
 
 import (
+	"context"
+
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/concierge"
@@ -31,9 +33,9 @@
 		Observe: h.observe,
 	}
 	h.relay.Open()
-	return enquiry.Line(
+	return h.counted(enquiry.Line(
 		&desk.Direct{Snapshot: h.control.Snapshot, Clock: h.Clock, Age: h.control.Age, Denial: h.Settings.Bounds.ConfigApply, Keys: h.keyLimit()},
-		&tariff.Sizes{Log: h.Log.WithName("tariff"), Least: h.Settings.Policy.LeastConfidence, Budgets: budgets},
+		&tariff.Sizes{Log: h.Log.WithName("tariff"), Least: &h.least, Budgets: budgets},
 		&concierge.Dispatch{
 			Clock:    h.Clock,
 			Log:      h.Log.WithName("concierge"),
@@ -46,7 +48,16 @@
 			Paces:    h.paces,
 		},
 		h.relay,
-	)
+	))
+}
+
+// counted counts each call in the metrics.
+func (h *House) counted(line enquiry.Handler) enquiry.Handler {
+	return enquiry.HandlerFunc(func(ctx context.Context, c *enquiry.Call) error {
+		err := line.Handle(ctx, c)
+		h.metrics.Count(c, err, h.Clock.Now()-c.Request.ArrivedAt)
+		return err
+	})
 }
 
 func (h *House) intake() Intake {
--- a/pkg/gatehouse/moves.go
+++ b/pkg/gatehouse/moves.go
@@ -23,6 +23,7 @@
 
 // observe takes in what an attempt showed.
 func (h *House) observe(c *enquiry.Call, s enquiry.Sample) {
+	h.metrics.Observe(s)
 	h.board.Report(s.Upstream, s.Load, s.At)
 	model, tokens, took := c.Model, 0, s.FirstToken
 	if c.Request.Prompt != nil {
--- a/pkg/tariff/sizes.go
+++ b/pkg/tariff/sizes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 
 	"github.com/go-logr/logr"
 
@@ -14,8 +15,8 @@
 // sure enough of its answer. The answer of the small one is dropped before the caller gets any of it.
 type Sizes struct {
 	Log logr.Logger
-	// Least is the confidence below which an answer is dropped, from 0 to 100.
-	Least int
+	// Least is the confidence below which an answer is dropped, from 0 to 100; it may change at any time.
+	Least *atomic.Int32
 	// Budgets bounds the sends beyond the first.
 	Budgets *concierge.Budgets
 }
@@ -42,7 +43,7 @@
 	w.more = false
 	c.After, c.Model = c.Request.After, sizes[len(sizes)-1]
 	f.Log.Info("model not sure", "request", c.Request.ID, "route", c.Route.Name, "model", sizes[0], "confidence", w.confidence,
-		"least", f.Least, "next", c.Model)
+		"least", f.Least.Load(), "next", c.Model)
 	err = next.Handle(ctx, c)
 	var r *enquiry.Refusal
 	if c.Headed || !errors.As(err, &r) || r.Outcome != enquiry.NotRun || ctx.Err() != nil {
@@ -65,7 +66,7 @@
 
 // WriteHead passes the head on unless a larger model is to be asked.
 func (w *sureWriter) WriteHead(ctx context.Context, c *enquiry.Call, h enquiry.Head) error {
-	if w.more && h.Confidence >= 0 && h.Confidence < w.sizes.Least && h.Status < 300 && w.sizes.Budgets.Take(c.Pool.Name) {
+	if w.more && h.Confidence >= 0 && h.Confidence < int(w.sizes.Least.Load()) && h.Status < 300 && w.sizes.Budgets.Take(c.Pool.Name) {
 		w.dropped, w.confidence = true, h.Confidence
 		return enquiry.ErrTurnedDown
 	}
