--- a/pkg/concierge/budget.go
+++ b/pkg/concierge/budget.go
@@ -17,6 +17,8 @@
 type RetryBudget struct {
 	// Share is how many retries each request adds to the budget.
 	Share float64
+	// Burst is how many retries may be saved up however few requests there are; 0 stands for one.
+	Burst float64
 
 	mu sync.Mutex
 	// spent is what retries took, less what requests added since; it begins at 0, so that the first request may be retried.
@@ -39,17 +41,19 @@
 		b.start, b.sent = now, 0
 	}
 	b.sent++
-	most := max(leastBurst, b.Share*float64(max(b.sent, b.sentBefore)))
-	b.spent = max(leastBurst-most, b.spent-b.Share)
+	most := max(b.burst(), b.Share*float64(max(b.sent, b.sentBefore)))
+	b.spent = max(b.burst()-most, b.spent-b.Share)
 }
 
 // Take spends one retry and tells whether the budget had it.
 func (b *RetryBudget) Take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.spent > leastBurst-1 {
+	if b.spent > b.burst()-1 {
 		return false
 	}
 	b.spent++
 	return true
 }
+
+func (b *RetryBudget) burst() float64 { return max(leastBurst, b.Burst) }
--- a/pkg/concierge/budgets.go
+++ b/pkg/concierge/budgets.go
@@ -6,6 +6,10 @@
 	"carawayknot.example/carawayknot/pkg/clock"
 )
 
+// budgetBurst is how many sends beyond the first an instance may do at once; 9 instances stay with that far below the 54 that
+// the users' rules allow on top of the share.
+const budgetBurst = 3
+
 // Budgets has a retry budget for each service; it is safe for concurrent use.
 type Budgets struct {
 	// Share is how many sends beyond the first each request adds to the budget of its service.
@@ -29,7 +33,7 @@
 		if b.services == nil {
 			b.services = map[string]*RetryBudget{}
 		}
-		r = &RetryBudget{Share: b.Share}
+		r = &RetryBudget{Share: b.Share, Burst: budgetBurst}
 		b.services[service] = r
 	}
 	return r
--- a/pkg/concierge/dispatch.go
+++ b/pkg/concierge/dispatch.go
@@ -17,6 +17,9 @@
 const (
 	// maxDeclines bounds how often a call that upstreams declined is sent on.
 	maxDeclines = 3
+	// declinedWait is when a caller should come back whose request several upstreams declined, in milliseconds; they are full,
+	// and a queue of 20 calls of 60 ms before 6 slots is gone by then.
+	declinedWait clock.Millis = 400
 	// coldPart is the part of what a cold upstream bears that all instances together send it.
 	coldPart = 0.6
 	// leastMembers is how many instances are taken to send to a cold upstream when fewer are known.
@@ -119,6 +122,9 @@
 	if !c.Headed && errors.As(r.Cause, &failed) {
 		return failed.PassOn(ctx, c)
 	}
+	if r.Outcome == enquiry.NotRun && r.RetryAfter == 0 && ctx.Err() == nil {
+		r.RetryAfter = jitter(c.Request.ID, declinedWait)
+	}
 	return r
 }
 
