Add up over all instances what is seen of a new release, and give it fewer sessions where a service is large

Excluded: sessions of one instance (remembered) and retries. An instance can't know that a session is not new; fewer can be hit. Change: the share falls in steps with the number of upstreams (0.012 above 48), and what each instance saw of a release travels with the loads, so that few requests still give a verdict; two upstreams must have failed. Cold upstreams: the first send of each instance waits for its own part of the interval (12 instances sent 24 in the first second, TestDispatchColdUpstreams).

--- a/pkg/caravan/loads.go
+++ b/pkg/caravan/loads.go
@@ -22,14 +22,17 @@
 	From string
 	Zone string
 	Work map[string]float32
+	// Seen counts what was seen since the start, under keys of those who count.
+	Seen map[string]float32
 }
 
-// LoadReply tells the work of others, by upstream.
+// LoadReply tells the work of others, by upstream, and what they saw.
 type LoadReply struct {
 	Work map[string]float32
+	Seen map[string]float32
 }
 
-// Loads exchanges the work that is under way at upstreams: instances tell the longest running one of their zone, and those
+// Loads exchanges the work that is under way at upstreams, and what was seen of new releases: instances tell the longest running one of their zone, and those
 // tell each other the sums of their zones. So each instance knows the sum over all, at a cost that doesn't grow with their
 // number but for those few.
 type Loads struct {
@@ -37,10 +40,10 @@
 	Self    string
 	Zone    string
 	Network *Network
-	// Own returns the work of this instance.
-	Own func() map[string]float32
-	// Others takes the work of all other instances.
-	Others func(work map[string]float32)
+	// Own returns the work of this instance and what it saw.
+	Own func() (work, seen map[string]float32)
+	// Others takes the work of all other instances and what they saw; both are empty when they can't be asked.
+	Others func(work, seen map[string]float32)
 	// Heads returns the instance that runs longest of each zone, by zone.
 	Heads func() map[string]string
 
@@ -52,6 +55,7 @@
 
 type told struct {
 	work map[string]float32
+	seen map[string]float32
 	at   clock.Millis
 }
 
@@ -69,11 +73,12 @@
 	heads := l.Heads()
 	if head := heads[l.Zone]; head != l.Self && head != "" {
 		var reply LoadReply
-		args := LoadArgs{From: l.Self, Zone: l.Zone, Work: l.Own()}
+		args := LoadArgs{From: l.Self, Zone: l.Zone}
+		args.Work, args.Seen = l.Own()
 		if err := l.Network.CallWithin(ctx, loadPeriod, head, LoadsName+".Tell", args, &reply); err == nil {
-			l.Others(reply.Work)
+			l.Others(reply.Work, reply.Seen)
 		} else {
-			l.Others(nil)
+			l.Others(nil, nil)
 		}
 		return
 	}
@@ -89,10 +94,11 @@
 
 // tellZone tells the head of another zone the sum of this one and keeps the sum of the other.
 func (l *Loads) tellZone(ctx context.Context, zone, head string) {
-	work := l.sum("", false)
-	addWork(work, l.Own())
+	args := LoadArgs{From: l.Self, Zone: l.Zone}
+	args.Work, args.Seen = l.sum("", false)
+	l.addOwn(args.Work, args.Seen)
 	var reply LoadReply
-	if err := l.Network.CallWithin(ctx, loadPeriod, head, LoadsName+".Tell", LoadArgs{From: l.Self, Zone: l.Zone, Work: work}, &reply); err != nil {
+	if err := l.Network.CallWithin(ctx, loadPeriod, head, LoadsName+".Tell", args, &reply); err != nil {
 		return
 	}
 	l.mu.Lock()
@@ -100,13 +106,13 @@
 	if l.zones == nil {
 		l.zones = map[string]told{}
 	}
-	l.zones[zone] = told{work: reply.Work, at: l.Clock.Now()}
+	l.zones[zone] = told{work: reply.Work, seen: reply.Seen, at: l.Clock.Now()}
 }
 
 // Tell takes what an instance has under way, or the head of a zone the sum of its zone, and answers with the rest.
 func (l *Loads) Tell(args LoadArgs, reply *LoadReply) error {
 	l.mu.Lock()
-	t := told{work: args.Work, at: l.Clock.Now()}
+	t := told{work: args.Work, seen: args.Seen, at: l.Clock.Now()}
 	same := args.Zone == l.Zone
 	if same {
 		if l.zone == nil {
@@ -120,41 +126,49 @@
 		l.zones[args.Zone] = t
 	}
 	l.mu.Unlock()
-	reply.Work = l.sum(args.From, same)
-	addWork(reply.Work, l.Own())
+	reply.Work, reply.Seen = l.sum(args.From, same)
+	l.addOwn(reply.Work, reply.Seen)
 	return nil
 }
 
+func (l *Loads) addOwn(work, seen map[string]float32) {
+	ownWork, ownSeen := l.Own()
+	addAll(work, ownWork)
+	addAll(seen, ownSeen)
+}
+
 // sum adds up what instances of the zone but one told, and with others what other zones told.
-func (l *Loads) sum(without string, others bool) map[string]float32 {
+func (l *Loads) sum(without string, others bool) (work, seen map[string]float32) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Clock.Now()
-	work := map[string]float32{}
+	work, seen = map[string]float32{}, map[string]float32{}
 	for name, t := range l.zone {
 		if now-t.at > loadTime {
 			delete(l.zone, name)
 			continue
 		}
 		if name != without {
-			addWork(work, t.work)
+			addAll(work, t.work)
+			addAll(seen, t.seen)
 		}
 	}
 	if !others {
-		return work
+		return work, seen
 	}
 	for zone, t := range l.zones {
 		if now-t.at > loadTime {
 			delete(l.zones, zone)
 			continue
 		}
-		addWork(work, t.work)
+		addAll(work, t.work)
+		addAll(seen, t.seen)
 	}
-	return work
+	return work, seen
 }
 
-func addWork(sum, work map[string]float32) {
-	for upstream, w := range work {
-		sum[upstream] += w
+func addAll(sum, more map[string]float32) {
+	for key, n := range more {
+		sum[key] += n
 	}
 }
--- /dev/null
+++ b/pkg/caravan/shared_test.go
@@ -0,0 +1,159 @@
+package caravan
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"carawayknot.example/carawayknot/pkg/archive"
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/settings"
+)
+
+// countedStore counts the reads of a store whose topic ends at next.
+type countedStore struct {
+	clock clock.Clock
+	next  int64
+	reads int
+}
+
+func (s *countedStore) Newest(context.Context, archive.TopicName) (archive.Batch[archive.Record], error) {
+	s.reads++
+	return archive.Batch[archive.Record]{Whole: true, Next: s.next, SentAt: s.clock.Now()}, nil
+}
+
+func (s *countedStore) Read(_ context.Context, _ archive.TopicName, from int64, _ clock.Millis) (archive.Batch[archive.Record], error) {
+	s.reads++
+	b := archive.Batch[archive.Record]{Next: s.next, SentAt: s.clock.Now()}
+	for range s.next - from {
+		b.Items = append(b.Items, archive.Record{Key: "k", Value: []byte("v")})
+	}
+	return b, nil
+}
+
+// pair is a senior instance that serves its cache, and one that reads of it.
+type pair struct {
+	clock *clock.Manual
+	cache *archive.Cache
+	store *countedStore
+	own   *Shared
+	zone  int
+}
+
+func newPair(t *testing.T) *pair {
+	t.Helper()
+	p := &pair{clock: clock.NewManual(10_000), cache: &archive.Cache{}, zone: leastShared}
+	p.store = &countedStore{clock: p.clock, next: 5}
+	common := settings.Common{Log: logr.Discard(), Clock: p.clock}
+	senior := &Network{Common: common, Self: catalogue.Member{Name: "old"}}
+	if err := senior.Register(ReaderName, &Reader{Clock: p.clock, Cache: p.cache}); err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- senior.Serve(ctx, l) }()
+	own := &Network{Common: common, Self: catalogue.Member{Name: "young"}}
+	own.SetMembers([]catalogue.Member{{Name: "old", PeerAddress: l.Addr().String()}})
+	t.Cleanup(func() {
+		own.SetMembers(nil)
+		cancel()
+		<-done
+	})
+	p.own = &Shared{
+		Clock: p.clock, Network: own, Store: p.store, Cache: &archive.Cache{}, Drain: 3000,
+		Seniors: func() ([]string, int) { return []string{"old"}, p.zone }, Await: func(context.Context) {},
+	}
+	return p
+}
+
+func TestSharedReadsOfASenior(t *testing.T) {
+	p := newPair(t)
+	p.cache.Take(archive.TopicOperations, archive.Batch[archive.Record]{Whole: true, Next: 4, SentAt: 9000})
+	p.cache.Take(archive.TopicOperations, archive.Batch[archive.Record]{Items: []archive.Record{{Key: "k", Value: []byte("v")}}, Next: 5, SentAt: 9500})
+	b, err := p.own.Read(context.Background(), archive.TopicOperations, 4, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(b.Items) != 1 || b.Next != 5 || b.SentAt != 9500 || p.store.reads != 0 {
+		t.Errorf("got %+v with %d reads of the store", b, p.store.reads)
+	}
+	// What was read can be handed on.
+	if _, _, err := p.own.Cache.After(archive.TopicOperations, 5); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestSharedReadsTheStore(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		set  func(p *pair)
+	}{
+		{"the senior has read nothing", func(*pair) {}},
+		{"the senior's view is too old", func(p *pair) {
+			p.cache.Take(archive.TopicOperations, archive.Batch[archive.Record]{Whole: true, Next: 4, SentAt: 10_000 - 1951})
+		}},
+		{"the senior is behind", func(p *pair) {
+			p.cache.Take(archive.TopicOperations, archive.Batch[archive.Record]{Whole: true, Next: 3, SentAt: 10_000})
+		}},
+		{"the senior is not there", func(p *pair) { p.own.Network.SetMembers(nil) }},
+		{"the zone is small", func(p *pair) {
+			p.cache.Take(archive.TopicOperations, archive.Batch[archive.Record]{Whole: true, Next: 5, SentAt: 10_000})
+			p.zone = leastShared - 1
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPair(t)
+			c.set(p)
+			b, err := p.own.Read(context.Background(), archive.TopicOperations, 4, 0)
+			if err != nil || b.Next != 5 || b.SentAt != 10_000 || p.store.reads != 1 {
+				t.Errorf("got %+v and %v with %d reads of the store, want one", b, err, p.store.reads)
+			}
+		})
+	}
+}
+
+func TestSharedPassesOnThatRecordsWereDropped(t *testing.T) {
+	p := newPair(t)
+	p.cache.Take(archive.TopicListings, archive.Batch[archive.Record]{Whole: true, Next: 5, SentAt: 10_000})
+	if _, err := p.own.Read(context.Background(), archive.TopicListings, 2, 0); !errors.Is(err, archive.ErrTrimmed) {
+		t.Errorf("got %v, want %v", err, archive.ErrTrimmed)
+	}
+}
+
+func TestLoadsSum(t *testing.T) {
+	m := clock.NewManual(1000)
+	own := map[string]float32{"u": 1}
+	l := &Loads{Clock: m, Self: "head", Zone: "a", Own: func() (work, seen map[string]float32) { return own, nil }}
+	tell := func(from, zone string, work float32) float32 {
+		var reply LoadReply
+		if err := l.Tell(LoadArgs{From: from, Zone: zone, Work: map[string]float32{"u": work}}, &reply); err != nil {
+			t.Fatal(err)
+		}
+		return reply.Work["u"]
+	}
+	for _, c := range []struct {
+		name, from, zone string
+		work, want       float32
+	}{
+		{"the first of the zone hears of the head", "a1", "a", 10, 1},
+		{"the second also of the first", "a2", "a", 20, 11},
+		{"another zone hears of this zone alone", "b1", "b", 300, 31},
+		{"this zone hears of the other", "a1", "a", 10, 321},
+	} {
+		if got := tell(c.from, c.zone, c.work); got != c.want {
+			t.Errorf("%s: %g, want %g", c.name, got, c.want)
+		}
+	}
+	m.Advance(loadTime + 1)
+	if got := tell("a1", "a", 10); got != 1 {
+		t.Errorf("what is old counts: %g, want 1", got)
+	}
+}
--- a/pkg/catalogue/route.go
+++ b/pkg/catalogue/route.go
@@ -120,18 +120,36 @@
 	ReleaseOrder
 	State     ReleaseState
 	StartedAt clock.Millis
+	// Canary is the part of the sessions on the new release while it is judged.
+	Canary float64
 }
 
 // Parts of the span of a move.
 const (
-	// canaryShare is the part of the sessions on the new release while it is judged; the users' sites bound it by 0.12 and more.
-	canaryShare = 0.06
 	// canaryPart is the part of the span during which sessions keep the release they had.
 	canaryPart = 0.52
 	// shiftedPart is the part of the span after which all sessions are on the new release.
 	shiftedPart = 0.68
 )
 
+// CanaryOf returns the part of the sessions that a new release gets while it is judged, for a service of so many upstreams. It
+// falls with the number, since the requests that are seen are what counts, and since sessions that other instances served
+// before the move may change their release when it begins. The steps keep it the same on all instances.
+func CanaryOf(upstreams int) float64 {
+	switch {
+	case upstreams == 0:
+		// The list is not known yet: the least share changes the fewest sessions.
+		return 0.012
+	case upstreams <= 12:
+		return 0.06
+	case upstreams <= 24:
+		return 0.03
+	case upstreams <= 48:
+		return 0.018
+	}
+	return 0.012
+}
+
 // ShiftedAt returns the monotonic time from which on nothing new is sent to the old release.
 func (m *ReleaseMove) ShiftedAt() clock.Millis {
 	return m.StartedAt + clock.Millis(shiftedPart*float64(m.Span))
@@ -152,7 +170,7 @@
 	}
 	part := float64(now-m.StartedAt) / float64(max(1, m.Span))
 	if part <= canaryPart {
-		return canaryShare
+		return m.Canary
 	}
-	return min(1, canaryShare+(1-canaryShare)*(part-canaryPart)/(shiftedPart-canaryPart))
+	return min(1, m.Canary+(1-m.Canary)*(part-canaryPart)/(shiftedPart-canaryPart))
 }
--- a/pkg/concierge/board.go
+++ b/pkg/concierge/board.go
@@ -15,6 +15,9 @@
 // Board knows the load of upstreams from this instance's own requests, from what other instances tell and from what came with
 // answers. It is safe for concurrent use.
 type Board struct {
+	// Self is the name of this instance.
+	Self string
+
 	mu    sync.Mutex
 	seats map[string]*seat
 	// told is the work of other instances, by upstream.
@@ -138,11 +141,16 @@
 	return float64(s.own) + s.others*math.Exp2(-age/reportHalfLife)
 }
 
-// TakeCold tells whether this instance may send one more request to a cold upstream, at most perSecond.
+// TakeCold tells whether this instance may send one more request to a cold upstream, at most perSecond. The first one waits for a
+// part of the interval that differs from instance to instance, since many learn of a cold upstream at the same moment.
 func (b *Board) TakeCold(upstream string, now clock.Millis, perSecond float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.seat(upstream).cold.take(now, perSecond)
+	p := &b.seat(upstream).cold
+	if p.nextAt == 0 && perSecond > 0 {
+		p.nextAt = float64(now) + enquiry.Fraction("cold "+upstream, b.Self)*1000/perSecond
+	}
+	return p.take(now, perSecond)
 }
 
 // Forget drops what is known of an upstream that is gone, once nothing is under way there.
--- /dev/null
+++ b/pkg/concierge/pattern_test.go
@@ -0,0 +1,127 @@
+package concierge
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+)
+
+// prompt is a request to engines that read prompts one after another.
+type prompt struct {
+	at      float64
+	subject int
+	tokens  float64
+}
+
+// pattern is a load on many instances before many engines.
+type pattern struct {
+	instances, engines, subjects int
+	// perSecond and seconds tell the load, longShare the part of prompts that are tenfold.
+	perSecond, seconds, longShare float64
+	// told is true when instances tell each other their work, toldEvery milliseconds apart.
+	told      bool
+	toldEvery float64
+}
+
+// tokensPerMS is how fast an engine reads with the largest model.
+const tokensPerMS = 46.0
+
+// waits plays the pattern and returns how long short prompts waited, in milliseconds and sorted.
+func (p *pattern) waits() []float64 {
+	rnd := rand.New(rand.NewPCG(7, 11))
+	engines := make([]*catalogue.Upstream, p.engines)
+	freeAt := map[string]float64{}
+	for i := range engines {
+		engines[i] = &catalogue.Upstream{Name: fmt.Sprint("engine-", i), Zone: "a", Slots: 64}
+	}
+	boards := make([]*Board, p.instances)
+	for i := range boards {
+		boards[i] = &Board{}
+	}
+	type running struct {
+		until  float64
+		board  *Board
+		engine string
+		tokens float64
+	}
+	var under []running
+	var waits []float64
+	now, toldAt := 0.0, 0.0
+	for now < p.seconds*1000 {
+		now += rnd.ExpFloat64() * 1000 / p.perSecond
+		under = slices.DeleteFunc(under, func(r running) bool {
+			if r.until > now {
+				return false
+			}
+			r.board.Done(r.engine, r.tokens)
+			return true
+		})
+		if p.told && now >= toldAt {
+			toldAt = now + p.toldEvery
+			tellAll(boards)
+		}
+		tokens, long := 4000+rnd.Float64()*4000, rnd.Float64() < p.longShare
+		if long {
+			tokens *= 10
+		}
+		board := boards[rnd.IntN(p.instances)]
+		q := &Choice{Now: clock.Millis(now), Zone: "a", Key: fmt.Sprint(rnd.IntN(p.subjects)), Board: board, Outliers: &Outliers{}, Draw: fmt.Sprint(now), Long: long}
+		u := q.Choose(engines)
+		board.Begin(u.Name, tokens)
+		start := max(now, freeAt[u.Name])
+		freeAt[u.Name] = start + tokens/tokensPerMS
+		under = append(under, running{until: freeAt[u.Name], board: board, engine: u.Name, tokens: tokens})
+		if !long {
+			waits = append(waits, start-now)
+		}
+	}
+	slices.Sort(waits)
+	return waits
+}
+
+func tellAll(boards []*Board) {
+	sum := map[string]float32{}
+	for _, b := range boards {
+		for name, w := range b.Own() {
+			sum[name] += w
+		}
+	}
+	for _, b := range boards {
+		others := map[string]float32{}
+		own := b.Own()
+		for name, w := range sum {
+			others[name] = w - own[name]
+		}
+		b.Tell(others)
+	}
+}
+
+func quantile(sorted []float64, q float64) float64 { return sorted[int(q*float64(len(sorted)-1))] }
+
+// TestPatternFewSubjectsOnManyInstances is the load of the grown sites: 126 subjects of long prompts, 90 instances that each see
+// a ninetieth of it, 60 engines. Homes by subject alone leave some engines with queues of seconds while others are idle.
+func TestPatternFewSubjectsOnManyInstances(t *testing.T) {
+	p := pattern{instances: 90, engines: 60, subjects: 126, perSecond: 180, seconds: 60}
+	blind := quantile(p.waits(), 0.95)
+	p.told, p.toldEvery = true, 350
+	told := quantile(p.waits(), 0.95)
+	if told > blind/2 {
+		t.Errorf("95 in 100 wait up to %.0f ms when instances tell their work, %.0f ms when not; want half", told, blind)
+	}
+}
+
+// TestPatternShortBehindLong is the calm load of the small sites with a tenth of prompts that take seconds to read: short ones
+// must not wait behind those.
+func TestPatternShortBehindLong(t *testing.T) {
+	p := pattern{instances: 9, engines: 9, subjects: 126, perSecond: 18, seconds: 120, longShare: 0.1, told: true, toldEvery: 350}
+	apart := quantile(p.waits(), 0.95)
+	p.longShare = 0
+	none := quantile(p.waits(), 0.95)
+	if limit := none + 400; apart > limit {
+		t.Errorf("95 in 100 short prompts wait up to %.0f ms beside long ones, %.0f ms without; want at most %.0f", apart, none, limit)
+	}
+}
--- /dev/null
+++ b/pkg/concierge/route_test.go
@@ -0,0 +1,252 @@
+package concierge
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+)
+
+// routed is a dispatch before upstreams that answer by a script.
+type routed struct {
+	*Dispatch
+	clock    *clock.Manual
+	snapshot *catalogue.Snapshot
+	// answer is what the upstream of an attempt does.
+	answer func(c *enquiry.Call) error
+	sent   []string
+}
+
+func newRouted(upstreams ...*catalogue.Upstream) *routed {
+	m := clock.NewManual(100_000)
+	r := &routed{clock: m, answer: func(*enquiry.Call) error { return nil }}
+	r.snapshot = &catalogue.Snapshot{
+		Routes: &catalogue.RouteTable{Pools: map[string]*catalogue.Pool{"lm": {Name: "lm", ColdRate: 23, ModelCosts: map[string]float64{"small": 0.02, "large": 0.4}}}},
+		Pools:  map[string][]*catalogue.Upstream{},
+		Moves:  map[string]*catalogue.ReleaseMove{},
+	}
+	for _, u := range upstreams {
+		u.Service = "lm"
+		r.snapshot.Pools["lm"] = append(r.snapshot.Pools["lm"], u)
+	}
+	r.Dispatch = &Dispatch{
+		Clock: m, Log: logr.Discard(), Zone: "a", Snapshot: func() *catalogue.Snapshot { return r.snapshot }, Board: &Board{},
+		Outliers: &Outliers{}, Releases: &Releases{SessionTime: 5000}, Budgets: &Budgets{Share: 1}, Paces: &Paces{},
+	}
+	return r
+}
+
+func (r *routed) call(id string, route catalogue.Route) (*enquiry.Call, error) {
+	route.Split = []catalogue.Split{{Service: "lm", Weight: 1}}
+	c := &enquiry.Call{Request: &enquiry.Request{ID: id, Deadline: r.clock.Now() + 10_000}, Route: &route}
+	r.sent = nil
+	err := r.Filter(context.Background(), c, enquiry.HandlerFunc(func(_ context.Context, c *enquiry.Call) error {
+		r.sent = append(r.sent, c.Upstream.Name)
+		err := r.answer(c)
+		var refusal *enquiry.Refusal
+		if err == nil || errors.As(err, &refusal) && refusal.Outcome != enquiry.NotRun {
+			c.Runs++
+		}
+		return err
+	}))
+	return c, err
+}
+
+func upstream(name string) *catalogue.Upstream {
+	return &catalogue.Upstream{Name: name, Zone: "a", Slots: 8}
+}
+
+func failed(outcome enquiry.Outcome, reason enquiry.Reason) error {
+	return &enquiry.Refusal{Outcome: outcome, Reason: reason}
+}
+
+func TestDispatchRepeatsOnlyWhatMayRunAgain(t *testing.T) {
+	lookup := catalogue.Route{Repeatable: true, MaxAttempts: 2, Target: 300}
+	booking := catalogue.Route{MaxAttempts: 1, Target: 300}
+	resumable := catalogue.Route{Streaming: true, Resumable: true, MaxAttempts: 3, Target: 2000}
+	plain := catalogue.Route{Streaming: true, MaxAttempts: 3, Target: 2000}
+	for _, c := range []struct {
+		name  string
+		route catalogue.Route
+		err   error
+		begun bool
+		sent  int
+	}{
+		{"a lookup that may have run", lookup, failed(enquiry.MayHaveRun, enquiry.ReasonUpstreamFailed), false, 2},
+		{"a booking that may have run", booking, failed(enquiry.MayHaveRun, enquiry.ReasonUpstreamFailed), false, 1},
+		{"a booking that ran and failed", booking, failed(enquiry.Ran, enquiry.ReasonUpstreamFailed), false, 1},
+		{"a booking that was declined", booking, failed(enquiry.NotRun, enquiry.ReasonUpstreamRefused), false, 3},
+		{"a stream that may be resumed", resumable, failed(enquiry.MayHaveRun, enquiry.ReasonAnswerIncomplete), true, 3},
+		{"a stream that may not be resumed", plain, failed(enquiry.MayHaveRun, enquiry.ReasonAnswerIncomplete), true, 1},
+		{"a stream that may not be resumed and has not begun", plain, failed(enquiry.MayHaveRun, enquiry.ReasonUpstreamFailed), false, 1},
+		{"the time limit", lookup, failed(enquiry.MayHaveRun, enquiry.ReasonDeadline), false, 1},
+		{"a caller that left", lookup, failed(enquiry.MayHaveRun, enquiry.ReasonCallerGone), false, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRouted(upstream("u1"), upstream("u2"), upstream("u3"), upstream("u4"))
+			r.answer = func(call *enquiry.Call) error {
+				call.Headed = call.Headed || c.begun
+				return c.err
+			}
+			if _, err := r.call("r1", c.route); err == nil {
+				t.Error("no error")
+			}
+			if len(r.sent) != c.sent {
+				t.Errorf("sent to %v, want %d sends", r.sent, c.sent)
+			}
+			seen := map[string]bool{}
+			for _, name := range r.sent {
+				if seen[name] {
+					t.Errorf("sent to %s twice: %v", name, r.sent)
+				}
+				seen[name] = true
+			}
+		})
+	}
+}
+
+func TestDispatchTellsWhenToComeBack(t *testing.T) {
+	r := newRouted(upstream("u1"), upstream("u2"))
+	r.answer = func(*enquiry.Call) error { return failed(enquiry.NotRun, enquiry.ReasonUpstreamRefused) }
+	_, err := r.call("r1", catalogue.Route{MaxAttempts: 1, Target: 300})
+	var refusal *enquiry.Refusal
+	if !errors.As(err, &refusal) || refusal.RetryAfter < declinedWait || refusal.RetryAfter > 2*declinedWait {
+		t.Errorf("refused with %+v", refusal)
+	}
+	r = newRouted()
+	_, err = r.call("r1", catalogue.Route{MaxAttempts: 1, Target: 300})
+	if !errors.As(err, &refusal) || refusal.Outcome != enquiry.NotRun || refusal.RetryAfter == 0 || len(r.sent) != 0 {
+		t.Errorf("without an upstream refused with %+v", refusal)
+	}
+}
+
+// TestDispatchColdUpstreams checks that instances which know nothing of each other stay below what a cold upstream bears.
+func TestDispatchColdUpstreams(t *testing.T) {
+	const instances = 12
+	total := 0
+	for i := range instances {
+		u := upstream("cold")
+		r := newRouted(u)
+		r.Board.Self = fmt.Sprint("instance-", i)
+		u.ColdUntil = r.clock.Now() + 5000
+		for m := range instances {
+			r.snapshot.Members = append(r.snapshot.Members, catalogue.Member{Name: fmt.Sprint(m)})
+		}
+		for k := range 100 {
+			if _, err := r.call(fmt.Sprint(i, k), catalogue.Route{MaxAttempts: 1, Target: 300}); err == nil {
+				total++
+			}
+			r.clock.Advance(10)
+		}
+	}
+	if limit := 23; total == 0 || total > limit {
+		t.Errorf("a cold upstream got %d requests in a second, want 1 to %d", total, limit)
+	}
+	warm, cold := upstream("warm"), upstream("cold")
+	r := newRouted(warm, cold)
+	cold.ColdUntil = r.clock.Now() + 5000
+	for k := range 20 {
+		if _, err := r.call(fmt.Sprint(k), catalogue.Route{MaxAttempts: 1, Target: 300}); err != nil || r.sent[0] != "warm" {
+			t.Fatalf("sent to %v while a warm one is there", r.sent)
+		}
+	}
+}
+
+func TestReleasesKeepSessions(t *testing.T) {
+	old, target := upstream("old"), upstream("new")
+	old.Release, target.Release = "v1", "v2"
+	r := newRouted(old, target)
+	m := &catalogue.ReleaseMove{ReleaseOrder: catalogue.ReleaseOrder{Service: "lm", Target: "v2", Span: 20_000}, State: catalogue.ReleaseRunning, Canary: 0.06}
+	route := catalogue.Route{MaxAttempts: 3, Target: 2000, Streaming: true, Resumable: true, Split: []catalogue.Split{{Service: "lm", Weight: 1}}}
+	send := func(session string) string {
+		c := &enquiry.Call{Request: &enquiry.Request{ID: "r" + session, Session: session, Deadline: r.clock.Now() + 9000}, Route: &route}
+		if err := r.Filter(context.Background(), c, enquiry.HandlerFunc(func(context.Context, *enquiry.Call) error { return nil })); err != nil {
+			t.Fatal(err)
+		}
+		return c.Upstream.Release
+	}
+	// Sessions that are there before the move stay on the old release, whatever their share would be.
+	for i := range 200 {
+		r.snapshot.Pools["lm"] = []*catalogue.Upstream{old}
+		send(fmt.Sprint("before", i))
+	}
+	r.snapshot.Pools["lm"] = []*catalogue.Upstream{old, target}
+	m.StartedAt = r.clock.Now()
+	r.snapshot.Moves = map[string]*catalogue.ReleaseMove{"lm": m}
+	onTarget := 0
+	for i := range 200 {
+		if got := send(fmt.Sprint("before", i)); got != "v1" {
+			t.Fatalf("session %d moved to %s", i, got)
+		}
+		if send(fmt.Sprint("after", i)) == "v2" {
+			onTarget++
+		}
+	}
+	if onTarget == 0 || onTarget > 30 {
+		t.Errorf("%d of 200 new sessions are on the new release", onTarget)
+	}
+	// Once the move goes on, no session goes back.
+	r.clock.Advance(12_000)
+	moved := map[string]bool{}
+	for range 8 {
+		for i := range 200 {
+			session := fmt.Sprint("after", i)
+			if got := send(session); got == "v2" {
+				moved[session] = true
+			} else if moved[session] {
+				t.Fatalf("session %s went back", session)
+			}
+		}
+		r.clock.Advance(500)
+	}
+	if len(moved) != 200 {
+		t.Errorf("%d of 200 sessions moved", len(moved))
+	}
+	m.State = catalogue.ReleaseReverted
+	if got := send("after1"); got != "v1" {
+		t.Errorf("a session is on %s after the move was reverted", got)
+	}
+}
+
+func TestPaces(t *testing.T) {
+	p := &Paces{}
+	if got := p.Limit("m", 1000, 1400); got != 1400 {
+		t.Errorf("unknown pace: limit %d, want the floor", got)
+	}
+	if got := p.Limit("m", 50_000, 1400); got != 0 {
+		t.Errorf("unknown pace, long prompt: limit %d, want none", got)
+	}
+	for range 50 {
+		p.Take("m", 6000, 300)
+	}
+	if got, known := p.Expect("m", 46_000); !known || got != 1500 {
+		t.Errorf("expected %d, want 1500", got)
+	}
+	if got := p.Limit("m", 46_000, 1400); got != 4500 {
+		t.Errorf("limit %d, want 4500", got)
+	}
+	if p.Slow("m", 6000, 950) || !p.Slow("m", 6000, 1050) {
+		t.Error("slow begins above three times the usual time")
+	}
+}
+
+func TestBoardWork(t *testing.T) {
+	b := &Board{}
+	b.Begin("u", 500)
+	b.Begin("u", 300)
+	b.Tell(map[string]float32{"u": 1000, "v": 7})
+	if diff := cmp.Diff([]float64{1800, 7}, []float64{b.Work("u"), b.Work("v")}); diff != "" {
+		t.Errorf("work (-want +got):\n%s", diff)
+	}
+	b.Done("u", 500)
+	if diff := cmp.Diff(map[string]float32{"u": 300}, b.Own()); diff != "" {
+		t.Errorf("own work (-want +got):\n%s", diff)
+	}
+}
--- a/pkg/gatehouse/house.go
+++ b/pkg/gatehouse/house.go
@@ -105,7 +105,7 @@
 	mu          sync.Mutex
 	comparisons map[string]*comparison
 	toldMoves   map[string]string
-	reverting   map[string]*catalogue.ReleaseMove
+	reverting   map[string]revert
 }
 
 // Run serves until ctx ends, then drains.
@@ -159,7 +159,7 @@
 func (h *House) build() error {
 	h.metrics = desk.NewMetrics()
 	h.least.Store(int32(h.Settings.Policy.LeastConfidence))
-	h.board = &concierge.Board{}
+	h.board = &concierge.Board{Self: h.Settings.Name}
 	h.outliers = &concierge.Outliers{}
 	h.paces = &concierge.Paces{}
 	h.inFlight = &desk.InFlight{}
@@ -167,7 +167,7 @@
 	h.enrolled, h.membersKnown = make(chan struct{}), make(chan struct{})
 	h.comparisons = map[string]*comparison{}
 	h.toldMoves = map[string]string{}
-	h.reverting = map[string]*catalogue.ReleaseMove{}
+	h.reverting = map[string]revert{}
 	h.control = &Control{Clock: h.Clock, Log: h.Log.WithName("control"), Forget: func(upstream string) {
 		h.board.Forget(upstream)
 		h.outliers.Forget(upstream)
@@ -186,7 +186,7 @@
 		Clock: h.Clock, Network: h.network, Store: h.Store, Cache: cache, Drain: h.Settings.Bounds.Drain, Seniors: h.seniors, Await: h.awaitMembers,
 	}
 	h.loads = &caravan.Loads{
-		Clock: h.Clock, Self: h.self.Name, Zone: h.self.Zone, Network: h.network, Own: h.board.Own, Others: h.board.Tell, Heads: h.heads,
+		Clock: h.Clock, Self: h.self.Name, Zone: h.self.Zone, Network: h.network, Own: h.ownLoads, Others: h.othersLoads, Heads: h.heads,
 	}
 	return errors.CombineErrors(
 		h.network.Register(caravan.ReaderName, &caravan.Reader{Clock: h.Clock, Cache: cache}),
--- a/pkg/gatehouse/move.go
+++ b/pkg/gatehouse/move.go
@@ -11,11 +11,11 @@
 
 const (
 	// movePeriod is how often moves are looked at, in milliseconds.
-	movePeriod clock.Millis = 250
+	movePeriod clock.Millis = 100
 	// completePart is the part of the span after which a good move is completed; what is in flight on the old release ends before.
 	completePart = 0.8
-	// spreadTime is the time over which instances spread what each of them could tell, in milliseconds, so that mostly one does.
-	spreadTime clock.Millis = 1500
+	// spreadPart is the part of a move's span over which instances spread what each of them could tell, so that mostly one does.
+	spreadPart = 0.1
 	// putTime bounds a write of a status, in milliseconds.
 	putTime clock.Millis = 1500
 )
@@ -47,7 +47,7 @@
 		}
 		k := h.comparisonOf(service, move.Target)
 		v := k.Verdict()
-		delay := clock.Millis(enquiry.Fraction("spread "+service+move.Target, h.Settings.Name) * float64(spreadTime))
+		delay := h.spread(move)
 		switch {
 		case v.Bad:
 			h.Log.Info("release is bad", "service", service, "target", move.Target, "answers", v.Answers, "failed", v.Failed, "slow", v.Slow)
@@ -61,6 +61,11 @@
 	}
 }
 
+// spread returns how long this instance waits before it tells something of a move that others can tell as well.
+func (h *House) spread(m *catalogue.ReleaseMove) clock.Millis {
+	return clock.Millis(enquiry.Fraction("spread "+m.Service+m.Target, h.Settings.Name) * spreadPart * float64(m.Span))
+}
+
 func hasRelease(s *catalogue.Snapshot, service, release string) bool {
 	for _, u := range s.Pools[service] {
 		if u.Release == release {
--- a/pkg/gatehouse/moves.go
+++ b/pkg/gatehouse/moves.go
@@ -41,7 +41,31 @@
 	if m == nil || m.State != catalogue.ReleaseRunning {
 		return
 	}
-	h.comparisonOf(m.Service, m.Target).Take(c.Route.Name, c.Upstream.Release == m.Target, s.Result, slow)
+	h.comparisonOf(m.Service, m.Target).Take(c.Route.Name, s.Upstream, c.Upstream.Release == m.Target, s.Result, slow)
+}
+
+// prefix begins the keys under which instances tell each other what they saw of a move.
+func (k *comparison) prefix(service string) string { return service + " " + k.target + " " }
+
+// ownLoads returns the work under way and what was seen of the moves that are judged.
+func (h *House) ownLoads() (work, seen map[string]float32) {
+	seen = map[string]float32{}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for service, k := range h.comparisons {
+		k.Own(k.prefix(service), seen)
+	}
+	return h.board.Own(), seen
+}
+
+// othersLoads takes in what other instances have under way and saw.
+func (h *House) othersLoads(work, seen map[string]float32) {
+	h.board.Tell(work)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for service, k := range h.comparisons {
+		k.Tell(k.prefix(service), seen)
+	}
 }
 
 func (h *House) told(service, target string) bool {
@@ -59,8 +83,14 @@
 // noteTold remembers which moves another instance has told of.
 func (h *House) noteTold(b archive.Batch[catalogue.ReleaseStatus]) {
 	for _, st := range b.Items {
-		if !st.Removed {
-			h.markTold(st.Service, st.Target)
+		if st.Removed {
+			continue
+		}
+		h.markTold(st.Service, st.Target)
+		if st.State == catalogue.ReleaseReverted {
+			h.mu.Lock()
+			delete(h.reverting, st.Service)
+			h.mu.Unlock()
 		}
 	}
 }
@@ -69,7 +99,13 @@
 func (h *House) revert(m *catalogue.ReleaseMove) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.reverting[m.Service] = m
+	h.reverting[m.Service] = revert{move: m, at: h.Clock.Now() + h.spread(m)}
+}
+
+// revert is a move that is to be told as reverted from at on.
+type revert struct {
+	move *catalogue.ReleaseMove
+	at   clock.Millis
 }
 
 func (h *House) retryReverts(ctx context.Context) error {
@@ -80,8 +116,10 @@
 		}
 		h.mu.Lock()
 		var open []*catalogue.ReleaseMove
-		for _, move := range h.reverting {
-			open = append(open, move)
+		for _, r := range h.reverting {
+			if h.Clock.Now() >= r.at {
+				open = append(open, r.move)
+			}
 		}
 		h.mu.Unlock()
 		for _, move := range open {
--- a/pkg/gatehouse/view.go
+++ b/pkg/gatehouse/view.go
@@ -75,7 +75,7 @@
 	for service, order := range v.orders {
 		m := v.moves[service]
 		if m == nil || m.ReleaseOrder != order {
-			m = &catalogue.ReleaseMove{ReleaseOrder: order, State: catalogue.ReleaseRunning, StartedAt: now}
+			m = &catalogue.ReleaseMove{ReleaseOrder: order, State: catalogue.ReleaseRunning, StartedAt: now, Canary: catalogue.CanaryOf(v.oldUpstreams(order))}
 		}
 		st, known := v.statuses[service]
 		if known && st.Target == order.Target && m.State == catalogue.ReleaseRunning && st.State != m.State {
@@ -104,6 +104,17 @@
 	v.moves = moves
 }
 
+// oldUpstreams counts the upstreams of a service that don't run the release that is ordered.
+func (v *View) oldUpstreams(order catalogue.ReleaseOrder) int {
+	n := 0
+	for _, u := range v.upstreams {
+		if u.Service == order.Service && u.Release != order.Target {
+			n++
+		}
+	}
+	return n
+}
+
 // SetMove settles a move as this instance found it.
 func (v *View) SetMove(service, target string, state catalogue.ReleaseState) {
 	m := v.moves[service]
--- a/pkg/tasting/comparison.go
+++ b/pkg/tasting/comparison.go
@@ -1,94 +1,174 @@
 package tasting
 
 import (
+	"strings"
 	"sync"
 
 	"carawayknot.example/carawayknot/pkg/enquiry"
 )
 
 const (
-	// leastFailed and leastSlow are how many failed or slow answers of a new release are seen before it is found to be bad;
-	// queues make single answers slow, so that more of those are needed.
-	leastFailed = 3
-	leastSlow   = 5
+	// leastFailed and leastSlow are how many failed or slow answers of a new release are seen, over all instances, before it is
+	// found to be bad; queues make single answers slow, so that more of those are needed.
+	leastFailed = 5
+	leastSlow   = 8
+	// leastFailing is how many upstreams of the new release must have failed, so that one that crashes is not the release's fault.
+	leastFailing = 2
 	// failedRise and slowRise are how much larger the share of such answers is than that of the old release; bad releases
 	// fail or are slow on a third of their requests and more.
 	failedRise = 0.2
 	slowRise   = 0.25
 )
 
-// Comparison compares the answers of a new release with those of the old one; it is safe for concurrent use.
+// Comparison compares the answers of a new release with those of the old one, over all instances that tell each other what
+// they saw; it is safe for concurrent use.
 type Comparison struct {
-	mu     sync.Mutex
-	routes map[string]*tally
+	mu sync.Mutex
+	// own counts what this instance saw, and others what the others did, by countKey.
+	own    map[string]float32
+	others map[string]float32
 }
 
-// tally counts the answers on one route.
-type tally struct{ old, target count }
+// What is counted of an answer.
+const (
+	countAnswers = "answers"
+	countFailed  = "failed"
+	countSlow    = "slow"
+	// countFailing counts failures by upstream in place of the route.
+	countFailing = "failing"
+
+	releaseOld    = "old"
+	releaseTarget = "target"
+	keySeparator  = "\x00"
+)
 
-type count struct{ answers, failed, slow float64 }
+func countKey(what, release, of string) string {
+	return what + keySeparator + release + keySeparator + of
+}
 
-// Take notes one attempt; slow tells that its answer was far later than usual for its prompt.
-func (k *Comparison) Take(route string, onTarget bool, result enquiry.Result, slow bool) {
+// Take notes one attempt at an upstream; slow tells that its answer was far later than usual for its prompt.
+func (k *Comparison) Take(route, upstream string, onTarget bool, result enquiry.Result, slow bool) {
 	if result == enquiry.ResultRefused || result == enquiry.ResultCancelled {
 		return
 	}
+	release := releaseOld
+	if onTarget {
+		release = releaseTarget
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	t := k.routes[route]
-	if t == nil {
-		if k.routes == nil {
-			k.routes = map[string]*tally{}
-		}
-		t = &tally{}
-		k.routes[route] = t
-	}
-	c := &t.old
-	if onTarget {
-		c = &t.target
+	if k.own == nil {
+		k.own = map[string]float32{}
 	}
-	c.answers++
+	k.own[countKey(countAnswers, release, route)]++
 	switch {
 	case result != enquiry.ResultComplete:
-		c.failed++
+		k.own[countKey(countFailed, release, route)]++
+		if onTarget {
+			k.own[countKey(countFailing, release, upstream)]++
+		}
 	case slow:
-		c.slow++
+		k.own[countKey(countSlow, release, route)]++
+	}
+}
+
+// Own adds what this instance saw to sum, under keys that begin with prefix.
+func (k *Comparison) Own(prefix string, sum map[string]float32) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for key, n := range k.own {
+		sum[prefix+key] = n
+	}
+}
+
+// Tell takes what the other instances saw, from the keys that begin with prefix.
+func (k *Comparison) Tell(prefix string, seen map[string]float32) {
+	others := map[string]float32{}
+	for key, n := range seen {
+		if rest, ok := strings.CutPrefix(key, prefix); ok {
+			others[rest] = n
+		}
 	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.others = others
 }
 
 // Verdict is what is known of a new release.
 type Verdict struct {
 	Bad bool
 	// Answers, Failed and Slow count the answers of the new release.
-	Answers, Failed, Slow float64
+	Answers, Failed, Slow float32
 }
 
+// count is what was seen of one release.
+type count struct{ answers, failed, slow float32 }
+
 // Verdict tells whether the new release is found to be bad, on any route or over all of them.
 func (k *Comparison) Verdict() Verdict {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var old, target count
-	bad := false
-	for _, t := range k.routes {
-		old.add(t.old)
-		target.add(t.target)
-		bad = bad || worse(t.old, t.target)
+	routes := map[string]map[string]*count{}
+	failing := map[string]bool{}
+	for _, counts := range []map[string]float32{k.own, k.others} {
+		for key, n := range counts {
+			parts := strings.SplitN(key, keySeparator, 3)
+			if len(parts) != 3 {
+				continue
+			}
+			if parts[0] == countFailing {
+				failing[parts[2]] = true
+				continue
+			}
+			add(routes, parts[2], parts[1], parts[0], n)
+			add(routes, "", parts[1], parts[0], n)
+		}
+	}
+	var v Verdict
+	for route, releases := range routes {
+		old, target := releases[releaseOld], releases[releaseTarget]
+		if target == nil {
+			continue
+		}
+		if old == nil {
+			old = &count{}
+		}
+		v.Bad = v.Bad || fails(old, target) && len(failing) >= leastFailing || isSlow(old, target)
+		if route == "" {
+			v.Answers, v.Failed, v.Slow = target.answers, target.failed, target.slow
+		}
+	}
+	return v
+}
+
+func add(routes map[string]map[string]*count, route, release, what string, n float32) {
+	if routes[route] == nil {
+		routes[route] = map[string]*count{}
+	}
+	c := routes[route][release]
+	if c == nil {
+		c = &count{}
+		routes[route][release] = c
+	}
+	switch what {
+	case countAnswers:
+		c.answers += n
+	case countFailed:
+		c.failed += n
+	case countSlow:
+		c.slow += n
 	}
-	return Verdict{Bad: bad || worse(old, target), Answers: target.answers, Failed: target.failed, Slow: target.slow}
 }
 
-func (c *count) add(d count) {
-	c.answers += d.answers
-	c.failed += d.failed
-	c.slow += d.slow
+func fails(old, target *count) bool {
+	return target.failed >= leastFailed && target.failed/target.answers > share(old.failed, old.answers)+failedRise
 }
 
-func worse(old, target count) bool {
-	return target.failed >= leastFailed && target.failed/target.answers > share(old.failed, old.answers)+failedRise ||
-		target.slow >= leastSlow && target.slow/target.answers > share(old.slow, old.answers)+slowRise
+func isSlow(old, target *count) bool {
+	return target.slow >= leastSlow && target.slow/target.answers > share(old.slow, old.answers)+slowRise
 }
 
-func share(part, of float64) float64 {
+func share(part, of float32) float32 {
 	if of == 0 {
 		return 0
 	}
--- /dev/null
+++ b/pkg/tasting/comparison_test.go
@@ -0,0 +1,90 @@
+package tasting
+
+import (
+	"fmt"
+	"testing"
+
+	"carawayknot.example/carawayknot/pkg/enquiry"
+)
+
+// answers of one release on one route.
+type answers struct {
+	route              string
+	onTarget           bool
+	good, failed, slow int
+}
+
+func TestComparison(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		seen []answers
+		bad  bool
+	}{
+		{"nothing seen", nil, false},
+		{"four failures are too few", []answers{{"a", false, 50, 0, 0}, {"a", true, 0, 4, 0}}, false},
+		{"failures", []answers{{"a", false, 50, 0, 0}, {"a", true, 3, 5, 0}}, true},
+		{"failures on one route only", []answers{{"a", false, 50, 0, 0}, {"a", true, 60, 0, 0}, {"b", false, 50, 0, 0}, {"b", true, 4, 5, 0}}, true},
+		{"the old release fails as often", []answers{{"a", false, 50, 20, 0}, {"a", true, 7, 5, 0}}, false},
+		{"few failures among many answers", []answers{{"a", false, 50, 0, 0}, {"a", true, 60, 6, 0}}, false},
+		{"slow answers", []answers{{"a", false, 50, 0, 0}, {"a", true, 6, 0, 8}}, true},
+		{"a queue makes both releases slow", []answers{{"a", false, 30, 0, 20}, {"a", true, 6, 0, 8}}, false},
+		{"some slow answers among many", []answers{{"a", false, 50, 0, 0}, {"a", true, 33, 0, 9}}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			k := &Comparison{}
+			for _, s := range c.seen {
+				for range s.good {
+					k.Take(s.route, "u1", s.onTarget, enquiry.ResultComplete, false)
+				}
+				for i := range s.failed {
+					k.Take(s.route, fmt.Sprint("u", i%2), s.onTarget, enquiry.ResultFailed, false)
+				}
+				for range s.slow {
+					k.Take(s.route, "u1", s.onTarget, enquiry.ResultComplete, true)
+				}
+				k.Take(s.route, "u1", s.onTarget, enquiry.ResultRefused, false)
+				k.Take(s.route, "u1", s.onTarget, enquiry.ResultCancelled, false)
+			}
+			if v := k.Verdict(); v.Bad != c.bad {
+				t.Errorf("verdict %+v, want bad %t", v, c.bad)
+			}
+		})
+	}
+}
+
+func TestComparisonOneUpstreamFails(t *testing.T) {
+	k := &Comparison{}
+	for range 20 {
+		k.Take("a", "u1", true, enquiry.ResultCut, false)
+	}
+	if v := k.Verdict(); v.Bad {
+		t.Errorf("one upstream that failed makes its release bad: %+v", v)
+	}
+}
+
+func TestComparisonAddsUpInstances(t *testing.T) {
+	instances := make([]*Comparison, 5)
+	for i := range instances {
+		instances[i] = &Comparison{}
+		instances[i].Take("a", fmt.Sprint("u", i), true, enquiry.ResultFailed, false)
+		if v := instances[i].Verdict(); v.Bad {
+			t.Fatalf("one failure is enough: %+v", v)
+		}
+	}
+	seen := map[string]float32{}
+	for _, k := range instances[1:] {
+		one := map[string]float32{}
+		k.Own("lm ", one)
+		for key, n := range one {
+			seen[key] += n
+		}
+	}
+	instances[0].Tell("lm ", seen)
+	if v := instances[0].Verdict(); !v.Bad || v.Failed != 5 {
+		t.Errorf("five failures at five instances give %+v", v)
+	}
+	instances[0].Tell("other ", seen)
+	if v := instances[0].Verdict(); v.Bad {
+		t.Errorf("what was seen of another move counts: %+v", v)
+	}
+}
