Ask a larger model only while an attempt is left for it

Excluded: repeats within one model (bounded). Change: the run under way and the next one are counted before an answer is dropped. TestSizes/no_attempt_is_left failed before.

--- a/pkg/concierge/pattern_test.go
+++ b/pkg/concierge/pattern_test.go
@@ -10,12 +10,6 @@
 	"carawayknot.example/carawayknot/pkg/clock"
 )
 
-// prompt is a request to engines that read prompts one after another.
-type prompt struct {
-	at      float64
-	subject int
-	tokens  float64
-}
 
 // pattern is a load on many instances before many engines.
 type pattern struct {
--- a/pkg/tariff/sizes.go
+++ b/pkg/tariff/sizes.go
@@ -32,7 +32,7 @@
 		return next.Handle(ctx, c)
 	}
 	out := c.Writer
-	w := &sureWriter{Writer: out, sizes: f, more: len(sizes) > 1 && c.Route.MaxAttempts > 1}
+	w := &sureWriter{Writer: out, sizes: f, more: len(sizes) > 1}
 	c.Writer = w
 	defer func() { c.Writer = out }()
 	c.Model = sizes[0]
@@ -46,7 +46,7 @@
 		"least", f.Least.Load(), "next", c.Model)
 	err = next.Handle(ctx, c)
 	var r *enquiry.Refusal
-	if c.Headed || !errors.As(err, &r) || r.Outcome != enquiry.NotRun || ctx.Err() != nil {
+	if c.Headed || !errors.As(err, &r) || r.Outcome != enquiry.NotRun || ctx.Err() != nil || c.Runs >= c.Route.MaxAttempts {
 		return err
 	}
 	// An unsure answer is better than none.
@@ -64,9 +64,9 @@
 	confidence int
 }
 
-// WriteHead passes the head on unless a larger model is to be asked.
+// WriteHead passes the head on unless a larger model is to be asked; the run under way and that of the larger one count.
 func (w *sureWriter) WriteHead(ctx context.Context, c *enquiry.Call, h enquiry.Head) error {
-	if w.more && h.Confidence >= 0 && h.Confidence < int(w.sizes.Least.Load()) && h.Status < 300 && w.sizes.Budgets.Take(c.Pool.Name) {
+	if w.more && c.Runs+2 <= c.Route.MaxAttempts && h.Confidence >= 0 && h.Confidence < int(w.sizes.Least.Load()) && h.Status < 300 && w.sizes.Budgets.Take(c.Pool.Name) {
 		w.dropped, w.confidence = true, h.Confidence
 		return enquiry.ErrTurnedDown
 	}
