Soak the entry instances with faults from outside; hold the platform's names to its folder

Real processes before stand-ins, with frozen, killed, stopped and reloading instances, cut, delayed and refused links, a store that is down, silent, compacted or loses answers, failing upstreams and keys taken away. Checked: once at most, true refusals, whole answers, revocation, drains that end well, and service after the faults. A step of the tests fails when a name of the platform stands outside platform/.

--- a/pkg/concierge/pattern_test.go
+++ b/pkg/concierge/pattern_test.go
@@ -10,7 +10,6 @@
 	"carawayknot.example/carawayknot/pkg/clock"
 )
 
-
 // pattern is a load on many instances before many engines.
 type pattern struct {
 	instances, engines, subjects int
--- a/pkg/proctest/process.go
+++ b/pkg/proctest/process.go
@@ -56,6 +56,12 @@
 	return string(b[max(0, len(b)-n):])
 }
 
+// Start starts one of the built commands.
+func Start(t testing.TB, name, command string, args ...string) *Process {
+	t.Helper()
+	return start(t, name, command, nil, args...)
+}
+
 // start starts one of the built commands; stdout is optional.
 func start(t testing.TB, name, command string, stdout io.Writer, args ...string) *Process {
 	t.Helper()
@@ -125,6 +131,9 @@
 // Terminate asks the process to shut down by SIGTERM.
 func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
 
+// Reload asks the process to read its settings anew by SIGHUP.
+func (p *Process) Reload() { p.signal(syscall.SIGHUP) }
+
 func (p *Process) signal(s syscall.Signal) {
 	p.t.Helper()
 	if err := p.cmd.Process.Signal(s); err != nil {
--- a/pkg/proctest/relay.go
+++ b/pkg/proctest/relay.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 )
 
 // relayBuffer is the size of a piece that a relay passes on, in bytes.
@@ -23,6 +24,7 @@
 	back   bool
 	refuse bool
 	closed bool
+	delay  time.Duration
 	conns  map[net.Conn]bool
 }
 
@@ -48,6 +50,13 @@
 	r.change.Broadcast()
 }
 
+// Delay holds each piece back for d in each direction.
+func (r *Relay) Delay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
 // Break closes all connections.
 func (r *Relay) Break() {
 	r.mu.Lock()
@@ -157,6 +166,10 @@
 
 // await waits until the direction is not cut and returns false when the relay is closed.
 func (r *Relay) await(cut *bool) bool {
+	r.mu.Lock()
+	delay := r.delay
+	r.mu.Unlock()
+	time.Sleep(delay)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for *cut && !r.closed {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -17,7 +17,7 @@
 
 format() {
 	local bad
-	bad=$(gofmt -l cmd pkg tools test 2>/dev/null)
+	bad=$(gofmt -l cmd pkg platform tools test 2>/dev/null)
 	[ -z "$bad" ] || { echo "gofmt differs: $bad"; return 1; }
 }
 
@@ -26,6 +26,13 @@
 		bin/staticcheck -tags process ./...
 }
 
+# names checks that the platform's names stand in platform/ alone.
+names() {
+	local bad
+	bad=$(grep -rlE 'Response-Seal|Expect-Replica|Prefix-Hash|Not-Executed|Attempt-Id|Replica-Load|Token-Count|log-append|log-read|log-newest|keyed\.|warmupLeftMs|routeType|trafficSplit' --include='*.go' pkg cmd test)
+	[ -z "$bad" ] || { echo "names of the platform outside platform/: $bad"; return 1; }
+}
+
 tests() {
 	(cd tools && go build -o ../bin/verdict ./verdict) || return 1
 	go test -json -race -timeout 300s "$@" 2>&1 | bin/verdict
@@ -33,10 +40,11 @@
 
 step build go build -o bin/ ./cmd/...
 step format format
+step names names
 step vet go vet -tags process ./...
 step lint lint
 step "unit tests" tests ./...
 if [ "${1:-}" != unit ] && [ -d test ]; then
-	step "process tests" tests -tags process -p 1 ./test/...
+	step "process tests" tests -tags process -p 1 ./test/... ./platform/soak
 fi
 exit $failed
