--- a/pkg/gatehouse/drain.go
+++ b/pkg/gatehouse/drain.go
@@ -15,6 +15,8 @@
 	noticeTime clock.Millis = 3000
 	// endMargin is kept from the grace time for the end of the process, in milliseconds.
 	endMargin clock.Millis = 700
+	// lastTime is how long the callers of requests that are given up at the end may take to get their answer, in milliseconds.
+	lastTime clock.Millis = 400
 )
 
 // drain calls the instance not ready, serves until the balancer has noticed, and ends when the last request has.
@@ -28,8 +30,16 @@
 	defer cancel()
 	_ = clock.Sleep(ctx, h.Clock, noticeTime)
 	err := s.Shutdown(ctx)
-	if err != nil {
-		h.Log.Info("requests cut at the end of the grace time", "inFlight", h.inFlight.Count(), "afterMs", h.Clock.Now()-began)
+	if err == nil {
+		return nil
 	}
-	return errors.Wrap(err, "drain")
+	h.Log.Info("requests given up at the end of the grace time", "inFlight", h.inFlight.Count(), "afterMs", h.Clock.Now()-began)
+	h.giveUp()
+	last, cancelLast := clock.WithTimeout(context.Background(), h.Clock, lastTime)
+	defer cancelLast()
+	if err := s.Shutdown(last); err != nil {
+		h.Log.Info("requests cut", "inFlight", h.inFlight.Count())
+		return errors.Wrap(err, "drain")
+	}
+	return nil
 }
--- a/pkg/gatehouse/house.go
+++ b/pkg/gatehouse/house.go
@@ -96,7 +96,9 @@
 	paces    *concierge.Paces
 	inFlight *desk.InFlight
 	draining atomic.Bool
-	wake     chan struct{}
+	// giveUp ends what may be ended of the requests under way.
+	giveUp context.CancelFunc
+	wake   chan struct{}
 	// enrolled is closed once this instance is in the members' topic, and membersKnown once that was read.
 	enrolled     chan struct{}
 	membersKnown chan struct{}
@@ -135,6 +137,10 @@
 	adminServer := desk.NewServer(h.adminHandler())
 	readyServer := desk.NewServer(http.HandlerFunc(h.serveReady))
 	callerServer := desk.NewServer(h.Adapter.Handler(h.intake()))
+	var base context.Context
+	base, h.giveUp = context.WithCancel(context.WithoutCancel(ctx))
+	defer h.giveUp()
+	callerServer.BaseContext = func(net.Listener) context.Context { return base }
 	loopCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	loops, looping := h.loops(loopCtx, peer)
--- a/pkg/settings/page_test.go
+++ b/pkg/settings/page_test.go
@@ -14,8 +14,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := Default()
-	checkPage(t, string(b), "", reflect.ValueOf(s))
+	own, entry, found := strings.Cut(string(b), "\n# Settings of an instance on the users' platform\n")
+	if !found {
+		t.Fatal("the page has no part for instances on the users' platform")
+	}
+	checkPage(t, own, "", reflect.ValueOf(Default()))
+	checkPage(t, entry, "", reflect.ValueOf(DefaultEntry()))
 }
 
 func checkPage(t *testing.T, page, path string, v reflect.Value) {
