Keep the sessions that other instances serve, and know the beginning of a move after a restart

Sessions that another instance had served before the order were moved; and an instance that started 11.7 s after the order took its own start for that of the move, since the time in the status lies before the zero of its clock. Excluded: the hash (the same everywhere). Change: none is on the new release for the first 0.12 of the span, in which instances tell each other the sessions they serve that the hash would move; a status says whether it tells a beginning. Tests: TestReleasesKeepSessions, TestViewStartOfAMoveComesFromTheStatus with a beginning before the clock's zero, both failed before.

--- a/pkg/catalogue/operation.go
+++ b/pkg/catalogue/operation.go
@@ -42,6 +42,8 @@
 	Target  string
 	State   ReleaseState
 	Removed bool
-	// StartedAt is the monotonic time at which the move began; 0 when the status doesn't tell.
+	// Started is true when the status tells when the move began, and StartedAt is that monotonic time; it is negative for an
+	// instance that was started later.
+	Started   bool
 	StartedAt clock.Millis
 }
--- a/pkg/catalogue/route.go
+++ b/pkg/catalogue/route.go
@@ -126,6 +126,9 @@
 
 // Parts of the span of a move.
 const (
+	// settlePart is the part of the span in which instances tell each other the sessions that stay on the old release; none
+	// is on the new one before its end.
+	settlePart = 0.12
 	// canaryPart is the part of the span during which sessions keep the release they had.
 	canaryPart = 0.52
 	// shiftedPart is the part of the span after which all sessions are on the new release.
@@ -160,6 +163,11 @@
 	return m.State == ReleaseRunning && float64(now-m.StartedAt) < canaryPart*float64(m.Span)
 }
 
+// Settling tells whether no session may be on the new release yet.
+func (m *ReleaseMove) Settling(now clock.Millis) bool {
+	return m.State == ReleaseRunning && float64(now-m.StartedAt) < settlePart*float64(m.Span)
+}
+
 // Share returns the part of the sessions that belong to the new release; it never falls while the move goes on.
 func (m *ReleaseMove) Share(now clock.Millis) float64 {
 	switch m.State {
@@ -168,6 +176,9 @@
 	case ReleaseReverted:
 		return 0
 	}
+	if m.Settling(now) {
+		return 0
+	}
 	part := float64(now-m.StartedAt) / float64(max(1, m.Span))
 	if part <= canaryPart {
 		return m.Canary
--- a/pkg/gatehouse/house.go
+++ b/pkg/gatehouse/house.go
@@ -94,6 +94,7 @@
 	board    *concierge.Board
 	outliers *concierge.Outliers
 	paces    *concierge.Paces
+	releases *concierge.Releases
 	inFlight *desk.InFlight
 	draining atomic.Bool
 	// giveUp ends what may be ended of the requests under way.
@@ -168,6 +169,7 @@
 	h.board = &concierge.Board{Self: h.Settings.Name}
 	h.outliers = &concierge.Outliers{}
 	h.paces = &concierge.Paces{}
+	h.releases = &concierge.Releases{SessionTime: h.Settings.Bounds.Session()}
 	h.inFlight = &desk.InFlight{}
 	h.wake = make(chan struct{}, 1)
 	h.enrolled, h.membersKnown = make(chan struct{}), make(chan struct{})
--- a/pkg/gatehouse/line.go
+++ b/pkg/gatehouse/line.go
@@ -43,7 +43,7 @@
 			Snapshot: h.control.Snapshot,
 			Board:    h.board,
 			Outliers: h.outliers,
-			Releases: &concierge.Releases{SessionTime: h.Settings.Bounds.Session()},
+			Releases: h.releases,
 			Budgets:  budgets,
 			Paces:    h.paces,
 		},
--- a/pkg/gatehouse/move.go
+++ b/pkg/gatehouse/move.go
@@ -93,7 +93,7 @@
 	h := m.House
 	ctx, cancel := clock.WithTimeout(ctx, h.Clock, putTime)
 	defer cancel()
-	st := catalogue.ReleaseStatus{Service: move.Service, Target: move.Target, State: state, StartedAt: move.StartedAt}
+	st := catalogue.ReleaseStatus{Service: move.Service, Target: move.Target, State: state, Started: true, StartedAt: move.StartedAt}
 	if err := h.Status.PutStatus(ctx, st); err != nil {
 		h.Log.Info("status not told", "service", move.Service, "target", move.Target, "state", state, "cause", err.Error())
 		return false
--- a/pkg/gatehouse/moves.go
+++ b/pkg/gatehouse/moves.go
@@ -50,6 +50,9 @@
 // ownLoads returns the work under way and what was seen of the moves that are judged.
 func (h *House) ownLoads() (work, seen map[string]float32) {
 	seen = map[string]float32{}
+	for _, m := range h.control.Snapshot().Moves {
+		h.releases.Own(m, h.Clock.Now(), seen)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for service, k := range h.comparisons {
@@ -61,6 +64,9 @@
 // othersLoads takes in what other instances have under way and saw.
 func (h *House) othersLoads(work, seen map[string]float32) {
 	h.board.Tell(work)
+	for _, m := range h.control.Snapshot().Moves {
+		h.releases.Tell(m, seen)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for service, k := range h.comparisons {
--- a/pkg/gatehouse/view.go
+++ b/pkg/gatehouse/view.go
@@ -83,7 +83,7 @@
 			copied.State = st.State
 			m = &copied
 		}
-		if known && st.Target == order.Target && st.StartedAt > 0 && st.StartedAt < m.StartedAt {
+		if known && st.Target == order.Target && st.Started && st.StartedAt < m.StartedAt {
 			copied := *m
 			copied.StartedAt = st.StartedAt
 			m = &copied
