--- a/pkg/courier/service.go
+++ b/pkg/courier/service.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "request")
 	}
-	req.Header = withoutHop(r.Header)
+	req.Header = EndToEnd(r.Header)
 	req.Header.Del("Authorization")
 	for name := range req.Header {
 		if strings.HasPrefix(name, ownHeaders) {
@@ -64,8 +64,8 @@
 	return req, nil
 }
 
-// withoutHop returns a copy of the headers that are meant for the other end.
-func withoutHop(h http.Header) http.Header {
+// EndToEnd returns a copy of the headers that are meant for the other end, not for one connection.
+func EndToEnd(h http.Header) http.Header {
 	out := h.Clone()
 	if out == nil {
 		out = http.Header{}
@@ -97,7 +97,7 @@
 
 // passBody passes head and body on; what a request that must not run twice answers is read to its end in any case.
 func (a *attempt) passBody(resp *http.Response) error {
-	h := enquiry.Head{Status: resp.StatusCode, Header: withoutHop(resp.Header)}
+	h := enquiry.Head{Status: resp.StatusCode, Header: EndToEnd(resp.Header)}
 	written := a.call.Writer.WriteHead(a.ctx, a.call, h)
 	piece := make([]byte, pieceBytes)
 	for {
