Count a request once in the retry budget; tell no work that is a rest of sums

Cause: read in the code: a request that upstreams declined counted as one more request each time, so that its budget grew; and sums of fractions can leave a rest above zero, so that an upstream that was once used may stand in every tell of work. Change: the budget counts at the first attempt, work below one token is none. TestDispatchBudgetCountsARequestOnce (47 counted, want 40) and TestBoardWork failed before.

--- a/pkg/concierge/board.go
+++ b/pkg/concierge/board.go
@@ -12,6 +12,9 @@
 // that a report says little after some answers' time.
 const reportHalfLife = 1500.0
 
+// leastWork is the work below which an upstream has none, in tokens; sums of fractions leave a rest.
+const leastWork = 1
+
 // Board knows the load of upstreams from this instance's own requests, from what other instances tell and from what came with
 // answers. It is safe for concurrent use.
 type Board struct {
@@ -92,7 +95,7 @@
 	defer b.mu.Unlock()
 	work := map[string]float32{}
 	for name, s := range b.seats {
-		if s.work > 0 {
+		if s.work >= leastWork {
 			work[name] = float32(s.work)
 		}
 	}
--- a/pkg/concierge/dispatch.go
+++ b/pkg/concierge/dispatch.go
@@ -63,7 +63,7 @@
 			return refusal
 		}
 		c.Upstream = u
-		if c.Runs == 0 {
+		if c.Attempts == 0 {
 			f.Budgets.Add(u.Service, f.Clock.Now())
 		}
 		err := f.send(ctx, c, next)
--- a/pkg/concierge/route_test.go
+++ b/pkg/concierge/route_test.go
@@ -112,6 +112,21 @@
 	}
 }
 
+func TestDispatchBudgetCountsARequestOnce(t *testing.T) {
+	r := newRouted(upstream("u1"), upstream("u2"), upstream("u3"), upstream("u4"))
+	r.Budgets.Share = 0.1
+	r.answer = func(c *enquiry.Call) error {
+		c.Attempts++
+		return failed(enquiry.NotRun, enquiry.ReasonUpstreamRefused)
+	}
+	for i := range 40 {
+		_, _ = r.call(fmt.Sprint("r", i), catalogue.Route{MaxAttempts: 1, Target: 300})
+	}
+	if r.Budgets.of("lm").sent != 40 {
+		t.Errorf("%d requests counted, want 40", r.Budgets.of("lm").sent)
+	}
+}
+
 func TestDispatchTellsWhenToComeBack(t *testing.T) {
 	r := newRouted(upstream("u1"), upstream("u2"))
 	r.answer = func(*enquiry.Call) error { return failed(enquiry.NotRun, enquiry.ReasonUpstreamRefused) }
@@ -261,6 +276,12 @@
 		t.Errorf("work (-want +got):\n%s", diff)
 	}
 	b.Done("u", 500)
+	for _, w := range []float64{0.1, 0.2, 0.3} {
+		b.Begin("rest", w)
+	}
+	for _, w := range []float64{0.3, 0.1, 0.2} {
+		b.Done("rest", w)
+	}
 	if diff := cmp.Diff(map[string]float32{"u": 300}, b.Own()); diff != "" {
 		t.Errorf("own work (-want +got):\n%s", diff)
 	}
