--- a/pkg/gatehouse/line.go
+++ b/pkg/gatehouse/line.go
@@ -19,6 +19,8 @@
 	kilobytesPerRequest = 128
 	// memoryPart is the part of the memory that requests may take.
 	memoryPart = 0.5
+	// staleMargin is kept from the bound on the use of keys, in milliseconds, for the way to the upstream.
+	staleMargin clock.Millis = 400
 )
 
 // line joins the filters that a request passes, in order.
