Use one piece each for parsing settings, choosing the lowest upstream and writing a whole answer

Found on reading the change once more: LoadEntry and ParseEntry repeated Load and Parse; idlest and least were one loop with two scores, and sorted all upstreams only to break ties; an answer was written head, body, end in two places; the retry of reverts woke ten times a second from the start on, where it can have work only once a move was ordered. Behaviour stays: the lowest score is chosen, of equal ones the first in rendezvous order, as before.

--- a/pkg/concierge/route.go
+++ b/pkg/concierge/route.go
@@ -93,11 +93,17 @@
 
 // idlest returns the upstream with the least work ahead of it.
 func (q *Choice) idlest(from []*catalogue.Upstream) *catalogue.Upstream {
+	return q.lowest(from, q.work)
+}
+
+// lowest returns the upstream with the lowest score, and of equal ones the first in rendezvous order for the draw.
+func (q *Choice) lowest(from []*catalogue.Upstream, score func(u *catalogue.Upstream) float64) *catalogue.Upstream {
 	var best *catalogue.Upstream
-	least := 0.0
-	for _, u := range ranked(q.Draw, from) {
-		if w := q.work(u); best == nil || w < least {
-			best, least = u, w
+	lowest := 0.0
+	for _, u := range from {
+		s := score(u)
+		if best == nil || s < lowest || s == lowest && byRank(q.Draw, u, best) < 0 {
+			best, lowest = u, s
 		}
 	}
 	return best
@@ -110,19 +116,22 @@
 // ranked returns the upstreams in rendezvous order for a key, the highest weight first.
 func ranked(key string, from []*catalogue.Upstream) []*catalogue.Upstream {
 	ranked := slices.Clone(from)
-	slices.SortFunc(ranked, func(a, b *catalogue.Upstream) int {
-		wa, wb := enquiry.HashKey(key, a.Name), enquiry.HashKey(key, b.Name)
-		switch {
-		case wa > wb:
-			return -1
-		case wa < wb:
-			return 1
-		}
-		return strings.Compare(a.Name, b.Name)
-	})
+	slices.SortFunc(ranked, func(a, b *catalogue.Upstream) int { return byRank(key, a, b) })
 	return ranked
 }
 
+// byRank compares upstreams by the rendezvous order for a key.
+func byRank(key string, a, b *catalogue.Upstream) int {
+	wa, wb := enquiry.HashKey(key, a.Name), enquiry.HashKey(key, b.Name)
+	switch {
+	case wa > wb:
+		return -1
+	case wa < wb:
+		return 1
+	}
+	return strings.Compare(a.Name, b.Name)
+}
+
 // home returns the first upstream in rendezvous order whose work is near the mean.
 func (q *Choice) home(from []*catalogue.Upstream) *catalogue.Upstream {
 	total := 0.0
@@ -140,9 +149,7 @@
 
 // least returns the least loaded upstream; those of the own zone go first while they are not much fuller.
 func (q *Choice) least(from []*catalogue.Upstream) *catalogue.Upstream {
-	var best *catalogue.Upstream
-	bestLoad := 0.0
-	for _, u := range ranked(q.Draw, from) {
+	return q.lowest(from, func(u *catalogue.Upstream) float64 {
 		slots := u.Slots
 		if slots <= 0 {
 			slots = unknownSlots
@@ -151,11 +158,8 @@
 		if u.Zone != q.Zone {
 			load += zoneSlack
 		}
-		if best == nil || load < bestLoad {
-			best, bestLoad = u, load
-		}
-	}
-	return best
+		return load
+	})
 }
 
 // PromptKey returns what the cache of an upstream knows a request by: the last part that other requests share, and the model.
--- a/pkg/courier/relay.go
+++ b/pkg/courier/relay.go
@@ -208,23 +208,12 @@
 	if complete {
 		head.Length = int64(len(body))
 	}
-	w, c := p.call.Writer, p.call
-	if err := w.WriteHead(p.ctx, c, head); err != nil {
-		return &writeError{cause: err}
-	}
-	c.Headed = true
-	if err := w.WriteBytes(p.ctx, c, body); err != nil {
-		return &writeError{cause: err}
-	}
-	if !complete {
-		if err := p.copyRest(resp.Body); err != nil {
-			return err
+	return writeAnswer(p.ctx, p.call, head, body, func() error {
+		if complete {
+			return nil
 		}
-	}
-	if err := w.WriteEnd(p.ctx, c, enquiry.End{}); err != nil {
-		return &writeError{cause: err}
-	}
-	return nil
+		return p.copyRest(resp.Body)
+	})
 }
 
 func (p *passage) copyRest(body io.Reader) error {
@@ -327,13 +316,21 @@
 
 // PassOn gives the upstream's answer to the caller as it is.
 func (e *FailedAnswer) PassOn(ctx context.Context, c *enquiry.Call) error {
-	if err := c.Writer.WriteHead(ctx, c, e.Head); err != nil {
+	return writeAnswer(ctx, c, e.Head, e.Body, func() error { return nil })
+}
+
+// writeAnswer writes an answer; rest writes what follows the body that is held.
+func writeAnswer(ctx context.Context, c *enquiry.Call, head enquiry.Head, body []byte, rest func() error) error {
+	if err := c.Writer.WriteHead(ctx, c, head); err != nil {
 		return &writeError{cause: err}
 	}
 	c.Headed = true
-	if err := c.Writer.WriteBytes(ctx, c, e.Body); err != nil {
+	if err := c.Writer.WriteBytes(ctx, c, body); err != nil {
 		return &writeError{cause: err}
 	}
+	if err := rest(); err != nil {
+		return err
+	}
 	if err := c.Writer.WriteEnd(ctx, c, enquiry.End{}); err != nil {
 		return &writeError{cause: err}
 	}
--- a/pkg/gatehouse/loops.go
+++ b/pkg/gatehouse/loops.go
@@ -34,7 +34,6 @@
 	g.Go(func() error { return h.enrol(ctx) })
 	g.Go(func() error { return h.network.Serve(ctx, peer) })
 	g.Go(func() error { return h.followMoves(ctx) })
-	g.Go(func() error { return h.retryReverts(ctx) })
 	g.Go(func() error { return h.report(ctx) })
 	g.Go(func() error { return h.loads.Run(ctx) })
 	g.Go(func() error { return h.reload(ctx) })
@@ -101,6 +100,7 @@
 		return ctx.Err()
 	}
 	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return h.retryReverts(ctx) })
 	g.Go(func() error { return follow(ctx, h, archive.TopicStatuses, statusWait, h.Decoders.Status, h.noteTold) })
 	g.Go(func() error {
 		m := &Mover{House: h}
--- a/pkg/settings/entry.go
+++ b/pkg/settings/entry.go
@@ -1,13 +1,6 @@
 package settings
 
-import (
-	"os"
-
-	"github.com/cockroachdb/errors"
-	"github.com/tailscale/hujson"
-
-	"carawayknot.example/carawayknot/pkg/clock"
-)
+import "carawayknot.example/carawayknot/pkg/clock"
 
 // Entry are the settings of an instance that serves routes of the users' platform; times are in milliseconds.
 type Entry struct {
@@ -85,39 +78,11 @@
 
 // LoadEntry reads, fills in and checks the settings file of an entry instance.
 // Its errors are *FieldError and those of reading the file.
-func LoadEntry(path string) (*Entry, error) {
-	b, err := os.ReadFile(path)
-	if err != nil {
-		return nil, errors.Wrap(err, "settings")
-	}
-	e, err := ParseEntry(b)
-	var field *FieldError
-	if errors.As(err, &field) {
-		field.File = path
-	}
-	return e, err
-}
+func LoadEntry(path string) (*Entry, error) { return load(path, ParseEntry) }
 
 // ParseEntry reads the settings of an entry instance in JSON with comments.
 // Its errors are *FieldError.
-func ParseEntry(b []byte) (*Entry, error) {
-	if len(b) > fileBytes {
-		return nil, &FieldError{Want: "a settings file of at most 64 KiB"}
-	}
-	v, err := hujson.Parse(b)
-	if err != nil {
-		return nil, &FieldError{Line: syntaxLine(err), Want: "JSON with comments: " + err.Error()}
-	}
-	e := DefaultEntry()
-	d := &decoder{source: b, offsets: map[string]int{}}
-	if err := d.decode(&v, &e); err != nil {
-		return nil, err
-	}
-	if err := d.verify(entryChecks(&e)); err != nil {
-		return nil, err
-	}
-	return &e, nil
-}
+func ParseEntry(b []byte) (*Entry, error) { return parse(b, DefaultEntry(), entryChecks) }
 
 const (
 	minMegabytes   = 32
