Hand open listeners to an instance under test; no test waits on a port that another took

Cause: a test looked up a free port, closed it, and the instance listened on it later; another parallel test could take it between. Change: House.Listen opens the addresses; the platform's tests hand in listeners that are open already.

--- a/pkg/gatehouse/house.go
+++ b/pkg/gatehouse/house.go
@@ -61,6 +61,8 @@
 	Adapter  Adapter
 	// Dial connects to upstreams.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Listen opens the addresses of the settings.
+	Listen func(ctx context.Context, network, address string) (net.Listener, error)
 	// Reloads has settings that were read anew; it may be nil.
 	Reloads <-chan *settings.Entry
 	// LogDropped returns how many log lines were dropped; it may be nil.
@@ -101,22 +103,18 @@
 	}
 	h.control.Run()
 	defer h.control.Stop()
-	var lc net.ListenConfig
-	ready, err := lc.Listen(ctx, "tcp", h.Settings.ReadyAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen")
-	}
-	peer, err := lc.Listen(ctx, "tcp", h.Settings.PeerAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen")
-	}
-	caller, err := lc.Listen(ctx, "tcp", h.Settings.CallerAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen")
-	}
-	admin, err := lc.Listen(ctx, "tcp", h.Settings.AdminAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen")
+	var ready, peer, caller, admin net.Listener
+	for _, l := range []struct {
+		address string
+		to      *net.Listener
+	}{
+		{h.Settings.ReadyAddress, &ready}, {h.Settings.PeerAddress, &peer},
+		{h.Settings.CallerAddress, &caller}, {h.Settings.AdminAddress, &admin},
+	} {
+		var err error
+		if *l.to, err = h.Listen(ctx, "tcp", l.address); err != nil {
+			return errors.Wrap(err, "listen")
+		}
 	}
 	adminServer := desk.NewServer(h.adminHandler())
 	readyServer := desk.NewServer(http.HandlerFunc(h.serveReady))
@@ -132,6 +130,7 @@
 	h.serve("ready", readyServer, ready)
 	h.serve("caller", callerServer, caller)
 	h.Log.Info("started", "caller", h.Settings.CallerAddress, "store", h.Settings.StoreAddress, "zone", h.Settings.Zone)
+	var err error
 	select {
 	case <-ctx.Done():
 		err = h.drain(callerServer)
