--- a/pkg/concierge/dispatch.go
+++ b/pkg/concierge/dispatch.go
@@ -43,6 +43,8 @@
 	Releases *Releases
 	// Budgets bounds the sends beyond the first.
 	Budgets *Budgets
+	// Lanes has which share of the work are prompts that take long.
+	Lanes *Lanes
 	// Paces has how long models take to begin their answers.
 	Paces *Paces
 }
@@ -135,6 +137,7 @@
 
 func (f *Dispatch) send(ctx context.Context, c *enquiry.Call, next enquiry.Handler) error {
 	upstream, work := c.Upstream.Name, f.work(c)
+	f.Lanes.Take(c.Pool.Name, f.long(c), work, f.Clock.Now())
 	f.Board.Begin(upstream, work)
 	defer f.Board.End(upstream)
 	var once sync.Once
@@ -194,6 +197,7 @@
 	if c.Route.Affinity {
 		q.Key = PromptKey(c)
 		q.Long = f.long(c)
+		q.LongShare = f.Lanes.Share(pool.Name)
 	}
 	u := q.Choose(warm)
 	if u == nil {
--- a/pkg/concierge/pattern_test.go
+++ b/pkg/concierge/pattern_test.go
@@ -18,13 +18,15 @@
 	// told is true when instances tell each other their work, toldEvery milliseconds apart.
 	told      bool
 	toldEvery float64
+	// lanes is the part of the engines that is kept for long prompts; 0 follows their part of the work.
+	lanes float64
 }
 
 // tokensPerMS is how fast an engine reads with the largest model.
 const tokensPerMS = 46.0
 
-// waits plays the pattern and returns how long short prompts waited, in milliseconds and sorted.
-func (p *pattern) waits() []float64 {
+// waits plays the pattern and returns how long prompts waited, in milliseconds and sorted, the short ones and the long ones.
+func (p *pattern) waits() (short, long []float64) {
 	rnd := rand.New(rand.NewPCG(7, 11))
 	engines := make([]*catalogue.Upstream, p.engines)
 	freeAt := map[string]float64{}
@@ -42,7 +44,7 @@
 		tokens float64
 	}
 	var under []running
-	var waits []float64
+	lanes := &Lanes{}
 	now, toldAt := 0.0, 0.0
 	for now < p.seconds*1000 {
 		now += rnd.ExpFloat64() * 1000 / p.perSecond
@@ -57,23 +59,30 @@
 			toldAt = now + p.toldEvery
 			tellAll(boards)
 		}
-		tokens, long := 4000+rnd.Float64()*4000, rnd.Float64() < p.longShare
-		if long {
+		tokens, isLong := 4000+rnd.Float64()*4000, rnd.Float64() < p.longShare
+		if isLong {
 			tokens *= 10
 		}
 		board := boards[rnd.IntN(p.instances)]
-		q := &Choice{Now: clock.Millis(now), Zone: "a", Key: fmt.Sprint(rnd.IntN(p.subjects)), Board: board, Outliers: &Outliers{}, Draw: fmt.Sprint(now), Long: long}
+		q := &Choice{Now: clock.Millis(now), Zone: "a", Key: fmt.Sprint(rnd.IntN(p.subjects)), Board: board, Outliers: &Outliers{}, Draw: fmt.Sprint(now), Long: isLong, LongShare: p.lanes}
+		if q.LongShare == 0 {
+			q.LongShare = lanes.Share("lm")
+		}
+		lanes.Take("lm", isLong, tokens, q.Now)
 		u := q.Choose(engines)
 		board.Begin(u.Name, tokens)
 		start := max(now, freeAt[u.Name])
 		freeAt[u.Name] = start + tokens/tokensPerMS
 		under = append(under, running{until: freeAt[u.Name], board: board, engine: u.Name, tokens: tokens})
-		if !long {
-			waits = append(waits, start-now)
+		if isLong {
+			long = append(long, start-now)
+		} else {
+			short = append(short, start-now)
 		}
 	}
-	slices.Sort(waits)
-	return waits
+	slices.Sort(short)
+	slices.Sort(long)
+	return short, long
 }
 
 func tellAll(boards []*Board) {
@@ -99,9 +108,11 @@
 // a ninetieth of it, 60 engines. Homes by subject alone leave some engines with queues of seconds while others are idle.
 func TestPatternFewSubjectsOnManyInstances(t *testing.T) {
 	p := pattern{instances: 90, engines: 60, subjects: 126, perSecond: 180, seconds: 60}
-	blind := quantile(p.waits(), 0.95)
+	short, _ := p.waits()
+	blind := quantile(short, 0.95)
 	p.told, p.toldEvery = true, 350
-	told := quantile(p.waits(), 0.95)
+	short, _ = p.waits()
+	told := quantile(short, 0.95)
 	if told > blind/2 {
 		t.Errorf("95 in 100 wait up to %.0f ms when instances tell their work, %.0f ms when not; want half", told, blind)
 	}
@@ -111,10 +122,26 @@
 // must not wait behind those.
 func TestPatternShortBehindLong(t *testing.T) {
 	p := pattern{instances: 9, engines: 9, subjects: 126, perSecond: 18, seconds: 120, longShare: 0.1, told: true, toldEvery: 350}
-	apart := quantile(p.waits(), 0.95)
+	short, _ := p.waits()
+	apart := quantile(short, 0.95)
 	p.longShare = 0
-	none := quantile(p.waits(), 0.95)
+	short, _ = p.waits()
+	none := quantile(short, 0.95)
 	if limit := none + 400; apart > limit {
 		t.Errorf("95 in 100 short prompts wait up to %.0f ms beside long ones, %.0f ms without; want at most %.0f", apart, none, limit)
 	}
 }
+
+// TestPatternHalfOfTheWorkIsLong is the load of the heavy days of the grown sites: prompts of ten times the usual length are a tenth
+// of the requests and half of the work. With a fixed fifth of the engines for them they queue for seconds while others are idle.
+func TestPatternHalfOfTheWorkIsLong(t *testing.T) {
+	p := pattern{instances: 90, engines: 60, subjects: 126, perSecond: 150, seconds: 60, longShare: 0.1, told: true, toldEvery: 350, lanes: usualShare}
+	_, long := p.waits()
+	fixed := quantile(long, 0.75)
+	p.lanes = 0
+	_, long = p.waits()
+	following := quantile(long, 0.75)
+	if following > fixed/2 {
+		t.Errorf("75 in 100 long prompts wait up to %.0f ms when their engines follow the work, %.0f ms with a fixed share; want half", following, fixed)
+	}
+}
--- a/pkg/concierge/route.go
+++ b/pkg/concierge/route.go
@@ -1,6 +1,7 @@
 package concierge
 
 import (
+	"math"
 	"slices"
 	"strings"
 
@@ -17,14 +18,14 @@
 	boundedSlack = 12000.0
 	// zoneSlack is the load that an upstream of the own zone may have more than the least loaded one, in parts of its slots.
 	zoneSlack = 0.25
-	// laneShare is the part of the upstreams that take the prompts that take long, where there are leastLanes or more. On the
-	// users' sites those prompts are a fifth of the work.
-	laneShare  = 0.23
+	// leastLanes is the number of upstreams from which on some of them are kept for the prompts that take long.
 	leastLanes = 5
-	// laneSlack and laneFactor tell when the work of one group is so much higher that the other one takes its requests; the
-	// slack is in tokens of the largest model.
+	// laneSlack and laneFactor tell when the work of the others is so much higher that the upstreams for long prompts take their
+	// requests, and longSlack when the work of those is so much higher that the others take theirs; the slacks are in tokens of
+	// the largest model.
 	laneSlack  = 40000.0
 	laneFactor = 2.0
+	longSlack  = 2000.0
 	// laneKey is the rendezvous key of the upstreams for long prompts.
 	laneKey = "long prompts"
 	// longTime is the usual time to the beginning of an answer from which on a prompt takes long, in milliseconds.
@@ -46,6 +47,8 @@
 	Draw string
 	// Long is true for a request whose prompt takes so long to read that others would wait behind it.
 	Long bool
+	// LongShare is the part of the upstreams that is kept for such prompts.
+	LongShare float64
 }
 
 // Choose returns the upstream for one attempt, or nil when there is none.
@@ -75,11 +78,11 @@
 		return q.home(from)
 	}
 	ranked := ranked(laneKey, from)
-	n := max(1, int(laneShare*float64(len(from))))
+	n := max(1, int(math.Round(q.LongShare*float64(len(from)))))
 	lane, rest := ranked[:n], ranked[n:]
 	if q.Long {
 		u := q.idlest(lane)
-		if other := q.idlest(rest); q.work(u) > q.work(other)+laneSlack {
+		if other := q.idlest(rest); q.work(u) > q.work(other)+longSlack {
 			return other
 		}
 		return u
--- a/pkg/concierge/route_test.go
+++ b/pkg/concierge/route_test.go
@@ -37,6 +37,7 @@
 		r.snapshot.Pools["lm"] = append(r.snapshot.Pools["lm"], u)
 	}
 	r.Dispatch = &Dispatch{
+		Lanes: &Lanes{},
 		Clock: m, Log: logr.Discard(), Zone: "a", Snapshot: func() *catalogue.Snapshot { return r.snapshot }, Board: &Board{},
 		Outliers: &Outliers{}, Releases: &Releases{SessionTime: 5000}, Budgets: &Budgets{Share: 1}, Paces: &Paces{},
 	}
--- a/pkg/gatehouse/house.go
+++ b/pkg/gatehouse/house.go
@@ -79,6 +79,7 @@
 	board    *concierge.Board
 	outliers *concierge.Outliers
 	paces    *concierge.Paces
+	lanes    *concierge.Lanes
 	releases *concierge.Releases
 	inFlight *desk.InFlight
 	draining atomic.Bool
@@ -151,6 +152,7 @@
 	h.board = &concierge.Board{Self: h.Settings.Name}
 	h.outliers = &concierge.Outliers{}
 	h.paces = &concierge.Paces{}
+	h.lanes = &concierge.Lanes{}
 	h.releases = &concierge.Releases{SessionTime: h.Settings.Bounds.Session()}
 	h.inFlight = &desk.InFlight{}
 	h.wake = make(chan struct{}, 1)
--- a/pkg/gatehouse/judge.go
+++ b/pkg/gatehouse/judge.go
@@ -50,6 +50,7 @@
 // ownLoads returns the work under way and what was seen of the moves that are judged.
 func (h *House) ownLoads() (work, seen map[string]float32) {
 	seen = map[string]float32{}
+	h.lanes.Own(h.Clock.Now(), seen)
 	for _, m := range h.control.Snapshot().Moves {
 		h.releases.Own(m, h.Clock.Now(), seen)
 	}
@@ -64,6 +65,7 @@
 // othersLoads takes in what other instances have under way and saw.
 func (h *House) othersLoads(work, seen map[string]float32) {
 	h.board.Tell(work)
+	h.lanes.Tell(seen)
 	for _, m := range h.control.Snapshot().Moves {
 		h.releases.Tell(m, seen)
 	}
--- a/pkg/gatehouse/line.go
+++ b/pkg/gatehouse/line.go
@@ -48,6 +48,7 @@
 			Releases: h.releases,
 			Budgets:  budgets,
 			Paces:    h.paces,
+			Lanes:    h.lanes,
 		},
 		h.relay,
 	))
