Ask a store that is away less often where other instances can be asked; let first callers wait for the first view

An instance whose senior knew too little didn't ask that one for 8 s and went to the store for all topics. A senior that knows too little of a topic is asked for that topic again after 600 ms. Callers that come before the first view wait for it, for at most 0.4 s, in place of a refusal. TestPatternStoreIsAway: 108 reads of the store in 8 s before, at most 16 now (48 when it refuses).

--- a/pkg/archive/follower.go
+++ b/pkg/archive/follower.go
@@ -12,6 +12,9 @@
 // ErrTrimmed says that records that were asked for are no longer kept.
 var ErrTrimmed = errors.New("the records are no longer kept")
 
+// ErrRefused marks errors by which the store answered that it doesn't do a call; other calls may still succeed.
+var ErrRefused = errors.New("the store refused the call")
+
 // Batch is what one read of a topic gave.
 type Batch[T any] struct {
 	Items []T
--- a/pkg/caravan/shared.go
+++ b/pkg/caravan/shared.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"carawayknot.example/carawayknot/pkg/archive"
+	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 )
 
@@ -23,8 +24,8 @@
 	storePart = 0.25
 	peerPart  = 0.2
 	agePart   = 0.65
-	// downTime is how long an instance is not asked after a read of it failed or was too old, in milliseconds, and behindTime
-	// after it answered that it has not read so far itself.
+	// downTime is how long an instance is not asked after a read of it failed, in milliseconds, and behindTime how long for a
+	// topic that it has not read so far itself, or too long ago.
 	downTime   clock.Millis = 8000
 	behindTime clock.Millis = 600
 	// peerCallTime bounds a read of another instance beyond the time that it waits, in milliseconds.
@@ -50,7 +51,8 @@
 	// Await returns once the members are known, or after a while.
 	Await func(ctx context.Context)
 
-	down downMarks
+	down   downMarks
+	outage outage
 	// direct and peers count the reads of the store and of other instances, by topic.
 	direct, peers counts
 	// restUntil is the monotonic time before which the list is not read of the store again.
@@ -61,8 +63,7 @@
 func (s *Shared) Newest(ctx context.Context, topic archive.TopicName) (archive.Batch[archive.Record], error) {
 	b, err := s.ask(ctx, ReadArgs{Topic: topic, Whole: true, Wait: wholeWait})
 	if errors.Is(err, errNoPeer) {
-		s.direct.add(topic)
-		b, err = s.Store.Newest(ctx, topic)
+		b, err = s.askStore(ctx, topic, func() (archive.Batch[archive.Record], error) { return s.Store.Newest(ctx, topic) })
 	}
 	return s.keep(topic, b, err)
 }
@@ -84,14 +85,32 @@
 			return archive.Batch[archive.Record]{}, err
 		}
 	}
-	s.direct.add(topic)
-	b, err = s.Store.Read(ctx, topic, from, wait)
+	b, err = s.askStore(ctx, topic, func() (archive.Batch[archive.Record], error) { return s.Store.Read(ctx, topic, from, wait) })
 	if err == nil && topic == archive.TopicListings && len(b.Items) > 0 {
 		s.restUntil.Store(int64(s.Clock.Now() + slowPause))
 	}
 	return s.keep(topic, b, err)
 }
 
+// askStore calls the store. While that fails, an instance which may learn of others that the store is back asks it more seldom.
+func (s *Shared) askStore(ctx context.Context, topic archive.TopicName, call func() (archive.Batch[archive.Record], error)) (archive.Batch[archive.Record], error) {
+	if left := s.outage.left(topic, s.Clock.Now()); left > 0 && s.hasPeers() {
+		return archive.Batch[archive.Record]{}, errors.Newf("the store failed and is not asked again for %d ms", left)
+	}
+	s.direct.add(topic)
+	b, err := call()
+	if ctx.Err() == nil || err == nil {
+		s.outage.note(topic, err, s.Clock.Now())
+	}
+	return b, err
+}
+
+// hasPeers tells whether there are instances to read of.
+func (s *Shared) hasPeers() bool {
+	seniors, zone := s.Seniors()
+	return zone >= leastShared && len(seniors) > 0
+}
+
 // rest waits out the pause after changes of the list.
 func (s *Shared) rest(ctx context.Context) error {
 	left := clock.Millis(s.restUntil.Load()) - s.Clock.Now()
@@ -120,7 +139,7 @@
 		return archive.Batch[archive.Record]{}, errNoPeer
 	}
 	for _, peer := range seniors {
-		if s.down.is(peer, s.Clock.Now()) {
+		if now := s.Clock.Now(); s.down.is(peer, now) || s.down.is(topicMark(peer, args.Topic), now) {
 			continue
 		}
 		b, err := s.askPeer(ctx, peer, args)
@@ -128,20 +147,25 @@
 			return b, err
 		}
 		s.Network.Common.Log.WithName("caravan").Info("read of an instance failed", "instance", peer, "topic", args.Topic, "cause", err.Error())
-		s.down.mark(peer, s.Clock.Now()+downTimeOf(err))
+		s.markDown(peer, args.Topic, err)
 		break
 	}
 	return archive.Batch[archive.Record]{}, errNoPeer
 }
 
-func downTimeOf(err error) clock.Millis {
+// markDown keeps an instance from being asked: for a short while and the topic alone if it answered but knows too little.
+func (s *Shared) markDown(peer string, topic archive.TopicName, err error) {
 	var told rpc.ServerError
-	if errors.As(err, &told) {
-		return behindTime
+	var old *catalogue.StaleError
+	if errors.As(err, &told) || errors.As(err, &old) {
+		s.down.mark(topicMark(peer, topic), s.Clock.Now()+behindTime)
+		return
 	}
-	return downTime
+	s.down.mark(peer, s.Clock.Now()+downTime)
 }
 
+func topicMark(peer string, topic archive.TopicName) string { return peer + " " + string(topic) }
+
 func (s *Shared) askPeer(ctx context.Context, peer string, args ReadArgs) (archive.Batch[archive.Record], error) {
 	s.peers.add(args.Topic)
 	began := s.Clock.Now()
@@ -153,7 +177,7 @@
 		return archive.Batch[archive.Record]{}, archive.ErrTrimmed
 	}
 	if limit := s.part(agePart); reply.Age > limit && mustBeNew(args.Topic) {
-		return archive.Batch[archive.Record]{}, errors.Newf("what the instance knows is %d ms old, the limit is %d ms", reply.Age, limit)
+		return archive.Batch[archive.Record]{}, &catalogue.StaleError{Age: reply.Age, Horizon: limit}
 	}
 	// The read reached the other instance after it was sent, so that it ended there at began + Waited at the earliest.
 	return archive.Batch[archive.Record]{
--- a/pkg/caravan/shared_test.go
+++ b/pkg/caravan/shared_test.go
@@ -19,6 +19,7 @@
 	clock clock.Clock
 	next  int64
 	reads int
+	err   error
 }
 
 func (s *countedStore) Newest(context.Context, archive.TopicName) (archive.Batch[archive.Record], error) {
@@ -28,6 +29,9 @@
 
 func (s *countedStore) Read(_ context.Context, _ archive.TopicName, from int64, _ clock.Millis) (archive.Batch[archive.Record], error) {
 	s.reads++
+	if s.err != nil {
+		return archive.Batch[archive.Record]{}, s.err
+	}
 	b := archive.Batch[archive.Record]{Next: s.next, SentAt: s.clock.Now()}
 	for range s.next - from {
 		b.Items = append(b.Items, archive.Record{Key: "k", Value: []byte("v")})
@@ -157,3 +161,43 @@
 		t.Errorf("what is old counts: %g, want 1", got)
 	}
 }
+
+// TestPatternStoreIsAway is the load of many instances on a store that fails for all of them for 8 s: each tries four topics again
+// after 300 ms. An instance with a senior asks it in between and leaves the store alone for longer and longer.
+func TestPatternStoreIsAway(t *testing.T) {
+	topics := []archive.TopicName{archive.TopicOperations, archive.TopicListings, archive.TopicStatuses, archive.TopicMembers}
+	for _, c := range []struct {
+		name        string
+		zone        int
+		err         error
+		least, most int
+	}{
+		{"unreachable", leastShared, errors.New("connection refused"), 5, 16},
+		{"refusing", leastShared, errors.Mark(errors.New("503"), archive.ErrRefused), 20, 48},
+		{"without seniors all is tried", leastShared - 1, errors.New("connection refused"), 100, 108},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPair(t)
+			p.zone, p.store.err = c.zone, c.err
+			for end := p.clock.Now() + 8000; p.clock.Now() < end; p.clock.Advance(300) {
+				for _, topic := range topics {
+					if _, err := p.own.Read(context.Background(), topic, 4, 0); err == nil {
+						t.Fatal("a read succeeded")
+					}
+				}
+			}
+			if p.store.reads < c.least || p.store.reads > c.most {
+				t.Errorf("%d reads of the store in 8 s, want %d to %d", p.store.reads, c.least, c.most)
+			}
+			// Once the senior reads again nothing has to be waited for.
+			p.store.err = nil
+			p.clock.Advance(behindTime)
+			for _, topic := range topics {
+				p.cache.Take(topic, archive.Batch[archive.Record]{Whole: true, Next: 5, SentAt: p.clock.Now()})
+			}
+			if b, err := p.own.Read(context.Background(), archive.TopicOperations, 5, 0); err != nil || b.SentAt != p.clock.Now() {
+				t.Errorf("got %+v and %v", b, err)
+			}
+		})
+	}
+}
--- a/pkg/catalogue/snapshot.go
+++ b/pkg/catalogue/snapshot.go
@@ -136,7 +136,7 @@
 	Pools map[string][]*Upstream
 }
 
-// StaleError says that the snapshot is too old to decide on; both times are in milliseconds.
+// StaleError says that a view is too old to decide on; both times are in milliseconds.
 type StaleError struct {
 	Age     clock.Millis
 	Horizon clock.Millis
@@ -144,7 +144,7 @@
 
 // Error tells the age and the horizon.
 func (e *StaleError) Error() string {
-	return fmt.Sprintf("the view of the configuration is %d ms old, the horizon is %d ms", e.Age, e.Horizon)
+	return fmt.Sprintf("the view is %d ms old, the horizon is %d ms", e.Age, e.Horizon)
 }
 
 // ForbiddenError says which rule stops a request from being sent.
--- a/pkg/gatehouse/control.go
+++ b/pkg/gatehouse/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"sync"
 	"sync/atomic"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -30,6 +31,9 @@
 	provedAt atomic.Int64
 	// listedAt is the same for the list of upstreams.
 	listedAt atomic.Int64
+	// known is closed once the configuration and the list were read.
+	known     chan struct{}
+	knownOnce sync.Once
 }
 
 // settled tells the control thread how a move ended.
@@ -44,6 +48,7 @@
 // Run starts the control thread.
 func (c *Control) Run() {
 	c.provedAt.Store(-1)
+	c.known = make(chan struct{})
 	c.snapshot.Store(c.view.Snapshot(false))
 	logger := slog.New(logr.ToSlogHandler(c.Log.V(1)))
 	c.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return logger }))
@@ -62,6 +67,9 @@
 // Snapshot returns the newest snapshot, which is never nil after Run.
 func (c *Control) Snapshot() *catalogue.Snapshot { return c.snapshot.Load() }
 
+// Known is closed once the configuration and the list of upstreams were read.
+func (c *Control) Known() <-chan struct{} { return c.known }
+
 // Age returns how old the view of what operators confirmed is at now; it is huge while nothing was read.
 func (c *Control) Age(now clock.Millis) clock.Millis {
 	at := c.provedAt.Load()
@@ -116,7 +124,13 @@
 	}
 }
 
-func (c *Control) publish() { c.snapshot.Store(c.view.Snapshot(c.draining)) }
+func (c *Control) publish() {
+	s := c.view.Snapshot(c.draining)
+	c.snapshot.Store(s)
+	if s.Routes != nil && c.listedAt.Load() > 0 {
+		c.knownOnce.Do(func() { close(c.known) })
+	}
+}
 
 func (c *Control) logOperations(b archive.Batch[catalogue.Operation], before *catalogue.RouteTable, now clock.Millis) {
 	for _, op := range b.Items {
--- a/pkg/gatehouse/house.go
+++ b/pkg/gatehouse/house.go
@@ -129,7 +129,7 @@
 	loops, looping := h.loops(loopCtx, peer)
 	h.serve("admin", adminServer, admin)
 	h.serve("ready", readyServer, ready)
-	h.serve("caller", callerServer, caller)
+	go h.serveKnowing(ctx, callerServer, caller)
 	h.Log.Info("started", "caller", h.Settings.CallerAddress, "store", h.Settings.StoreAddress, "zone", h.Settings.Zone)
 	var err error
 	select {
@@ -193,3 +193,19 @@
 		}
 	}()
 }
+
+// firstViewTime is how long callers that come right after the start are left waiting for the first view, in milliseconds: reading it
+// takes some ten milliseconds, and a caller that is sent away comes back later than that.
+const firstViewTime clock.Millis = 400
+
+// serveKnowing serves callers once the configuration and the list were read, or after a while.
+func (h *House) serveKnowing(ctx context.Context, s *http.Server, l net.Listener) {
+	due, stop := h.Clock.Timer(firstViewTime)
+	defer stop()
+	select {
+	case <-h.control.Known():
+	case <-due:
+	case <-ctx.Done():
+	}
+	h.serve("caller", s, l)
+}
