Don't count upstreams that can't be reached against a new release

Change: an attempt of which no byte reached the upstream is Unreached; comparisons of releases leave it out. Test: TestComparisonCrashedUpstreams found the release bad before; TestRelayTellsWhatAnAttemptShowed.

--- a/pkg/courier/relay.go
+++ b/pkg/courier/relay.go
@@ -124,7 +124,7 @@
 		c.Runs++
 		c.Sent = true
 	}
-	p.observe(err)
+	p.observe(err, outcome)
 	if err == nil {
 		return nil
 	}
@@ -276,7 +276,7 @@
 	return r
 }
 
-func (p *passage) observe(err error) {
+func (p *passage) observe(err error, outcome enquiry.Outcome) {
 	if p.Observe == nil {
 		return
 	}
@@ -290,6 +290,9 @@
 		FirstToken: p.first,
 		Load:       p.load,
 	}
+	if s.Result == enquiry.ResultFailed && outcome == enquiry.NotRun {
+		s.Result = enquiry.ResultUnreached
+	}
 	s.Total = s.At - p.began
 	p.Observe(p.call, s)
 }
--- /dev/null
+++ b/pkg/courier/relay_test.go
@@ -0,0 +1,84 @@
+package courier
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/enquiry"
+)
+
+// plainWire sends a call as a plain request and takes any answer.
+type plainWire struct{}
+
+func (plainWire) Request(c *enquiry.Call, _ clock.Millis) *http.Request {
+	req, err := http.NewRequest(http.MethodGet, "http://"+c.Upstream.Address+"/", http.NoBody)
+	if err != nil {
+		panic(err)
+	}
+	return req
+}
+
+func (plainWire) Head(_ *enquiry.Call, resp *http.Response) (enquiry.Head, error) {
+	return enquiry.Head{Status: resp.StatusCode, Header: resp.Header}, nil
+}
+
+// dropped takes an answer and keeps nothing.
+type dropped struct{}
+
+func (dropped) WriteHead(context.Context, *enquiry.Call, enquiry.Head) error   { return nil }
+func (dropped) WriteChunk(context.Context, *enquiry.Call, enquiry.Chunk) error { return nil }
+func (dropped) WriteBytes(context.Context, *enquiry.Call, []byte) error        { return nil }
+func (dropped) WriteEnd(context.Context, *enquiry.Call, enquiry.End) error     { return nil }
+
+func TestRelayTellsWhatAnAttemptShowed(t *testing.T) {
+	failing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }))
+	defer failing.Close()
+	good := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer good.Close()
+	cutting := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer cutting.Close()
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	for _, c := range []struct {
+		name   string
+		server *httptest.Server
+		permit error
+		want   enquiry.Result
+	}{
+		{"answered", good, nil, enquiry.ResultComplete},
+		{"failed by its own answer", failing, nil, enquiry.ResultFailed},
+		{"ended without an answer", cutting, nil, enquiry.ResultFailed},
+		{"not reached", gone, nil, enquiry.ResultUnreached},
+		{"not permitted", good, enquiry.Refuse(enquiry.ReasonUnauthorized, 0, "the key is gone"), enquiry.ResultUnreached},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var got enquiry.Sample
+			f := &Relay{
+				Clock: clock.NewReal(), Log: logr.Discard(), Wire: plainWire{},
+				Permit:  func(*enquiry.Call) error { return c.permit },
+				Dial:    (&net.Dialer{}).DialContext,
+				Observe: func(_ *enquiry.Call, s enquiry.Sample) { got = s },
+			}
+			f.Open()
+			defer f.Close()
+			call := &enquiry.Call{
+				Request:  &enquiry.Request{ID: "r", Deadline: f.Clock.Now() + 20*clock.Second},
+				Route:    &catalogue.Route{},
+				Upstream: &catalogue.Upstream{Name: "u", Address: strings.TrimPrefix(c.server.URL, "http://")},
+				Writer:   dropped{},
+			}
+			_ = f.Filter(context.Background(), call, nil)
+			if got.Result != c.want {
+				t.Errorf("%s, want %s", got.Result, c.want)
+			}
+		})
+	}
+}
--- a/pkg/enquiry/sample.go
+++ b/pkg/enquiry/sample.go
@@ -11,10 +11,12 @@
 // The results of attempts.
 const (
 	// ResultStarted is that of a sample given with the first token, before the attempt has ended.
-	ResultStarted   Result = "Started"
-	ResultComplete  Result = "Complete"
-	ResultRefused   Result = "Refused"
-	ResultFailed    Result = "Failed"
+	ResultStarted  Result = "Started"
+	ResultComplete Result = "Complete"
+	ResultRefused  Result = "Refused"
+	ResultFailed   Result = "Failed"
+	// ResultUnreached is that of an attempt of which no byte reached the upstream.
+	ResultUnreached Result = "Unreached"
 	ResultCut       Result = "Cut"
 	ResultMismatch  Result = "Mismatch"
 	ResultCancelled Result = "Cancelled"
--- a/pkg/tasting/comparison.go
+++ b/pkg/tasting/comparison.go
@@ -48,7 +48,9 @@
 
 // Take notes one attempt at an upstream; slow tells that its answer was far later than usual for its prompt.
 func (k *Comparison) Take(route, upstream string, onTarget bool, result enquiry.Result, slow bool) {
-	if result == enquiry.ResultRefused || result == enquiry.ResultCancelled {
+	switch result {
+	case enquiry.ResultRefused, enquiry.ResultCancelled, enquiry.ResultUnreached:
+		// None of them is the release's work; what can't be reached is no reason to take a release back.
 		return
 	}
 	release := releaseOld
--- a/pkg/tasting/comparison_test.go
+++ b/pkg/tasting/comparison_test.go
@@ -62,6 +62,19 @@
 	}
 }
 
+// TestComparisonCrashedUpstreams is a crash of half of the upstreams while a good release is rolled out: those of the new release
+// can't be reached, which many instances notice before the list says so.
+func TestComparisonCrashedUpstreams(t *testing.T) {
+	k := &Comparison{}
+	for i := range 40 {
+		k.Take("a", "u1", false, enquiry.ResultComplete, false)
+		k.Take("a", fmt.Sprint("u", i), true, enquiry.ResultUnreached, false)
+	}
+	if v := k.Verdict(); v.Bad || v.Answers > 0 {
+		t.Errorf("upstreams that can't be reached make their release bad: %+v", v)
+	}
+}
+
 func TestComparisonAddsUpInstances(t *testing.T) {
 	instances := make([]*Comparison, 5)
 	for i := range instances {
