Of idle upstreams give a long prompt the one that got one least lately

Cause: 9 to 14 in 100 of the largest tenth of the long prompts are late by a pause in the middle of their stream: the engine reads the next long prompt between its tokens.

--- a/pkg/caravan/placement.go
+++ b/pkg/caravan/placement.go
@@ -15,6 +15,8 @@
 	placeDownTime clock.Millis = 2000
 	// untoldTime is how long a place that was given counts by itself, in milliseconds; by then its work was told in two rounds.
 	untoldTime = 2 * loadPeriod
+	// maxPlaces bounds the upstreams whose last place is remembered.
+	maxPlaces = 4096
 )
 
 // PlaceArgs asks which of some upstreams should get so much work, in tokens of the largest model.
@@ -35,6 +37,8 @@
 	// work is the sum of given by upstream, and all the work that is known of all instances.
 	work map[string]float32
 	all  map[string]float32
+	// lastAt is when an upstream was given last; streams that it still writes would pause while it reads the next prompt.
+	lastAt map[string]clock.Millis
 }
 
 type place struct {
@@ -43,7 +47,7 @@
 	until    clock.Millis
 }
 
-// take gives the place with the least work; of equal ones the first.
+// take gives the place with the least work, and of equal ones that which was not given for longest.
 func (p *places) take(args PlaceArgs, now clock.Millis) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -55,13 +59,21 @@
 		// Sums of fractions leave a rest.
 		p.work = map[string]float32{}
 	}
+	if len(p.lastAt) > maxPlaces {
+		p.lastAt = nil
+	}
 	best, least := "", float32(0)
 	for _, u := range args.Upstreams {
-		if w := p.all[u] + p.work[u]; best == "" || w < least {
+		w := p.all[u] + p.work[u]
+		if best == "" || w < least || w == least && p.lastAt[u] < p.lastAt[best] {
 			best, least = u, w
 		}
 	}
 	if best != "" {
+		if p.lastAt == nil {
+			p.lastAt = map[string]clock.Millis{}
+		}
+		p.lastAt[best] = now
 		p.work[best] += args.Work
 		p.given = append(p.given, place{upstream: best, work: args.Work, until: now + untoldTime})
 	}
