--- a/pkg/caravan/rank.go
+++ b/pkg/caravan/rank.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/enquiry"
@@ -16,29 +15,19 @@
 // Rank returns the members in rendezvous order for a key, the highest weight first.
 func Rank(key string, members []catalogue.Member) []catalogue.Member {
 	ranked := slices.Clone(members)
-	slices.SortFunc(ranked, func(a, b catalogue.Member) int {
-		wa, wb := Weight(key, a.Name), Weight(key, b.Name)
-		if wa != wb {
-			if wa > wb {
-				return -1
-			}
-			return 1
-		}
-		return strings.Compare(a.Name, b.Name)
-	})
+	slices.SortFunc(ranked, func(a, b catalogue.Member) int { return enquiry.ByRank(key, a.Name, b.Name) })
 	return ranked
 }
 
 // RankOf returns the rendezvous rank of a member for a key, from 0, and whether it is one of the members.
 func RankOf(key, member string, members []catalogue.Member) (int, bool) {
-	own := Weight(key, member)
 	rank, found := 0, false
 	for _, m := range members {
 		if m.Name == member {
 			found = true
 			continue
 		}
-		if w := Weight(key, m.Name); w > own || w == own && m.Name < member {
+		if enquiry.ByRank(key, m.Name, member) < 0 {
 			rank++
 		}
 	}
--- a/pkg/concierge/route.go
+++ b/pkg/concierge/route.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"math"
 	"slices"
-	"strings"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
@@ -100,12 +99,12 @@
 
 // placed returns the upstream that was found with the other instances, and the idlest one as far as is known here without them.
 func (q *Choice) placed(from []*catalogue.Upstream) *catalogue.Upstream {
-	if q.Place == nil {
+	if q.Place == nil || len(from) < 2 {
 		return q.idlest(from)
 	}
 	order := slices.Clone(from)
 	slices.SortFunc(order, func(a, b *catalogue.Upstream) int {
-		return cmp.Or(cmp.Compare(q.work(a), q.work(b)), byRank(q.Draw, a, b))
+		return cmp.Or(cmp.Compare(q.work(a), q.work(b)), enquiry.ByRank(q.Draw, a.Name, b.Name))
 	})
 	order = order[:min(len(order), placeChoices)]
 	names := make([]string, len(order))
@@ -129,7 +128,7 @@
 	lowest := 0.0
 	for _, u := range from {
 		s := score(u)
-		if best == nil || s < lowest || s == lowest && byRank(q.Draw, u, best) < 0 {
+		if best == nil || s < lowest || s == lowest && enquiry.ByRank(q.Draw, u.Name, best.Name) < 0 {
 			best, lowest = u, s
 		}
 	}
@@ -143,22 +142,10 @@
 // ranked returns the upstreams in rendezvous order for a key, the highest weight first.
 func ranked(key string, from []*catalogue.Upstream) []*catalogue.Upstream {
 	ranked := slices.Clone(from)
-	slices.SortFunc(ranked, func(a, b *catalogue.Upstream) int { return byRank(key, a, b) })
+	slices.SortFunc(ranked, func(a, b *catalogue.Upstream) int { return enquiry.ByRank(key, a.Name, b.Name) })
 	return ranked
 }
 
-// byRank compares upstreams by the rendezvous order for a key.
-func byRank(key string, a, b *catalogue.Upstream) int {
-	wa, wb := enquiry.HashKey(key, a.Name), enquiry.HashKey(key, b.Name)
-	switch {
-	case wa > wb:
-		return -1
-	case wa < wb:
-		return 1
-	}
-	return strings.Compare(a.Name, b.Name)
-}
-
 // home returns the first upstream in rendezvous order whose work is near the mean.
 func (q *Choice) home(from []*catalogue.Upstream) *catalogue.Upstream {
 	total := 0.0
--- a/pkg/enquiry/fraction.go
+++ b/pkg/enquiry/fraction.go
@@ -1,6 +1,11 @@
 package enquiry
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"cmp"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Fraction maps a key to a number from 0 up to 1 that looks random but is the same everywhere; salt keeps uses apart.
 func Fraction(salt, key string) float64 {
@@ -16,3 +21,8 @@
 	_, _ = d.WriteString(key)
 	return d.Sum64()
 }
+
+// ByRank compares two names by the rendezvous order for a key, the highest hash first.
+func ByRank(key, a, b string) int {
+	return cmp.Or(cmp.Compare(HashKey(key, b), HashKey(key, a)), strings.Compare(a, b))
+}
