--- a/scripts/try.sh
+++ b/scripts/try.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Builds, starts a small set on 127.0.0.1, sends requests through it, checks every answer and stops the set.
-# scripts/try.sh --stay leaves the set running until interrupted. It needs Go, a C compiler and free ports from BASE_PORT on.
+# Then it does the same before stand-ins of the users' platform (platform/try.sh).
+# scripts/try.sh --stay leaves the first set running until interrupted. It needs Go, a C compiler and free ports from BASE_PORT on.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 base=${BASE_PORT:-17400}
@@ -182,3 +183,4 @@
 	exit 1
 fi
 echo "all expectations met"
+bash platform/try.sh
