--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -38,12 +38,15 @@
 	go test -json -race -timeout 300s "$@" 2>&1 | bin/verdict
 }
 
+tool_tests() { (cd tools && go vet ./... && go test ./...); }
+
 step build go build -o bin/ ./cmd/...
 step format format
 step names names
 step vet go vet -tags process ./...
 step lint lint
 step "unit tests" tests ./...
+step "tool tests" tool_tests
 if [ "${1:-}" != unit ] && [ -d test ]; then
 	step "process tests" tests -tags process -p 1 ./test/... ./platform/soak
 fi
