--- a/pkg/caravan/outage.go
+++ b/pkg/caravan/outage.go
@@ -20,11 +20,11 @@
 // answer. It is safe for concurrent use.
 type outage struct {
 	mu    sync.Mutex
-	rests map[archive.TopicName]rest
+	rests map[archive.TopicName]storeRest
 }
 
-// rest is a pause between calls; it is zero after the first failure.
-type rest struct {
+// storeRest is a pause between calls; it is zero after the first failure.
+type storeRest struct {
 	failed bool
 	pause  clock.Millis
 	until  clock.Millis
@@ -63,7 +63,7 @@
 	}
 	r.until = now + r.pause
 	if o.rests == nil {
-		o.rests = map[archive.TopicName]rest{}
+		o.rests = map[archive.TopicName]storeRest{}
 	}
 	o.rests[topic] = r
 }
