One rendezvous order that hashes each name once; one counter of a release; one set-up of the try scripts

The order of upstreams hashed two names at each comparison, for every attempt of a routed prompt, and the caravan sorted its members by a loop of its own; enquiry.Rank serves both. Comparison.Take and TakePace counted by the same lines twice. platform/try.sh had the set-up of scripts/try.sh over again; scripts/trial.sh has it now. The package test has its doc.go.

--- a/pkg/caravan/rank.go
+++ b/pkg/caravan/rank.go
@@ -1,8 +1,6 @@
 package caravan
 
 import (
-	"slices"
-
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/enquiry"
 )
@@ -14,9 +12,7 @@
 
 // Rank returns the members in rendezvous order for a key, the highest weight first.
 func Rank(key string, members []catalogue.Member) []catalogue.Member {
-	ranked := slices.Clone(members)
-	slices.SortFunc(ranked, func(a, b catalogue.Member) int { return enquiry.ByRank(key, a.Name, b.Name) })
-	return ranked
+	return enquiry.Rank(key, members, func(m catalogue.Member) string { return m.Name })
 }
 
 // RankOf returns the rendezvous rank of a member for a key, from 0, and whether it is one of the members.
--- a/pkg/concierge/route.go
+++ b/pkg/concierge/route.go
@@ -141,9 +141,7 @@
 
 // ranked returns the upstreams in rendezvous order for a key, the highest weight first.
 func ranked(key string, from []*catalogue.Upstream) []*catalogue.Upstream {
-	ranked := slices.Clone(from)
-	slices.SortFunc(ranked, func(a, b *catalogue.Upstream) int { return enquiry.ByRank(key, a.Name, b.Name) })
-	return ranked
+	return enquiry.Rank(key, from, func(u *catalogue.Upstream) string { return u.Name })
 }
 
 // home returns the first upstream in rendezvous order whose work is near the mean.
--- a/pkg/enquiry/fraction.go
+++ b/pkg/enquiry/fraction.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,3 +27,25 @@
 func ByRank(key, a, b string) int {
 	return cmp.Or(cmp.Compare(HashKey(key, b), HashKey(key, a)), strings.Compare(a, b))
 }
+
+// Rank returns the items in rendezvous order for a key; each name is hashed once.
+func Rank[T any](key string, items []T, name func(T) string) []T {
+	type weighed struct {
+		item   T
+		name   string
+		weight uint64
+	}
+	order := make([]weighed, len(items))
+	for i, item := range items {
+		n := name(item)
+		order[i] = weighed{item: item, name: n, weight: HashKey(key, n)}
+	}
+	slices.SortFunc(order, func(a, b weighed) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), strings.Compare(a.name, b.name))
+	})
+	ranked := make([]T, len(order))
+	for i, w := range order {
+		ranked[i] = w.item
+	}
+	return ranked
+}
--- a/pkg/tasting/comparison.go
+++ b/pkg/tasting/comparison.go
@@ -62,45 +62,44 @@
 		// None of them is the release's work; what can't be reached is no reason to take a release back.
 		return
 	}
-	release := releaseOld
-	if onTarget {
-		release = releaseTarget
-	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.own == nil {
-		k.own = map[string]float32{}
-	}
-	k.own[countKey(countAnswers, release, route)]++
+	k.count(countAnswers, onTarget, route)
 	switch {
 	case result != enquiry.ResultComplete:
-		k.own[countKey(countFailed, release, route)]++
+		k.count(countFailed, onTarget, route)
 		if onTarget {
-			k.own[countKey(countFailing, release, upstream)]++
+			k.count(countFailing, onTarget, upstream)
 		}
 	case slow:
-		k.own[countKey(countSlow, release, route)]++
+		k.count(countSlow, onTarget, route)
 	}
 }
 
 // TakePace notes the pace of a stream; drags tells that its pauses were far longer than usual.
 func (k *Comparison) TakePace(route, upstream string, onTarget, drags bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.count(countStreams, onTarget, route)
+	if !drags {
+		return
+	}
+	k.count(countDragging, onTarget, route)
+	if onTarget {
+		k.count(countDragger, onTarget, upstream)
+	}
+}
+
+// count adds one to what this instance saw of a release, by route or upstream; mu is held.
+func (k *Comparison) count(what string, onTarget bool, of string) {
 	release := releaseOld
 	if onTarget {
 		release = releaseTarget
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
 	if k.own == nil {
 		k.own = map[string]float32{}
 	}
-	k.own[countKey(countStreams, release, route)]++
-	if drags {
-		k.own[countKey(countDragging, release, route)]++
-		if onTarget {
-			k.own[countKey(countDragger, release, upstream)]++
-		}
-	}
+	k.own[countKey(what, release, of)]++
 }
 
 // Own adds what this instance saw to sum, under keys that begin with prefix.
--- a/scripts/try.sh
+++ b/scripts/try.sh
@@ -5,17 +5,7 @@
 set -uo pipefail
 cd "$(dirname "$0")/.."
 base=${BASE_PORT:-17400}
-dir=$(mktemp -d)
-pids=()
-failures=0
-
-stop_all() {
-	for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null; done
-	wait 2>/dev/null
-	rm -rf "$dir"
-}
-trap stop_all EXIT
-trap 'exit 130' INT TERM
+. scripts/trial.sh
 
 # port NAME prints the port of a process.
 names=(log list ratings weights engine-a engine-b booking-c)
@@ -51,11 +41,6 @@
 	fail "nothing listens on port $1"
 }
 
-fail() {
-	echo "FAILED: $*"
-	failures=$((failures + 1))
-}
-
 # daemon LETTER INDEX starts an entry instance in its zone.
 daemon() {
 	local name=entry-$1 at=$((base + 20 + 10 * $2))
@@ -177,10 +162,5 @@
 	EOF
 	wait
 fi
-if [ "$failures" -gt 0 ]; then
-	echo "$failures expectations failed; logs:"
-	tail -n 5 "$dir"/*.log
-	exit 1
-fi
-echo "all expectations met"
+conclude
 bash platform/try.sh
--- a/test/main_test.go
+++ b/test/main_test.go
@@ -1,6 +1,5 @@
 //go:build process || soak
 
-// Package test proves the promises with real processes, sockets and signals.
 package test
 
 import (
