Choose the upstream of a prompt by affinity with a bound of its own work; no upstreams apart for long prompts

Change: each prompt goes to the first upstream in rendezvous order whose pending work is at most that of the idlest plus twice the work of the prompt itself. The bound has no unit, so that it is the same on slow and fast engines. The upstreams kept apart, their share of the work, the spills between them and the placement by the longest-running instance go, with their tests: TestLongPromptShareFollowsWork, TestCentralPlacementOfLongPrompts, TestLongPromptShare, TestPlacements* checked only these. TestShortPromptsDoNotWaitBehindLongOnes stays as it is and passes.

--- a/pkg/dispatch/choose_upstream.go
+++ b/pkg/dispatch/choose_upstream.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"slices"
 	"strconv"
 
@@ -23,7 +22,7 @@
 )
 
 // choose selects the service, the release and the upstream of the next attempt.
-func (f *Dispatch) choose(ctx context.Context, c *request.Call) (*catalogue.Upstream, *request.Refusal) {
+func (f *Dispatch) choose(c *request.Call) (*catalogue.Upstream, *request.Refusal) {
 	s, now := f.Snapshot(), f.Clock.Now()
 	service := chooseService(c)
 	pool := s.Routes.Pools[service]
@@ -36,12 +35,7 @@
 	warm, cold := splitCold(candidates, now)
 	selector := &Selector{Now: now, Zone: f.Zone, Loads: f.Loads, Outliers: f.Outliers, TieBreakKey: c.Request.ID + strconv.Itoa(c.Attempts)}
 	if c.Route.Affinity {
-		selector.Key = PromptAffinityKey(c)
-		selector.LongPrompt = f.isLongPrompt(c)
-		selector.LongPromptShare = f.WorkMix.Share(pool.Name)
-		if f.Placer != nil {
-			selector.Place = func(upstreams []string) string { return f.placeLongPrompt(ctx, c, upstreams) }
-		}
+		selector.Key, selector.PromptWork = PromptAffinityKey(c), promptWork(c)
 	}
 	u := selector.Select(warm)
 	if u == nil {
@@ -57,29 +51,6 @@
 	return u, nil
 }
 
-// placeLongPrompt asks the one instance that places the long prompts of all, and returns the upstream that it assigns, or "" if it
-// doesn't answer.
-func (f *Dispatch) placeLongPrompt(ctx context.Context, c *request.Call, upstreams []string) string {
-	work := f.promptWork(c)
-	u := f.Placer.PlaceLongPrompt(ctx, upstreams, work)
-	f.Log.Info("requested placement of long prompt", "request", c.Request.ID, "upstream", u, "candidates", len(upstreams), "work", int(work))
-	return u
-}
-
-// isLongPrompt reports whether the largest model of the route takes at least longPromptTime to begin its answer to the prompt. The
-// largest model also decides for an attempt with a smaller one, since the answer is in time only if that attempt doesn't queue either.
-func (f *Dispatch) isLongPrompt(c *request.Call) bool {
-	if c.Request.Prompt == nil {
-		return false
-	}
-	model := c.Model
-	if sizes := c.Route.Sizes; len(sizes) > 0 {
-		model = sizes[len(sizes)-1]
-	}
-	expected, known := f.Latency.ExpectedFirstToken(model, c.Request.Prompt.Tokens)
-	return known && expected >= longPromptTime
-}
-
 // firstByteTimeout returns the time without a first byte after which the attempt is retried at another upstream.
 func (f *Dispatch) firstByteTimeout(c *request.Call) clock.Millis {
 	if c.Request.Prompt == nil {
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -33,20 +33,10 @@
 	Releases *Releases
 	// Budgets limits the retries of each service.
 	Budgets *RetryBudgets
-	// WorkMix tracks the share of long prompts in the work of each service.
-	WorkMix *WorkMix
-	// Placer coordinates the placement of long prompts between instances; nil makes each instance decide alone.
-	Placer Placer
 	// Latency tracks the time to the first token of each model.
 	Latency *LatencyTracker
 }
 
-// Placer coordinates the placement of long prompts over all instances.
-type Placer interface {
-	// PlaceLongPrompt returns which of the upstreams should get the work, in tokens of the largest model, or "" if that is unknown.
-	PlaceLongPrompt(ctx context.Context, upstreams []string, work float64) string
-}
-
 // FailedResponse is an error that carries the upstream's own error response, which the caller gets if no retry succeeds.
 type FailedResponse interface {
 	error
@@ -59,7 +49,7 @@
 	c.Excluded = nil
 	declines, runsBefore := 0, c.Runs
 	for {
-		u, refusal := f.choose(ctx, c)
+		u, refusal := f.choose(c)
 		if refusal != nil {
 			return refusal
 		}
@@ -136,8 +126,7 @@
 }
 
 func (f *Dispatch) send(ctx context.Context, c *request.Call, next request.Handler) error {
-	upstream, work := c.Upstream.Name, f.promptWork(c)
-	f.WorkMix.Record(c.Pool.Name, f.isLongPrompt(c), work, f.Clock.Now())
+	upstream, work := c.Upstream.Name, promptWork(c)
 	f.Loads.StartRequest(upstream, work)
 	defer f.Loads.EndRequest(upstream)
 	var once sync.Once
@@ -146,23 +135,6 @@
 	return next.Handle(ctx, c)
 }
 
-// promptWork returns the work of the call until its answer begins, in tokens of the largest model; the work of a model per token is
-// proportional to its cost.
-func (f *Dispatch) promptWork(c *request.Call) float64 {
-	p := c.Request.Prompt
-	if p == nil {
-		return 0
-	}
-	largest := 0.0
-	for _, cost := range c.Pool.ModelCosts {
-		largest = max(largest, cost)
-	}
-	if largest <= 0 {
-		return float64(p.Tokens)
-	}
-	return float64(p.Tokens) * c.Pool.ModelCosts[c.Model] / largest
-}
-
 // recordAttempt records the outcome of an attempt for session affinity and outlier detection.
 func (f *Dispatch) recordAttempt(c *request.Call, u *catalogue.Upstream, err error) {
 	now := f.Clock.Now()
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -49,8 +49,6 @@
 			Releases: in.releases,
 			Budgets:  budgets,
 			Latency:  in.latencies,
-			WorkMix:  in.workMix,
-			Placer:   in.loads,
 		},
 		in.relay,
 	))
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -79,7 +79,6 @@
 	loadTracker   *dispatch.LoadTracker
 	outliers      *dispatch.OutlierDetector
 	latencies     *dispatch.LatencyTracker
-	workMix       *dispatch.WorkMix
 	releases      *dispatch.Releases
 	inFlight      *desk.InFlight
 	draining      atomic.Bool
@@ -154,7 +153,6 @@
 	in.loadTracker = &dispatch.LoadTracker{Self: in.Settings.Name}
 	in.outliers = &dispatch.OutlierDetector{}
 	in.latencies = &dispatch.LatencyTracker{}
-	in.workMix = &dispatch.WorkMix{}
 	in.releases = &dispatch.Releases{SessionTimeout: in.Settings.Bounds.Session()}
 	in.inFlight = &desk.InFlight{}
 	in.rolloutOrdered = make(chan struct{}, 1)
@@ -182,7 +180,7 @@
 	}
 	in.loads = &membership.Loads{
 		Clock: in.Clock, Self: in.self.Name, Zone: in.self.Zone, Network: in.network, OwnLoad: in.ownLoads,
-		SetPeerLoads: in.applyPeerLoads, ZoneLeaders: in.zoneLeaders, Leader: in.oldestMember,
+		SetPeerLoads: in.applyPeerLoads, ZoneLeaders: in.zoneLeaders,
 	}
 	return errors.CombineErrors(
 		in.network.Register(membership.ReaderName, &membership.Reader{Clock: in.Clock, Cache: cache}),
--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -120,15 +120,6 @@
 	return names
 }
 
-// oldestMember returns the longest running member, or "" when none is known.
-func (in *Instance) oldestMember() string {
-	members := in.control.Snapshot().Members
-	if len(members) == 0 {
-		return ""
-	}
-	return slices.MinFunc(members, compareAge).Name
-}
-
 // compareAge orders members by start, the oldest first, and by name when they started at the same time.
 func compareAge(a, b catalogue.Member) int {
 	switch {
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -57,10 +57,9 @@
 // keyPrefix returns the prefix of the keys under which instances exchange their counts for a release rollout.
 func (k *comparison) keyPrefix(service string) string { return service + " " + k.target + " " }
 
-// ownLoads returns this instance's pending work by upstream, and its counts for long prompts and release rollouts.
+// ownLoads returns this instance's pending work by upstream, and its counts for release rollouts.
 func (in *Instance) ownLoads() (work, counts map[string]float32) {
 	counts = map[string]float32{}
-	in.workMix.AddOwnWork(in.Clock.Now(), counts)
 	for _, rollout := range in.control.Snapshot().Moves {
 		in.releases.AddOwnSessions(rollout, in.Clock.Now(), counts)
 	}
@@ -75,7 +74,6 @@
 // applyPeerLoads replaces the pending work and the counts of the other instances.
 func (in *Instance) applyPeerLoads(work, counts map[string]float32) {
 	in.loadTracker.SetPeerWork(work)
-	in.workMix.SetPeerWork(counts)
 	for _, rollout := range in.control.Snapshot().Moves {
 		in.releases.PinPeerSessions(rollout, counts)
 	}
--- a/pkg/membership/loads.go
+++ b/pkg/membership/loads.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 
 	"carawayknot.example/carawayknot/pkg/clock"
@@ -46,12 +45,8 @@
 	OwnLoad func() (work, seen map[string]float32)
 	// SetPeerLoads receives the work and the counters of all other instances; both are nil when the zone leader can't be reached.
 	SetPeerLoads func(work, seen map[string]float32)
-	// ZoneLeaders returns the leader of each zone, by zone name, and Leader the longest-running instance of all zones.
+	// ZoneLeaders returns the leader of each zone, by zone name.
 	ZoneLeaders func() map[string]string
-	Leader      func() string
-
-	placements placementTracker
-	cooldowns  cooldownSet
 
 	mu sync.Mutex
 	// zoneReports has the reports of the instances of this zone, otherZoneReports the sums of the other zones.
@@ -97,10 +92,6 @@
 	wg.Wait()
 	work, seen := l.sum(l.Self, true)
 	l.SetPeerLoads(work, seen)
-	total := maps.Clone(work)
-	own, _ := l.OwnLoad()
-	addAll(total, own)
-	l.placements.setReportedWork(total)
 }
 
 // exchangeWithZone sends the sum of this zone to the leader of another one and records the sum that it returns.
