--- a/pkg/archive/follower.go
+++ b/pkg/archive/follower.go
@@ -22,8 +22,8 @@
 	Whole bool
 	// Next is the position of the next read.
 	Next int64
-	// SentAt is the monotonic time at which the read was sent; writes confirmed before it are in this batch or an earlier one.
-	SentAt clock.Millis
+	// AsOf is a monotonic time; writes confirmed before it are in this batch or an earlier one.
+	AsOf clock.Millis
 }
 
 // Topic is a source of items that a Follower reads.
--- a/pkg/archive/follower_test.go
+++ b/pkg/archive/follower_test.go
@@ -109,10 +109,10 @@
 	if _, found := c.Newest(TopicListings); found {
 		t.Error("Newest() found a topic that was not read")
 	}
-	c.Update(TopicListings, Batch[Record]{Items: []Record{r("a", "1")}, Whole: true, Next: 5, SentAt: 10})
-	c.Update(TopicListings, Batch[Record]{Items: []Record{r("b", "2"), r("a", "")}, Next: 7, SentAt: 20})
+	c.Update(TopicListings, Batch[Record]{Items: []Record{r("a", "1")}, Whole: true, Next: 5, AsOf: 10})
+	c.Update(TopicListings, Batch[Record]{Items: []Record{r("b", "2"), r("a", "")}, Next: 7, AsOf: 20})
 	b, _ := c.Newest(TopicListings)
-	if diff := cmp.Diff(Batch[Record]{Items: []Record{r("b", "2")}, Whole: true, Next: 7, SentAt: 20}, b); diff != "" {
+	if diff := cmp.Diff(Batch[Record]{Items: []Record{r("b", "2")}, Whole: true, Next: 7, AsOf: 20}, b); diff != "" {
 		t.Errorf("Newest() (-want +got):\n%s", diff)
 	}
 	for _, x := range []struct {
@@ -126,16 +126,16 @@
 		}
 	}
 	_, changed, _ := c.ReadFrom(TopicListings, 7)
-	c.Update(TopicListings, Batch[Record]{Next: 7, SentAt: 30})
+	c.Update(TopicListings, Batch[Record]{Next: 7, AsOf: 30})
 	select {
 	case <-changed:
 		t.Error("a read without records woke readers that wait for new ones")
 	default:
 	}
-	c.Update(TopicListings, Batch[Record]{Items: []Record{r("c", "3")}, Next: 8, SentAt: 40})
+	c.Update(TopicListings, Batch[Record]{Items: []Record{r("c", "3")}, Next: 8, AsOf: 40})
 	<-changed
 	// A batch with a position gap, left by a record that could not be read, empties the tail.
-	c.Update(TopicListings, Batch[Record]{Items: []Record{r("d", "4")}, Next: 10, SentAt: 50})
+	c.Update(TopicListings, Batch[Record]{Items: []Record{r("d", "4")}, Next: 10, AsOf: 50})
 	if _, _, err := c.ReadFrom(TopicListings, 8); !errors.Is(err, ErrTrimmed) {
 		t.Errorf("ReadFrom() before a gap = %v, want ErrTrimmed", err)
 	}
--- a/pkg/archive/source.go
+++ b/pkg/archive/source.go
@@ -47,9 +47,9 @@
 type cachedTopic struct {
 	newest map[string]Record
 	// tail has the records just before position next, without gaps.
-	tail   []Record
-	next   int64
-	sentAt clock.Millis
+	tail []Record
+	next int64
+	asOf clock.Millis
 	// changed is closed when new records arrive or the topic was read anew.
 	changed chan struct{}
 }
@@ -87,7 +87,7 @@
 			t.tail = append([]Record(nil), t.tail[len(t.tail)-tailRecords:]...)
 		}
 	}
-	t.next, t.sentAt = b.Next, b.SentAt
+	t.next, t.asOf = b.Next, b.AsOf
 	if len(b.Items) > 0 {
 		close(t.changed)
 		t.changed = make(chan struct{})
@@ -102,7 +102,7 @@
 	if t == nil {
 		return Batch[Record]{}, false
 	}
-	b := Batch[Record]{Whole: true, Next: t.next, SentAt: t.sentAt}
+	b := Batch[Record]{Whole: true, Next: t.next, AsOf: t.asOf}
 	for _, r := range t.newest {
 		b.Items = append(b.Items, r)
 	}
@@ -127,7 +127,7 @@
 	if from < t.next-int64(len(t.tail)) {
 		return Batch[Record]{}, nil, ErrTrimmed
 	}
-	b := Batch[Record]{Next: t.next, SentAt: t.sentAt}
+	b := Batch[Record]{Next: t.next, AsOf: t.asOf}
 	b.Items = append(b.Items, t.tail[int64(len(t.tail))-(t.next-from):]...)
 	return b, t.changed, nil
 }
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -92,13 +92,13 @@
 		if len(m.Items) > 0 || m.Whole {
 			c.publish()
 		}
-		c.currentAt.Store(int64(m.SentAt))
+		c.currentAt.Store(int64(m.AsOf))
 		c.logOperations(m, before, now)
 	case archive.Batch[catalogue.Listing]:
 		for _, name := range c.view.ApplyListings(m, now) {
 			c.OnUpstreamRemoved(name)
 		}
-		c.listReadAt.Store(int64(m.SentAt))
+		c.listReadAt.Store(int64(m.AsOf))
 		if len(m.Items) > 0 || m.Whole {
 			c.publish()
 			c.logListings(m, now)
@@ -138,7 +138,7 @@
 		switch op.Kind {
 		case catalogue.OperationTable:
 			c.Log.Info("configuration read", "version", op.Table.Version, "activeVersion", c.view.table.Version, "first", before == nil,
-				"readLatencyMs", now-b.SentAt)
+				"readLatencyMs", now-b.AsOf)
 		case catalogue.OperationRelease:
 			c.Log.Info("release rollout ordered", "service", op.Order.Service, "target", op.Order.Target, "spanMs", op.Order.Span,
 				"removed", op.Removed, "fullRead", b.Whole)
@@ -150,7 +150,7 @@
 
 func (c *Control) logListings(b archive.Batch[catalogue.Listing], now clock.Millis) {
 	if b.Whole {
-		c.Log.Info("upstream list read", "upstreams", len(b.Items), "readLatencyMs", now-b.SentAt)
+		c.Log.Info("upstream list read", "upstreams", len(b.Items), "readLatencyMs", now-b.AsOf)
 		return
 	}
 	for _, l := range b.Items {
--- a/pkg/membership/peer_source.go
+++ b/pkg/membership/peer_source.go
@@ -187,7 +187,7 @@
 	}
 	// The read reached the other instance after it was sent, so that it ended there at start + Waited at the earliest.
 	return archive.Batch[archive.Record]{
-		Items: reply.Records, Whole: args.Whole, Next: reply.Next, SentAt: start + reply.Waited - reply.Age,
+		Items: reply.Records, Whole: args.Whole, Next: reply.Next, AsOf: start + reply.Waited - reply.Age,
 	}, nil
 }
 
--- a/pkg/membership/peer_source_test.go
+++ b/pkg/membership/peer_source_test.go
@@ -24,7 +24,7 @@
 
 func (s *countingStore) Newest(context.Context, archive.TopicName) (archive.Batch[archive.Record], error) {
 	s.reads++
-	return archive.Batch[archive.Record]{Whole: true, Next: s.next, SentAt: s.clock.Now()}, nil
+	return archive.Batch[archive.Record]{Whole: true, Next: s.next, AsOf: s.clock.Now()}, nil
 }
 
 func (s *countingStore) Read(_ context.Context, _ archive.TopicName, from int64, _ clock.Millis) (archive.Batch[archive.Record], error) {
@@ -32,7 +32,7 @@
 	if s.err != nil {
 		return archive.Batch[archive.Record]{}, s.err
 	}
-	b := archive.Batch[archive.Record]{Next: s.next, SentAt: s.clock.Now()}
+	b := archive.Batch[archive.Record]{Next: s.next, AsOf: s.clock.Now()}
 	for range s.next - from {
 		b.Items = append(b.Items, archive.Record{Key: "k", Value: []byte("v")})
 	}
@@ -80,14 +80,14 @@
 
 func TestPeerSourceReadsOlderPeer(t *testing.T) {
 	p := newPeerPair(t)
-	p.cache.Update(archive.TopicOperations, archive.Batch[archive.Record]{Whole: true, Next: 4, SentAt: 9000})
-	p.cache.Update(archive.TopicOperations, archive.Batch[archive.Record]{Items: []archive.Record{{Key: "k", Value: []byte("v")}}, Next: 5, SentAt: 9500})
+	p.cache.Update(archive.TopicOperations, archive.Batch[archive.Record]{Whole: true, Next: 4, AsOf: 9000})
+	p.cache.Update(archive.TopicOperations, archive.Batch[archive.Record]{Items: []archive.Record{{Key: "k", Value: []byte("v")}}, Next: 5, AsOf: 9500})
 	b, err := p.source.Read(context.Background(), archive.TopicOperations, 4, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(b.Items) != 1 || b.Next != 5 || b.SentAt != 9500 || p.store.reads != 0 {
-		t.Errorf("got %+v with %d reads of the store, want one item, Next 5, SentAt 9500 and no read", b, p.store.reads)
+	if len(b.Items) != 1 || b.Next != 5 || b.AsOf != 9500 || p.store.reads != 0 {
+		t.Errorf("got %+v with %d reads of the store, want one item, Next 5, AsOf 9500 and no read", b, p.store.reads)
 	}
 	// The records must be in the cache, for other instances to read.
 	if _, _, err := p.source.Cache.ReadFrom(archive.TopicOperations, 5); err != nil {
@@ -102,14 +102,14 @@
 	}{
 		{"the older peer has read nothing", func(*peerPair) {}},
 		{"the older peer's last read is too old", func(p *peerPair) {
-			p.cache.Update(archive.TopicOperations, archive.Batch[archive.Record]{Whole: true, Next: 4, SentAt: 10_000 - 1951})
+			p.cache.Update(archive.TopicOperations, archive.Batch[archive.Record]{Whole: true, Next: 4, AsOf: 10_000 - 1951})
 		}},
 		{"the older peer has read less", func(p *peerPair) {
-			p.cache.Update(archive.TopicOperations, archive.Batch[archive.Record]{Whole: true, Next: 3, SentAt: 10_000})
+			p.cache.Update(archive.TopicOperations, archive.Batch[archive.Record]{Whole: true, Next: 3, AsOf: 10_000})
 		}},
 		{"the older peer is unreachable", func(p *peerPair) { p.source.Network.SetMembers(nil) }},
 		{"the zone is small", func(p *peerPair) {
-			p.cache.Update(archive.TopicOperations, archive.Batch[archive.Record]{Whole: true, Next: 5, SentAt: 10_000})
+			p.cache.Update(archive.TopicOperations, archive.Batch[archive.Record]{Whole: true, Next: 5, AsOf: 10_000})
 			p.zone = minZoneSize - 1
 		}},
 	} {
@@ -117,8 +117,8 @@
 			p := newPeerPair(t)
 			c.set(p)
 			b, err := p.source.Read(context.Background(), archive.TopicOperations, 4, 0)
-			if err != nil || b.Next != 5 || b.SentAt != 10_000 || p.store.reads != 1 {
-				t.Errorf("got %+v and %v with %d reads of the store, want Next 5, SentAt 10000 and one read", b, err, p.store.reads)
+			if err != nil || b.Next != 5 || b.AsOf != 10_000 || p.store.reads != 1 {
+				t.Errorf("got %+v and %v with %d reads of the store, want Next 5, AsOf 10000 and one read", b, err, p.store.reads)
 			}
 		})
 	}
@@ -126,7 +126,7 @@
 
 func TestPeerSourceReturnsTrimmedOfPeer(t *testing.T) {
 	p := newPeerPair(t)
-	p.cache.Update(archive.TopicListings, archive.Batch[archive.Record]{Whole: true, Next: 5, SentAt: 10_000})
+	p.cache.Update(archive.TopicListings, archive.Batch[archive.Record]{Whole: true, Next: 5, AsOf: 10_000})
 	if _, err := p.source.Read(context.Background(), archive.TopicListings, 2, 0); !errors.Is(err, archive.ErrTrimmed) {
 		t.Errorf("got %v, want %v", err, archive.ErrTrimmed)
 	}
@@ -163,10 +163,10 @@
 			p.store.err = nil
 			p.clock.Advance(topicCooldown)
 			for _, topic := range topics {
-				p.cache.Update(topic, archive.Batch[archive.Record]{Whole: true, Next: 5, SentAt: p.clock.Now()})
+				p.cache.Update(topic, archive.Batch[archive.Record]{Whole: true, Next: 5, AsOf: p.clock.Now()})
 			}
-			if b, err := p.source.Read(context.Background(), archive.TopicOperations, 5, 0); err != nil || b.SentAt != p.clock.Now() {
-				t.Errorf("read after the older peer recovered: %+v and %v, want SentAt at the current time", b, err)
+			if b, err := p.source.Read(context.Background(), archive.TopicOperations, 5, 0); err != nil || b.AsOf != p.clock.Now() {
+				t.Errorf("read after the older peer recovered: %+v and %v, want AsOf at the current time", b, err)
 			}
 		})
 	}
--- a/pkg/membership/reader.go
+++ b/pkg/membership/reader.go
@@ -54,7 +54,7 @@
 	}
 	now := r.Clock.Now()
 	reply.Records, reply.Next = b.Items, b.Next
-	reply.Waited, reply.Age = now-start, now-b.SentAt
+	reply.Waited, reply.Age = now-start, now-b.AsOf
 	return nil
 }
 
