Let cold upstreams relieve busy ones within their rate

Change: a cold upstream that would have read the prompt before the chosen one begins gets it, within the rate that it had so far as the last resort (0.6 of what it bears, divided by the instances). Plain calls are as before.

--- a/pkg/dispatch/choose_upstream.go
+++ b/pkg/dispatch/choose_upstream.go
@@ -40,6 +40,8 @@
 	u := selector.Select(warm)
 	if u == nil {
 		u = f.chooseCold(s, pool, cold, now)
+	} else if relief := f.chooseCold(s, pool, selector.soonerThan(u, cold), now); relief != nil {
+		u = relief
 	}
 	if u == nil {
 		return nil, request.Refuse(request.ReasonNoUpstream, jitter(c.Request.ID, clock.Second/2), "no upstream of %s may get new work", service)
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -176,6 +176,47 @@
 	}
 }
 
+// Pattern: a zone comes back cold while the upstreams of the other zones have prompts waiting.
+func TestColdUpstreamsRelieveBusyOnes(t *testing.T) {
+	const prompt, perSecond = 1000, 50
+	route := catalogue.Route{MaxAttempts: 3, Target: 2000, Streaming: true, Resumable: true, Affinity: true, Split: []catalogue.Split{{Service: "lm", Weight: 1}}}
+	for _, c := range []struct {
+		name     string
+		warmWork float32
+		// wantCold are the least and the most requests of a second that the cold upstream may get.
+		wantCold [2]int
+	}{
+		{"idle warm upstream", 0, [2]int{0, 0}},
+		{"warm upstream that begins before the cold one would end", prompt - 1, [2]int{0, 0}},
+		// One of nine instances may send 0.6 x 23 / 9 requests a second.
+		{"busy warm upstream", 20 * prompt, [2]int{1, 2}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			warm, cold := newUpstream("warm"), newUpstream("cold")
+			r := newDispatchHarness(warm, cold)
+			cold.ColdUntil = r.clock.Now() + 5000
+			r.Loads.SetPeerWork(map[string]float32{"warm": c.warmWork})
+			got := 0
+			for i := range perSecond {
+				call := &request.Call{Route: &route, Model: "large", Request: &request.Request{
+					ID: fmt.Sprint("r", i), Deadline: r.clock.Now() + 9000,
+					Prompt: &request.Prompt{Tokens: prompt, Parts: []request.PromptPart{{ID: "shared", Tokens: 900}, {ID: fmt.Sprint(i), Tokens: 100}}},
+				}}
+				if err := r.Filter(context.Background(), call, request.HandlerFunc(func(context.Context, *request.Call) error { return nil })); err != nil {
+					t.Fatal(err)
+				}
+				if call.Upstream == cold {
+					got++
+				}
+				r.clock.Advance(clock.Second / perSecond)
+			}
+			if got < c.wantCold[0] || got > c.wantCold[1] {
+				t.Errorf("the cold upstream got %d of %d requests, want %d to %d", got, perSecond, c.wantCold[0], c.wantCold[1])
+			}
+		})
+	}
+}
+
 func TestSessionsKeepTheirRelease(t *testing.T) {
 	old, target := newUpstream("old"), newUpstream("new")
 	old.Release, target.Release = "v1", "v2"
--- a/pkg/dispatch/selector.go
+++ b/pkg/dispatch/selector.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
+
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/request"
@@ -94,6 +97,22 @@
 	return idlest
 }
 
+// soonerThan returns the upstreams that would have read the prompt before u begins to read it, the idlest first. They keep no parts of
+// prompts, so that a prompt that doesn't have to wait is better off at u.
+func (s *Selector) soonerThan(u *catalogue.Upstream, upstreams []*catalogue.Upstream) []*catalogue.Upstream {
+	if s.Key == "" {
+		return nil
+	}
+	var sooner []*catalogue.Upstream
+	for _, other := range upstreams {
+		if s.work(other)+s.PromptWork < s.work(u) && !s.Outliers.ShouldAvoid(other.Name, s.Now) {
+			sooner = append(sooner, other)
+		}
+	}
+	slices.SortFunc(sooner, func(a, b *catalogue.Upstream) int { return cmp.Compare(s.work(a), s.work(b)) })
+	return sooner
+}
+
 // leastLoaded returns the upstream with the lowest load, with a preference for the local zone.
 func (s *Selector) leastLoaded(upstreams []*catalogue.Upstream) *catalogue.Upstream {
 	return s.lowestScore(upstreams, func(u *catalogue.Upstream) float64 {
