Choose the larger model by what was learned of confidences

Where the confidence is just below, the middle model, at half the cost and a quarter of the reading, is probably up to the request.

Change: Calibration learns from answers of two models to the same request how much more confident the larger one is and how much confidences vary by chance; instances share the sums with their loads, so that one that has just started knows them after one report. An answer is kept when its model is up to the request with a probability of LeastConfidence, 75 percent now; otherwise the larger model of least expected cost is tried, its own and that of the largest one if it fails too. Before anything was observed the deviation is 10 and a larger model counts as no better. Figures at the ends of the scale, NaN and contradictory sums of peers change nothing.

--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -38,7 +38,7 @@
 	in.relay.Open()
 	return in.withMetrics(request.Chain(
 		&desk.ResolveRoute{Snapshot: in.control.Snapshot, Clock: in.Clock, Age: in.control.Age, MaxDenialAge: in.Settings.Bounds.ConfigApply, MaxKeyAge: in.maxKeyAge()},
-		&pricing.ConfidenceCascade{Log: in.Log.WithName("pricing"), MinConfidence: &in.minConfidence, Budgets: budgets},
+		&pricing.ConfidenceCascade{Log: in.Log.WithName("pricing"), LeastSuccess: &in.leastSuccess, Calibration: in.calibration, Budgets: budgets},
 		&dispatch.Dispatch{
 			Clock:    in.Clock,
 			Log:      in.Log.WithName("dispatch"),
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"carawayknot.example/carawayknot/pkg/desk"
 	"carawayknot.example/carawayknot/pkg/dispatch"
 	"carawayknot.example/carawayknot/pkg/membership"
+	"carawayknot.example/carawayknot/pkg/pricing"
 	"carawayknot.example/carawayknot/pkg/request"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
@@ -68,20 +69,21 @@
 	// LogDropped returns the number of dropped log lines; it may be nil.
 	LogDropped func() int64
 
-	metrics       *desk.Metrics
-	minConfidence atomic.Int32
-	self          catalogue.Member
-	network       *membership.Network
-	peerSource    *membership.PeerSource
-	loads         *membership.Loads
-	control       *Control
-	relay         *delivery.Relay
-	loadTracker   *dispatch.LoadTracker
-	outliers      *dispatch.OutlierDetector
-	latencies     *dispatch.LatencyTracker
-	releases      *dispatch.Releases
-	inFlight      *desk.InFlight
-	draining      atomic.Bool
+	metrics      *desk.Metrics
+	leastSuccess atomic.Int32
+	self         catalogue.Member
+	network      *membership.Network
+	peerSource   *membership.PeerSource
+	loads        *membership.Loads
+	control      *Control
+	relay        *delivery.Relay
+	loadTracker  *dispatch.LoadTracker
+	outliers     *dispatch.OutlierDetector
+	latencies    *dispatch.LatencyTracker
+	calibration  *pricing.Calibration
+	releases     *dispatch.Releases
+	inFlight     *desk.InFlight
+	draining     atomic.Bool
 	// cancelRequests cancels the context of the callers' requests in flight.
 	cancelRequests context.CancelFunc
 	// rolloutOrdered receives a value once a release rollout is ordered.
@@ -149,10 +151,11 @@
 
 func (in *Instance) build() error {
 	in.metrics = desk.NewMetrics()
-	in.minConfidence.Store(int32(in.Settings.Policy.LeastConfidence))
+	in.leastSuccess.Store(int32(in.Settings.Policy.LeastConfidence))
 	in.loadTracker = &dispatch.LoadTracker{Self: in.Settings.Name}
 	in.outliers = &dispatch.OutlierDetector{}
 	in.latencies = &dispatch.LatencyTracker{}
+	in.calibration = &pricing.Calibration{}
 	in.releases = &dispatch.Releases{SessionTimeout: in.Settings.Bounds.Session()}
 	in.inFlight = &desk.InFlight{}
 	in.rolloutOrdered = make(chan struct{}, 1)
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -57,9 +57,10 @@
 // keyPrefix returns the prefix of the keys under which instances exchange their counts for a release rollout.
 func (k *comparison) keyPrefix(service string) string { return service + " " + k.target + " " }
 
-// ownLoads returns this instance's pending work by upstream, and its counts for release rollouts.
+// ownLoads returns this instance's pending work by upstream, its counts for release rollouts and its calibration of confidences.
 func (in *Instance) ownLoads() (work, counts map[string]float32) {
 	counts = map[string]float32{}
+	in.calibration.AddOwn(counts)
 	for _, rollout := range in.control.Snapshot().Moves {
 		in.releases.AddOwnSessions(rollout, in.Clock.Now(), counts)
 	}
@@ -74,6 +75,7 @@
 // applyPeerLoads replaces the pending work and the counts of the other instances.
 func (in *Instance) applyPeerLoads(work, counts map[string]float32) {
 	in.loadTracker.SetPeerWork(work)
+	in.calibration.SetPeers(counts)
 	for _, rollout := range in.control.Snapshot().Moves {
 		in.releases.PinPeerSessions(rollout, counts)
 	}
--- a/pkg/gateway/reload.go
+++ b/pkg/gateway/reload.go
@@ -10,7 +10,7 @@
 	for {
 		select {
 		case e := <-in.Reloads:
-			old := in.minConfidence.Swap(int32(e.Policy.LeastConfidence))
+			old := in.leastSuccess.Swap(int32(e.Policy.LeastConfidence))
 			merged := *e
 			merged.Policy.LeastConfidence = in.Settings.Policy.LeastConfidence
 			in.Log.Info("settings reloaded", "leastConfidence", e.Policy.LeastConfidence, "previous", old,
--- a/pkg/pricing/confidence.go
+++ b/pkg/pricing/confidence.go
@@ -11,18 +11,24 @@
 	"carawayknot.example/carawayknot/pkg/request"
 )
 
-// ConfidenceCascade is the filter that chooses the model of a routed call: the smallest first, then the largest if the confidence
-// of the first answer is too low, in which case that answer is dropped before any of it reaches the caller.
+// ConfidenceCascade is the filter that chooses the model of a routed call: the smallest first, then a larger one if the confidence of
+// the answer makes it too unlikely that the model was up to the request. That answer is dropped before any of it reaches the caller.
 type ConfidenceCascade struct {
 	Log logr.Logger
-	// MinConfidence is the confidence, from 0 to 100, below which an answer is dropped; it may change at any time.
-	MinConfidence *atomic.Int32
+	// LeastSuccess is the probability, in percent, that a model is up to a request below which its answer is dropped; it may change at
+	// any time.
+	LeastSuccess *atomic.Int32
+	// Calibration learns what confidences mean.
+	Calibration *Calibration
 	// Budgets limits the attempts beyond the first.
 	Budgets *dispatch.RetryBudgets
 }
 
-// Filter runs next with the smallest model, and at most twice more: with the largest, then again with the smallest if that was
-// refused.
+// keepAnswer is the next size when the answer of the current model goes to the caller.
+const keepAnswer = -1
+
+// Filter runs next with the smallest model, then with larger ones while answers are dropped, and with the smallest again if a larger
+// one was refused.
 func (f *ConfidenceCascade) Filter(ctx context.Context, c *request.Call, next request.Handler) error {
 	if c.Request.Prompt == nil {
 		return next.Handle(ctx, c)
@@ -33,45 +39,99 @@
 		return next.Handle(ctx, c)
 	}
 	out := c.Writer
-	w := &confidenceWriter{Writer: out, filter: f, canEscalate: len(sizes) > 1}
+	w := &confidenceWriter{Writer: out, cascade: f, previous: keepAnswer}
 	c.Writer = w
 	defer func() { c.Writer = out }()
-	c.Model = sizes[0]
-	err := next.Handle(ctx, c)
-	if !w.dropped {
-		return err
+	for {
+		c.Model, w.next = sizes[w.size], keepAnswer
+		err := next.Handle(ctx, c)
+		if w.next != keepAnswer {
+			w.previous, w.size = w.size, w.next
+			c.LastEventID = c.Request.LastEventID
+			continue
+		}
+		if w.size == 0 || !mayFallBack(ctx, c, err) {
+			return err
+		}
+		// An answer of low confidence is better than none.
+		c.Model, c.Writer = sizes[0], out
+		return next.Handle(ctx, c)
 	}
-	w.canEscalate = false
-	c.LastEventID, c.Model = c.Request.LastEventID, sizes[len(sizes)-1]
-	f.Log.Info("model confidence below the threshold; trying the largest model", "request", c.Request.ID, "route", c.Route.Name,
-		"model", sizes[0], "confidence", w.confidence, "minConfidence", f.MinConfidence.Load(), "nextModel", c.Model)
-	err = next.Handle(ctx, c)
+}
+
+// mayFallBack reports whether a call that a larger model did not run may go back to the smallest one.
+func mayFallBack(ctx context.Context, c *request.Call, err error) bool {
 	var r *request.Refusal
-	if c.HeadWritten || !errors.As(err, &r) || r.Outcome != request.NotRun || ctx.Err() != nil || c.Runs >= c.Route.MaxAttempts {
-		return err
+	return !c.HeadWritten && errors.As(err, &r) && r.Outcome == request.NotRun && ctx.Err() == nil && c.Runs < c.Route.MaxAttempts
+}
+
+// nextSize returns the index of the model to try after an answer with this confidence, or keepAnswer. c.Runs does not count the
+// current run yet.
+func (f *ConfidenceCascade) nextSize(c *request.Call, size, confidence int) int {
+	sizes := c.Route.Sizes
+	last := len(sizes) - 1
+	if confidence < 0 || size >= last || c.Runs+2 > c.Route.MaxAttempts {
+		return keepAnswer
+	}
+	success := f.Calibration.Success(c.Pool.Name, confidence)
+	if success >= float64(f.LeastSuccess.Load())/100 {
+		return keepAnswer
+	}
+	next := f.cheapestSize(c, size, confidence)
+	if !f.Budgets.TryWithdraw(c.Pool.Name) {
+		return keepAnswer
 	}
-	// An answer of low confidence is better than none.
-	c.Model = sizes[0]
-	return next.Handle(ctx, c)
+	f.Log.Info("model confidence below the threshold; trying a larger model", "request", c.Request.ID, "route", c.Route.Name,
+		"model", sizes[size], "confidence", confidence, "success", success, "leastSuccess", f.LeastSuccess.Load(),
+		"noise", f.Calibration.Noise(c.Pool.Name), "nextModel", sizes[next])
+	return next
 }
 
-// confidenceWriter rejects the head of an answer whose confidence is too low.
+// cheapestSize returns the index of the larger model with the least expected cost: its own, and that of the largest one if it is not
+// up to the request either.
+func (f *ConfidenceCascade) cheapestSize(c *request.Call, size, confidence int) int {
+	sizes := c.Route.Sizes
+	last := len(sizes) - 1
+	if c.Runs+3 > c.Route.MaxAttempts {
+		return last
+	}
+	costs := c.Pool.ModelCosts
+	best, lowest := last, costs[sizes[last]]
+	for k := size + 1; k < last; k++ {
+		failure := 1 - f.Calibration.LargerSuccess(c.Pool.Name, sizes[size], sizes[k], confidence)
+		if cost := costs[sizes[k]] + failure*costs[sizes[last]]; costs[sizes[k]] > 0 && cost < lowest {
+			best, lowest = k, cost
+		}
+	}
+	return best
+}
+
+// confidenceWriter drops an answer at its head if a larger model is to be tried.
 type confidenceWriter struct {
 	request.Writer
-	filter *ConfidenceCascade
-	// canEscalate is true while a larger model may still be tried.
-	canEscalate bool
-	dropped     bool
-	confidence  int
+	cascade *ConfidenceCascade
+	// size is the index of the current model, and next that of the model to try after it, or keepAnswer.
+	size, next int
+	// previous is the index of the model whose answer was dropped last, or keepAnswer, and confidence that of its answer.
+	previous, confidence int
 }
 
 // WriteHead forwards the head, or returns request.ErrResponseDiscarded when a larger model is to be tried.
 func (w *confidenceWriter) WriteHead(ctx context.Context, c *request.Call, h request.Head) error {
-	// c.Runs does not count the current run yet, so that two more are needed: this one and that of the larger model.
-	if w.canEscalate && c.Runs+2 <= c.Route.MaxAttempts && h.Confidence >= 0 && h.Confidence < int(w.filter.MinConfidence.Load()) &&
-		h.Status < 300 && w.filter.Budgets.TryWithdraw(c.Pool.Name) {
-		w.dropped, w.confidence = true, h.Confidence
-		return request.ErrResponseDiscarded
+	if h.Status < 300 {
+		w.record(c, h.Confidence)
+		if w.next = w.cascade.nextSize(c, w.size, h.Confidence); w.next != keepAnswer {
+			w.confidence = h.Confidence
+			return request.ErrResponseDiscarded
+		}
 	}
 	return w.Writer.WriteHead(ctx, c, h)
 }
+
+// record lets the calibration learn from the answers of two models to the same request. The confidences of the largest model reach
+// the end of the scale too often for that.
+func (w *confidenceWriter) record(c *request.Call, confidence int) {
+	if w.previous != keepAnswer && w.size < len(c.Route.Sizes)-1 {
+		w.cascade.Calibration.Record(c.Pool.Name, c.Route.Sizes[w.previous], c.Route.Sizes[w.size], w.confidence, confidence)
+	}
+}
--- a/pkg/pricing/confidence_test.go
+++ b/pkg/pricing/confidence_test.go
@@ -26,6 +26,9 @@
 
 func TestConfidenceCascade(t *testing.T) {
 	const unknown = -1
+	// With the initial noise of confidences this success belongs to a confidence of 60.
+	const leastSuccessAtSixty = 84
+	costs := map[string]float64{"small": 0.02, "middle": 0.14, "large": 0.29}
 	for _, c := range []struct {
 		name  string
 		model string
@@ -33,8 +36,8 @@
 		// confidence is by model; runsBefore is the number of runs before the first answer.
 		confidence     map[string]int
 		runsBefore     int
-		budget         float64
 		refuses        map[string]bool
+		costs          map[string]float64
 		want           []string
 		wantConfidence int
 	}{
@@ -44,17 +47,24 @@
 		{name: "one model", sizes: []string{"small"}, confidence: map[string]int{"small": 1}, want: []string{"small"}, wantConfidence: 1},
 		{name: "the caller names the model", model: "mine", sizes: []string{"small", "large"}, confidence: map[string]int{"mine": 1}, want: []string{"mine"}, wantConfidence: 1},
 		{name: "no attempt is left for the larger model", sizes: []string{"small", "large"}, confidence: map[string]int{"small": 1}, runsBefore: 2, want: []string{"small"}, wantConfidence: 1},
+		{name: "middle model is cheaper", sizes: []string{"small", "middle", "large"}, costs: costs, confidence: map[string]int{"small": 55, "middle": 70}, want: []string{"small", "middle"}, wantConfidence: 70},
+		{name: "middle model is not up to it either", sizes: []string{"small", "middle", "large"}, costs: costs, confidence: map[string]int{"small": 55, "middle": 50, "large": 90}, want: []string{"small", "middle", "large"}, wantConfidence: 90},
+		{name: "middle model would probably fail", sizes: []string{"small", "middle", "large"}, costs: costs, confidence: map[string]int{"small": 30, "large": 90}, want: []string{"small", "large"}, wantConfidence: 90},
+		{name: "one attempt is left, so that the middle model could not be followed", sizes: []string{"small", "middle", "large"}, costs: costs, confidence: map[string]int{"small": 55, "large": 90}, runsBefore: 1, want: []string{"small", "large"}, wantConfidence: 90},
 		{name: "the larger model is refused, so the small one is tried again", sizes: []string{"small", "large"}, confidence: map[string]int{"small": 1}, refuses: map[string]bool{"large": true}, want: []string{"small", "large", "small"}, wantConfidence: 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			minConfidence := &atomic.Int32{}
-			minConfidence.Store(60)
-			f := &ConfidenceCascade{Log: logr.Discard(), MinConfidence: minConfidence, Budgets: &dispatch.RetryBudgets{Share: 1}}
+			leastSuccess := &atomic.Int32{}
+			leastSuccess.Store(leastSuccessAtSixty)
+			f := &ConfidenceCascade{Log: logr.Discard(), LeastSuccess: leastSuccess, Calibration: &Calibration{}, Budgets: &dispatch.RetryBudgets{Share: 1}}
 			w := &headRecorder{confidence: -2}
 			call := &request.Call{
 				Request: &request.Request{ID: "r", Prompt: &request.Prompt{Model: c.model}}, Writer: w, Pool: &catalogue.Pool{Name: "lm"},
 				Route: &catalogue.Route{Sizes: c.sizes, MaxAttempts: 3}, Runs: c.runsBefore,
 			}
+			if c.costs != nil {
+				call.Pool.ModelCosts = c.costs
+			}
 			var models []string
 			err := f.Filter(context.Background(), call, request.HandlerFunc(func(ctx context.Context, call *request.Call) error {
 				models = append(models, call.Model)
--- a/pkg/settings/entry.go
+++ b/pkg/settings/entry.go
@@ -53,7 +53,8 @@
 
 // Policy has the routing settings that operators may change.
 type Policy struct {
-	// LeastConfidence is the confidence, from 0 to 100, below which a small model's response is replaced by a larger model's.
+	// LeastConfidence is the probability, in percent, that a model is up to a request, below which its response is replaced by a larger
+	// model's.
 	LeastConfidence int
 	// RetryShare is the retry budget: it bounds the attempts after the first, as a share of the requests.
 	RetryShare float64
@@ -71,7 +72,7 @@
 			GraceSeconds:   8,
 			SessionSeconds: 5,
 		},
-		Policy:  Policy{LeastConfidence: 60, RetryShare: 0.75},
+		Policy:  Policy{LeastConfidence: 75, RetryShare: 0.75},
 		Logging: Logging{Format: "json"},
 	}
 }
