Abort a slow attempt only with a retry in reserve

Found by reading: a stream that pauses for 1.7 s, and an answer whose first byte is late, are aborted first and the retry budget, the attempts left and the time left are asked afterwards. When one of them forbids a retry the caller loses an answer that was still coming. A silent upstream is no reason to end an answer.

Change: the timers reserve the retry before they abort, and let the attempt go on if there is none.

--- a/pkg/delivery/relay.go
+++ b/pkg/delivery/relay.go
@@ -164,13 +164,17 @@
 	return a.forwardBuffered(resp, head)
 }
 
-// startFirstByteTimer aborts the attempt if its response does not start in time; the returned function stops the timer.
+// startFirstByteTimer aborts the attempt if its response does not start in time and it may be retried; the returned function stops the timer.
 func (a *relayAttempt) startFirstByteTimer() func() {
 	limit := a.call.FirstByteTimeout
 	if limit <= 0 || !a.call.Route.MayRepeat() {
 		return func() {}
 	}
-	t := time.AfterFunc(limit.Duration(), func() { a.stop(errFirstByteTimeout) })
+	t := time.AfterFunc(limit.Duration(), func() {
+		if a.call.MayAbort() {
+			a.stop(errFirstByteTimeout)
+		}
+	})
 	return func() { t.Stop() }
 }
 
--- a/pkg/delivery/relay_test.go
+++ b/pkg/delivery/relay_test.go
@@ -83,6 +83,52 @@
 	}
 }
 
+// Pattern: an engine that reads a long prompt answers later than expected, and no retry is left.
+func TestSlowAnswerIsAwaitedWithoutARetry(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		reserved bool
+		want     request.Result
+	}{
+		{"no retry left", false, request.ResultComplete},
+		{"retry reserved", true, request.ResultFailed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			asked := make(chan struct{})
+			slow := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				<-asked
+				if c.reserved {
+					<-r.Context().Done()
+				}
+			}))
+			defer slow.Close()
+			var got request.Sample
+			f := &Relay{
+				Clock: clock.NewReal(), Log: logr.Discard(), Wire: plainWire{}, Dial: (&net.Dialer{}).DialContext,
+				Permit:  func(*request.Call) error { return nil },
+				Observe: func(_ *request.Call, s request.Sample) { got = s },
+			}
+			f.Open()
+			defer f.Close()
+			call := &request.Call{
+				Request:          &request.Request{ID: "r", Deadline: f.Clock.Now() + 20*clock.Second},
+				Route:            &catalogue.Route{Repeatable: true},
+				Upstream:         &catalogue.Upstream{Name: "u", Address: strings.TrimPrefix(slow.URL, "http://")},
+				Writer:           discardWriter{},
+				FirstByteTimeout: 1,
+				ReserveRetry: func() bool {
+					close(asked)
+					return c.reserved
+				},
+			}
+			_ = f.Filter(context.Background(), call, nil)
+			if got.Result != c.want {
+				t.Errorf("result %s, want %s", got.Result, c.want)
+			}
+		})
+	}
+}
+
 func TestLowerQuartileGap(t *testing.T) {
 	for _, c := range []struct {
 		name string
--- a/pkg/delivery/stream.go
+++ b/pkg/delivery/stream.go
@@ -139,9 +139,13 @@
 	return nil
 }
 
-// newPauseTimer returns a stopped timer that aborts the attempt if the stream pauses for too long after an event.
+// newPauseTimer returns a stopped timer that aborts the attempt if the stream pauses for too long after an event and may be retried.
 func (a *relayAttempt) newPauseTimer() *time.Timer {
-	t := time.AfterFunc(time.Hour, func() { a.stop(errStreamPaused) })
+	t := time.AfterFunc(time.Hour, func() {
+		if a.call.MayAbort() {
+			a.stop(errStreamPaused)
+		}
+	})
 	t.Stop()
 	return t
 }
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -57,6 +57,7 @@
 		if c.Attempts == 0 {
 			f.Budgets.Deposit(u.Service, f.Clock.Now())
 		}
+		retry := f.allowAbort(c)
 		err := f.send(ctx, c, next)
 		f.recordAttempt(c, u, err)
 		if err == nil {
@@ -73,7 +74,7 @@
 			declines++
 		}
 		c.Excluded = append(c.Excluded, u.Name)
-		if noRetry := f.noRetryReason(ctx, c, r, declines); noRetry != "" {
+		if noRetry := f.noRetryReason(ctx, c, r, declines, retry); noRetry != "" {
 			f.logGiveUp(c, u, r, noRetry, c.Runs-runsBefore)
 			return f.finalError(ctx, c, r)
 		}
@@ -83,7 +84,7 @@
 }
 
 // noRetryReason returns why the call may not be retried, or "" if it may; it then takes one retry from the budget.
-func (f *Dispatch) noRetryReason(ctx context.Context, c *request.Call, r *request.Refusal, declines int) string {
+func (f *Dispatch) noRetryReason(ctx context.Context, c *request.Call, r *request.Refusal, declines int, retry *reservedRetry) string {
 	switch r.Reason {
 	case request.ReasonUpstreamRefused, request.ReasonUpstreamFailed, request.ReasonAnswerIncomplete, request.ReasonAnswerMismatch:
 	default:
@@ -100,9 +101,9 @@
 		return "attempt limit reached"
 	case c.HeadWritten && !c.Route.Resumable:
 		return "answer has begun and is not resumable"
-	case c.Request.Deadline-f.Clock.Now() < clock.Millis(minTimeLeftShare*float64(c.Route.Target)):
+	case f.tooLate(c.Request.Deadline, c.Route):
 		return "too little time before the deadline"
-	case !f.Budgets.TryWithdraw(c.Upstream.Service):
+	case !retry.take() && !f.Budgets.TryWithdraw(c.Upstream.Service):
 		return "retry budget exhausted"
 	}
 	return ""
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -128,6 +128,52 @@
 	}
 }
 
+// Pattern: an upstream is silent for longer than a stream may pause, while nothing is left to go on elsewhere with.
+func TestSlowAttemptIsAbortedOnlyForARetry(t *testing.T) {
+	stream := catalogue.Route{Streaming: true, Resumable: true, MaxAttempts: 3, Target: 2000}
+	for _, c := range []struct {
+		name    string
+		route   catalogue.Route
+		runs    int
+		budget  int
+		elapsed clock.Millis
+		want    bool
+	}{
+		{"retry left", stream, 0, 1, 0, true},
+		{"budget exhausted", stream, 0, 0, 0, false},
+		{"last attempt", stream, 2, 1, 0, false},
+		{"deadline near", stream, 0, 1, 9_700, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newDispatchHarness(newUpstream("u1"), newUpstream("u2"), newUpstream("u3"))
+			r.Budgets.Share = 0
+			for range retryBurst - c.budget {
+				r.Budgets.TryWithdraw("lm")
+			}
+			aborted := false
+			c.route.Split = []catalogue.Split{{Service: "lm", Weight: 1}}
+			call := &request.Call{Request: &request.Request{ID: "r", Deadline: r.clock.Now() + 10_000}, Route: &c.route, Runs: c.runs}
+			attempts := 0
+			err := r.Filter(context.Background(), call, request.HandlerFunc(func(_ context.Context, call *request.Call) error {
+				attempts++
+				r.clock.Advance(c.elapsed)
+				if attempts > 1 || !call.MayAbort() {
+					return nil
+				}
+				aborted = call.MayAbort()
+				call.Runs++
+				return newRefusal(request.MayHaveRun, request.ReasonAnswerIncomplete)
+			}))
+			if err != nil || aborted != c.want {
+				t.Errorf("aborted = %t with error %v, want %t and an answer", aborted, err, c.want)
+			}
+			if c.want && r.Budgets.TryWithdraw("lm") {
+				t.Error("a retry is left in the budget, want the one retry used for the abort")
+			}
+		})
+	}
+}
+
 func TestDispatchSetsRetryAfter(t *testing.T) {
 	r := newDispatchHarness(newUpstream("u1"), newUpstream("u2"))
 	r.answer = func(*request.Call) error { return newRefusal(request.NotRun, request.ReasonUpstreamRefused) }
--- /dev/null
+++ b/pkg/dispatch/reserved_retry.go
@@ -0,0 +1,39 @@
+package dispatch
+
+import (
+	"sync/atomic"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/request"
+)
+
+// reservedRetry is a retry that was taken from the budget before the attempt that it replaces was aborted.
+type reservedRetry struct{ reserved atomic.Bool }
+
+// take returns whether a retry is reserved, and uses it up.
+func (r *reservedRetry) take() bool { return r.reserved.Swap(false) }
+
+// allowAbort lets the next attempt of the call be aborted for its slowness, but only with a retry in reserve: an upstream that is slow
+// or silent may still answer, and without another attempt its answer is all that the caller can get.
+func (f *Dispatch) allowAbort(c *request.Call) *reservedRetry {
+	r := &reservedRetry{}
+	service, deadline, route := c.Upstream.Service, c.Request.Deadline, c.Route
+	attemptLeft := c.Runs+1 < route.MaxAttempts
+	c.ReserveRetry = func() bool {
+		if r.reserved.Load() {
+			return true
+		}
+		if !attemptLeft || f.tooLate(deadline, route) || !f.Budgets.TryWithdraw(service) {
+			return false
+		}
+		r.reserved.Store(true)
+		return true
+	}
+	return r
+}
+
+// tooLate reports whether too little time is left before the deadline for another attempt.
+func (f *Dispatch) tooLate(deadline clock.Millis, route *catalogue.Route) bool {
+	return deadline-f.Clock.Now() < clock.Millis(minTimeLeftShare*float64(route.Target))
+}
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -130,8 +130,14 @@
 	HeadWritten bool
 	// FirstByteTimeout bounds the time to the first byte of the response to a repeatable call, in milliseconds; 0 means no bound.
 	FirstByteTimeout clock.Millis
+	// ReserveRetry reserves a retry and reports whether the current attempt may be aborted for it; nil means that it may. It may be
+	// called on any goroutine.
+	ReserveRetry func() bool
 }
 
+// MayAbort reports whether the current attempt may be aborted so that another upstream can take over; it then has a retry reserved.
+func (c *Call) MayAbort() bool { return c.ReserveRetry == nil || c.ReserveRetry() }
+
 // UpstreamRequestID returns the ID that the upstream got for the latest attempt: AttemptID, or else the request ID.
 func (c *Call) UpstreamRequestID() string {
 	if c.AttemptID == "" {
