Keep more answers of small models while larger ones would wait

Change: the time to the first token is learned for each token read before it, those of other prompts ahead included, and the timeout allows for them.

Change: with the learned time and the known work an instance predicts the wait at the idlest engine.

The state dump shows what was learned of each model and of confidences.

--- a/pkg/dispatch/choose_upstream.go
+++ b/pkg/dispatch/choose_upstream.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"strconv"
 
@@ -46,7 +47,7 @@
 	if u == nil {
 		return nil, request.Refuse(request.ReasonNoUpstream, jitter(c.Request.ID, clock.Second/2), "no upstream of %s may get new work", service)
 	}
-	c.FirstByteTimeout = 0
+	c.FirstByteTimeout, c.TokensAhead = 0, tokensAhead(c, f.Loads.Work(u.Name))
 	if len(warm) > 1 && !c.HeadWritten && c.Runs+1 < c.Route.MaxAttempts {
 		c.FirstByteTimeout = f.firstByteTimeout(c)
 	}
@@ -58,7 +59,7 @@
 	if c.Request.Prompt == nil {
 		return clock.Millis(callFirstByteShare * float64(c.Route.Target))
 	}
-	return f.Latency.FirstByteTimeout(c.Model, c.Request.Prompt.Tokens, clock.Millis(streamFirstByteShare*float64(c.Route.Target)))
+	return f.Latency.FirstByteTimeout(c.Model, c.Request.Prompt.Tokens, c.TokensAhead, clock.Millis(streamFirstByteShare*float64(c.Route.Target)))
 }
 
 // chooseCold returns the first cold upstream to which this instance may send one more request, or nil.
@@ -145,3 +146,25 @@
 	}
 	return warm, cold
 }
+
+// Wait predicts how long the prompt of a call waits at the idlest upstream before the model reads it, in milliseconds; it is 0 while
+// nothing is known of the model.
+func (f *Dispatch) Wait(c *request.Call, model string) clock.Millis {
+	if c.Pool == nil || c.Request.Prompt == nil {
+		return 0
+	}
+	warm, _ := splitCold(f.Snapshot().Pools[c.Pool.Name], f.Clock.Now())
+	least := math.Inf(1)
+	for _, u := range warm {
+		least = min(least, f.Loads.Work(u.Name))
+	}
+	if len(warm) == 0 {
+		return 0
+	}
+	other := *c
+	other.Model = model
+	tokens := c.Request.Prompt.Tokens
+	withQueue, _ := f.Latency.ExpectedFirstToken(model, tokens+tokensAhead(&other, least))
+	alone, _ := f.Latency.ExpectedFirstToken(model, tokens)
+	return withQueue - alone
+}
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -336,10 +336,10 @@
 
 func TestFirstTokenLatency(t *testing.T) {
 	l := &LatencyTracker{}
-	if got := l.FirstByteTimeout("m", 1000, 1400); got != 1400 {
+	if got := l.FirstByteTimeout("m", 1000, 0, 1400); got != 1400 {
 		t.Errorf("FirstByteTimeout() without a sample = %d, want the floor of 1400", got)
 	}
-	if got := l.FirstByteTimeout("m", 50_000, 1400); got != 0 {
+	if got := l.FirstByteTimeout("m", 50_000, 0, 1400); got != 0 {
 		t.Errorf("FirstByteTimeout() without a sample for a long prompt = %d, want 0", got)
 	}
 	for range 50 {
@@ -348,7 +348,7 @@
 	if got, known := l.ExpectedFirstToken("m", 46_000); !known || got != 1500 {
 		t.Errorf("ExpectedFirstToken() = %d, want 1500", got)
 	}
-	if got := l.FirstByteTimeout("m", 46_000, 1400); got != 4500 {
+	if got := l.FirstByteTimeout("m", 46_000, 0, 1400); got != 4500 {
 		t.Errorf("FirstByteTimeout() = %d, want 4500", got)
 	}
 	if l.IsSlowFirstToken("m", 6000, 950) || !l.IsSlowFirstToken("m", 6000, 1050) {
@@ -356,6 +356,31 @@
 	}
 }
 
+// Pattern: engines that nothing is known of have prompts waiting; the time that they take is learned from answers behind other work.
+func TestWaitIsLearnedFromAnswersBehindOtherWork(t *testing.T) {
+	const millisPerToken = 0.05
+	r := newDispatchHarness(newUpstream("u1"), newUpstream("u2"))
+	call := &request.Call{Model: "small", Pool: r.snapshot.Routes.Pools["lm"], Request: &request.Request{Prompt: &request.Prompt{Tokens: 5000}}, Route: &catalogue.Route{}}
+	r.Loads.SetPeerWork(map[string]float32{"u1": 40_000, "u2": 60_000})
+	if got := r.Wait(call, "large"); got != 0 {
+		t.Errorf("Wait() before any answer = %d ms, want 0", got)
+	}
+	for i := range 60 {
+		ahead := 20_000 * (i % 3)
+		r.Latency.RecordFirstToken("large", 5000+ahead, clock.Millis(millisPerToken*float64(fixedCostTokens+5000+ahead)))
+	}
+	if got, want := r.Wait(call, "large"), clock.Millis(millisPerToken*40_000); got < want-20 || got > want+20 {
+		t.Errorf("Wait() = %d ms, want about %d ms for the work of the idlest upstream", got, want)
+	}
+	// The small model costs a twentieth, so that the same work is twenty times as many of its tokens.
+	if got := tokensAhead(call, 1000); got != 20_000 {
+		t.Errorf("tokensAhead() = %d, want 20000", got)
+	}
+	if idle, busy := r.Latency.FirstByteTimeout("large", 5000, 0, 100), r.Latency.FirstByteTimeout("large", 5000, 40_000, 100); busy < idle+clock.Millis(millisPerToken*40_000) {
+		t.Errorf("FirstByteTimeout() = %d ms behind other work and %d ms without, want at least the time of that work more", busy, idle)
+	}
+}
+
 func TestUpstreamWork(t *testing.T) {
 	l := &LoadTracker{}
 	l.StartRequest("u", 500)
--- a/pkg/dispatch/latency.go
+++ b/pkg/dispatch/latency.go
@@ -29,7 +29,8 @@
 // concurrent use.
 type LatencyTracker struct {
 	mu sync.Mutex
-	// millisPerToken is the time to the first token by model, divided by the prompt tokens plus fixedCostTokens.
+	// millisPerToken is the time to the first token by model, divided by the prompt tokens, those ahead of them at the upstream, and
+	// fixedCostTokens.
 	millisPerToken map[string]float64
 	// usualGaps is the gap between tokens by model, in milliseconds.
 	usualGaps map[string]float64
@@ -87,9 +88,9 @@
 }
 
 // FirstByteTimeout returns the time after which an attempt without a first byte is retried elsewhere, in milliseconds and at least
-// floor; 0 means no timeout.
-func (l *LatencyTracker) FirstByteTimeout(model string, tokens int, floor clock.Millis) clock.Millis {
-	expected, known := l.ExpectedFirstToken(model, tokens)
+// floor; 0 means no timeout. The upstream reads the tokens ahead first.
+func (l *LatencyTracker) FirstByteTimeout(model string, tokens, ahead int, floor clock.Millis) clock.Millis {
+	expected, known := l.ExpectedFirstToken(model, tokens+ahead)
 	if !known {
 		if tokens >= longPromptTokens {
 			return 0
@@ -98,3 +99,21 @@
 	}
 	return max(floor, clock.Millis(firstByteTimeoutFactor*float64(expected)))
 }
+
+// ModelLatency is what was learned of a model, in milliseconds: the time to the first token for each token read before it, and the gap
+// between tokens, which is 0 if unknown.
+type ModelLatency struct {
+	MillisPerToken float64
+	Gap            float64
+}
+
+// Models returns what was learned, by model.
+func (l *LatencyTracker) Models() map[string]ModelLatency {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	models := make(map[string]ModelLatency, len(l.millisPerToken))
+	for model, perToken := range l.millisPerToken {
+		models[model] = ModelLatency{MillisPerToken: perToken, Gap: l.usualGaps[model]}
+	}
+	return models
+}
--- a/pkg/gateway/admin.go
+++ b/pkg/gateway/admin.go
@@ -7,6 +7,7 @@
 	"carawayknot.example/carawayknot/pkg/archive"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/dispatch"
 )
 
 // Dump is the state of an instance for operators; times are monotonic milliseconds of the instance, and no API key is in it.
@@ -26,6 +27,10 @@
 	Members      []catalogue.Member
 	// OwnWork is the pending work of this instance's requests by upstream, in tokens of the largest model.
 	OwnWork map[string]float32
+	// Models has what was learned of the models that answered this instance, and ConfidenceNoise the standard deviation of their
+	// confidences by service.
+	Models          map[string]dispatch.ModelLatency
+	ConfidenceNoise map[string]float64
 	// StoreReads and InstanceReads count the reads of topics from the store and from other instances.
 	StoreReads    map[archive.TopicName]int64
 	InstanceReads map[archive.TopicName]int64
@@ -38,10 +43,14 @@
 		Moves: s.Moves, Members: s.Members, OwnWork: in.loadTracker.OwnWork(),
 	}
 	d.StoreReads, d.InstanceReads = in.peerSource.Reads()
+	d.Models, d.ConfidenceNoise = in.latencies.Models(), map[string]float64{}
 	if err := in.ready(); err != nil {
 		d.NotReady = err.Error()
 	}
 	if s.Routes != nil {
+		for service := range s.Routes.Pools {
+			d.ConfidenceNoise[service] = in.calibration.Noise(service)
+		}
 		d.TableVersion, d.Keys = s.Routes.Version, len(s.Routes.Keys)
 		for _, routes := range s.Routes.Routes {
 			d.Routes += len(routes)
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -36,20 +36,21 @@
 		Observe: in.observe,
 	}
 	in.relay.Open()
+	d := &dispatch.Dispatch{
+		Clock:    in.Clock,
+		Log:      in.Log.WithName("dispatch"),
+		Zone:     in.Settings.Zone,
+		Snapshot: in.control.Snapshot,
+		Loads:    in.loadTracker,
+		Outliers: in.outliers,
+		Releases: in.releases,
+		Budgets:  budgets,
+		Latency:  in.latencies,
+	}
 	return in.withMetrics(request.Chain(
 		&desk.ResolveRoute{Snapshot: in.control.Snapshot, Clock: in.Clock, Age: in.control.Age, MaxDenialAge: in.Settings.Bounds.ConfigApply, MaxKeyAge: in.maxKeyAge()},
-		&pricing.ConfidenceCascade{Log: in.Log.WithName("pricing"), LeastSuccess: &in.leastSuccess, Calibration: in.calibration, Budgets: budgets},
-		&dispatch.Dispatch{
-			Clock:    in.Clock,
-			Log:      in.Log.WithName("dispatch"),
-			Zone:     in.Settings.Zone,
-			Snapshot: in.control.Snapshot,
-			Loads:    in.loadTracker,
-			Outliers: in.outliers,
-			Releases: in.releases,
-			Budgets:  budgets,
-			Latency:  in.latencies,
-		},
+		&pricing.ConfidenceCascade{Log: in.Log.WithName("pricing"), LeastSuccess: &in.leastSuccess, Calibration: in.calibration, Wait: d.Wait, Budgets: budgets},
+		d,
 		in.relay,
 	))
 }
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -27,7 +27,7 @@
 	in.loadTracker.Report(s.Upstream, s.Load, s.At)
 	model, tokens, latency := c.Model, 0, s.FirstToken
 	if c.Request.Prompt != nil {
-		tokens = c.Request.Prompt.Tokens
+		tokens = c.Request.Prompt.Tokens + c.TokensAhead
 	}
 	if model == "" {
 		model = c.Route.Name
--- a/pkg/pricing/confidence.go
+++ b/pkg/pricing/confidence.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-logr/logr"
 
+	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/dispatch"
 	"carawayknot.example/carawayknot/pkg/request"
 )
@@ -20,10 +21,16 @@
 	LeastSuccess *atomic.Int32
 	// Calibration learns what confidences mean.
 	Calibration *Calibration
+	// Wait predicts how long a prompt waits at the idlest upstream before the model reads it, in milliseconds; it may be nil.
+	Wait func(c *request.Call, model string) clock.Millis
 	// Budgets limits the attempts beyond the first.
 	Budgets *dispatch.RetryBudgets
 }
 
+// maxWaitShare is the fraction of the route's target latency from which a wait for a larger model is too long to drop any answer for;
+// the rest is for reading the prompt.
+const maxWaitShare = 0.5
+
 // keepAnswer is the next size when the answer of the current model goes to the caller.
 const keepAnswer = -1
 
@@ -73,8 +80,8 @@
 	if confidence < 0 || size >= last || c.Runs+2 > c.Route.MaxAttempts {
 		return keepAnswer
 	}
-	success := f.Calibration.Success(c.Pool.Name, confidence)
-	if success >= float64(f.LeastSuccess.Load())/100 {
+	success, least := f.Calibration.Success(c.Pool.Name, confidence), f.leastSuccess(c)
+	if success >= least {
 		return keepAnswer
 	}
 	next := f.cheapestSize(c, size, confidence)
@@ -82,11 +89,23 @@
 		return keepAnswer
 	}
 	f.Log.Info("model confidence below the threshold; trying a larger model", "request", c.Request.ID, "route", c.Route.Name,
-		"model", sizes[size], "confidence", confidence, "success", success, "leastSuccess", f.LeastSuccess.Load(),
+		"model", sizes[size], "confidence", confidence, "success", success, "leastSuccess", least,
 		"noise", f.Calibration.Noise(c.Pool.Name), "nextModel", sizes[next])
 	return next
 }
 
+// leastSuccess returns the probability of success from which an answer is kept. It falls with the time that a larger model's answer
+// would wait: engines that are behind with their work first lose the answers that gain least by it, and an answer that would be late
+// isn't worth that much.
+func (f *ConfidenceCascade) leastSuccess(c *request.Call) float64 {
+	least := float64(f.LeastSuccess.Load()) / 100
+	if f.Wait == nil || c.Route.Target <= 0 {
+		return least
+	}
+	wait := f.Wait(c, c.Route.Sizes[len(c.Route.Sizes)-1])
+	return least * max(0, 1-float64(wait)/(maxWaitShare*float64(c.Route.Target)))
+}
+
 // cheapestSize returns the index of the larger model with the least expected cost: its own, and that of the largest one if it is not
 // up to the request either.
 func (f *ConfidenceCascade) cheapestSize(c *request.Call, size, confidence int) int {
--- a/pkg/pricing/confidence_test.go
+++ b/pkg/pricing/confidence_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/dispatch"
 	"carawayknot.example/carawayknot/pkg/request"
 )
@@ -24,6 +25,47 @@
 	return nil
 }
 
+// Pattern: half of the engines are gone, so that prompts of the largest model wait for seconds.
+func TestBusyEnginesKeepMoreAnswers(t *testing.T) {
+	const target clock.Millis = 3000
+	for _, c := range []struct {
+		name       string
+		wait       clock.Millis
+		confidence int
+		want       []string
+	}{
+		{"idle, doubtful answer", 0, 55, []string{"small", "large"}},
+		{"some wait, doubtful answer", target / 8, 55, []string{"small"}},
+		{"some wait, bad answer", target / 8, 40, []string{"small", "large"}},
+		{"the larger model's answer would be late", target / 2, 1, []string{"small"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			leastSuccess := &atomic.Int32{}
+			leastSuccess.Store(75)
+			f := &ConfidenceCascade{
+				Log: logr.Discard(), LeastSuccess: leastSuccess, Calibration: &Calibration{}, Budgets: &dispatch.RetryBudgets{Share: 1},
+				Wait: func(*request.Call, string) clock.Millis { return c.wait },
+			}
+			call := &request.Call{
+				Request: &request.Request{ID: "r", Prompt: &request.Prompt{}}, Writer: &headRecorder{}, Pool: &catalogue.Pool{Name: "lm"},
+				Route: &catalogue.Route{Sizes: []string{"small", "large"}, MaxAttempts: 3, Target: target},
+			}
+			var models []string
+			if err := f.Filter(context.Background(), call, request.HandlerFunc(func(ctx context.Context, call *request.Call) error {
+				models = append(models, call.Model)
+				err := call.Writer.WriteHead(ctx, call, request.Head{Status: 200, Confidence: c.confidence})
+				call.Runs++
+				return err
+			})); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(c.want, models); diff != "" {
+				t.Errorf("models tried (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func TestConfidenceCascade(t *testing.T) {
 	const unknown = -1
 	// With the initial noise of confidences this success belongs to a confidence of 60.
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -128,6 +128,8 @@
 	OnFirstEvent func()
 	// HeadWritten is true once the response head was written to the caller.
 	HeadWritten bool
+	// TokensAhead is the work that was pending at the upstream when the current attempt was sent, in prompt tokens of the call's model.
+	TokensAhead int
 	// FirstByteTimeout bounds the time to the first byte of the response to a repeatable call, in milliseconds; 0 means no bound.
 	FirstByteTimeout clock.Millis
 	// ReserveRetry reserves a retry and reports whether the current attempt may be aborted for it; nil means that it may. It may be
