Spread prompts over busy upstreams

In the bad one, from 23 s on, all instances sent the short prompts of a second to one upstream, the idlest of the last load report: 24, 23, 22, 39 in a second there and none at others, which then was the busiest.

Change: half of the median work is added to the bound. The median, since a few very long prompts raise the mean: TestShortPromptsDoNotWaitBehindLongOnes.

The new test gave all 400 prompts to one of six upstreams before.

--- a/pkg/dispatch/selector.go
+++ b/pkg/dispatch/selector.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// affinitySlack bounds the work that a prompt waits for at the upstream that keeps its shared parts, beyond that of the idlest
-	// upstream, as a multiple of the work of the prompt itself. A smaller one sends the prompts that arrive between two load reports to
-	// the same idle upstream.
+	// An upstream gets the prompts with affinity to it while its pending work exceeds that of the idlest upstream by at most medianShare
+	// of the median and affinitySlack times the work of the prompt itself.
+	medianShare   = 0.5
 	affinitySlack = 2.0
 	// zonePenalty is added to the load of upstreams in other zones, as a fraction of their slots, so that the local zone is preferred.
 	zonePenalty = 0.25
@@ -83,12 +83,13 @@
 	return request.RendezvousOrder(key, upstreams, func(u *catalogue.Upstream) string { return u.Name })
 }
 
-// affinityUpstream returns the first upstream in rendezvous order for Key that has at most affinitySlack times the work of the prompt
-// more than the idlest one. The first in this order keeps the shared parts of the prompt, as all instances use the same order. The
-// bound has no unit of its own, so that it suits fast and slow upstreams alike.
+// affinityUpstream returns the first upstream in rendezvous order for Key whose pending work is within a bound (rendezvous hashing with
+// bounded loads). The first in this order keeps the shared parts of the prompt, as all instances use the same order. The bound has no
+// unit of its own, so that it suits fast and slow upstreams alike. Where all are busy it grows with the median: if it left only the
+// idlest one, all prompts that arrive between two load reports would go there.
 func (s *Selector) affinityUpstream(upstreams []*catalogue.Upstream) *catalogue.Upstream {
 	idlest := s.leastWork(upstreams)
-	bound := s.work(idlest) + affinitySlack*s.PromptWork
+	bound := s.work(idlest) + medianShare*s.medianWork(upstreams) + affinitySlack*s.PromptWork
 	for _, u := range rankUpstreams(s.Key, upstreams) {
 		if s.work(u) <= bound {
 			return u
@@ -97,6 +98,16 @@
 	return idlest
 }
 
+// medianWork returns the median of the pending work of the upstreams.
+func (s *Selector) medianWork(upstreams []*catalogue.Upstream) float64 {
+	work := make([]float64, len(upstreams))
+	for i, u := range upstreams {
+		work[i] = s.work(u)
+	}
+	slices.Sort(work)
+	return work[len(work)/2]
+}
+
 // soonerThan returns the upstreams that would have read the prompt before u begins to read it, the idlest first. They keep no parts of
 // prompts, so that a prompt that doesn't have to wait is better off at u.
 func (s *Selector) soonerThan(u *catalogue.Upstream, upstreams []*catalogue.Upstream) []*catalogue.Upstream {
--- a/pkg/dispatch/simulation_test.go
+++ b/pkg/dispatch/simulation_test.go
@@ -157,3 +157,27 @@
 		}
 	}
 }
+
+// TestBusyUpstreamsShareTheShortPrompts guards against herds: all upstreams have prompts waiting after a part of them was lost, and the
+// instances send short ones by the same load report until the next one.
+func TestBusyUpstreamsShareTheShortPrompts(t *testing.T) {
+	const prompts = 400
+	upstreams := make([]*catalogue.Upstream, 6)
+	work := map[string]float32{}
+	for i := range upstreams {
+		upstreams[i] = &catalogue.Upstream{Name: fmt.Sprint("engine-", i), Zone: "a"}
+		work[upstreams[i].Name] = float32(20_000 + 2000*i)
+	}
+	tracker := &LoadTracker{}
+	tracker.SetPeerWork(work)
+	got := map[string]int{}
+	for i := range prompts {
+		s := &Selector{Key: fmt.Sprint("prompt ", i), PromptWork: 300, Loads: tracker, Outliers: &OutlierDetector{}, TieBreakKey: fmt.Sprint(i)}
+		got[s.Select(upstreams).Name]++
+	}
+	for name, n := range got {
+		if n > prompts/3 {
+			t.Errorf("%s got %d of %d prompts, want at most a third", name, n, prompts)
+		}
+	}
+}
