Leave models of unknown cost out of the learned time of work ahead

Found while reading the change: the work ahead of a prompt was divided by the cost of its model, which is 0 for a model that the configuration doesn't list. Its learned time for a token would have fallen to nothing and each of its answers counted as slow. The conversion takes the pool and the model instead of a copied call.

--- a/pkg/dispatch/choose_upstream.go
+++ b/pkg/dispatch/choose_upstream.go
@@ -47,7 +47,7 @@
 	if u == nil {
 		return nil, request.Refuse(request.ReasonNoUpstream, jitter(c.Request.ID, clock.Second/2), "no upstream of %s may get new work", service)
 	}
-	c.FirstByteTimeout, c.TokensAhead = 0, tokensAhead(c, f.Loads.Work(u.Name))
+	c.FirstByteTimeout, c.TokensAhead = 0, tokensAhead(pool, c.Model, f.Loads.Work(u.Name))
 	if len(warm) > 1 && !c.HeadWritten && c.Runs+1 < c.Route.MaxAttempts {
 		c.FirstByteTimeout = f.firstByteTimeout(c)
 	}
@@ -154,17 +154,15 @@
 		return 0
 	}
 	warm, _ := splitCold(f.Snapshot().Pools[c.Pool.Name], f.Clock.Now())
+	if len(warm) == 0 {
+		return 0
+	}
 	least := math.Inf(1)
 	for _, u := range warm {
 		least = min(least, f.Loads.Work(u.Name))
 	}
-	if len(warm) == 0 {
-		return 0
-	}
-	other := *c
-	other.Model = model
 	tokens := c.Request.Prompt.Tokens
-	withQueue, _ := f.Latency.ExpectedFirstToken(model, tokens+tokensAhead(&other, least))
+	behindOthers, _ := f.Latency.ExpectedFirstToken(model, tokens+tokensAhead(c.Pool, model, least))
 	alone, _ := f.Latency.ExpectedFirstToken(model, tokens)
-	return withQueue - alone
+	return behindOthers - alone
 }
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -373,8 +373,10 @@
 		t.Errorf("Wait() = %d ms, want about %d ms for the work of the idlest upstream", got, want)
 	}
 	// The small model costs a twentieth, so that the same work is twenty times as many of its tokens.
-	if got := tokensAhead(call, 1000); got != 20_000 {
-		t.Errorf("tokensAhead() = %d, want 20000", got)
+	for model, want := range map[string]int{"small": 20_000, "large": 1000, "unknown": 0} {
+		if got := tokensAhead(call.Pool, model, 1000); got != want {
+			t.Errorf("tokensAhead() of the %s model = %d, want %d", model, got, want)
+		}
 	}
 	if idle, busy := r.Latency.FirstByteTimeout("large", 5000, 0, 100), r.Latency.FirstByteTimeout("large", 5000, 40_000, 100); busy < idle+clock.Millis(millisPerToken*40_000) {
 		t.Errorf("FirstByteTimeout() = %d ms behind other work and %d ms without, want at least the time of that work more", busy, idle)
--- a/pkg/dispatch/prompt_work.go
+++ b/pkg/dispatch/prompt_work.go
@@ -1,35 +1,39 @@
 package dispatch
 
-import "carawayknot.example/carawayknot/pkg/request"
+import (
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/request"
+)
+
+// maxTokensAhead bounds the tokens ahead of a prompt, for models that cost next to nothing.
+const maxTokensAhead = 1 << 24
 
 // promptWork returns the work of reading the prompt, in tokens of the largest model.
 func promptWork(c *request.Call) float64 {
 	if c.Request.Prompt == nil {
 		return 0
 	}
-	return float64(c.Request.Prompt.Tokens) * relativeCost(c)
+	return float64(c.Request.Prompt.Tokens) * relativeCost(c.Pool, c.Model)
 }
 
-// maxTokensAhead bounds the tokens ahead of a prompt, so that a model of no cost gets a number as well.
-const maxTokensAhead = 1 << 30
-
-// tokensAhead converts pending work to prompt tokens of the call's model; it is 0 for a call without a prompt.
-func tokensAhead(c *request.Call, work float64) int {
-	if c.Request.Prompt == nil || work <= 0 {
+// tokensAhead converts work at an upstream, in tokens of the largest model, to prompt tokens of a model; it is 0 for a model whose cost
+// is unknown.
+func tokensAhead(pool *catalogue.Pool, model string, work float64) int {
+	cost := relativeCost(pool, model)
+	if cost <= 0 || work <= 0 {
 		return 0
 	}
-	return int(min(work/relativeCost(c), maxTokensAhead))
+	return int(min(work/cost, maxTokensAhead))
 }
 
-// relativeCost returns the cost of the call's model relative to that of the largest; the work of a model per token is proportional to
-// its cost.
-func relativeCost(c *request.Call) float64 {
+// relativeCost returns the cost of a model relative to that of the largest; the work of a model per token is proportional to its cost.
+func relativeCost(pool *catalogue.Pool, model string) float64 {
 	largest := 0.0
-	for _, cost := range c.Pool.ModelCosts {
+	for _, cost := range pool.ModelCosts {
 		largest = max(largest, cost)
 	}
 	if largest <= 0 {
 		return 1
 	}
-	return c.Pool.ModelCosts[c.Model] / largest
+	return pool.ModelCosts[model] / largest
 }
