End reads of the upstream list before a leaving upstream must be known

A line for each read shows it: the read from offset 12 was sent at 10.002 s, the record 12 was confirmed at 10.007 s, and the read went on waiting until 12.413 s, when record 13 came and both were returned. Other instances, whose reads were waiting already, had it at 10.013 s. Excluded: a pause after changes, a slow actor, a lost answer (each read ended without an error).

Change: a read of the list or of the operators' topic waits at most 0.75 of the drain time, so that the next one fetches what the store has missed in time.

--- a/pkg/membership/peer_source.go
+++ b/pkg/membership/peer_source.go
@@ -23,8 +23,11 @@
 	// the store has ended, the one before it is the newest, so that records are up to two reads old. Age, wait and one retry
 	// together take less than Drain.
 	storeWaitFraction = 0.25
-	peerWaitFraction  = 0.2
-	maxAgeFraction    = 0.65
+	// maxWaitFraction limits the wait of any read of a time-critical topic: the store may miss a record that is appended when a read
+	// arrives, and then returns it only to the next one.
+	maxWaitFraction  = 0.75
+	peerWaitFraction = 0.2
+	maxAgeFraction   = 0.65
 	// peerCooldown is how long an instance is not read from after a failed read, in milliseconds. topicCooldown replaces it for
 	// a topic that the instance has not read far or recently enough.
 	peerCooldown  clock.Millis = 8000
@@ -79,8 +82,12 @@
 	if !errors.Is(err, errNoPeer) {
 		return s.cacheBatch(topic, b, err)
 	}
-	if _, zone := s.OlderInstances(); zone >= minZoneSize && isTimeCritical(topic) {
-		wait = min(wait, s.drainFraction(storeWaitFraction))
+	if isTimeCritical(topic) {
+		fraction := maxWaitFraction
+		if _, zone := s.OlderInstances(); zone >= minZoneSize {
+			fraction = storeWaitFraction
+		}
+		wait = min(wait, s.drainFraction(fraction))
 	}
 	if topic == archive.TopicListings {
 		if err := s.awaitListingsPause(ctx); err != nil {
--- a/pkg/membership/peer_source_test.go
+++ b/pkg/membership/peer_source_test.go
@@ -19,7 +19,9 @@
 	clock clock.Clock
 	next  int64
 	reads int
-	err   error
+	// wait is that of the last read.
+	wait clock.Millis
+	err  error
 }
 
 func (s *countingStore) Newest(context.Context, archive.TopicName) (archive.Batch[archive.Record], error) {
@@ -27,8 +29,9 @@
 	return archive.Batch[archive.Record]{Whole: true, Next: s.next, AsOf: s.clock.Now()}, nil
 }
 
-func (s *countingStore) Read(_ context.Context, _ archive.TopicName, from int64, _ clock.Millis) (archive.Batch[archive.Record], error) {
+func (s *countingStore) Read(_ context.Context, _ archive.TopicName, from int64, wait clock.Millis) (archive.Batch[archive.Record], error) {
 	s.reads++
+	s.wait = wait
 	if s.err != nil {
 		return archive.Batch[archive.Record]{}, s.err
 	}
@@ -78,6 +81,34 @@
 	return p
 }
 
+// Pattern: the store misses a record that is appended when a read arrives and returns it only to the next read, which has to follow
+// before a leaving upstream may get no more work.
+func TestReadsOfTheStoreEndBeforeALeavingUpstreamMustBeKnown(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		topic archive.TopicName
+		zone  int
+		want  clock.Millis
+	}{
+		{"list in a small zone", archive.TopicListings, 2, 2250},
+		{"operations in a small zone", archive.TopicOperations, 2, 2250},
+		{"list, read for others too", archive.TopicListings, minZoneSize, 750},
+		{"members", archive.TopicMembers, 2, 4000},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPeerPair(t)
+			p.zone = c.zone
+			p.source.OlderInstances = func() ([]string, int) { return nil, c.zone }
+			if _, err := p.source.Read(context.Background(), c.topic, 5, 4000); err != nil {
+				t.Fatal(err)
+			}
+			if p.store.wait != c.want {
+				t.Errorf("the read of the store waits for %d ms, want %d of the 3000 in which a leaving upstream must be known", p.store.wait, c.want)
+			}
+		})
+	}
+}
+
 func TestPeerSourceReadsOlderPeer(t *testing.T) {
 	p := newPeerPair(t)
 	p.cache.Update(archive.TopicOperations, archive.Batch[archive.Record]{Whole: true, Next: 4, AsOf: 9000})
