--- a/pkg/delivery/relay.go
+++ b/pkg/delivery/relay.go
@@ -164,7 +164,8 @@
 	return a.forwardBuffered(resp, head)
 }
 
-// startFirstByteTimer aborts the attempt if its response does not start in time and it may be retried; the returned function stops the timer.
+// startFirstByteTimer aborts the attempt if its response does not start in time and it may be retried; the returned function stops the
+// timer.
 func (a *relayAttempt) startFirstByteTimer() func() {
 	limit := a.call.FirstByteTimeout
 	if limit <= 0 || !a.call.Route.MayRepeat() {
--- a/pkg/dispatch/choose_upstream.go
+++ b/pkg/dispatch/choose_upstream.go
@@ -147,9 +147,9 @@
 	return warm, cold
 }
 
-// Wait predicts how long the prompt of a call waits at the idlest upstream before the model reads it, in milliseconds; it is 0 while
+// ExpectedWait predicts how long the prompt of a call waits at the idlest upstream before the model reads it, in milliseconds; it is 0 while
 // nothing is known of the model.
-func (f *Dispatch) Wait(c *request.Call, model string) clock.Millis {
+func (f *Dispatch) ExpectedWait(c *request.Call, model string) clock.Millis {
 	if c.Pool == nil || c.Request.Prompt == nil {
 		return 0
 	}
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -49,7 +49,7 @@
 	}
 	return in.withMetrics(request.Chain(
 		&desk.ResolveRoute{Snapshot: in.control.Snapshot, Clock: in.Clock, Age: in.control.Age, MaxDenialAge: in.Settings.Bounds.ConfigApply, MaxKeyAge: in.maxKeyAge()},
-		&pricing.ConfidenceCascade{Log: in.Log.WithName("pricing"), LeastSuccess: &in.leastSuccess, Calibration: in.calibration, Wait: d.Wait, Budgets: budgets},
+		&pricing.ConfidenceCascade{Log: in.Log.WithName("pricing"), LeastSuccess: &in.leastSuccess, Calibration: in.calibration, ExpectedWait: d.ExpectedWait, Budgets: budgets},
 		d,
 		in.relay,
 	))
--- a/pkg/pricing/confidence.go
+++ b/pkg/pricing/confidence.go
@@ -21,8 +21,8 @@
 	LeastSuccess *atomic.Int32
 	// Calibration learns what confidences mean.
 	Calibration *Calibration
-	// Wait predicts how long a prompt waits at the idlest upstream before the model reads it, in milliseconds; it may be nil.
-	Wait func(c *request.Call, model string) clock.Millis
+	// ExpectedWait predicts how long a prompt waits at the idlest upstream before the model reads it, in milliseconds; it may be nil.
+	ExpectedWait func(c *request.Call, model string) clock.Millis
 	// Budgets limits the attempts beyond the first.
 	Budgets *dispatch.RetryBudgets
 }
@@ -99,10 +99,10 @@
 // isn't worth that much.
 func (f *ConfidenceCascade) leastSuccess(c *request.Call) float64 {
 	least := float64(f.LeastSuccess.Load()) / 100
-	if f.Wait == nil || c.Route.Target <= 0 {
+	if f.ExpectedWait == nil || c.Route.Target <= 0 {
 		return least
 	}
-	wait := f.Wait(c, c.Route.Sizes[len(c.Route.Sizes)-1])
+	wait := f.ExpectedWait(c, c.Route.Sizes[len(c.Route.Sizes)-1])
 	return least * max(0, 1-float64(wait)/(maxWaitShare*float64(c.Route.Target)))
 }
 
--- a/pkg/pricing/confidence_test.go
+++ b/pkg/pricing/confidence_test.go
@@ -44,7 +44,7 @@
 			leastSuccess.Store(75)
 			f := &ConfidenceCascade{
 				Log: logr.Discard(), LeastSuccess: leastSuccess, Calibration: &Calibration{}, Budgets: &dispatch.RetryBudgets{Share: 1},
-				Wait: func(*request.Call, string) clock.Millis { return c.wait },
+				ExpectedWait: func(*request.Call, string) clock.Millis { return c.wait },
 			}
 			call := &request.Call{
 				Request: &request.Request{ID: "r", Prompt: &request.Prompt{}}, Writer: &headRecorder{}, Pool: &catalogue.Pool{Name: "lm"},
