Don't take an unframed stream without any event for complete

A stream with neither a Content-Length nor chunks ends with its connection. When an upstream closed it after the head, the caller got 200 with an empty body, which counts as an answer and isn't repeated.

Such a stream, unless it was resumed after an event, is now an incomplete answer: it is retried where the route allows that, and refused as MayHaveRun otherwise. Framed streams are as before. Unframed streams that were reset or end within an event were already resumed or cut; tests now say so.

--- a/pkg/delivery/stream.go
+++ b/pkg/delivery/stream.go
@@ -27,6 +27,7 @@
 	eventSeparator  = []byte("\n\n")
 	idField         = []byte("id:")
 	errPartialEvent = errors.New("stream ended in the middle of an event")
+	errNoEvent      = errors.New("stream without framing ended before its first event")
 )
 
 // splitEvents returns the complete events at the start of b, the last event ID among them, and the remaining bytes.
@@ -69,7 +70,7 @@
 			a.resetPauseTimer(pauseTimer)
 		}
 		if errors.Is(err, io.EOF) {
-			return a.finishStream(head, buffer)
+			return a.finishStream(head, buffer, isUnframed(resp))
 		}
 		if err != nil {
 			return a.readError(err)
@@ -126,10 +127,13 @@
 	return nil
 }
 
-func (a *relayAttempt) finishStream(head request.Head, rest []byte) error {
+func (a *relayAttempt) finishStream(head request.Head, rest []byte, unframed bool) error {
 	if len(bytes.TrimSpace(rest)) > 0 {
 		return &incompleteError{cause: errPartialEvent}
 	}
+	if unframed && a.firstByte == 0 && a.call.LastEventID == "" {
+		return &incompleteError{cause: errNoEvent}
+	}
 	if err := a.forwardHead(head); err != nil {
 		return err
 	}
--- /dev/null
+++ b/pkg/delivery/unframed_test.go
@@ -0,0 +1,110 @@
+package delivery
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"testing/iotest"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/request"
+)
+
+// relayedStream is what a caller gets of a stream: its bytes, and whether they look complete.
+type relayedStream struct {
+	Text  string
+	Whole bool
+}
+
+// relayStream relays a stream that is read from body, with a Content-Length unless it is unframed.
+func relayStream(t *testing.T, body io.Reader, unframed bool, lastEventID string) (relayedStream, error) {
+	t.Helper()
+	rec := &recorder{}
+	call := &request.Call{Route: &catalogue.Route{Streaming: true}, Writer: rec, LastEventID: lastEventID}
+	a := &relayAttempt{Relay: &Relay{Clock: clock.NewReal()}, call: call, ctx: context.Background(), stop: func(error) {}}
+	resp := &http.Response{StatusCode: http.StatusOK, ContentLength: 1, Body: io.NopCloser(body)}
+	if unframed {
+		resp.ContentLength = -1
+	}
+	err := a.stream(resp, request.Head{Status: http.StatusOK}, func() {})
+	return relayedStream{rec.text.String(), rec.end != nil}, err
+}
+
+// resetAfter returns a reader that fails as a connection does that is reset after the text.
+func resetAfter(text string) io.Reader {
+	return io.MultiReader(strings.NewReader(text), iotest.ErrReader(syscall.ECONNRESET))
+}
+
+// A stream that ends with its connection must not look complete after a cut.
+func TestP07UnframedStreamIsCompleteOrRefused(t *testing.T) {
+	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	for _, c := range []struct {
+		name        string
+		body        io.Reader
+		framed      bool
+		lastEventID string
+		want        relayedStream
+	}{
+		{name: "complete", body: strings.NewReader(first + second), want: relayedStream{first + second, true}},
+		{name: "one byte at a time", body: iotest.OneByteReader(strings.NewReader(first + second)), want: relayedStream{first + second, true}},
+		{name: "reset between events", body: resetAfter(first), want: relayedStream{first, false}},
+		{name: "reset within an event", body: resetAfter(first + second[:9]), want: relayedStream{first, false}},
+		{name: "reset before the first event", body: resetAfter(""), want: relayedStream{"", false}},
+		{name: "closed within an event", body: strings.NewReader(first + second[:9]), want: relayedStream{first, false}},
+		{name: "closed before the end of the last line", body: strings.NewReader(first + second[:len(second)-1]), want: relayedStream{first, false}},
+		{name: "closed before the first event", body: strings.NewReader(""), want: relayedStream{"", false}},
+		{name: "framed stream without an event", body: strings.NewReader(""), framed: true, want: relayedStream{"", true}},
+		{name: "no event after the last one", body: strings.NewReader(""), lastEventID: "2", want: relayedStream{"", true}},
+		{name: "reset after the last event", body: resetAfter(""), lastEventID: "2", want: relayedStream{"", false}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got, err := relayStream(t, c.body, !c.framed, c.lastEventID)
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("stream (-want +got):\n%s", diff)
+			}
+			if (err == nil) != c.want.Whole {
+				t.Errorf("got error %v, want one only if the stream isn't whole", err)
+			}
+		})
+	}
+}
+
+// FuzzUnframedStream relays arbitrary bytes as a stream that ends with its connection: the caller gets a prefix of them, whole
+// events only, and a stream that was reset or ends within an event never looks complete.
+func FuzzUnframedStream(f *testing.F) {
+	for _, seed := range []string{
+		"", "\n\n", "id: 1\ndata: a\n\n", "id: 1\ndata: a\n\nid: 2\nda", "id: 1\r\ndata: a\r\n\r\n", ": ping\n\n", "\x00\n\n\n", "data: a\n\n ",
+	} {
+		for _, reset := range []bool{false, true} {
+			f.Add([]byte(seed), reset, true)
+			f.Add([]byte(seed), reset, false)
+		}
+	}
+	f.Fuzz(func(t *testing.T, b []byte, reset, slow bool) {
+		var body io.Reader = bytes.NewReader(b)
+		if reset {
+			body = resetAfter(string(b))
+		}
+		if slow {
+			body = iotest.OneByteReader(body)
+		}
+		got, err := relayStream(t, body, true, "")
+		if (err == nil) != got.Whole {
+			t.Fatalf("got error %v for a stream that is whole: %t", err, got.Whole)
+		}
+		if !strings.HasPrefix(string(b), got.Text) || got.Text != "" && !strings.HasSuffix(got.Text, "\n\n") {
+			t.Errorf("got %q, want whole events from the start of %q", got.Text, b)
+		}
+		rest := bytes.TrimSpace(b[len(got.Text):])
+		if want := !reset && len(rest) == 0 && got.Text != ""; got.Whole != want {
+			t.Errorf("stream %q looks complete: %t, want %t", b, got.Whole, want)
+		}
+	})
+}
