Forward service answers without a length or chunks instead of refusing them after they ran

A plain service whose answer has neither a Content-Length nor chunks had run the request, but its caller got a refusal (MayHaveRun, AnswerIncomplete): the answer was lost. The check took an end that can't be told from a cut for a cut.

Such answers are now forwarded as they come. One that is reset is broken off as before; one that is an event stream is so too when it ends within an event or before the first.

Chat completions end with a marker, and their tests are without framing already.

--- a/pkg/delivery/fakes_test.go
+++ b/pkg/delivery/fakes_test.go
@@ -9,9 +9,11 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
@@ -111,6 +113,8 @@
 // upstream is a scripted upstream whose connections are in-memory pipes.
 type upstream struct {
 	play script
+	// reset makes the end of each connection a reset instead of an orderly end.
+	reset bool
 
 	mu       sync.Mutex
 	received []*http.Request
@@ -124,9 +128,23 @@
 	u.mu.Unlock()
 	clientConn, serverConn := net.Pipe()
 	go u.serve(serverConn)
+	if u.reset {
+		return resetConn{clientConn}, nil
+	}
 	return clientConn, nil
 }
 
+// resetConn is a connection whose end is a reset.
+type resetConn struct{ net.Conn }
+
+func (c resetConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
 func (u *upstream) serve(conn net.Conn) {
 	defer conn.Close()
 	r := bufio.NewReader(conn)
--- a/pkg/delivery/service.go
+++ b/pkg/delivery/service.go
@@ -23,8 +23,6 @@
 // privateHeaderPrefix starts the names of headers between callers and the router; plain services do not get them.
 const privateHeaderPrefix = "Carawayknot-"
 
-var errNoFraming = errors.New("response has neither a Content-Length nor chunked encoding, so its end cannot be detected")
-
 // sendService sends a call to a plain service and forwards the response.
 func (a *attempt) sendService() error {
 	req, err := a.serviceRequest()
@@ -89,9 +87,6 @@
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return a.statusError(resp)
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return &incompleteError{cause: errNoFraming}
-	}
 	return nil
 }
 
@@ -100,12 +95,14 @@
 func (a *attempt) forwardBody(resp *http.Response) error {
 	h := request.Head{Status: resp.StatusCode, Header: EndToEndHeaders(resp.Header)}
 	writeErr := a.call.Writer.WriteHead(a.ctx, a.call, h)
+	boundary := newEventBoundary(resp)
 	buf := make([]byte, copyBufferBytes)
 	for {
 		if writeErr != nil && a.call.Request.Repeatable {
 			return &writeError{cause: writeErr}
 		}
 		n, err := resp.Body.Read(buf)
+		boundary.add(buf[:n])
 		if n > 0 {
 			if a.firstToken == 0 {
 				a.firstToken = max(a.Clock.Now()-a.startedAt, 1)
@@ -115,7 +112,10 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			break
+			err = boundary.check()
+			if err == nil {
+				break
+			}
 		}
 		if err != nil {
 			return a.readError(err)
--- a/pkg/delivery/stream.go
+++ b/pkg/delivery/stream.go
@@ -24,10 +24,12 @@
 )
 
 var (
-	eventSeparator  = []byte("\n\n")
-	idField         = []byte("id:")
-	errPartialEvent = errors.New("stream ended in the middle of an event")
-	errNoEvent      = errors.New("stream without framing ended before its first event")
+	eventSeparator = []byte("\n\n")
+	// crlfEventSeparator also separates events; it is the longest separator.
+	crlfEventSeparator = []byte("\r\n\r\n")
+	idField            = []byte("id:")
+	errPartialEvent    = errors.New("stream ended in the middle of an event")
+	errNoEvent         = errors.New("stream without framing ended before its first event")
 )
 
 // splitEvents returns the complete events at the start of b, the last event ID among them, and the remaining bytes.
