--- a/pkg/proctest/relay.go
+++ b/pkg/proctest/relay.go
@@ -66,16 +66,33 @@
 	}
 }
 
-// Refuse closes all open connections and each new one until it is called with false.
+// ResetConnections resets all open connections without refusing new ones.
+func (r *Relay) ResetConnections() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		reset(c)
+	}
+}
+
+// Refuse resets all open connections and closes each new one until it is called with false.
 func (r *Relay) Refuse(on bool) {
 	r.mu.Lock()
 	r.refuseNew = on
 	r.mu.Unlock()
 	if on {
-		r.CloseConnections()
+		r.ResetConnections()
 	}
 }
 
+// reset closes a connection so that its peer sees a reset instead of an orderly end.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 func (r *Relay) close() {
 	_ = r.ln.Close()
 	r.mu.Lock()
@@ -153,14 +170,14 @@
 	}
 }
 
-// closeAfter closes one direction at the end of the stream, and both directions after an error.
+// closeAfter closes one direction at the end of the stream, and resets both after an error.
 func (r *Relay) closeAfter(to, from net.Conn, err error) {
 	tcp, ok := to.(*net.TCPConn)
 	if err == io.EOF && ok {
 		_ = tcp.CloseWrite()
 		return
 	}
-	_ = to.Close()
+	reset(to)
 	_ = from.Close()
 }
 
--- a/pkg/proctest/relay_test.go
+++ b/pkg/proctest/relay_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -75,3 +77,45 @@
 		})
 	}
 }
+
+// A reset must not reach the peer as an orderly end, which ends an unframed response.
+func TestRelayForwardsResets(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(r *Relay, target net.Conn)
+		want error
+	}{
+		{"target closes", func(_ *Relay, target net.Conn) { _ = target.Close() }, io.EOF},
+		{"target resets", func(_ *Relay, target net.Conn) { reset(target) }, syscall.ECONNRESET},
+		{"relay resets", func(r *Relay, _ net.Conn) { r.ResetConnections() }, syscall.ECONNRESET},
+		{"relay refuses", func(r *Relay, _ net.Conn) { r.Refuse(true) }, syscall.ECONNRESET},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			r := NewRelay(t, ln.Addr().String())
+			conn, err := net.Dial("tcp", r.Address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			target, err := ln.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer target.Close()
+			_, _ = io.WriteString(target, "a\n")
+			in := bufio.NewReader(conn)
+			if line, err := in.ReadString('\n'); line != "a\n" {
+				t.Fatalf("got %q and %v, want a line", line, err)
+			}
+			c.end(r, target)
+			if _, err := in.ReadByte(); !errors.Is(err, c.want) {
+				t.Errorf("got %v, want %v", err, c.want)
+			}
+		})
+	}
+}
