Wait for the operators' records no longer than a short revocation time allows

With a revocation time below 3.4 s, an instance refused requests although it read the store without trouble: a read of the operators' topic waits 1.5 s whatever that time is, so that the view gets 3 s old before the next read confirms it, and keys are trusted up to the revocation time less 0.4 s.

Evidence: in a soak without any fault and with 2.5 s, 2,721 of 4,048 requests got 503 StaleView within 10 s.

A read now waits for 0.3 of the revocation time, at most 1.5 s as before; nothing changes for 5 s and more. The scenario 'nothing is refused without a fault' failed before (only StaleView) and serves 1,240 of 1,240 now.

--- a/pkg/gateway/loops.go
+++ b/pkg/gateway/loops.go
@@ -11,10 +11,13 @@
 	"carawayknot.example/carawayknot/pkg/clock"
 )
 
+// operationsWaitFraction is the fraction of the time for which a revoked key may be used that a read of the operators' topic waits
+// for new records, at most maxOperationsWait: even if one read is lost and repeated, the view stays younger than that time.
+const operationsWaitFraction = 0.3
+
 const (
-	// operationsWait is how long a read of the operators' topic waits for new records: even if one read is lost and repeated, the
-	// view stays younger than the 5 s for which a revoked key may be used.
-	operationsWait clock.Millis = 1500
+	// maxOperationsWait bounds how long a read of the operators' topic waits for new records.
+	maxOperationsWait clock.Millis = 1500
 	// listWait is the same for the upstream list; it may be longer because nothing depends on an empty read, while one of the
 	// operators' topic confirms that the view is current.
 	listWait clock.Millis = 4000
@@ -28,7 +31,7 @@
 func (in *Instance) startLoops(ctx context.Context, peer net.Listener) (*errgroup.Group, context.Context) {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
-		return followTopic(ctx, in, archive.TopicOperations, operationsWait, in.Decoders.Operation, in.signalRollout)
+		return followTopic(ctx, in, archive.TopicOperations, operationsWait(in.Settings.Bounds.Revocation), in.Decoders.Operation, in.signalRollout)
 	})
 	g.Go(func() error { return followTopic(ctx, in, archive.TopicListings, listWait, in.Decoders.Listing, nil) })
 	g.Go(func() error { return in.followMembers(ctx) })
@@ -41,6 +44,11 @@
 	return g, ctx
 }
 
+// operationsWait returns how long a read of the operators' topic waits for new records.
+func operationsWait(revocation clock.Millis) clock.Millis {
+	return min(maxOperationsWait, clock.Millis(operationsWaitFraction*float64(revocation)))
+}
+
 // followTopic reads a topic continuously and passes each batch to the control actor, and then to onBatch unless that is nil.
 func followTopic[T any](ctx context.Context, in *Instance, name archive.TopicName, wait clock.Millis,
 	decode func(archive.Record) (T, error), onBatch func(archive.Batch[T])) error {
