standin: unframed answers, pauses and checked names of faults on the command line

All stand-ins take faults now and refuse unknown names by name. Services and engines of the own interface can answer without a length or chunks and fall silent within an answer. A users' upstream that crashes on a part of a prompt refuses connections for 2 s and is slow for 2 s after that.

scripts/try.sh shows one of each, and gives platform/try.sh ports of its own: with BASE_PORT set both used the same ones, and the second part failed.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -15,10 +15,12 @@
 	usersstandin "carawayknot.example/carawayknot/platform/standin"
 )
 
-// Events of one stream of a users' upstream and the interval between them.
+// Events of one stream of a users' upstream and the interval between them, and how long it is down and slow after a crash.
 const (
 	streamEvents  = 6
 	eventInterval = 20 * time.Millisecond
+	downTime      = 2 * time.Second
+	coldTime      = 2 * time.Second
 )
 
 // handlerStandIn is a stand-in that serves all requests with one handler.
@@ -40,20 +42,47 @@
 	replica := app.Command("users-upstream", "Simulates an upstream of the users' platform.")
 	id := replica.Arg("id", "Name of the upstream.").Required().String()
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
-	var s standin.StandIn
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	var err error
 	switch name {
 	case store.FullCommand():
-		var h *usersstandin.Store
-		h, err = usersstandin.LoadStore(*records)
-		s = handlerStandIn{h}
+		err = serveStore(ctx, *listen, *faults, *records)
 	case replica.FullCommand():
-		s = handlerStandIn{&usersstandin.Replica{ID: *id, Events: streamEvents, EventInterval: eventInterval}}
+		err = serveReplica(ctx, *listen, *faults, *id)
 	default:
-		s, err = standin.New(name, *faults, *ratingsURL)
+		err = serve(ctx, *listen, name, *faults, *ratingsURL)
 	}
 	app.FatalIfError(err, "")
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	app.FatalIfError(standin.Serve(ctx, *listen, s, os.Stdout), "")
+}
+
+func serve(ctx context.Context, listen, name, faults, ratingsURL string) error {
+	s, err := standin.New(name, faults, ratingsURL)
+	if err != nil {
+		return err
+	}
+	return standin.Serve(ctx, listen, s, os.Stdout)
+}
+
+func serveStore(ctx context.Context, listen, faults string, records []string) error {
+	f, err := usersstandin.ParseStoreFaults(faults)
+	if err != nil {
+		return err
+	}
+	s, err := usersstandin.LoadStore(records)
+	if err != nil {
+		return err
+	}
+	s.SetFaults(f)
+	return standin.Serve(ctx, listen, handlerStandIn{s}, os.Stdout)
+}
+
+func serveReplica(ctx context.Context, listen, faults, id string) error {
+	f, err := usersstandin.ParseReplicaFaults(faults)
+	if err != nil {
+		return err
+	}
+	rep := &usersstandin.Replica{ID: id, Events: streamEvents, EventInterval: eventInterval, DownTime: downTime, ColdTime: coldTime}
+	rep.SetFaults(f)
+	return usersstandin.Serve(ctx, rep, listen, os.Stdout)
 }
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -36,6 +36,11 @@
 	Bad []catalogue.VersionID
 	// CutAfter closes the connection after that many tokens; 0 means never.
 	CutAfter int
+	// Unframed sends answers without chunks, which end with their connection; CutAfter then resets it.
+	Unframed bool
+	// PauseMillis is a silence in an answer before the token PauseAfter.
+	PauseMillis clock.Millis
+	PauseAfter  int
 	// SkipDone omits the [DONE] event at the end of an answer, after which the response ends normally.
 	SkipDone bool
 	// Crossed answers with the ID and the tokens of another request.
--- a/pkg/standin/faults.go
+++ b/pkg/standin/faults.go
@@ -1,10 +1,14 @@
 package standin
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 
+	"github.com/cockroachdb/errors"
+
 	"carawayknot.example/carawayknot/pkg/clock"
 )
 
@@ -88,7 +92,7 @@
 	writeJSON(w, http.StatusOK, i.Get())
 }
 
-// Apply sets the fields that the JSON object raw has and keeps the others.
+// Apply sets the fields that the JSON object raw has and keeps the others; an unknown field is an error.
 func (i *FaultInjector[F, P]) Apply(raw []byte) error {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -101,13 +105,26 @@
 	if err := json.Unmarshal(old, &next); err != nil {
 		return err
 	}
-	if err := json.Unmarshal(raw, &next); err != nil {
+	if err := decodeStrictly(raw, &next); err != nil {
 		return err
 	}
 	i.set(func(current *F) { *current = next })
 	return nil
 }
 
+// decodeStrictly decodes a JSON object whose fields must all be known.
+func decodeStrictly(raw []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return errors.Wrap(err, "faults")
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("faults: more than one JSON value")
+	}
+	return nil
+}
+
 // requestIDHeader is echoed by upstreams, also in error responses.
 const requestIDHeader = "X-Request-Id"
 
--- a/pkg/standin/job.go
+++ b/pkg/standin/job.go
@@ -191,6 +191,9 @@
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, rc *http.ResponseController, j *job, f *EngineFaults) {
 	defer e.detach(j, false)
 	w.Header().Set("Content-Type", "text/event-stream")
+	if f.Unframed {
+		w.Header().Set("Transfer-Encoding", unframed)
+	}
 	w.WriteHeader(http.StatusOK)
 	_ = rc.Flush()
 	for i := j.sent; ; {
@@ -201,7 +204,10 @@
 		for ; i < ready; i++ {
 			if f.CutAfter > 0 && i >= f.CutAfter {
 				_ = rc.Flush()
-				panic(http.ErrAbortHandler)
+				abort(w, f.Unframed)
+			}
+			if f.PauseMillis > 0 && i == f.PauseAfter && (rc.Flush() != nil || sleep(r, f.PauseMillis) != nil) {
+				return
 			}
 			if e.writeToken(w, j, f, i) != nil {
 				return
--- a/pkg/standin/service.go
+++ b/pkg/standin/service.go
@@ -44,6 +44,10 @@
 	AnswerBytes int
 	// WrongID makes responses echo another request ID.
 	WrongID bool
+	// Unframed sends responses without a Content-Length or chunks; Break then resets the connection in the response.
+	Unframed bool
+	// PauseMillis is a silence in the middle of each response body.
+	PauseMillis clock.Millis
 	// Bearable is the number of concurrent requests that load reports claim; it is not enforced.
 	Bearable int
 }
@@ -183,14 +187,25 @@
 	for len(body) < f.AnswerBytes {
 		body = append(body, '.')
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if f.Unframed {
+		w.Header().Set("Transfer-Encoding", unframed)
+	} else {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	w.WriteHeader(status)
-	if s.consumeBreak(BreakInAnswer) {
-		_, _ = w.Write(body[:len(body)/2])
+	half := len(body) / 2
+	broken := s.consumeBreak(BreakInAnswer)
+	if broken || f.PauseMillis > 0 {
+		_, _ = w.Write(body[:half])
 		_ = http.NewResponseController(w).Flush()
-		panic(http.ErrAbortHandler)
+		body = body[half:]
+	}
+	if broken {
+		abort(w, f.Unframed)
+	}
+	if sleep(r, f.PauseMillis) == nil {
+		_, _ = w.Write(body)
 	}
-	_, _ = w.Write(body)
 }
 
 // Listener wraps ln so that connections are closed before a request is read if Break is BreakBeforeRead.
@@ -215,6 +230,14 @@
 	service *Service
 }
 
+// SetLinger implements lingerer.
+func (c *breakingConn) SetLinger(seconds int) error {
+	if l, ok := c.Conn.(lingerer); ok {
+		return l.SetLinger(seconds)
+	}
+	return nil
+}
+
 // Read discards the bytes of a request and closes the connection if Break is BreakBeforeRead.
 func (c *breakingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/scripts/try.sh
+++ b/scripts/try.sh
@@ -33,6 +33,14 @@
 	exec 3>&-
 }
 
+# faults NAME JSON sets faults of a stand-in.
+faults() {
+	exec 3<>"/dev/tcp/127.0.0.1/$(port "$1")"
+	printf 'PUT /faults HTTP/1.1\r\nHost: standin\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s' "${#2}" "$2" >&3
+	grep -q '^HTTP/1.1 20' <&3 || fail "faults of $1: no success status"
+	exec 3>&-
+}
+
 # wait_for_port PORT waits up to 5 s until a process listens on the port.
 wait_for_port() {
 	local i
@@ -140,8 +148,17 @@
 echo "runs at the booking service: ${runs:-none}"
 [ "$runs" = "\"$key\":1" ] || fail "runs of the booking: got ${runs:-none}, want \"$key\":1"
 
+echo "== chat and booking whose answers end with their connection, each with a silence of 1.2 s in the middle"
+faults engine-a '{"Unframed": true, "PauseMillis": 1200, "PauseAfter": 4}'
+faults engine-b '{"Unframed": true, "PauseMillis": 1200, "PauseAfter": 4}'
+faults booking-c '{"Unframed": true, "PauseMillis": 1200}'
+request 1 --profile reply --request-id chat-2 "Karibu! Two guests at seven?"
+expect 'outcome Ran' "unframed chat"
+request 1 --service booking --path /tables --request-key "$(date +%s%3N)-table-8" --request-id booking-3 '{"Table": 8}'
+expect 'outcome Ran' "unframed booking"
+
 echo "== bills"
-for id in chat-1 dossier-1 booking-1; do
+for id in chat-1 dossier-1 booking-1 chat-2 booking-3; do
 	for i in $(seq 20); do
 		tool bill "$id" >"$dir/out" 2>"$dir/err" && break
 		sleep 0.1
@@ -166,4 +183,5 @@
 	wait
 fi
 conclude
-bash platform/try.sh
+# The processes above run until the end of this script, so that the next ones need other ports.
+BASE_PORT=$((base + 200)) bash platform/try.sh
