--- a/pkg/delivery/relay.go
+++ b/pkg/delivery/relay.go
@@ -153,6 +153,7 @@
 		return err
 	}
 	a.load = head.Load
+	a.call.Unframed = isUnframed(resp)
 	if head.Status >= http.StatusInternalServerError {
 		stopTimer()
 		return a.readFailure(resp, head)
--- a/pkg/delivery/unframed_test.go
+++ b/pkg/delivery/unframed_test.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"syscall"
 	"testing"
 	"testing/iotest"
 
+	"github.com/go-logr/logr"
 	"github.com/google/go-cmp/cmp"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
@@ -76,6 +79,45 @@
 	}
 }
 
+// The log couldn't tell an answer that ends with its connection from others.
+func TestRelayRecordsFraming(t *testing.T) {
+	for _, c := range []struct {
+		name, encoding string
+		want           bool
+	}{
+		{"with a Content-Length", "", false},
+		{"chunked", "chunked", false},
+		{"unframed", "identity", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if c.encoding != "" {
+					w.Header().Set("Transfer-Encoding", c.encoding)
+				}
+				_, _ = io.WriteString(w, "booked")
+			}))
+			defer server.Close()
+			f := &Relay{
+				Clock: clock.NewReal(), Log: logr.Discard(), Wire: plainWire{}, Dial: (&net.Dialer{}).DialContext,
+				Permit: func(*request.Call) error { return nil },
+			}
+			f.Open()
+			defer f.Close()
+			rec := &recorder{}
+			call := &request.Call{
+				Request:  &request.Request{ID: "r", Deadline: f.Clock.Now() + 20*clock.Second},
+				Route:    &catalogue.Route{},
+				Upstream: &catalogue.Upstream{Name: "u", Address: strings.TrimPrefix(server.URL, "http://")},
+				Writer:   rec,
+			}
+			err := f.Filter(context.Background(), call, nil)
+			if err != nil || rec.text.String() != "booked" || call.Unframed != c.want {
+				t.Errorf("got %q and error %v, unframed %t, want %t", rec.text.String(), err, call.Unframed, c.want)
+			}
+		})
+	}
+}
+
 // FuzzUnframedStream relays arbitrary bytes as a stream that ends with its connection: the caller gets a prefix of them, whole
 // events only, and a stream that was reset or ends within an event never looks complete.
 func FuzzUnframedStream(f *testing.F) {
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -120,6 +120,8 @@
 	Priority int
 	// LastEventID is the ID of the last event that was forwarded to the caller.
 	LastEventID string
+	// Unframed is true if only the end of its connection ends the last response of an upstream.
+	Unframed bool
 	// TableVersion is the version of the routing table that the route comes from.
 	TableVersion int64
 	// Runs counts the attempts that an upstream may have executed.
