Don't give up an answer that was begun or aborted while upstreams decline

Callers saw: a stream cut in the middle, or an answer refused, though its upstream was sound and only silent for less than two seconds (LOST).

Cause: an attempt that pauses is aborted once a retry is reserved, but what is reserved is budget and time, not an upstream. If the others are full, three declines end the call: the answer that was given up would have come. The class: an answer in hand is released before its replacement is secured.

Change: a call whose answer has begun, or whose attempt was aborted for its silence, goes on in rounds with growing pauses, each paid from the retry budget, until too little time is left. Calls that nobody has taken are refused at once as before. Excluded: holding refusals back.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -48,10 +48,15 @@
 func (f *Dispatch) Filter(ctx context.Context, c *request.Call, next request.Handler) error {
 	c.Excluded = nil
 	declines, runsBefore := 0, c.Runs
+	var persist persistence
 	for {
 		u, refusal := f.choose(c)
 		if refusal != nil {
-			return refusal
+			if !persist.required || !f.awaitUpstream(ctx, c, &persist, refusal) {
+				return refusal
+			}
+			c.Excluded = nil
+			continue
 		}
 		c.Upstream = u
 		if c.Attempts == 0 {
@@ -74,7 +79,12 @@
 			declines++
 		}
 		c.Excluded = append(c.Excluded, u.Name)
+		persist.update(c, retry)
 		if noRetry := f.noRetryReason(ctx, c, r, declines, retry); noRetry != "" {
+			if persist.mayOvercome(noRetry) && f.awaitUpstream(ctx, c, &persist, r) {
+				c.Excluded, declines = nil, 0
+				continue
+			}
 			f.logGiveUp(c, u, r, noRetry, c.Runs-runsBefore)
 			return f.finalError(ctx, c, r)
 		}
@@ -83,6 +93,12 @@
 	}
 }
 
+// Reasons not to retry that pass with time.
+const (
+	stopDeclined        = "declined by too many upstreams"
+	stopBudgetExhausted = "retry budget exhausted"
+)
+
 // noRetryReason returns why the call may not be retried, or "" if it may; it then takes one retry from the budget.
 func (f *Dispatch) noRetryReason(ctx context.Context, c *request.Call, r *request.Refusal, declines int, retry *reservedRetry) string {
 	switch r.Reason {
@@ -94,7 +110,7 @@
 	case ctx.Err() != nil:
 		return "caller disconnected"
 	case r.Outcome == request.NotRun && declines >= maxDeclines:
-		return "declined by too many upstreams"
+		return stopDeclined
 	case r.Outcome != request.NotRun && !c.Route.MayRepeat():
 		return "request is not repeatable"
 	case r.Outcome != request.NotRun && c.Runs >= c.Route.MaxAttempts:
@@ -104,7 +120,7 @@
 	case f.tooLate(c.Request.Deadline, c.Route):
 		return "too little time before the deadline"
 	case !retry.take() && !f.Budgets.TryWithdraw(c.Upstream.Service):
-		return "retry budget exhausted"
+		return stopBudgetExhausted
 	}
 	return ""
 }
--- a/pkg/gateway/silence_test.go
+++ b/pkg/gateway/silence_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,7 +49,7 @@
 	// silentAfter is the number of events after which the upstream is silent for silence, once; 0 means before the head.
 	silentAfter int
 	silence     time.Duration
-	runs        int
+	silenced    atomic.Bool
 }
 
 const scriptedEvents = 5
@@ -65,7 +66,6 @@
 		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 		return
 	}
-	u.runs++
 	after := 0
 	_, _ = fmt.Sscan(req.Header.Get("After"), &after)
 	if u.silentAfter == 0 {
@@ -86,9 +86,9 @@
 
 // fallSilent sleeps for the silence the first time.
 func (u *scriptedUpstream) fallSilent() {
-	silence := u.silence
-	u.silence = 0
-	time.Sleep(silence)
+	if !u.silenced.Swap(true) {
+		time.Sleep(u.silence)
+	}
 }
 
 // bodyWriter is a request.Writer that records the body and its end.
