Leave a stream at a silent upstream for half of its callers' patience

Callers saw: a stream moved to another upstream, with all of its prompt read again, because a sound upstream was silent for 1.7 s.

Cause: 1.7 s were meant for callers that leave after 2 s; they leave after four times the target latency or eight times the target gap if that is longer, 8 s on the present installations. The class: silence taken for failure.

Evidence: TestSilentStreamStaysAtItsUpstream failed before this change in its first scenario, two runs instead of one.

Change: the limit is half of Route.Patience, never less than 1.7 s.

--- a/pkg/catalogue/route.go
+++ b/pkg/catalogue/route.go
@@ -42,6 +42,20 @@
 // MayRepeat reports whether a request may be retried even though it may have run already.
 func (r *Route) MayRepeat() bool { return r.Repeatable || r.Resumable }
 
+// MinPatience is how long callers wait for the next event of any stream, in milliseconds.
+const MinPatience = 2 * clock.Second
+
+// Callers wait at least for these multiples of the target latency and of the target gap.
+const (
+	patiencePerTarget    = 4
+	patiencePerGapTarget = 8
+)
+
+// Patience returns how long callers wait for the next event of a stream before they abandon it, in milliseconds.
+func (r *Route) Patience() clock.Millis {
+	return max(MinPatience, patiencePerTarget*r.Target, patiencePerGapTarget*r.GapTarget)
+}
+
 // Split is the relative weight with which a service gets requests of a route.
 type Split struct {
 	Service string
--- a/pkg/delivery/stream.go
+++ b/pkg/delivery/stream.go
@@ -9,14 +9,18 @@
 
 	"github.com/cockroachdb/errors"
 
+	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/request"
 )
 
 const (
-	// maxStreamPause is the pause after which a resumable stream is aborted so that it can be resumed at another upstream, in
-	// milliseconds: callers accept pauses of 1 s and abandon a stream after 2 s at the earliest.
-	maxStreamPause clock.Millis = 1700
+	// minPauseLimit is the shortest pause after which a resumable stream is aborted so that it can be resumed at another upstream, in
+	// milliseconds; no caller abandons a stream before catalogue.MinPatience.
+	minPauseLimit clock.Millis = catalogue.MinPatience - 300
+	// pauseLimitShare is the fraction of the callers' patience after which that happens if it is longer. A sound upstream may be silent
+	// for a second or two, and the rest of their patience is enough for another one to go on.
+	pauseLimitShare = 0.5
 	// minGaps is the number of pauses needed to estimate the pace of a stream; at most maxGaps are recorded.
 	minGaps, maxGaps = 3, 64
 	// streamBufferBytes is the initial size of the read buffer of a stream.
@@ -152,6 +156,11 @@
 
 func (a *relayAttempt) resetPauseTimer(t *time.Timer) {
 	if a.call.Route.Resumable {
-		t.Reset(maxStreamPause.Duration())
+		t.Reset(pauseLimit(a.call.Route).Duration())
 	}
 }
+
+// pauseLimit returns the pause after which a stream of the route is aborted, in milliseconds.
+func pauseLimit(route *catalogue.Route) clock.Millis {
+	return max(minPauseLimit, clock.Millis(pauseLimitShare*float64(route.Patience())))
+}
--- a/pkg/gateway/silence_test.go
+++ b/pkg/gateway/silence_test.go
@@ -186,3 +186,31 @@
 	call := &request.Call{Request: &request.Request{ID: "r", Deadline: clk.Now() + 12_000}, Route: &route, Writer: w}
 	return request.Chain(d, relay), call, w
 }
+
+// A stream was taken from a sound upstream that was silent for less time than the callers wait.
+func TestSilentStreamStaysAtItsUpstream(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		route   catalogue.Route
+		silence time.Duration
+		runs    int
+	}{
+		{"shorter than half of the callers' patience", catalogue.Route{Target: 2000, GapTarget: 1000}, 3900 * time.Millisecond, 1},
+		{"longer than half of it", catalogue.Route{Target: 2000, GapTarget: 1000}, 4100 * time.Millisecond, 2},
+		{"patience of the shortest pauses", catalogue.Route{Target: 300, GapTarget: 100}, 1600 * time.Millisecond, 1},
+		{"about to be abandoned", catalogue.Route{Target: 300, GapTarget: 100}, 1800 * time.Millisecond, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c.route.Streaming, c.route.Resumable, c.route.MaxAttempts = true, true, 3
+				scripts := map[string]*scriptedUpstream{"u1:1": {silentAfter: 3, silence: c.silence}, "u2:1": {}, "u3:1": {}, "u4:1": {}}
+				chain, call, w := silenceChain(c.route, scripts)
+				err := chain.Handle(t.Context(), call)
+				time.Sleep(c.silence)
+				if err != nil || !w.end || call.Runs != c.runs {
+					t.Errorf("ended %t with error %v after %d runs, want the whole answer after %d", w.end, err, call.Runs, c.runs)
+				}
+			})
+		})
+	}
+}
