Replace a dropped answer when no upstream takes the larger model

Callers saw a refusal although their answer had been made: it was dropped for a larger model's, for which no upstream had room, and the way back to the smallest model was declined as well.

Cause: the same class as the streams given up for a retry: an answer is dropped before its replacement is secured. The way back was tried once.

Change: the way back goes on in rounds with pauses until too little time is left, as for answers that have begun.

--- a/pkg/dispatch/persistence.go
+++ b/pkg/dispatch/persistence.go
@@ -14,8 +14,8 @@
 	maxUpstreamPause   clock.Millis = 800
 )
 
-// persistence is the state of a call that is not given up while upstreams decline it: its answer has begun, or an attempt was aborted
-// that its upstream might still have answered.
+// persistence is the state of a call that is not given up while upstreams decline it: its answer has begun or was dropped, or an attempt
+// was aborted that its upstream might still have answered.
 type persistence struct {
 	required bool
 	pause    clock.Millis
--- a/pkg/gateway/filters_test.go
+++ b/pkg/gateway/filters_test.go
@@ -23,7 +23,7 @@
 func TestRefusalCountsAllAttempts(t *testing.T) {
 	cut := func(conn net.Conn) { conn.Close() }
 	decline := func(conn net.Conn) {
-		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.WriteString(conn, declinedResponse)
 		conn.Close()
 	}
 	for _, c := range []struct {
--- a/pkg/gateway/silence_test.go
+++ b/pkg/gateway/silence_test.go
@@ -32,6 +32,7 @@
 		panic(err)
 	}
 	req.Header.Set("After", c.LastEventID)
+	req.Header.Set("Model", c.Model)
 	return req
 }
 
@@ -39,11 +40,19 @@
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		return request.Head{}, &delivery.DeclinedError{Status: resp.StatusCode}
 	}
-	return request.Head{Status: resp.StatusCode, Header: resp.Header}, nil
+	confidence := -1
+	_, _ = fmt.Sscan(resp.Header.Get("Sure"), &confidence)
+	return request.Head{Status: resp.StatusCode, Header: resp.Header, Confidence: confidence}, nil
 }
 
 // scriptedUpstream answers with five events or declines.
 type scriptedUpstream struct {
+	// declinesAfter is the number of runs after which requests are declined for busyFor; 0 means never.
+	declinesAfter int32
+	busyFor       time.Duration
+	// busySince is the time of the last run, in nanoseconds.
+	busySince atomic.Int64
+	runs      atomic.Int32
 	// declinesUntil is the time, since the start, up to which requests are declined.
 	declinesUntil time.Duration
 	// silentAfter is the number of events after which the upstream is silent for silence, once; 0 means before the head.
@@ -54,6 +63,8 @@
 
 const scriptedEvents = 5
 
+const declinedResponse = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+
 func scriptedEvent(i int) string { return fmt.Sprintf("id: %d\ndata: piece-%d\n\n", i, i) }
 
 func (u *scriptedUpstream) serve(conn net.Conn, start time.Time) {
@@ -63,15 +74,25 @@
 		return
 	}
 	if time.Since(start) < u.declinesUntil {
-		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.WriteString(conn, declinedResponse)
+		return
+	}
+	if u.declinesAfter > 0 && u.runs.Load() >= u.declinesAfter && time.Now().UnixNano()-u.busySince.Load() < int64(u.busyFor) {
+		_, _ = io.WriteString(conn, declinedResponse)
 		return
 	}
+	u.runs.Add(1)
+	u.busySince.Store(time.Now().UnixNano())
 	after := 0
 	_, _ = fmt.Sscan(req.Header.Get("After"), &after)
 	if u.silentAfter == 0 {
 		u.fallSilent()
 	}
-	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+	sure := 90
+	if req.Header.Get("Model") == "small" {
+		sure = 0
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nSure: %d\r\n\r\n", sure)
 	for i := after + 1; i <= scriptedEvents; i++ {
 		event := scriptedEvent(i)
 		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
--- a/pkg/pricing/confidence.go
+++ b/pkg/pricing/confidence.go
@@ -61,7 +61,7 @@
 			return err
 		}
 		// An answer of low confidence is better than none.
-		c.Model, c.Writer = sizes[0], out
+		c.Model, c.Writer, c.AnswerDropped = sizes[0], out, true
 		return next.Handle(ctx, c)
 	}
 }
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -126,6 +126,9 @@
 	Runs int
 	// OnFirstEvent, if set, is called when the first part of a streamed response arrives.
 	OnFirstEvent func()
+	// AnswerDropped is true once an answer was dropped for that of a larger model which no upstream has taken; the call then isn't
+	// refused for want of a free upstream.
+	AnswerDropped bool
 	// HeadWritten is true once the response head was written to the caller.
 	HeadWritten bool
 	// TokensAhead is the work that was pending at the upstream when the current attempt was sent, in prompt tokens of the call's model.
