Bind the timers of an attempt to its own reserved retry

Cause: a pause or first-byte timer that fires while its attempt ends reads Call.ReserveRetry, which the next attempt sets: a data race, and a retry reserved for the wrong attempt, which then counts as aborted. The class: a callback that reads mutable state of its owner's successor.

Change: each attempt takes the function when it starts.

--- a/pkg/delivery/relay.go
+++ b/pkg/delivery/relay.go
@@ -98,6 +98,9 @@
 	startedAt clock.Millis
 	firstByte clock.Millis
 	load      *request.LoadReport
+	// mayAbort reserves a retry and reports whether the attempt may be aborted for it. The timers of an attempt may fire when the call is
+	// already at the next one, so that they must not read the call.
+	mayAbort func() bool
 	// gaps are the pauses between reads of events of a stream.
 	gaps        []clock.Millis
 	lastEventAt clock.Millis
@@ -115,7 +118,7 @@
 		// A non-repeatable call runs to completion even if the caller leaves, so that its outcome is known.
 		ctx = context.WithoutCancel(ctx)
 	}
-	a := &relayAttempt{Relay: r, call: c, startedAt: now, ex: &exchange{permit: func() error { return r.Permit(c) }}}
+	a := &relayAttempt{Relay: r, call: c, startedAt: now, mayAbort: c.MayAbort(), ex: &exchange{permit: func() error { return r.Permit(c) }}}
 	a.ctx, a.stop = context.WithCancelCause(ctx)
 	defer a.stop(context.Canceled)
 	timer := time.AfterFunc(timeLeft.Duration(), func() { a.stop(errRequestTimeout) })
@@ -172,7 +175,7 @@
 		return func() {}
 	}
 	t := time.AfterFunc(limit.Duration(), func() {
-		if a.call.MayAbort() {
+		if a.mayAbort() {
 			a.stop(errFirstByteTimeout)
 		}
 	})
--- a/pkg/delivery/stream.go
+++ b/pkg/delivery/stream.go
@@ -146,7 +146,7 @@
 // newPauseTimer returns a stopped timer that aborts the attempt if the stream pauses for too long after an event and may be retried.
 func (a *relayAttempt) newPauseTimer() *time.Timer {
 	t := time.AfterFunc(time.Hour, func() {
-		if a.call.MayAbort() {
+		if a.mayAbort() {
 			a.stop(errStreamPaused)
 		}
 	})
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -157,10 +157,10 @@
 			err := r.Filter(context.Background(), call, request.HandlerFunc(func(_ context.Context, call *request.Call) error {
 				attempts++
 				r.clock.Advance(c.elapsed)
-				if attempts > 1 || !call.MayAbort() {
+				if attempts > 1 || !call.MayAbort()() {
 					return nil
 				}
-				aborted = call.MayAbort()
+				aborted = call.MayAbort()()
 				call.Runs++
 				return newRefusal(request.MayHaveRun, request.ReasonAnswerIncomplete)
 			}))
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -140,8 +140,14 @@
 	ReserveRetry func() bool
 }
 
-// MayAbort reports whether the current attempt may be aborted so that another upstream can take over; it then has a retry reserved.
-func (c *Call) MayAbort() bool { return c.ReserveRetry == nil || c.ReserveRetry() }
+// MayAbort returns a function that reports whether the current attempt may be aborted so that another upstream can take over, which then
+// has a retry reserved; the function may be called on any goroutine.
+func (c *Call) MayAbort() func() bool {
+	if c.ReserveRetry == nil {
+		return func() bool { return true }
+	}
+	return c.ReserveRetry
+}
 
 // UpstreamRequestID returns the ID that the upstream got for the latest attempt: AttemptID, or else the request ID.
 func (c *Call) UpstreamRequestID() string {
