Bound the rounds of a call that is not given up

Callers would see: a stream cut up to 1.9 s before its deadline although an upstream was free again; a request that no upstream ever got held to its deadline instead of refused at once; retries of other requests refused, since one stream used up their budget.

Causes: a pause that didn't fit before the deadline ended the call; an attempt that was aborted while it was still connecting counted as given up; each round sent up to three times, and paid also where there was no upstream to send to.

Change: the last pause is shortened to what is left; only an attempt that may have run makes a call persist; a round is one attempt, and a retry that was paid or reserved is kept for the next one.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -52,7 +52,7 @@
 	for {
 		u, refusal := f.choose(c)
 		if refusal != nil {
-			if !persist.required || !f.awaitUpstream(ctx, c, &persist, refusal) {
+			if !persist.required || !f.awaitUpstream(ctx, c, &persist, refusal, true) {
 				return refusal
 			}
 			c.Excluded = nil
@@ -79,10 +79,11 @@
 			declines++
 		}
 		c.Excluded = append(c.Excluded, u.Name)
-		persist.update(c, retry)
+		persist.update(c, r, retry)
 		if noRetry := f.noRetryReason(ctx, c, r, declines, retry); noRetry != "" {
-			if persist.mayOvercome(noRetry) && f.awaitUpstream(ctx, c, &persist, r) {
-				c.Excluded, declines = nil, 0
+			if persist.mayOvercome(noRetry) && f.awaitUpstream(ctx, c, &persist, r, retry.take()) {
+				// One upstream declines for all in the rounds after the first, which leaves retries for other calls.
+				c.Excluded, declines = nil, maxDeclines-1
 				continue
 			}
 			f.logGiveUp(c, u, r, noRetry, c.Runs-runsBefore)
@@ -117,7 +118,7 @@
 		return "attempt limit reached"
 	case c.HeadWritten && !c.Route.Resumable:
 		return "answer has begun and is not resumable"
-	case f.tooLate(c.Request.Deadline, c.Route):
+	case !retry.reserved.Load() && f.tooLate(c.Request.Deadline, c.Route):
 		return "too little time before the deadline"
 	case !retry.take() && !f.Budgets.TryWithdraw(c.Upstream.Service):
 		return stopBudgetExhausted
--- a/pkg/dispatch/persistence.go
+++ b/pkg/dispatch/persistence.go
@@ -22,8 +22,8 @@
 }
 
 // update notes whether the call must not be given up after an attempt that failed; retry is the one reserved for that attempt.
-func (p *persistence) update(c *request.Call, retry *reservedRetry) {
-	p.required = p.required || c.HeadWritten || retry.reserved.Load()
+func (p *persistence) update(c *request.Call, r *request.Refusal, retry *reservedRetry) {
+	p.required = p.required || c.HeadWritten || r.Outcome != request.NotRun && retry.reserved.Load()
 }
 
 // mayOvercome reports whether the reason against a retry may pass while the call waits.
@@ -31,16 +31,16 @@
 	return p.required && (stopReason == stopDeclined || stopReason == stopBudgetExhausted)
 }
 
-// awaitUpstream waits until the call may be tried again, and then has taken one retry from the budget; it returns false when the caller
-// has left or too little time remains.
-func (f *Dispatch) awaitUpstream(ctx context.Context, c *request.Call, p *persistence, r *request.Refusal) bool {
+// awaitUpstream waits until the call may be tried again, and then has taken one retry from the budget unless that was paid before; it
+// returns false when the caller has left or too little time remains.
+func (f *Dispatch) awaitUpstream(ctx context.Context, c *request.Call, p *persistence, r *request.Refusal, paid bool) bool {
 	for {
 		p.pause = min(max(firstUpstreamPause, 2*p.pause), maxUpstreamPause)
-		pause := jitter(c.Request.ID, p.pause)
-		if f.tooLate(c.Request.Deadline-pause, c.Route) || clock.Sleep(ctx, f.Clock, pause) != nil {
+		pause := min(jitter(c.Request.ID, p.pause), f.timeToRetry(c.Request.Deadline, c.Route))
+		if pause <= 0 || clock.Sleep(ctx, f.Clock, pause) != nil {
 			return false
 		}
-		if f.Budgets.TryWithdraw(c.Pool.Name) {
+		if paid || f.Budgets.TryWithdraw(c.Pool.Name) {
 			f.Log.Info("trying a request again after a pause", "request", c.Request.ID, "route", c.Route.Name, "pauseMs", pause,
 				"reason", r.Reason, "outcome", r.Outcome, "error", r.Error(), "after", c.LastEventID, "runs", c.Runs)
 			return true
--- a/pkg/dispatch/reserved_retry.go
+++ b/pkg/dispatch/reserved_retry.go
@@ -36,7 +36,12 @@
 
 // tooLate reports whether too little time is left before the deadline for another attempt.
 func (f *Dispatch) tooLate(deadline clock.Millis, route *catalogue.Route) bool {
-	return deadline-f.Clock.Now() < clock.Millis(minTimeLeftShare*float64(route.Target))
+	return f.timeToRetry(deadline, route) < 0
+}
+
+// timeToRetry returns the time in which another attempt may still begin before the deadline, in milliseconds.
+func (f *Dispatch) timeToRetry(deadline clock.Millis, route *catalogue.Route) clock.Millis {
+	return deadline - f.Clock.Now() - clock.Millis(minTimeLeftShare*float64(route.Target))
 }
 
 // hasAlternative reports whether an upstream other than the given one is warm and hasn't failed lately. An instance that is shutting down
--- a/pkg/gateway/chain_test.go
+++ b/pkg/gateway/chain_test.go
@@ -118,10 +118,7 @@
 		}
 	}
 	x.snapshot.Store(s)
-	x.budgets = &dispatch.RetryBudgets{Share: x.share}
-	for range x.deposits {
-		x.budgets.Deposit("lm", clk.Now())
-	}
+	x.budgets = newBudget(x.share, x.deposits, clk.Now())
 	outliers := &dispatch.OutlierDetector{}
 	for _, name := range x.avoided {
 		outliers.RecordFailure(name, clk.Now())
@@ -149,9 +146,23 @@
 	}
 }
 
+// newBudget returns a budget after the given number of requests.
+func newBudget(share float64, deposits int, now clock.Millis) *dispatch.RetryBudgets {
+	b := &dispatch.RetryBudgets{Share: share}
+	for range deposits {
+		b.Deposit("lm", now)
+	}
+	return b
+}
+
 // handle builds the chain, runs the call and returns its error and how long it took; goroutines of scripts end within settle.
 func (x *scriptedChain) handle(ctx context.Context, settle time.Duration) (time.Duration, error) {
 	x.build()
+	return x.run(ctx, settle)
+}
+
+// run runs the call of a chain that is built.
+func (x *scriptedChain) run(ctx context.Context, settle time.Duration) (time.Duration, error) {
 	err := request.Chain(x.filters...).Handle(ctx, x.call)
 	took := time.Since(x.start)
 	time.Sleep(settle)
