Keep an answer of low confidence when too little time is left for a larger model

Callers saw nothing until their deadline passed, although an answer was in hand: it was dropped for a larger model's some milliseconds before.

Change: less than half of the target latency before the deadline the answer is kept. The tests of pricing got a clock and a deadline.

--- a/pkg/gateway/chain_test.go
+++ b/pkg/gateway/chain_test.go
@@ -141,7 +141,7 @@
 		leastSuccess.Store(75)
 		x.call.Request.Prompt = &request.Prompt{Tokens: 100}
 		x.filters = []request.Filter{delivery.FinalOutcome{}, &pricing.ConfidenceCascade{
-			Log: logr.Discard(), LeastSuccess: &leastSuccess, Calibration: &pricing.Calibration{}, Budgets: x.budgets,
+			Log: logr.Discard(), Clock: clk, LeastSuccess: &leastSuccess, Calibration: &pricing.Calibration{}, Budgets: x.budgets,
 		}, d, relay}
 	}
 }
--- a/pkg/gateway/dropped_answer_test.go
+++ b/pkg/gateway/dropped_answer_test.go
@@ -38,3 +38,24 @@
 		x.expectWhole(t, took, err)
 	})
 }
+
+// An answer was dropped for a larger model's with too little time left for it.
+func TestAnswerIsKeptNearTheDeadline(t *testing.T) {
+	const largeTakes = 700 * time.Millisecond
+	for _, left := range []time.Duration{50 * time.Millisecond, 200 * time.Millisecond, 600 * time.Millisecond} {
+		t.Run(left.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newScriptedChain(sizedStream(), []string{"u1"}, func(_ string, _ int, conn net.Conn, req *http.Request) {
+					if isSmall(req) {
+						serveEvents(conn, req, 0, 0, 3*time.Second-left)
+						return
+					}
+					serveEvents(conn, req, 90, 0, largeTakes)
+				})
+				x.timeLimit = 3000
+				took, err := x.handle(t.Context(), largeTakes)
+				x.expectWhole(t, took, err)
+			})
+		})
+	}
+}
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -50,7 +50,7 @@
 	return in.withMetrics(request.Chain(
 		delivery.FinalOutcome{},
 		&desk.ResolveRoute{Snapshot: in.control.Snapshot, Clock: in.Clock, Age: in.control.Age, MaxDenialAge: in.Settings.Bounds.ConfigApply, MaxKeyAge: in.maxKeyAge()},
-		&pricing.ConfidenceCascade{Log: in.Log.WithName("pricing"), LeastSuccess: &in.leastSuccess, Calibration: in.calibration, ExpectedWait: d.ExpectedWait, Budgets: budgets},
+		&pricing.ConfidenceCascade{Log: in.Log.WithName("pricing"), Clock: in.Clock, LeastSuccess: &in.leastSuccess, Calibration: in.calibration, ExpectedWait: d.ExpectedWait, Budgets: budgets},
 		d,
 		in.relay,
 	))
--- a/pkg/pricing/confidence.go
+++ b/pkg/pricing/confidence.go
@@ -15,7 +15,8 @@
 // ConfidenceCascade is the filter that chooses the model of a routed call: the smallest first, then a larger one if the confidence of
 // the answer makes it too unlikely that the model was up to the request. That answer is dropped before any of it reaches the caller.
 type ConfidenceCascade struct {
-	Log logr.Logger
+	Log   logr.Logger
+	Clock clock.Clock
 	// LeastSuccess is the probability, in percent, that a model is up to a request below which its answer is dropped; it may change at
 	// any time.
 	LeastSuccess *atomic.Int32
@@ -31,6 +32,9 @@
 // the rest is for reading the prompt.
 const maxWaitShare = 0.5
 
+// minTimeShare is the fraction of the route's target latency that must be left before the deadline to drop an answer.
+const minTimeShare = 0.5
+
 // keepAnswer is the next size when the answer of the current model goes to the caller.
 const keepAnswer = -1
 
@@ -77,7 +81,7 @@
 func (f *ConfidenceCascade) nextSize(c *request.Call, size, confidence int) int {
 	sizes := c.Route.Sizes
 	last := len(sizes) - 1
-	if confidence < 0 || size >= last || c.Runs+2 > c.Route.MaxAttempts {
+	if confidence < 0 || size >= last || c.Runs+2 > c.Route.MaxAttempts || f.timeLeft(c) < clock.Millis(minTimeShare*float64(c.Route.Target)) {
 		return keepAnswer
 	}
 	success, least := f.Calibration.Success(c.Pool.Name, confidence), f.leastSuccess(c)
@@ -94,6 +98,9 @@
 	return next
 }
 
+// timeLeft returns the time until the deadline of the call, in milliseconds.
+func (f *ConfidenceCascade) timeLeft(c *request.Call) clock.Millis { return c.Request.Deadline - f.Clock.Now() }
+
 // leastSuccess returns the probability of success from which an answer is kept. It falls with the time that a larger model's answer
 // would wait: engines that are behind with their work first lose the answers that gain least by it, and an answer that would be late
 // isn't worth that much.
--- a/pkg/pricing/confidence_test.go
+++ b/pkg/pricing/confidence_test.go
@@ -43,11 +43,11 @@
 			leastSuccess := &atomic.Int32{}
 			leastSuccess.Store(75)
 			f := &ConfidenceCascade{
-				Log: logr.Discard(), LeastSuccess: leastSuccess, Calibration: &Calibration{}, Budgets: &dispatch.RetryBudgets{Share: 1},
+				Log: logr.Discard(), Clock: clock.NewManual(0), LeastSuccess: leastSuccess, Calibration: &Calibration{}, Budgets: &dispatch.RetryBudgets{Share: 1},
 				ExpectedWait: func(*request.Call, string) clock.Millis { return c.wait },
 			}
 			call := &request.Call{
-				Request: &request.Request{ID: "r", Prompt: &request.Prompt{}}, Writer: &headRecorder{}, Pool: &catalogue.Pool{Name: "lm"},
+				Request: &request.Request{ID: "r", Prompt: &request.Prompt{}, Deadline: 12_000}, Writer: &headRecorder{}, Pool: &catalogue.Pool{Name: "lm"},
 				Route: &catalogue.Route{Sizes: []string{"small", "large"}, MaxAttempts: 3, Target: target},
 			}
 			var models []string
@@ -98,7 +98,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			leastSuccess := &atomic.Int32{}
 			leastSuccess.Store(leastSuccessAtSixty)
-			f := &ConfidenceCascade{Log: logr.Discard(), LeastSuccess: leastSuccess, Calibration: &Calibration{}, Budgets: &dispatch.RetryBudgets{Share: 1}}
+			f := &ConfidenceCascade{Log: logr.Discard(), Clock: clock.NewManual(0), LeastSuccess: leastSuccess, Calibration: &Calibration{}, Budgets: &dispatch.RetryBudgets{Share: 1}}
 			w := &headRecorder{confidence: -2}
 			call := &request.Call{
 				Request: &request.Request{ID: "r", Prompt: &request.Prompt{Model: c.model}}, Writer: w, Pool: &catalogue.Pool{Name: "lm"},
