Run a request that may not be repeated on one model only

Cause: the cascade dropped the first answer and ran the request again on a larger model, also on routes whose requests may run once at most.

Change: such a request goes to the largest model alone. The routes of the tests of the cascade are resumable, as the ones that they stand for.

--- a/pkg/gateway/dropped_answer_test.go
+++ b/pkg/gateway/dropped_answer_test.go
@@ -59,3 +59,17 @@
 		})
 	}
 }
+
+// A stream that may run only once ran again on a larger model.
+func TestAnswerThatMayNotBeRepeatedIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := sizedStream()
+		route.Resumable = false
+		x := newScriptedChain(route, fourUpstreams, func(_ string, _ int, conn net.Conn, req *http.Request) { serveEvents(conn, req, 0, 0, 0) })
+		took, err := x.handle(t.Context(), 0)
+		x.expectWhole(t, took, err)
+		if n := x.requests.Load(); n != 1 {
+			t.Errorf("ran %d times, want once", n)
+		}
+	})
+}
--- a/pkg/pricing/confidence.go
+++ b/pkg/pricing/confidence.go
@@ -49,6 +49,11 @@
 		c.Model = c.Request.Prompt.Model
 		return next.Handle(ctx, c)
 	}
+	if !c.Route.MayRepeat() {
+		// Only one run is allowed: the largest model is the surest.
+		c.Model = sizes[len(sizes)-1]
+		return next.Handle(ctx, c)
+	}
 	out := c.Writer
 	w := &confidenceWriter{Writer: out, cascade: f, previous: keepAnswer}
 	c.Writer = w
