Go back to the smallest model before waiting for a larger one

Callers saw an answer after 11.6 s that could be had at once: the larger model's attempt was aborted for its silence, its retry declined, and the call then waited in rounds for the larger model, since it counted as given up.

Evidence: TestSmallestModelIsAskedBeforeWaiting failed before this change (11.6 s) and passes after it.

Change: a call that can go back to a smaller model doesn't wait; one that went back does.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -48,7 +48,7 @@
 func (f *Dispatch) Filter(ctx context.Context, c *request.Call, next request.Handler) error {
 	c.Excluded = nil
 	declines, runsBefore := 0, c.Runs
-	persist := persistence{required: c.AnswerDropped}
+	persist := persistence{required: c.Fallback == request.FallbackTaken}
 	for {
 		u, refusal := f.choose(c)
 		if refusal != nil {
--- a/pkg/dispatch/persistence.go
+++ b/pkg/dispatch/persistence.go
@@ -23,7 +23,8 @@
 
 // update notes whether the call must not be given up after an attempt that failed; retry is the one reserved for that attempt.
 func (p *persistence) update(c *request.Call, r *request.Refusal, retry *reservedRetry) {
-	p.required = p.required || c.HeadWritten || r.Outcome != request.NotRun && retry.reserved.Load()
+	aborted := r.Outcome != request.NotRun && retry.reserved.Load()
+	p.required = p.required || c.HeadWritten || aborted && c.Fallback != request.FallbackLeft
 }
 
 // mayOvercome reports whether the reason against a retry may pass while the call waits.
--- a/pkg/gateway/dropped_answer_test.go
+++ b/pkg/gateway/dropped_answer_test.go
@@ -73,3 +73,27 @@
 		}
 	})
 }
+
+// A call waited until its deadline for a larger model although the smallest one was free.
+func TestSmallestModelIsAskedBeforeWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const silence = 8 * time.Second
+		route := sizedStream()
+		route.MaxAttempts = 4
+		x := newScriptedChain(route, fourUpstreams, func(_ string, n int, conn net.Conn, req *http.Request) {
+			switch {
+			case isSmall(req):
+				serveEvents(conn, req, 0, 0, 0)
+			case n == 2:
+				time.Sleep(silence)
+			default:
+				decline(conn)
+			}
+		})
+		took, err := x.handle(t.Context(), silence)
+		x.expectWhole(t, took, err)
+		if took > 5*time.Second {
+			t.Errorf("answered after %v, want the smallest model once the larger one was declined", took)
+		}
+	})
+}
--- a/pkg/pricing/confidence.go
+++ b/pkg/pricing/confidence.go
@@ -63,14 +63,14 @@
 		err := next.Handle(ctx, c)
 		if w.next != keepAnswer {
 			w.previous, w.size = w.size, w.next
-			c.LastEventID = c.Request.LastEventID
+			c.LastEventID, c.Fallback = c.Request.LastEventID, request.FallbackLeft
 			continue
 		}
 		if w.size == 0 || !mayFallBack(ctx, c, err) {
 			return err
 		}
 		// An answer of low confidence is better than none.
-		c.Model, c.Writer, c.AnswerDropped = sizes[0], out, true
+		c.Model, c.Writer, c.Fallback = sizes[0], out, request.FallbackTaken
 		return next.Handle(ctx, c)
 	}
 }
@@ -104,7 +104,9 @@
 }
 
 // timeLeft returns the time until the deadline of the call, in milliseconds.
-func (f *ConfidenceCascade) timeLeft(c *request.Call) clock.Millis { return c.Request.Deadline - f.Clock.Now() }
+func (f *ConfidenceCascade) timeLeft(c *request.Call) clock.Millis {
+	return c.Request.Deadline - f.Clock.Now()
+}
 
 // leastSuccess returns the probability of success from which an answer is kept. It falls with the time that a larger model's answer
 // would wait: engines that are behind with their work first lose the answers that gain least by it, and an answer that would be late
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -79,6 +79,18 @@
 	Tokens int
 }
 
+// Fallback says whether a call may go back to a smaller model when no upstream takes the current one.
+type Fallback int
+
+const (
+	// NoFallback means that no answer to the call was dropped.
+	NoFallback Fallback = iota
+	// FallbackLeft means that an answer was dropped and can be had again.
+	FallbackLeft
+	// FallbackTaken means that the call went back to the smallest model; it isn't refused for want of a free upstream.
+	FallbackTaken
+)
+
 // Call is the state of a request while it passes through the filters, each of which sets the fields that it decides.
 type Call struct {
 	Request   *Request
@@ -126,9 +138,8 @@
 	Runs int
 	// OnFirstEvent, if set, is called when the first part of a streamed response arrives.
 	OnFirstEvent func()
-	// AnswerDropped is true once an answer was dropped for that of a larger model which no upstream has taken; the call then isn't
-	// refused for want of a free upstream.
-	AnswerDropped bool
+	// Fallback says whether the call may go back to a smaller model.
+	Fallback Fallback
 	// HeadWritten is true once the response head was written to the caller.
 	HeadWritten bool
 	// TokensAhead is the work that was pending at the upstream when the current attempt was sent, in prompt tokens of the call's model.
