Don't take an error answer for the rest of a stream

Callers would get a stream that ends as complete with the body of a 404, 400 or 409 in it: a resumed attempt forwarded any answer below 500.

Evidence: TestErrorAnswerIsNoRestOfAStream failed with these three statuses before this change and passes after it; no sound upstream is known to answer so.

Change: only 200 goes on with a stream that has begun; other answers fail the attempt, which is retried.

--- a/pkg/delivery/relay.go
+++ b/pkg/delivery/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -160,6 +161,10 @@
 		stopTimer()
 		return a.readFailure(resp, head)
 	}
+	if a.call.HeadWritten && head.Status != http.StatusOK {
+		stopTimer()
+		return &InvalidResponseError{Detail: "the rest of a stream came with status " + strconv.Itoa(head.Status)}
+	}
 	if a.call.Route.Streaming && head.Status == http.StatusOK {
 		return a.stream(resp, head, stopTimer)
 	}
