Forward an upstream's own failure when its retries are declined

Callers saw a refusal of ours in place of the answer that an upstream had made: only the error response of the last attempt was kept.

Evidence: TestFailureOfAnUpstreamIsForwarded failed before this change and passes after it.

Change: the last error response is kept over the attempts, and forwarded unless the call can go back to a smaller model.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -49,11 +49,13 @@
 	c.Excluded = nil
 	declines, runsBefore := 0, c.Runs
 	persist := persistence{required: c.Fallback == request.FallbackTaken}
+	// failed is the last error response of an upstream.
+	var failed FailedResponse
 	for {
 		u, refusal := f.choose(c)
 		if refusal != nil {
 			if !persist.required || !f.awaitUpstream(ctx, c, &persist, refusal, true) {
-				return refusal
+				return f.finalError(ctx, c, refusal, failed)
 			}
 			c.Excluded = nil
 			continue
@@ -79,6 +81,7 @@
 			declines++
 		}
 		c.Excluded = append(c.Excluded, u.Name)
+		errors.As(r.Cause, &failed)
 		persist.update(c, r, retry)
 		if noRetry := f.noRetryReason(ctx, c, r, declines, retry); noRetry != "" {
 			if persist.mayOvercome(noRetry) && f.awaitUpstream(ctx, c, &persist, r, retry.take()) {
@@ -87,7 +90,7 @@
 				continue
 			}
 			f.logGiveUp(c, u, r, noRetry, c.Runs-runsBefore)
-			return f.finalError(ctx, c, r)
+			return f.finalError(ctx, c, r, failed)
 		}
 		f.Log.Info("retrying request", "request", c.Request.ID, "route", c.Route.Name, "failed", u.Name, "reason", r.Reason,
 			"outcome", r.Outcome, "error", r.Error(), "after", c.LastEventID, "runs", c.Runs)
@@ -126,10 +129,10 @@
 	return ""
 }
 
-// finalError passes on the upstream's own error response if there is one, and otherwise returns the refusal.
-func (f *Dispatch) finalError(ctx context.Context, c *request.Call, r *request.Refusal) error {
-	var failed FailedResponse
-	if !c.HeadWritten && errors.As(r.Cause, &failed) {
+// finalError passes on the error response of an upstream if there was one, and otherwise returns the refusal.
+func (f *Dispatch) finalError(ctx context.Context, c *request.Call, r *request.Refusal, failed FailedResponse) error {
+	mayFallBack := c.Fallback == request.FallbackLeft && r.Outcome == request.NotRun
+	if failed != nil && !c.HeadWritten && !mayFallBack {
 		return failed.Forward(ctx, c)
 	}
 	if r.Outcome == request.NotRun && r.RetryAfter == 0 && ctx.Err() == nil {
--- a/pkg/gateway/failed_answer_test.go
+++ b/pkg/gateway/failed_answer_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 )
@@ -29,3 +30,20 @@
 		})
 	}
 }
+
+// An upstream's own failure was replaced by a refusal when the retries were declined.
+func TestFailureOfAnUpstreamIsForwarded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newScriptedChain(lookupRoute, fourUpstreams, func(_ string, n int, conn net.Conn, _ *http.Request) {
+			if n == 1 {
+				_, _ = io.WriteString(conn, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 3\r\n\r\nbad")
+				return
+			}
+			decline(conn)
+		})
+		_, err := x.handle(t.Context(), 0)
+		if got := x.writer.body.String(); err != nil || !strings.Contains(got, "bad") {
+			t.Errorf("got body %q and error %v, want the upstream's own answer", got, err)
+		}
+	})
+}
