Let callers come back later the longer the store has been away

Callers saw: refused for the age of the view while the store is away, they were told to come back in 300 ms, to be refused again; most have one retry.

Cause: one delay for two cases. Where one instance is cut off, its callers reach another one at once; where the store is away, all instances refuse for seconds.

Change: the delay grows with the time since the instance began to refuse, from half of it to one and a half, spread by the request's id.

--- a/pkg/desk/resolve_route.go
+++ b/pkg/desk/resolve_route.go
@@ -8,9 +8,17 @@
 	"carawayknot.example/carawayknot/pkg/request"
 )
 
-// staleRetryAfter is the retry delay for callers refused by an instance whose view is stale. The load balancer takes such an
-// instance out of rotation after two seconds, and retries reach another one.
-const staleRetryAfter clock.Millis = 300
+// minStaleRetryAfter is the shortest retry delay for callers refused by an instance whose view is stale, in milliseconds. The load
+// balancer takes such an instance out of rotation after two seconds, and retries reach another one.
+const minStaleRetryAfter clock.Millis = 300
+
+// staleRetryAfter returns the retry delay for a caller refused for an age of the view above the limit, in milliseconds. An instance that is
+// still asked long after that isn't the only one: the store is away, and the longer it has been the longer it is likely to be. The
+// delay is spread, so that callers don't return all at once.
+func staleRetryAfter(id string, age, limit clock.Millis) clock.Millis {
+	wait := age - limit
+	return minStaleRetryAfter + wait/2 + clock.Millis(float64(wait)*request.HashFraction("stale", id))
+}
 
 // ResolveRoute is the filter that resolves the route and the workspace of a request and sets its deadline.
 type ResolveRoute struct {
@@ -28,7 +36,7 @@
 func (f *ResolveRoute) Filter(ctx context.Context, c *request.Call, next request.Handler) error {
 	s, now := f.Snapshot(), f.Clock.Now()
 	if s.Routes == nil {
-		return request.Refuse(request.ReasonStaleView, staleRetryAfter, "no configuration was read yet")
+		return request.Refuse(request.ReasonStaleView, minStaleRetryAfter, "no configuration was read yet")
 	}
 	age := f.Age(now)
 	r := s.Routes.Find(c.Request.Host, c.Request.Path)
@@ -59,7 +67,7 @@
 	if age <= f.MaxDenialAge || r.Reason == request.ReasonStaleView {
 		return r
 	}
-	return request.Refuse(request.ReasonStaleView, staleRetryAfter, "the view is %d ms old, too old to deny by: %s", age, r.Detail)
+	return request.Refuse(request.ReasonStaleView, minStaleRetryAfter, "the view is %d ms old, too old to deny by: %s", age, r.Detail)
 }
 
 // KeyRefusal returns the refusal for a call whose key is unknown or whose view is older than limit milliseconds, or nil.
@@ -68,7 +76,7 @@
 		return nil
 	}
 	if age > limit {
-		return request.Refuse(request.ReasonStaleView, staleRetryAfter, "the view of the keys is %d ms old, the limit is %d ms", age, limit)
+		return request.Refuse(request.ReasonStaleView, staleRetryAfter(c.Request.ID, age, limit), "the view of the keys is %d ms old, the limit is %d ms", age, limit)
 	}
 	if _, ok := s.Routes.Keys[c.Request.Credential]; !ok {
 		return request.Refuse(request.ReasonUnauthorized, 0, "the key is not in configuration %d", s.Routes.Version)
