Follower: read a topic anew when the store came back from an older copy

Callers saw requests at upstreams of an evacuated zone, since the record of the evacuation was never read.

Cause: a store that comes back from an older copy gives offsets out again. Once its log has grown past the position of the reader, a read answers 200 with the records after it; those before it, written in the meantime, are skipped. 410 alone tells only of a log that is still shorter.

The follower drops a batch of another era than its position's and reads the topic anew; a lower era is dropped once and taken when the whole read confirms it, so that a store with a wrong header doesn't end the service.

--- a/pkg/archive/decoded_topic.go
+++ b/pkg/archive/decoded_topic.go
@@ -35,7 +35,7 @@
 }
 
 func (t *DecodedTopic[T]) decode(b Batch[Record]) Batch[T] {
-	out := Batch[T]{Whole: b.Whole, Next: b.Next, AsOf: b.AsOf}
+	out := Batch[T]{Whole: b.Whole, Next: b.Next, AsOf: b.AsOf, Era: b.Era}
 	for _, r := range b.Items {
 		item, err := t.Decode(r)
 		if err != nil {
--- a/pkg/archive/follower.go
+++ b/pkg/archive/follower.go
@@ -24,8 +24,14 @@
 	Next int64
 	// AsOf is a monotonic time; writes confirmed before it are in this batch or an earlier one.
 	AsOf clock.Millis
+	// Era counts how often the store came back from an older copy, after which positions are given out again; it is 0 in the first
+	// era and when it is unknown.
+	Era int64
 }
 
+// IsOtherEra reports whether the batch is known to be of another era than the given one.
+func (b *Batch[T]) IsOtherEra(era int64) bool { return b.Era != 0 && b.Era != era }
+
 // Topic is a source of items that a Follower reads.
 type Topic[T any] interface {
 	// Newest returns the newest item of each key.
@@ -56,8 +62,12 @@
 	// Apply is called with each batch, including empty ones.
 	Apply func(Batch[T])
 
-	next    int64
-	failing bool
+	next int64
+	era  int64
+	// loaded is true once the topic was read, and reloaded while the last batch was a whole one.
+	loaded   bool
+	reloaded bool
+	failing  bool
 }
 
 // Run follows the topic until ctx ends and returns the error of ctx.
@@ -77,13 +87,41 @@
 			continue
 		}
 		f.markRecovered()
+		if !b.Whole && b.IsOtherEra(f.era) {
+			// Records below the position may be other ones by now.
+			reload = true
+			f.pauseAfterOtherEra(ctx, b.Era)
+			continue
+		}
 		reload = false
-		f.next = b.Next
+		f.advance(b)
 		f.Apply(b)
 	}
 	return ctx.Err()
 }
 
+// pauseAfterOtherEra logs a lower era, and pauses after one and when the era changes with each read.
+func (f *Follower[T]) pauseAfterOtherEra(ctx context.Context, era int64) {
+	if era < f.era {
+		f.Log.Info("dropped a response of an earlier era of the store", "topic", f.Name, "era", era, "currentEra", f.era, "position", f.next)
+	}
+	if era < f.era || f.reloaded {
+		_ = clock.Sleep(ctx, f.Clock, retryPause)
+	}
+}
+
+// advance moves the position behind a batch that is to be applied.
+func (f *Follower[T]) advance(b Batch[T]) {
+	if f.loaded && b.IsOtherEra(f.era) {
+		f.Log.Info("the store came back from an older copy, topic read anew", "topic", f.Name, "era", b.Era, "previousEra", f.era,
+			"position", b.Next, "previousPosition", f.next)
+	}
+	if b.Era != 0 {
+		f.era = b.Era
+	}
+	f.next, f.loaded, f.reloaded = b.Next, true, b.Whole
+}
+
 func (f *Follower[T]) read(ctx context.Context, reload bool) (Batch[T], error) {
 	if reload {
 		ctx, cancel := clock.WithTimeout(ctx, f.Clock, newestTimeout)
