Shared reads: never join records of two eras of the store

Instances of a large zone read the store's topics from the longest running one. Positions had no era there: one instance could serve positions of before to another one that had already noticed that the store came back from an older copy, and the other way round.

The cache keeps the era of each topic's positions, ignores a batch of another era that isn't a whole read, and serves readers of an earlier era "trimmed" and those of a later one "behind". ReadArgs and ReadReply have the era. A whole read asks for the newest era that was seen in any topic, so that it isn't answered by an instance that has noticed nothing yet; a reply of an earlier era, also one of a build that knows none, is refused and the store is read.

--- a/pkg/archive/errors.go
+++ b/pkg/archive/errors.go
@@ -28,6 +28,17 @@
 	return fmt.Sprintf("configuration stream was replaced: revision %d is held, the log ends at offset %d", e.Revision, e.End)
 }
 
+// EraError means that records are of an earlier era of the store than other ones that were read before.
+type EraError struct {
+	Era     int64
+	Current int64
+}
+
+// Error states the era of the records and the current one.
+func (e *EraError) Error() string {
+	return fmt.Sprintf("the records are of era %d of the store, the current one is %d", e.Era, e.Current)
+}
+
 // UnknownOutcomeError means that a change may or may not take effect; it is safe to retry it with the same id.
 type UnknownOutcomeError struct {
 	ID    string
--- a/pkg/archive/follower_test.go
+++ b/pkg/archive/follower_test.go
@@ -120,12 +120,12 @@
 		items int
 		err   error
 	}{{5, 2, nil}, {6, 1, nil}, {7, 0, nil}, {4, 0, ErrTrimmed}, {8, 0, ErrBehind}} {
-		b, _, err := c.ReadFrom(TopicListings, x.from)
+		b, _, err := c.ReadFrom(TopicListings, 0, x.from)
 		if len(b.Items) != x.items || !errors.Is(err, x.err) {
 			t.Errorf("ReadFrom(%d): got %d records and error %v, want %d and %v", x.from, len(b.Items), err, x.items, x.err)
 		}
 	}
-	_, changed, _ := c.ReadFrom(TopicListings, 7)
+	_, changed, _ := c.ReadFrom(TopicListings, 0, 7)
 	c.Update(TopicListings, Batch[Record]{Next: 7, AsOf: 30})
 	select {
 	case <-changed:
@@ -136,7 +136,7 @@
 	<-changed
 	// A batch with a position gap, left by a record that could not be read, empties the tail.
 	c.Update(TopicListings, Batch[Record]{Items: []Record{r("d", "4")}, Next: 10, AsOf: 50})
-	if _, _, err := c.ReadFrom(TopicListings, 8); !errors.Is(err, ErrTrimmed) {
+	if _, _, err := c.ReadFrom(TopicListings, 0, 8); !errors.Is(err, ErrTrimmed) {
 		t.Errorf("ReadFrom() before a gap = %v, want ErrTrimmed", err)
 	}
 }
--- a/pkg/archive/source.go
+++ b/pkg/archive/source.go
@@ -42,6 +42,8 @@
 type Cache struct {
 	mu     sync.Mutex
 	topics map[TopicName]*cachedTopic
+	// era is the newest era of the store that was seen in any topic.
+	era int64
 }
 
 type cachedTopic struct {
@@ -49,18 +51,30 @@
 	// tail has the records just before position next, without gaps.
 	tail []Record
 	next int64
+	// era is that of the positions.
+	era  int64
 	asOf clock.Millis
 	// changed is closed when new records arrive or the topic was read anew.
 	changed chan struct{}
 }
 
-// Update stores the result of a read; a batch that is Whole replaces the topic.
+// Update stores the result of a read. A batch that is Whole replaces the topic; another one is ignored when it is of another era,
+// because its positions don't follow those of the cache.
 func (c *Cache) Update(topic TopicName, b Batch[Record]) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.topics[topic]
+	if b.Era > c.era || b.Whole && b.Era != 0 {
+		c.era = b.Era
+	}
+	if !b.Whole && t != nil && b.IsOtherEra(t.era) {
+		return
+	}
 	if t == nil || b.Whole {
-		replacement := &cachedTopic{newest: map[string]Record{}, next: b.Next, changed: make(chan struct{})}
+		replacement := &cachedTopic{newest: map[string]Record{}, next: b.Next, era: b.Era, changed: make(chan struct{})}
+		if b.Era == 0 && t != nil {
+			replacement.era = t.era
+		}
 		if t != nil {
 			close(t.changed)
 		}
@@ -102,32 +116,52 @@
 	if t == nil {
 		return Batch[Record]{}, false
 	}
-	b := Batch[Record]{Whole: true, Next: t.next, AsOf: t.asOf}
+	b := Batch[Record]{Whole: true, Next: t.next, AsOf: t.asOf, Era: t.era}
 	for _, r := range t.newest {
 		b.Items = append(b.Items, r)
 	}
 	return b, true
 }
 
+// Era returns the newest era of the store that was seen in any topic.
+func (c *Cache) Era() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.era
+}
+
+// TopicEra returns the era of the positions of a topic.
+func (c *Cache) TopicEra(topic TopicName) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.topics[topic]; t != nil {
+		return t.era
+	}
+	return 0
+}
+
 // ErrBehind means that a cache has not reached the requested position.
 var ErrBehind = errors.New("the topic has not been read up to this position")
 
-// ReadFrom returns the records from a position on and a channel that is closed at the next ones, or ErrTrimmed or ErrBehind; the
-// channel is nil if the topic is not followed.
-func (c *Cache) ReadFrom(topic TopicName, from int64) (Batch[Record], <-chan struct{}, error) {
+// ReadFrom returns the records from a position of an era on and a channel that is closed at the next ones, or ErrTrimmed or ErrBehind;
+// the channel is nil if the topic is not followed. The era is 0 when the reader doesn't know it.
+func (c *Cache) ReadFrom(topic TopicName, era, from int64) (Batch[Record], <-chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.topics[topic]
 	if t == nil {
 		return Batch[Record]{}, nil, ErrBehind
 	}
-	if from > t.next {
+	if era != 0 && era < t.era {
+		return Batch[Record]{}, nil, ErrTrimmed
+	}
+	if era > t.era || from > t.next {
 		return Batch[Record]{}, t.changed, ErrBehind
 	}
 	if from < t.next-int64(len(t.tail)) {
 		return Batch[Record]{}, nil, ErrTrimmed
 	}
-	b := Batch[Record]{Next: t.next, AsOf: t.asOf}
+	b := Batch[Record]{Next: t.next, AsOf: t.asOf, Era: t.era}
 	b.Items = append(b.Items, t.tail[int64(len(t.tail))-(t.next-from):]...)
 	return b, t.changed, nil
 }
--- a/pkg/membership/peer_source.go
+++ b/pkg/membership/peer_source.go
@@ -66,7 +66,7 @@
 
 // Newest returns the newest record of each key, from another instance or the store.
 func (s *PeerSource) Newest(ctx context.Context, topic archive.TopicName) (archive.Batch[archive.Record], error) {
-	b, err := s.readPeers(ctx, ReadArgs{Topic: topic, Whole: true, Wait: newestWait})
+	b, err := s.readPeers(ctx, ReadArgs{Topic: topic, Whole: true, Era: s.Cache.Era(), Wait: newestWait})
 	if errors.Is(err, errNoPeer) {
 		b, err = s.readStore(ctx, topic, func() (archive.Batch[archive.Record], error) { return s.Store.Newest(ctx, topic) })
 	}
@@ -78,7 +78,7 @@
 	if topic != archive.TopicMembers {
 		s.AwaitMembers(ctx)
 	}
-	b, err := s.readPeers(ctx, ReadArgs{Topic: topic, From: from, Wait: min(wait, s.drainFraction(peerWaitFraction))})
+	b, err := s.readPeers(ctx, ReadArgs{Topic: topic, From: from, Era: s.Cache.TopicEra(topic), Wait: min(wait, s.drainFraction(peerWaitFraction))})
 	if !errors.Is(err, errNoPeer) {
 		return s.cacheBatch(topic, b, err)
 	}
@@ -170,7 +170,8 @@
 func (s *PeerSource) startCooldown(peer string, topic archive.TopicName, err error) {
 	var serverErr rpc.ServerError
 	var staleErr *catalogue.StaleError
-	if errors.As(err, &serverErr) || errors.As(err, &staleErr) {
+	var eraErr *archive.EraError
+	if errors.As(err, &serverErr) || errors.As(err, &staleErr) || errors.As(err, &eraErr) {
 		s.cooldowns.start(topicKey(peer, topic), s.Clock.Now()+topicCooldown)
 		return
 	}
@@ -189,12 +190,16 @@
 	if reply.Trimmed {
 		return archive.Batch[archive.Record]{}, archive.ErrTrimmed
 	}
+	if reply.Era < args.Era {
+		// The other instance doesn't know eras, or has not noticed the current one.
+		return archive.Batch[archive.Record]{}, &archive.EraError{Era: reply.Era, Current: args.Era}
+	}
 	if limit := s.drainFraction(maxAgeFraction); reply.Age > limit && isTimeCritical(args.Topic) {
 		return archive.Batch[archive.Record]{}, &catalogue.StaleError{Age: reply.Age, Horizon: limit}
 	}
 	// The read reached the other instance after it was sent, so that it ended there at start + Waited at the earliest.
 	return archive.Batch[archive.Record]{
-		Items: reply.Records, Whole: args.Whole, Next: reply.Next, AsOf: start + reply.Waited - reply.Age,
+		Items: reply.Records, Whole: args.Whole, Next: reply.Next, AsOf: start + reply.Waited - reply.Age, Era: reply.Era,
 	}, nil
 }
 
--- a/pkg/membership/peer_source_test.go
+++ b/pkg/membership/peer_source_test.go
@@ -121,7 +121,7 @@
 		t.Errorf("got %+v with %d reads of the store, want one item, Next 5, AsOf 9500 and no read", b, p.store.reads)
 	}
 	// The records must be in the cache, for other instances to read.
-	if _, _, err := p.source.Cache.ReadFrom(archive.TopicOperations, 5); err != nil {
+	if _, _, err := p.source.Cache.ReadFrom(archive.TopicOperations, 0, 5); err != nil {
 		t.Error(err)
 	}
 }
--- a/pkg/membership/reader.go
+++ b/pkg/membership/reader.go
@@ -21,13 +21,17 @@
 	Topic archive.TopicName
 	Whole bool
 	From  int64
-	Wait  clock.Millis
+	// Era is that of From, or for Whole the newest one that the sender has seen; 0 when unknown.
+	Era  int64
+	Wait clock.Millis
 }
 
 // ReadReply has the records that were read and their age; times are in milliseconds.
 type ReadReply struct {
 	Records []archive.Record
 	Next    int64
+	// Era is that of the records and of Next; 0 when unknown.
+	Era int64
 	// Trimmed is true when the requested records are no longer kept here.
 	Trimmed bool
 	// Waited is how long the read waited here, and Age how old the newest read of the store was at its end.
@@ -53,7 +57,7 @@
 		return err
 	}
 	now := r.Clock.Now()
-	reply.Records, reply.Next = b.Items, b.Next
+	reply.Records, reply.Next, reply.Era = b.Items, b.Next, b.Era
 	reply.Waited, reply.Age = now-start, now-b.AsOf
 	return nil
 }
@@ -62,7 +66,7 @@
 	if args.Whole {
 		return r.waitWhole(args)
 	}
-	b, changed, err := r.Cache.ReadFrom(args.Topic, args.From)
+	b, changed, err := r.Cache.ReadFrom(args.Topic, args.Era, args.From)
 	// An instance that has read less than the requester waits to catch up.
 	mayWait := err == nil && len(b.Items) == 0 || errors.Is(err, archive.ErrBehind) && changed != nil
 	if !mayWait || args.Wait <= 0 {
@@ -74,17 +78,18 @@
 	case <-changed:
 	case <-expired:
 	}
-	b, _, err = r.Cache.ReadFrom(args.Topic, args.From)
+	b, _, err = r.Cache.ReadFrom(args.Topic, args.Era, args.From)
 	return b, err
 }
 
-// waitWhole returns the newest records of a topic; an instance that has just started waits until it has read them.
+// waitWhole returns the newest records of a topic; an instance that has just started, or that has not noticed yet
+// that the store came back from an older copy, waits until it has read them.
 func (r *Reader) waitWhole(args ReadArgs) (archive.Batch[archive.Record], error) {
 	expired, stop := r.Clock.Timer(min(args.Wait, maxPeerWait))
 	defer stop()
 	for {
 		b, found := r.Cache.Newest(args.Topic)
-		if found {
+		if found && b.Era >= args.Era {
 			return b, nil
 		}
 		poll, cancel := r.Clock.Timer(wholePollPeriod)
