View: keep orders and zones out that a store back from a copy lacks

Callers got failures of a release under rollout, or a good release was never completed: a whole read without the order ended the rollout as reverted for good, and the order that the operator wrote again was the same order.

A whole read of another era now leaves the known orders and zones out in force, also where the copy has an earlier order, until their records are written again, are removed, or restoreGrace (5 s) is over; then what the store has counts. A rollout that ended only because its order stayed missing goes on from its old start when the order comes back later. A release that was reverted or completed stays so. A removal record takes effect at once; a removal that is only seen as a missing key of a whole read, at most 5 s later.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -24,6 +24,9 @@
 
 	view     View
 	draining bool
+	// expiry is the time of the next expiryDue message; stopped is closed by Stop.
+	expiry   clock.Millis
+	stopped  chan struct{}
 	system   *actor.ActorSystem
 	pid      *actor.PID
 	snapshot atomic.Pointer[catalogue.Snapshot]
@@ -45,10 +48,13 @@
 // drainStarted is the message that the instance is shutting down.
 type drainStarted struct{}
 
+// expiryDue is the message that a part of the view expires.
+type expiryDue struct{}
+
 // Run starts the actor and must be called before all other methods.
 func (c *Control) Run() {
 	c.currentAt.Store(-1)
-	c.loaded = make(chan struct{})
+	c.loaded, c.stopped = make(chan struct{}), make(chan struct{})
 	c.snapshot.Store(c.view.Snapshot(false))
 	logger := slog.New(logr.ToSlogHandler(c.Log.V(1)))
 	c.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return logger }))
@@ -57,6 +63,7 @@
 
 // Stop ends the actor after it has handled the messages in its queue.
 func (c *Control) Stop() {
+	close(c.stopped)
 	_ = c.system.Root.PoisonFuture(c.pid).Wait()
 	c.system.Shutdown()
 }
@@ -85,6 +92,7 @@
 
 func (c *Control) receive(ctx actor.Context) {
 	now := c.Clock.Now()
+	defer c.scheduleExpiry(now)
 	switch m := ctx.Message().(type) {
 	case archive.Batch[catalogue.Operation]:
 		before := c.view.table
@@ -122,9 +130,31 @@
 	case drainStarted:
 		c.draining = true
 		c.publish()
+	case expiryDue:
+		c.expiry = 0
+		c.view.Expire(now)
+		c.publish()
 	}
 }
 
+// scheduleExpiry sends expiryDue once a part of the view expires.
+func (c *Control) scheduleExpiry(now clock.Millis) {
+	at, found := c.view.NextExpiry()
+	if !found || at == c.expiry {
+		return
+	}
+	c.expiry = at
+	due, stop := c.Clock.Timer(at - now)
+	go func() {
+		defer stop()
+		select {
+		case <-due:
+			c.Send(expiryDue{})
+		case <-c.stopped:
+		}
+	}()
+}
+
 func (c *Control) publish() {
 	s := c.view.Snapshot(c.draining)
 	c.snapshot.Store(s)
--- /dev/null
+++ b/pkg/gateway/restored.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"carawayknot.example/carawayknot/pkg/archive"
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+)
+
+// restoreGrace is how long operators and instances have to write again what a store that came back from an older copy lacks; what
+// was known before holds so long.
+const restoreGrace = 5 * clock.Second
+
+// topicEra is the era of what was read of a topic.
+type topicEra struct {
+	era  int64
+	read bool
+}
+
+// observe notes the era of a batch and reports whether the batch replaces what was read in another era.
+func observe[T any](e *topicEra, b archive.Batch[T]) (restored bool) {
+	restored = b.Whole && e.read && b.IsOtherEra(e.era)
+	if b.Era != 0 {
+		e.era = b.Era
+	}
+	e.read = e.read || b.Whole
+	return restored
+}
+
+// unconfirmedOperations are rollout orders and zones out that hold although the store, back from an older copy, doesn't have them.
+type unconfirmedOperations struct {
+	// orders has by service the order that the store has instead, or nil.
+	orders map[string]*catalogue.ReleaseOrder
+	zones  map[string]bool
+	// until is when they end unless they are written again.
+	until clock.Millis
+}
+
+// unconfirm makes all known orders and zones out unconfirmed.
+func (v *View) unconfirm(now clock.Millis) {
+	v.unconfirmed = unconfirmedOperations{orders: map[string]*catalogue.ReleaseOrder{}, zones: map[string]bool{}, until: now + restoreGrace}
+	for service := range v.orders {
+		v.unconfirmed.orders[service] = nil
+	}
+	for zone := range v.zonesOut {
+		v.unconfirmed.zones[zone] = true
+	}
+}
+
+// keepUnconfirmed puts unconfirmed orders and zones out back after the whole topic was read; those that the store has are confirmed.
+func (v *View) keepUnconfirmed(known map[string]catalogue.ReleaseOrder) {
+	for service := range v.unconfirmed.orders {
+		stored, found := v.orders[service]
+		switch {
+		case !found:
+			v.unconfirmed.orders[service] = nil
+		case stored == known[service]:
+			delete(v.unconfirmed.orders, service)
+		default:
+			v.unconfirmed.orders[service] = &stored
+		}
+		v.orders[service] = known[service]
+	}
+	for zone := range v.unconfirmed.zones {
+		if v.zonesOut[zone] {
+			delete(v.unconfirmed.zones, zone)
+		}
+		v.zonesOut[zone] = true
+	}
+}
+
+// dropUnconfirmed ends what was not written again, in favour of what the store has.
+func (v *View) dropUnconfirmed(now clock.Millis) {
+	for service, stored := range v.unconfirmed.orders {
+		if stored != nil {
+			v.orders[service] = *stored
+			continue
+		}
+		delete(v.orders, service)
+		if rollout := v.rollouts[service]; rollout != nil && rollout.State == catalogue.ReleaseRunning {
+			if v.lostRollouts == nil {
+				v.lostRollouts = map[string]*catalogue.ReleaseRollout{}
+			}
+			v.lostRollouts[service] = rollout
+		}
+	}
+	for zone := range v.unconfirmed.zones {
+		delete(v.zonesOut, zone)
+	}
+	v.unconfirmed = unconfirmedOperations{}
+	v.updateRollouts(now)
+}
+
+// hasUnconfirmed reports whether any order or zone out is unconfirmed.
+func (v *View) hasUnconfirmed() bool { return len(v.unconfirmed.orders)+len(v.unconfirmed.zones) > 0 }
+
+// NextExpiry returns the time of the next change by Expire, and false if there is none.
+func (v *View) NextExpiry() (clock.Millis, bool) {
+	var next clock.Millis
+	found := false
+	for _, e := range []struct {
+		due bool
+		at  clock.Millis
+	}{{v.hasUnconfirmed(), v.unconfirmed.until}} {
+		if e.due && (!found || e.at < next) {
+			next, found = e.at, true
+		}
+	}
+	return next, found
+}
+
+// Expire ends what holds from an earlier era of the store and was not written again in time, and returns the names of the upstreams
+// that were removed by that.
+func (v *View) Expire(now clock.Millis) (removed []string) {
+	if v.hasUnconfirmed() && now >= v.unconfirmed.until {
+		v.dropUnconfirmed(now)
+	}
+	return removed
+}
--- /dev/null
+++ b/pkg/gateway/restored_test.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carawayknot.example/carawayknot/pkg/archive"
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+)
+
+func ofEra[T any](era int64, b archive.Batch[T]) archive.Batch[T] {
+	b.Era = era
+	return b
+}
+
+func zoneOut(zone string, removed bool) catalogue.Operation {
+	return catalogue.Operation{Kind: catalogue.OperationZoneOut, Zone: zone, Removed: removed}
+}
+
+// Guards against orders and zones out that end for good because the store came back from a copy without them.
+func TestViewKeepsOperationsOfAnEarlierEra(t *testing.T) {
+	type state struct {
+		Rollout   catalogue.ReleaseState
+		Target    string
+		StartedAt clock.Millis
+		ZoneOut   bool
+	}
+	running := state{Rollout: catalogue.ReleaseRunning, Target: "v2", StartedAt: 10, ZoneOut: true}
+	for _, c := range []struct {
+		name string
+		// do follows the whole read of another era at time 100 that lacks the order and the zone.
+		do   func(v *View)
+		at   clock.Millis
+		want state
+	}{
+		{"kept for a while", func(*View) {}, 100 + restoreGrace - 1, running},
+		{"not written again", func(*View) {}, 100 + restoreGrace, state{Rollout: catalogue.ReleaseReverted, Target: "v2", StartedAt: 10}},
+		{"written again in time", func(v *View) {
+			v.ApplyOperations(operations(false, order("v2", false), zoneOut("z", false)), 200)
+		}, 100 + restoreGrace, running},
+		{"removed", func(v *View) {
+			v.ApplyOperations(operations(false, order("v2", true), zoneOut("z", true)), 200)
+		}, 300, state{Rollout: catalogue.ReleaseReverted, Target: "v2", StartedAt: 10}},
+		{"written again too late", func(v *View) {
+			v.Expire(100 + restoreGrace)
+			v.ApplyOperations(operations(false, order("v2", false)), 9000)
+		}, 9000, state{Rollout: catalogue.ReleaseRunning, Target: "v2", StartedAt: 10}},
+		{"another order too late", func(v *View) {
+			v.Expire(100 + restoreGrace)
+			v.ApplyOperations(operations(false, order("v3", false)), 9000)
+		}, 9000, state{Rollout: catalogue.ReleaseRunning, Target: "v3", StartedAt: 9000}},
+		{"found by another whole read", func(v *View) {
+			v.ApplyOperations(ofEra(2, operations(true, table(1), order("v2", false), zoneOut("z", false))), 200)
+		}, 100 + restoreGrace, running},
+		{"not found by another whole read", func(v *View) {
+			v.ApplyOperations(ofEra(2, operations(true, table(1))), 200)
+		}, 300, running},
+		{"the store goes back once more", func(v *View) {
+			v.ApplyOperations(ofEra(3, operations(true, table(1))), 1100)
+		}, 100 + restoreGrace, running},
+		{"the store goes back to an earlier order", func(v *View) {
+			v.ApplyOperations(ofEra(3, operations(true, table(1), order("v1", false))), 1100)
+		}, 1100 + restoreGrace - 1, running},
+		{"the earlier order is not replaced again", func(v *View) {
+			v.ApplyOperations(ofEra(3, operations(true, table(1), order("v1", false))), 1100)
+		}, 1100 + restoreGrace, state{Rollout: catalogue.ReleaseRunning, Target: "v1", StartedAt: 1100 + restoreGrace}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v := &View{}
+			v.ApplyOperations(ofEra(1, operations(true, table(1), order("v2", false), zoneOut("z", false))), 10)
+			v.ApplyOperations(ofEra(2, operations(true, table(1))), 100)
+			c.do(v)
+			v.Expire(c.at)
+			r := v.Snapshot(false).Moves["lm"]
+			got := state{Rollout: r.State, Target: r.Target, StartedAt: r.StartedAt, ZoneOut: v.zonesOut["z"]}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against a bad release that begins anew because its order was lost and written again.
+func TestViewKeepsRevertedRolloutWhenItsOrderIsWrittenAgain(t *testing.T) {
+	for _, after := range []clock.Millis{1000, restoreGrace + 1000} {
+		v := &View{}
+		v.ApplyOperations(ofEra(1, operations(true, table(1), order("v2", false))), 10)
+		v.SetRolloutState("lm", "v2", catalogue.ReleaseReverted)
+		v.ApplyOperations(ofEra(2, operations(true, table(1))), 100)
+		v.Expire(100 + after)
+		v.ApplyOperations(ofEra(2, operations(false, order("v2", false))), 100+after)
+		if got := v.Snapshot(false).Moves["lm"].State; got != catalogue.ReleaseReverted {
+			t.Errorf("%d ms after the store came back the rollout is %s, want Reverted", after, got)
+		}
+	}
+}
+
+// Guards against operations that are kept although the store did not go back.
+func TestViewDropsOperationsThatAWholeReadOfTheSameEraLacks(t *testing.T) {
+	v := &View{}
+	v.ApplyOperations(ofEra(1, operations(true, table(1), zoneOut("z", false))), 10)
+	v.ApplyOperations(ofEra(1, operations(true, table(1))), 20)
+	v.ApplyOperations(operations(true, table(1)), 20)
+	if _, due := v.NextExpiry(); due || v.zonesOut["z"] {
+		t.Errorf("the zone is out %t, an expiry is due %t, want neither", v.zonesOut["z"], due)
+	}
+}
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -17,16 +17,26 @@
 	orders   map[string]catalogue.ReleaseOrder
 	statuses map[string]catalogue.ReleaseStatus
 	// rollouts has the release rollouts by service, also those whose order was removed.
-	rollouts  map[string]*catalogue.ReleaseRollout
-	upstreams map[string]*catalogue.Upstream
-	members   map[string]catalogue.Member
+	rollouts map[string]*catalogue.ReleaseRollout
+	// lostRollouts has the rollouts that ended only because the store lost their order.
+	lostRollouts map[string]*catalogue.ReleaseRollout
+	// unconfirmed is the part of orders and zonesOut that the store doesn't have.
+	unconfirmed   unconfirmedOperations
+	operationsEra topicEra
+	upstreams     map[string]*catalogue.Upstream
+	members       map[string]catalogue.Member
 	// listRead and statusesRead are true once the upstream list and the rollout statuses were read.
 	listRead     bool
 	statusesRead bool
 }
 
-// ApplyOperations applies a batch of operators' changes; a configuration older than the active one is ignored.
+// ApplyOperations applies a batch of operators' changes; a configuration older than the active one is ignored. What a store that came
+// back from an older copy lacks holds for restoreGrace.
 func (v *View) ApplyOperations(b archive.Batch[catalogue.Operation], now clock.Millis) {
+	if observe(&v.operationsEra, b) {
+		v.unconfirm(now)
+	}
+	knownOrders := v.orders
 	if b.Whole {
 		v.zonesOut, v.orders = map[string]bool{}, map[string]catalogue.ReleaseOrder{}
 	}
@@ -37,12 +47,18 @@
 				v.table = op.Table
 			}
 		case catalogue.OperationZoneOut:
+			if !b.Whole {
+				delete(v.unconfirmed.zones, op.Zone)
+			}
 			if op.Removed {
 				delete(v.zonesOut, op.Zone)
 			} else {
 				v.zonesOut[op.Zone] = true
 			}
 		case catalogue.OperationRelease:
+			if !b.Whole {
+				delete(v.unconfirmed.orders, op.Order.Service)
+			}
 			if op.Removed {
 				delete(v.orders, op.Order.Service)
 			} else {
@@ -50,6 +66,9 @@
 			}
 		}
 	}
+	if b.Whole {
+		v.keepUnconfirmed(knownOrders)
+	}
 	v.updateRollouts(now)
 }
 
@@ -74,6 +93,11 @@
 	rollouts := map[string]*catalogue.ReleaseRollout{}
 	for service, order := range v.orders {
 		rollout := v.rollouts[service]
+		if lost := v.lostRollouts[service]; lost != nil {
+			// The order is there again: the rollout goes on.
+			rollout = lost
+			delete(v.lostRollouts, service)
+		}
 		if rollout == nil || rollout.ReleaseOrder != order {
 			rollout = &catalogue.ReleaseRollout{ReleaseOrder: order, State: catalogue.ReleaseRunning, StartedAt: now, Canary: catalogue.CanaryFraction(v.countOldUpstreams(order))}
 		}
