Age of the view: not renewed by a store that lacks the configuration

An answer of the store proves that keys weren't revoked since. From a store that has come back from a copy older than a revocation it proves nothing: a configuration that was confirmed before may be missing.

The age counts on from the last answer of before until the store has a configuration at least as new as the active one; ready and the checks of keys follow from it as they do when the store is away. An instance that never saw the revocation can't know.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -95,13 +95,16 @@
 	defer c.scheduleExpiry(now)
 	switch m := ctx.Message().(type) {
 	case archive.Batch[catalogue.Operation]:
-		before := c.view.table
+		before, confirmed := c.view.table, c.view.tableConfirmed
 		c.view.ApplyOperations(m, now)
 		if len(m.Items) > 0 || m.Whole {
 			c.publish()
 		}
-		c.currentAt.Store(int64(m.AsOf))
+		if c.view.tableConfirmed {
+			c.currentAt.Store(int64(m.AsOf))
+		}
 		c.logOperations(m, before, now)
+		c.logConfirmation(confirmed)
 	case archive.Batch[catalogue.Listing]:
 		for _, name := range c.view.ApplyListings(m, now) {
 			c.OnUpstreamRemoved(name)
@@ -163,6 +166,18 @@
 	}
 }
 
+// logConfirmation logs when the store, back from an older copy, lacks the active configuration and when it has it again.
+func (c *Control) logConfirmation(before bool) {
+	if c.view.table == nil || c.view.tableConfirmed == before {
+		return
+	}
+	if c.view.tableConfirmed {
+		c.Log.Info("the store has the active configuration", "version", c.view.table.Version)
+		return
+	}
+	c.Log.Info("the store lacks the active configuration, waiting until it is written again", "version", c.view.table.Version)
+}
+
 func (c *Control) logOperations(b archive.Batch[catalogue.Operation], before *catalogue.RouteTable, now clock.Millis) {
 	for _, op := range b.Items {
 		switch op.Kind {
--- a/pkg/gateway/restored.go
+++ b/pkg/gateway/restored.go
@@ -44,6 +44,7 @@
 	for zone := range v.zonesOut {
 		v.unconfirmed.zones[zone] = true
 	}
+	v.tableConfirmed = false
 }
 
 // keepUnconfirmed puts unconfirmed orders and zones out back after the whole topic was read; those that the store has are confirmed.
--- a/pkg/gateway/restored_test.go
+++ b/pkg/gateway/restored_test.go
@@ -107,3 +107,30 @@
 		t.Errorf("the zone is out %t, an expiry is due %t, want neither", v.zonesOut["z"], due)
 	}
 }
+
+// Guards against revoked keys that are trusted because a store that came back without the revocation answers.
+func TestViewIsConfirmedByItsConfigurationOnly(t *testing.T) {
+	v := &View{}
+	for i, c := range []struct {
+		name string
+		b    archive.Batch[catalogue.Operation]
+		want bool
+	}{
+		{"the first read", ofEra(1, operations(true, table(4))), true},
+		{"nothing new", ofEra(1, operations(false)), true},
+		{"back from a copy with an earlier configuration", ofEra(2, operations(true, table(3))), false},
+		{"nothing new after that", ofEra(2, operations(false)), false},
+		{"a configuration between the two", ofEra(2, operations(false, table(3))), false},
+		{"the same configuration", ofEra(2, operations(false, table(4))), true},
+		{"back from a copy without any configuration", ofEra(3, operations(true)), false},
+		{"a later configuration", ofEra(3, operations(false, table(7))), true},
+		{"back from a copy with the same configuration", ofEra(4, operations(true, table(7))), true},
+		{"an earlier configuration in an unknown era", operations(true, table(4)), false},
+		{"the same configuration in an unknown era", operations(true, table(7)), true},
+	} {
+		v.ApplyOperations(c.b, clock.Millis(i))
+		if v.tableConfirmed != c.want {
+			t.Errorf("%s: confirmed is %t, want %t", c.name, v.tableConfirmed, c.want)
+		}
+	}
+}
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -12,10 +12,12 @@
 
 // View is the control state of an instance; it is not safe for concurrent use and only the control actor uses it.
 type View struct {
-	table    *catalogue.RouteTable
-	zonesOut map[string]bool
-	orders   map[string]catalogue.ReleaseOrder
-	statuses map[string]catalogue.ReleaseStatus
+	table *catalogue.RouteTable
+	// tableConfirmed is false while the store, back from an older copy, has no configuration as new as the table.
+	tableConfirmed bool
+	zonesOut       map[string]bool
+	orders         map[string]catalogue.ReleaseOrder
+	statuses       map[string]catalogue.ReleaseStatus
 	// rollouts has the release rollouts by service, also those whose order was removed.
 	rollouts map[string]*catalogue.ReleaseRollout
 	// lostRollouts has the rollouts that ended only because the store lost their order.
@@ -46,6 +48,11 @@
 			if v.table == nil || op.Table.Version > v.table.Version {
 				v.table = op.Table
 			}
+			if op.Table.Version == v.table.Version {
+				v.tableConfirmed = true
+			} else if b.Whole {
+				v.tableConfirmed = false
+			}
 		case catalogue.OperationZoneOut:
 			if !b.Whole {
 				delete(v.unconfirmed.zones, op.Zone)
