Rollout statuses: written again when the store lost them

Operators saw no completed or reverted rollout any more: an instance noted that a status was written and never wrote it again, and an instance that started later could begin anew with a release that had been reverted.

Each instance keeps the statuses that the store has or had. A whole read that lacks one of a current rollout, or has an earlier state of it, queues it with the delay that spreads the writes of instances already; whoever reads it in the meantime drops it. Pending reverts use the same queue, and are dropped by a status of their own target only.

TestLostStatusesAreWrittenAgain, TestLostStatusIsWrittenByFewInstances: of 90 instances at most 10 write the same lost status.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -93,11 +93,11 @@
 	membersRead     chan struct{}
 	membersReadOnce sync.Once
 
-	// mu guards the fields below, whose keys are services; writtenStatuses has the target of the rollout whose status is in the store.
+	// mu guards the fields below, whose keys are services; writtenStatuses has the statuses that the store has or had.
 	mu              sync.Mutex
 	comparisons     map[string]*comparison
-	writtenStatuses map[string]string
-	pendingReverts  map[string]pendingRevert
+	writtenStatuses map[string]catalogue.ReleaseStatus
+	pendingStatuses map[string]pendingStatus
 }
 
 // Run serves until ctx ends, then drains; it fails if a listener cannot be opened, a background loop fails or requests were aborted.
@@ -161,8 +161,8 @@
 	in.rolloutOrdered = make(chan struct{}, 1)
 	in.registered, in.membersRead = make(chan struct{}), make(chan struct{})
 	in.comparisons = map[string]*comparison{}
-	in.writtenStatuses = map[string]string{}
-	in.pendingReverts = map[string]pendingRevert{}
+	in.writtenStatuses = map[string]catalogue.ReleaseStatus{}
+	in.pendingStatuses = map[string]pendingStatus{}
 	in.control = &Control{Clock: in.Clock, Log: in.Log.WithName("control"), OnUpstreamRemoved: func(upstream string) {
 		in.loadTracker.Forget(upstream)
 		in.outliers.Forget(upstream)
--- a/pkg/gateway/loops.go
+++ b/pkg/gateway/loops.go
@@ -102,7 +102,7 @@
 		return ctx.Err()
 	}
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return in.writeReverts(ctx) })
+	g.Go(func() error { return in.writeStatuses(ctx) })
 	g.Go(func() error {
 		return followTopic(ctx, in, archive.TopicStatuses, statusWait, in.Decoders.Status, in.recordStatuses)
 	})
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -1,11 +1,7 @@
 package gateway
 
 import (
-	"context"
-
-	"carawayknot.example/carawayknot/pkg/archive"
 	"carawayknot.example/carawayknot/pkg/catalogue"
-	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/request"
 )
 
@@ -85,68 +81,3 @@
 		k.SetPeerCounts(k.keyPrefix(service), counts)
 	}
 }
-
-func (in *Instance) statusWritten(service, target string) bool {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	return in.writtenStatuses[service] == target
-}
-
-func (in *Instance) markStatusWritten(service, target string) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	in.writtenStatuses[service] = target
-}
-
-// recordStatuses notes for which rollouts the store has a status, and drops pending reverts that the store has already.
-func (in *Instance) recordStatuses(b archive.Batch[catalogue.ReleaseStatus]) {
-	for _, st := range b.Items {
-		if st.Removed {
-			continue
-		}
-		in.markStatusWritten(st.Service, st.Target)
-		if st.State == catalogue.ReleaseReverted {
-			in.mu.Lock()
-			delete(in.pendingReverts, st.Service)
-			in.mu.Unlock()
-		}
-	}
-}
-
-// queueRevert queues the status of a reverted rollout, whose write is retried until the store has it.
-func (in *Instance) queueRevert(rollout *catalogue.ReleaseRollout) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	in.pendingReverts[rollout.Service] = pendingRevert{rollout: rollout, notBefore: in.Clock.Now() + in.writeDelay(rollout)}
-}
-
-// pendingRevert is a reverted rollout whose status is to be written from notBefore on.
-type pendingRevert struct {
-	rollout   *catalogue.ReleaseRollout
-	notBefore clock.Millis
-}
-
-// writeReverts writes the statuses of pending reverts and retries those that fail.
-func (in *Instance) writeReverts(ctx context.Context) error {
-	c := &RolloutController{Instance: in}
-	for {
-		if err := clock.Sleep(ctx, in.Clock, rolloutPeriod); err != nil {
-			return err
-		}
-		in.mu.Lock()
-		var due []*catalogue.ReleaseRollout
-		for _, r := range in.pendingReverts {
-			if in.Clock.Now() >= r.notBefore {
-				due = append(due, r.rollout)
-			}
-		}
-		in.mu.Unlock()
-		for _, rollout := range due {
-			if c.putStatus(ctx, rollout, catalogue.ReleaseReverted) {
-				in.mu.Lock()
-				delete(in.pendingReverts, rollout.Service)
-				in.mu.Unlock()
-			}
-		}
-	}
-}
--- a/pkg/gateway/rollout.go
+++ b/pkg/gateway/rollout.go
@@ -105,6 +105,6 @@
 		return false
 	}
 	in.Log.Info("rollout status written", "service", rollout.Service, "target", rollout.Target, "state", state)
-	in.markStatusWritten(rollout.Service, rollout.Target)
+	in.recordStatus(st)
 	return true
 }
