Members: register again when the store lost the registration

A store that came back from an older copy may lack the members that started since. Each instance now looks for its own record in a whole read of the members and writes it again, spread over 2 s so that many instances don't write at the same moment; a draining instance doesn't.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -92,6 +92,8 @@
 	registered      chan struct{}
 	membersRead     chan struct{}
 	membersReadOnce sync.Once
+	// registrationLost receives a value when the members' topic lacks this instance although it was registered.
+	registrationLost chan struct{}
 
 	// mu guards the fields below, whose keys are services; writtenStatuses has the statuses that the store has or had.
 	mu              sync.Mutex
@@ -160,6 +162,7 @@
 	in.inFlight = &desk.InFlight{}
 	in.rolloutOrdered = make(chan struct{}, 1)
 	in.registered, in.membersRead = make(chan struct{}), make(chan struct{})
+	in.registrationLost = make(chan struct{}, 1)
 	in.comparisons = map[string]*comparison{}
 	in.writtenStatuses = map[string]catalogue.ReleaseStatus{}
 	in.pendingStatuses = map[string]pendingStatus{}
--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -10,6 +10,7 @@
 	"carawayknot.example/carawayknot/pkg/archive"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/request"
 )
 
 const (
@@ -23,6 +24,8 @@
 	registerRetryDelay clock.Millis = 1000
 	// registerTimeout bounds one attempt.
 	registerTimeout clock.Millis = 1500
+	// registerSpread is the time over which instances spread their registrations when the store lost those of all.
+	registerSpread clock.Millis = 2000
 )
 
 // MemberRecord is an entry instance in the members' topic, or its removal.
@@ -51,25 +54,71 @@
 	return m, nil
 }
 
-// register writes this instance to the members' topic and retries until the store has it.
+// register writes this instance to the members' topic, and again when a store back from an older copy lacks it.
 func (in *Instance) register(ctx context.Context) error {
 	value, err := json.Marshal(in.self)
 	if err != nil {
 		return errors.Wrap(err, "encode member record")
 	}
+	if err := in.putMemberUntilStored(ctx, value); err != nil {
+		return err
+	}
+	close(in.registered)
+	for {
+		select {
+		case <-in.registrationLost:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		spread := clock.Millis(request.HashFraction("register", in.self.Name) * float64(registerSpread))
+		if err := clock.Sleep(ctx, in.Clock, spread); err != nil {
+			return err
+		}
+		if in.draining.Load() {
+			continue
+		}
+		in.Log.Info("the store lacks this member, registering again")
+		if err := in.putMemberUntilStored(ctx, value); err != nil {
+			return err
+		}
+		if in.draining.Load() {
+			// The removal may have reached the store before the registration.
+			in.deregister()
+		}
+	}
+}
+
+// putMemberUntilStored writes the record of this instance and retries until the store has it.
+func (in *Instance) putMemberUntilStored(ctx context.Context, value []byte) error {
 	for {
 		err := in.putMember(ctx, value)
 		if err == nil {
-			close(in.registered)
-			break
+			return nil
 		}
 		in.Log.Info("registration as a member failed; retrying", "error", err.Error())
 		if err := clock.Sleep(ctx, in.Clock, registerRetryDelay); err != nil {
 			return err
 		}
 	}
-	<-ctx.Done()
-	return ctx.Err()
+}
+
+// checkRegistration wakes register when the members' topic was read as a whole and lacks this instance although it was registered.
+func (in *Instance) checkRegistration(b archive.Batch[MemberRecord]) {
+	select {
+	case <-in.registered:
+	default:
+		return
+	}
+	listed := slices.ContainsFunc(b.Items, func(m MemberRecord) bool {
+		return m.Member.Name == in.self.Name && m.Member.Incarnation == in.self.Incarnation
+	})
+	if !b.Whole || listed {
+		return
+	}
+	select {
+	case in.registrationLost <- struct{}{}:
+	default:
+	}
 }
 
 func (in *Instance) putMember(ctx context.Context, value []byte) error {
@@ -154,5 +203,5 @@
 	case <-timeout:
 	case <-ctx.Done():
 	}
-	return followTopic(ctx, in, archive.TopicMembers, membersWait, decodeMember, nil)
+	return followTopic(ctx, in, archive.TopicMembers, membersWait, decodeMember, in.checkRegistration)
 }
