Upstream list: no new work for upstreams that were known to leave

Upstreams got new requests after they had reported that they leave, or after their entry was removed: the older copy from which the store came back lists them as ready, and the whole read replaced what was known.

An entry in another era now counts only if it is newer than what is known of the upstream, by its start and the sequence number of its entries: a leaving upstream stays so for the rest of that start, and an upstream that was removed stays out until it writes again, or until restoreGrace (5 s) shows that no removal follows the entry of the copy. Upstreams that the copy lacks are kept for listingGrace (2 s), in which they register again, and are removed then; a timer of the control actor ends both, so that nothing waits for the next read.

TestDecodeListing expects the sequence number, too.

TestLeavingUpstreamGetsNothingAfterTheStoreCameBack failed before ("got status 200 with one upstream leaving and the other one gone, want 503") and passes.

--- a/pkg/catalogue/operation.go
+++ b/pkg/catalogue/operation.go
@@ -34,6 +34,8 @@
 	Upstream *Upstream
 	// ColdFor is the remaining duration of the cold start at the time of the entry, in milliseconds.
 	ColdFor clock.Millis
+	// Sequence counts the entries of one incarnation of the upstream.
+	Sequence int64
 }
 
 // ReleaseStatus is the state of a release rollout as recorded for operators.
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -135,7 +135,10 @@
 		c.publish()
 	case expiryDue:
 		c.expiry = 0
-		c.view.Expire(now)
+		for _, name := range c.view.Expire(now) {
+			c.Log.Info("upstream removed, it did not register again", "upstream", name)
+			c.OnUpstreamRemoved(name)
+		}
 		c.publish()
 	}
 }
--- a/pkg/gateway/restored.go
+++ b/pkg/gateway/restored.go
@@ -101,7 +101,11 @@
 	for _, e := range []struct {
 		due bool
 		at  clock.Millis
-	}{{v.hasUnconfirmed(), v.unconfirmed.until}} {
+	}{
+		{v.hasUnconfirmed(), v.unconfirmed.until},
+		{len(v.missingUpstreams) > 0, v.missingUntil},
+		{len(v.doubtfulListings) > 0, v.doubtfulUntil},
+	} {
 		if e.due && (!found || e.at < next) {
 			next, found = e.at, true
 		}
@@ -115,5 +119,5 @@
 	if v.hasUnconfirmed() && now >= v.unconfirmed.until {
 		v.dropUnconfirmed(now)
 	}
-	return removed
+	return v.expireListings(now)
 }
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -26,7 +26,16 @@
 	unconfirmed   unconfirmedOperations
 	operationsEra topicEra
 	upstreams     map[string]*catalogue.Upstream
-	members       map[string]catalogue.Member
+	// upstreamRecords has the last records of the upstreams, also of those that were removed lately.
+	upstreamRecords map[string]upstreamRecord
+	listingsEra     topicEra
+	// missingUpstreams are upstreams that a store back from an older copy lacks; they are removed at missingUntil.
+	missingUpstreams map[string]bool
+	missingUntil     clock.Millis
+	// doubtfulListings are entries that such a store has of upstreams that were removed; they count from doubtfulUntil on.
+	doubtfulListings map[string]catalogue.Listing
+	doubtfulUntil    clock.Millis
+	members          map[string]catalogue.Member
 	// listRead and statusesRead are true once the upstream list and the rollout statuses were read.
 	listRead     bool
 	statusesRead bool
@@ -158,35 +167,6 @@
 	v.rollouts[service] = &copied
 }
 
-// ApplyListings applies a batch of the upstream list and returns the names of the upstreams that were removed.
-func (v *View) ApplyListings(b archive.Batch[catalogue.Listing], now clock.Millis) (removed []string) {
-	old := v.upstreams
-	if b.Whole || old == nil {
-		v.upstreams = map[string]*catalogue.Upstream{}
-	}
-	v.listRead = true
-	for _, l := range b.Items {
-		if l.Removed {
-			delete(v.upstreams, l.Name)
-			removed = append(removed, l.Name)
-			continue
-		}
-		u := *l.Upstream
-		if l.ColdFor > 0 {
-			u.ColdUntil = now + l.ColdFor
-		}
-		v.upstreams[l.Name] = &u
-	}
-	if b.Whole {
-		for name := range old {
-			if v.upstreams[name] == nil {
-				removed = append(removed, name)
-			}
-		}
-	}
-	return removed
-}
-
 // ApplyMembers applies a batch of the members' topic.
 func (v *View) ApplyMembers(b archive.Batch[MemberRecord]) {
 	if b.Whole || v.members == nil {
