Members: keep those whose registration the store lost for a while

After the return of a store from an older copy each instance knew only the members of the copy until the others had registered again. The share of a cold upstream that one instance may use is divided by the members: with fewer of them, each takes more.

A whole read of another era keeps the members that it lacks for restoreGrace (5 s; they register again within 2 s), and the later start of a member that it lists with an earlier one.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -115,7 +115,7 @@
 			c.logListings(m, now)
 		}
 	case archive.Batch[MemberRecord]:
-		c.view.ApplyMembers(m)
+		c.view.ApplyMembers(m, now)
 		if len(m.Items) > 0 || m.Whole {
 			c.publish()
 			c.OnMembersChanged(c.Snapshot().Members)
@@ -135,11 +135,16 @@
 		c.publish()
 	case expiryDue:
 		c.expiry = 0
-		for _, name := range c.view.Expire(now) {
+		removed, membersChanged := c.view.Expire(now)
+		for _, name := range removed {
 			c.Log.Info("upstream removed, it did not register again", "upstream", name)
 			c.OnUpstreamRemoved(name)
 		}
 		c.publish()
+		if membersChanged {
+			c.OnMembersChanged(c.Snapshot().Members)
+			c.Log.Info("members updated, some did not register again", "members", len(c.Snapshot().Members))
+		}
 	}
 }
 
--- a/pkg/gateway/listings_test.go
+++ b/pkg/gateway/listings_test.go
@@ -90,7 +90,8 @@
 	if !due || at != 100+listingGrace {
 		t.Errorf("the next expiry is at %d (%t), want %d", at, due, 100+listingGrace)
 	}
-	if diff := cmp.Diff([]string{"b"}, v.Expire(at)); diff != "" {
+	expired, _ := v.Expire(at)
+	if diff := cmp.Diff([]string{"b"}, expired); diff != "" {
 		t.Errorf("removed upstreams (-want +got):\n%s", diff)
 	}
 	if _, due := v.NextExpiry(); due {
--- a/pkg/gateway/restored.go
+++ b/pkg/gateway/restored.go
@@ -105,6 +105,7 @@
 		{v.hasUnconfirmed(), v.unconfirmed.until},
 		{len(v.missingUpstreams) > 0, v.missingUntil},
 		{len(v.doubtfulListings) > 0, v.doubtfulUntil},
+		{len(v.missingMembers) > 0, v.missingMembersUntil},
 	} {
 		if e.due && (!found || e.at < next) {
 			next, found = e.at, true
@@ -113,11 +114,11 @@
 	return next, found
 }
 
-// Expire ends what holds from an earlier era of the store and was not written again in time, and returns the names of the upstreams
-// that were removed by that.
-func (v *View) Expire(now clock.Millis) (removed []string) {
+// Expire ends what holds from an earlier era of the store and was not written again in time. It returns the names of the upstreams that
+// were removed by that, and whether members were.
+func (v *View) Expire(now clock.Millis) (removed []string, membersChanged bool) {
 	if v.hasUnconfirmed() && now >= v.unconfirmed.until {
 		v.dropUnconfirmed(now)
 	}
-	return v.expireListings(now)
+	return v.expireListings(now), v.expireMembers(now)
 }
--- a/pkg/gateway/restored_test.go
+++ b/pkg/gateway/restored_test.go
@@ -134,3 +134,38 @@
 		}
 	}
 }
+
+// Guards against instances that take too large a share of what all share because the store lost the registrations of the others.
+func TestViewKeepsMembersOfAnEarlierEra(t *testing.T) {
+	member := func(name string, incarnation int64) MemberRecord {
+		return MemberRecord{Member: catalogue.Member{Name: name, Incarnation: incarnation}}
+	}
+	for _, c := range []struct {
+		name string
+		// later follows the whole read of another era at time 100 that has only a, with its earlier start.
+		later []MemberRecord
+		at    clock.Millis
+		want  map[string]int64
+	}{
+		{"kept for a while", nil, 100 + restoreGrace - 1, map[string]int64{"a": 2, "b": 1}},
+		{"not registered again", nil, 100 + restoreGrace, map[string]int64{"a": 2}},
+		{"registered again", []MemberRecord{member("b", 1)}, 100 + restoreGrace, map[string]int64{"a": 2, "b": 1}},
+		{"removed", []MemberRecord{{Member: catalogue.Member{Name: "b"}, Removed: true}}, 200, map[string]int64{"a": 2}},
+		{"another one", []MemberRecord{member("c", 7)}, 200, map[string]int64{"a": 2, "b": 1, "c": 7}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v := &View{}
+			v.ApplyMembers(archive.Batch[MemberRecord]{Whole: true, Era: 1, Items: []MemberRecord{member("a", 2), member("b", 1)}}, 0)
+			v.ApplyMembers(archive.Batch[MemberRecord]{Whole: true, Era: 2, Items: []MemberRecord{member("a", 1)}}, 100)
+			v.ApplyMembers(archive.Batch[MemberRecord]{Era: 2, Items: c.later}, 150)
+			v.Expire(c.at)
+			got := map[string]int64{}
+			for _, m := range v.Snapshot(false).Members {
+				got[m.Name] = m.Incarnation
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("members and their starts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -36,6 +36,10 @@
 	doubtfulListings map[string]catalogue.Listing
 	doubtfulUntil    clock.Millis
 	members          map[string]catalogue.Member
+	membersEra       topicEra
+	// missingMembers are members that a store back from an older copy lacks; they are removed at missingMembersUntil.
+	missingMembers      map[string]bool
+	missingMembersUntil clock.Millis
 	// listRead and statusesRead are true once the upstream list and the rollout statuses were read.
 	listRead     bool
 	statusesRead bool
@@ -167,18 +171,50 @@
 	v.rollouts[service] = &copied
 }
 
-// ApplyMembers applies a batch of the members' topic.
-func (v *View) ApplyMembers(b archive.Batch[MemberRecord]) {
-	if b.Whole || v.members == nil {
+// ApplyMembers applies a batch of the members' topic. Members that a store back from an older copy lacks stay for restoreGrace, in which
+// they register again.
+func (v *View) ApplyMembers(b archive.Batch[MemberRecord], now clock.Millis) {
+	restored := observe(&v.membersEra, b)
+	known := v.members
+	if b.Whole || known == nil {
 		v.members = map[string]catalogue.Member{}
 	}
+	if restored {
+		v.missingMembers, v.missingMembersUntil = map[string]bool{}, now+restoreGrace
+	}
 	for _, m := range b.Items {
+		name := m.Member.Name
+		delete(v.missingMembers, name)
 		if m.Removed {
-			delete(v.members, m.Member.Name)
+			delete(v.members, name)
 			continue
 		}
-		v.members[m.Member.Name] = m.Member
+		v.members[name] = m.Member
+		if earlier, found := known[name]; restored && found && earlier.Incarnation > m.Member.Incarnation {
+			v.members[name] = earlier
+		}
+	}
+	if !b.Whole {
+		return
+	}
+	for name, m := range known {
+		if _, listed := v.members[name]; !listed && (restored || v.missingMembers[name]) {
+			v.members[name] = m
+			v.missingMembers[name] = true
+		}
+	}
+}
+
+// expireMembers removes the members that did not register again in time and reports whether there were any.
+func (v *View) expireMembers(now clock.Millis) bool {
+	if len(v.missingMembers) == 0 || now < v.missingMembersUntil {
+		return false
+	}
+	for name := range v.missingMembers {
+		delete(v.members, name)
 	}
+	v.missingMembers = nil
+	return true
 }
 
 // Snapshot builds the snapshot for the request path, without upstreams that are draining or in zones taken out of service.
