Stores without an era: a topic that ends before the position was restored

The installations at hand have stores that send no Store-Era. A whole read whose topic ends before the position that was reached before shows just as well that the store went back; it is treated like a read of another era. A log that has grown past the position meanwhile can't be told without the header.

--- a/pkg/gateway/listings.go
+++ b/pkg/gateway/listings.go
@@ -17,16 +17,16 @@
 type upstreamRecord struct {
 	incarnation, sequence int64
 	leaving, removed      bool
-	// era is that of the entry or the removal, and removedAt the time of the latter.
-	era       int64
+	// restores is the topicEra.restores of the entry or the removal, and removedAt the time of the latter.
+	restores  int
 	removedAt clock.Millis
 }
 
-// outdates reports whether an entry in another era is older than the record: one of an earlier start of the upstream, or one by which
-// an upstream that was leaving or removed would get new work.
-func (r upstreamRecord) outdates(l catalogue.Listing, era int64) bool {
+// outdates reports whether an entry after a later return of the store is older than the record: one of an earlier start of the
+// upstream, or one by which an upstream that was leaving or removed would get new work.
+func (r upstreamRecord) outdates(l catalogue.Listing, restores int) bool {
 	switch {
-	case r.era == era:
+	case r.restores == restores:
 		return false
 	case l.Upstream.Incarnation != r.incarnation:
 		return l.Upstream.Incarnation < r.incarnation
@@ -55,7 +55,7 @@
 		case l.Removed:
 			v.removeUpstream(l.Name, now)
 			removed = append(removed, l.Name)
-		case !known || !record.outdates(l, v.listingsEra.era):
+		case !known || !record.outdates(l, v.listingsEra.restores):
 			v.addUpstream(l, now)
 		case record.removed && l.Upstream.Incarnation == record.incarnation:
 			// A record after the return of the store is one of an upstream that is still there.
@@ -97,7 +97,7 @@
 		u.ColdUntil = now + l.ColdFor
 	}
 	v.upstreams[l.Name] = &u
-	v.upstreamRecords[l.Name] = upstreamRecord{incarnation: u.Incarnation, sequence: l.Sequence, leaving: u.Leaving, era: v.listingsEra.era}
+	v.upstreamRecords[l.Name] = upstreamRecord{incarnation: u.Incarnation, sequence: l.Sequence, leaving: u.Leaving, restores: v.listingsEra.restores}
 	delete(v.missingUpstreams, l.Name)
 	delete(v.doubtfulListings, l.Name)
 }
@@ -112,7 +112,7 @@
 		}
 	}
 	if record, known := v.upstreamRecords[name]; known {
-		record.removed, record.removedAt, record.era = true, now, v.listingsEra.era
+		record.removed, record.removedAt, record.restores = true, now, v.listingsEra.restores
 		v.upstreamRecords[name] = record
 	}
 }
--- a/pkg/gateway/restored.go
+++ b/pkg/gateway/restored.go
@@ -10,19 +10,27 @@
 // was known before holds so long.
 const restoreGrace = 5 * clock.Second
 
-// topicEra is the era of what was read of a topic.
+// topicEra is the era of what was read of a topic, and the position behind it.
 type topicEra struct {
 	era  int64
+	next int64
 	read bool
+	// restores counts the returns from an older copy that were noticed.
+	restores int
 }
 
-// observe notes the era of a batch and reports whether the batch replaces what was read in another era.
+// observe notes the era of a batch and reports whether the batch replaces what was read in another era. Where the era is unknown, a
+// topic that ends before the position tells it.
 func observe[T any](e *topicEra, b archive.Batch[T]) (restored bool) {
-	restored = b.Whole && e.read && b.IsOtherEra(e.era)
+	restored = b.Whole && e.read && (b.IsOtherEra(e.era) || b.Era == 0 && b.Next < e.next)
+	e.next = b.Next
 	if b.Era != 0 {
 		e.era = b.Era
 	}
 	e.read = e.read || b.Whole
+	if restored {
+		e.restores++
+	}
 	return restored
 }
 
--- a/pkg/gateway/restored_test.go
+++ b/pkg/gateway/restored_test.go
@@ -97,6 +97,26 @@
 	}
 }
 
+// Guards against a rollout that ends because a store without eras came back from a copy without its order.
+func TestViewKeepsOperationsWhenTheTopicEndsBeforeThePosition(t *testing.T) {
+	for _, c := range []struct {
+		next int64
+		want catalogue.ReleaseState
+	}{{6, catalogue.ReleaseRunning}, {7, catalogue.ReleaseReverted}, {8, catalogue.ReleaseReverted}} {
+		v := &View{}
+		b := operations(true, table(1), order("v2", false))
+		b.Next = 6
+		v.ApplyOperations(b, 10)
+		v.ApplyOperations(archive.Batch[catalogue.Operation]{Next: 7}, 20)
+		b = operations(true, table(1))
+		b.Next = c.next
+		v.ApplyOperations(b, 30)
+		if got := v.Snapshot(false).Moves["lm"].State; got != c.want {
+			t.Errorf("the topic ends at %d after a position of 7: the rollout is %s, want %s", c.next, got, c.want)
+		}
+	}
+}
+
 // Guards against operations that are kept although the store did not go back.
 func TestViewDropsOperationsThatAWholeReadOfTheSameEraLacks(t *testing.T) {
 	v := &View{}
