Upstream list: drop an entry of a copy that a later whole read lacks

An entry of an older copy that waits for a removal to follow counted 5 s later even if the store had gone back once more and no longer had it.

--- a/pkg/gateway/listings.go
+++ b/pkg/gateway/listings.go
@@ -40,11 +40,12 @@
 	restored := observe(&v.listingsEra, b)
 	if v.upstreamRecords == nil {
 		v.upstreamRecords = map[string]upstreamRecord{}
-		v.missingUpstreams, v.doubtfulListings = map[string]bool{}, map[string]catalogue.Listing{}
+		v.missingUpstreams = map[string]bool{}
 	}
 	old := v.upstreams
 	if b.Whole || old == nil {
 		v.upstreams = map[string]*catalogue.Upstream{}
+		v.doubtfulListings = map[string]catalogue.Listing{}
 	}
 	if restored {
 		v.missingUntil, v.doubtfulUntil = now+listingGrace, now+restoreGrace
