Log what is kept from before the store went back, and how it ends

The lines tell operators that orders, zones or upstreams are in force which the store lacks, that an entry of the copy was ignored, and that something ended because nobody wrote it again.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -105,6 +105,9 @@
 		}
 		c.logOperations(m, before, now)
 		c.logConfirmation(confirmed)
+		if m.Whole && c.view.hasUnconfirmed() {
+			c.Log.Info("the store lacks operations, keeping them for a while", "orders", len(c.view.unconfirmed.orders), "zones", len(c.view.unconfirmed.zones))
+		}
 	case archive.Batch[catalogue.Listing]:
 		for _, name := range c.view.ApplyListings(m, now) {
 			c.OnUpstreamRemoved(name)
@@ -135,11 +138,15 @@
 		c.publish()
 	case expiryDue:
 		c.expiry = 0
+		unconfirmed := c.view.unconfirmed
 		removed, membersChanged := c.view.Expire(now)
 		for _, name := range removed {
 			c.Log.Info("upstream removed, it did not register again", "upstream", name)
 			c.OnUpstreamRemoved(name)
 		}
+		if n := len(unconfirmed.orders) + len(unconfirmed.zones); n > 0 && !c.view.hasUnconfirmed() {
+			c.Log.Info("operations were not written again and have ended", "orders", len(unconfirmed.orders), "zones", len(unconfirmed.zones))
+		}
 		c.publish()
 		if membersChanged {
 			c.OnMembersChanged(c.Snapshot().Members)
@@ -203,7 +210,8 @@
 
 func (c *Control) logListings(b archive.Batch[catalogue.Listing], now clock.Millis) {
 	if b.Whole {
-		c.Log.Info("upstream list read", "upstreams", len(b.Items), "readLatencyMs", now-b.AsOf)
+		c.Log.Info("upstream list read", "upstreams", len(b.Items), "readLatencyMs", now-b.AsOf,
+			"missing", len(c.view.missingUpstreams), "doubtful", len(c.view.doubtfulListings))
 		return
 	}
 	for _, l := range b.Items {
@@ -211,6 +219,11 @@
 			c.Log.Info("upstream removed", "upstream", l.Name)
 			continue
 		}
+		if u := c.view.upstreams[l.Name]; u == nil || u.Leaving != l.Upstream.Leaving || u.Incarnation != l.Upstream.Incarnation {
+			c.Log.Info("upstream entry ignored, a newer one is known", "upstream", l.Name, "leaving", l.Upstream.Leaving, "sequence", l.Sequence,
+				"incarnation", l.Upstream.Incarnation)
+			continue
+		}
 		c.Log.Info("upstream listed", "upstream", l.Name, "service", l.Upstream.Service, "release", l.Upstream.Release,
 			"zone", l.Upstream.Zone, "leaving", l.Upstream.Leaving, "coldMs", l.ColdFor, "incarnation", l.Upstream.Incarnation)
 	}
