Shared reads: a later era in one topic ends the waits of the others

A store that comes back from an older copy may leave waiting reads open: lost statuses would be noticed after up to 10 s and lost members after up to 20 s, at the end of the wait. A read of the store now ends when another topic shows a later era, and its topic is read anew.

--- a/pkg/archive/source.go
+++ b/pkg/archive/source.go
@@ -42,8 +42,9 @@
 type Cache struct {
 	mu     sync.Mutex
 	topics map[TopicName]*cachedTopic
-	// era is the newest era of the store that was seen in any topic.
-	era int64
+	// era is the newest era of the store that was seen in any topic, and eraEnded is closed and replaced when it rises.
+	era      int64
+	eraEnded chan struct{}
 }
 
 type cachedTopic struct {
@@ -64,9 +65,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.topics[topic]
-	if b.Era > c.era || b.Whole && b.Era != 0 {
-		c.era = b.Era
-	}
+	c.noteEra(b)
 	if !b.Whole && t != nil && b.IsOtherEra(t.era) {
 		return
 	}
@@ -108,6 +107,27 @@
 	}
 }
 
+// noteEra notes the era of a batch; c.mu must be held.
+func (c *Cache) noteEra(b Batch[Record]) {
+	if b.Era > c.era && len(c.topics) > 0 && c.eraEnded != nil {
+		close(c.eraEnded)
+		c.eraEnded = nil
+	}
+	if b.Era > c.era || b.Whole && b.Era != 0 {
+		c.era = b.Era
+	}
+}
+
+// EraEnded returns a channel that is closed when a later era of the store is seen in any topic.
+func (c *Cache) EraEnded() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.eraEnded == nil {
+		c.eraEnded = make(chan struct{})
+	}
+	return c.eraEnded
+}
+
 // Newest returns the newest record of each key, and whether the topic has been read.
 func (c *Cache) Newest(topic TopicName) (Batch[Record], bool) {
 	c.mu.Lock()
--- a/pkg/membership/peer_era_test.go
+++ b/pkg/membership/peer_era_test.go
@@ -104,3 +104,42 @@
 		}
 	}
 }
+
+// waitingStore has reads that wait until their context ends.
+type waitingStore struct {
+	countingStore
+	waiting chan struct{}
+}
+
+func (s *waitingStore) Read(ctx context.Context, _ archive.TopicName, _ int64, _ clock.Millis) (archive.Batch[archive.Record], error) {
+	s.waiting <- struct{}{}
+	<-ctx.Done()
+	return archive.Batch[archive.Record]{}, ctx.Err()
+}
+
+// Guards against lost statuses and members that are noticed only at the end of a long wait, because the store that came back from an
+// older copy doesn't end the reads that wait.
+func TestWaitEndsWhenAnotherTopicShowsALaterEra(t *testing.T) {
+	p := newPeerPair(t)
+	p.zone = 1
+	store := &waitingStore{countingStore: countingStore{clock: p.clock}, waiting: make(chan struct{})}
+	p.source.Store = store
+	p.source.Cache.Update(archive.TopicMembers, archive.Batch[archive.Record]{Whole: true, Next: 4, Era: 4})
+	done := make(chan error)
+	go func() {
+		_, err := p.source.Read(context.Background(), archive.TopicMembers, 4, 20_000)
+		done <- err
+	}()
+	<-store.waiting
+	p.source.Cache.Update(archive.TopicListings, archive.Batch[archive.Record]{Whole: true, Era: 4})
+	select {
+	case err := <-done:
+		t.Fatalf("the wait ended with %v in the same era", err)
+	default:
+	}
+	p.source.Cache.Update(archive.TopicOperations, archive.Batch[archive.Record]{Whole: true, Era: 5})
+	var eraErr *archive.EraError
+	if err := <-done; !errors.Is(err, archive.ErrTrimmed) || !errors.As(err, &eraErr) {
+		t.Errorf("the wait ended with %v, want an *EraError that is ErrTrimmed", err)
+	}
+}
--- a/pkg/membership/peer_source.go
+++ b/pkg/membership/peer_source.go
@@ -94,7 +94,7 @@
 			return archive.Batch[archive.Record]{}, err
 		}
 	}
-	b, err = s.readStore(ctx, topic, func() (archive.Batch[archive.Record], error) { return s.Store.Read(ctx, topic, from, wait) })
+	b, err = s.readStore(ctx, topic, func() (archive.Batch[archive.Record], error) { return s.readWithinEra(ctx, topic, from, wait) })
 	if err == nil && topic == archive.TopicListings && len(b.Items) > 0 {
 		s.listingsPausedUntil.Store(int64(s.Clock.Now() + listingsPause))
 	}
@@ -115,6 +115,26 @@
 	return b, err
 }
 
+// readWithinEra reads from the store, and stops waiting with archive.ErrTrimmed when another topic shows that the store came back from
+// an older copy.
+func (s *PeerSource) readWithinEra(ctx context.Context, topic archive.TopicName, from int64, wait clock.Millis) (archive.Batch[archive.Record], error) {
+	readCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := s.Cache.EraEnded()
+	go func() {
+		select {
+		case <-ended:
+			cancel()
+		case <-readCtx.Done():
+		}
+	}()
+	b, err := s.Store.Read(readCtx, topic, from, wait)
+	if err != nil && readCtx.Err() != nil && ctx.Err() == nil {
+		return b, errors.Mark(&archive.EraError{Era: s.Cache.TopicEra(topic), Current: s.Cache.Era()}, archive.ErrTrimmed)
+	}
+	return b, err
+}
+
 // hasReadablePeer reports whether there is an instance to read from.
 func (s *PeerSource) hasReadablePeer() bool {
 	olderPeers, zone := s.OlderInstances()
