--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -24,6 +24,9 @@
 
 	view     View
 	draining bool
+	// expiry is the time of the next expiryDue message; stopped is closed by Stop.
+	expiry   clock.Millis
+	stopped  chan struct{}
 	system   *actor.ActorSystem
 	pid      *actor.PID
 	snapshot atomic.Pointer[catalogue.Snapshot]
@@ -45,10 +48,13 @@
 // drainStarted is the message that the instance is shutting down.
 type drainStarted struct{}
 
+// expiryDue is the message that a part of the view expires.
+type expiryDue struct{}
+
 // Run starts the actor and must be called before all other methods.
 func (c *Control) Run() {
 	c.currentAt.Store(-1)
-	c.loaded = make(chan struct{})
+	c.loaded, c.stopped = make(chan struct{}), make(chan struct{})
 	c.snapshot.Store(c.view.Snapshot(false))
 	logger := slog.New(logr.ToSlogHandler(c.Log.V(1)))
 	c.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return logger }))
@@ -57,6 +63,7 @@
 
 // Stop ends the actor after it has handled the messages in its queue.
 func (c *Control) Stop() {
+	close(c.stopped)
 	_ = c.system.Root.PoisonFuture(c.pid).Wait()
 	c.system.Shutdown()
 }
@@ -85,15 +92,22 @@
 
 func (c *Control) receive(ctx actor.Context) {
 	now := c.Clock.Now()
+	defer c.scheduleExpiry(now)
 	switch m := ctx.Message().(type) {
 	case archive.Batch[catalogue.Operation]:
-		before := c.view.table
+		before, confirmed := c.view.table, c.view.tableConfirmed
 		c.view.ApplyOperations(m, now)
 		if len(m.Items) > 0 || m.Whole {
 			c.publish()
 		}
-		c.currentAt.Store(int64(m.AsOf))
+		if c.view.tableConfirmed {
+			c.currentAt.Store(int64(m.AsOf))
+		}
 		c.logOperations(m, before, now)
+		c.logConfirmation(confirmed)
+		if m.Whole && c.view.hasUnconfirmed() {
+			c.Log.Info("the store lacks operations, keeping them for a while", "orders", len(c.view.unconfirmed.orders), "zones", len(c.view.unconfirmed.zones))
+		}
 	case archive.Batch[catalogue.Listing]:
 		for _, name := range c.view.ApplyListings(m, now) {
 			c.OnUpstreamRemoved(name)
@@ -104,7 +118,7 @@
 			c.logListings(m, now)
 		}
 	case archive.Batch[MemberRecord]:
-		c.view.ApplyMembers(m)
+		c.view.ApplyMembers(m, now)
 		if len(m.Items) > 0 || m.Whole {
 			c.publish()
 			c.OnMembersChanged(c.Snapshot().Members)
@@ -122,7 +136,41 @@
 	case drainStarted:
 		c.draining = true
 		c.publish()
+	case expiryDue:
+		c.expiry = 0
+		unconfirmed := c.view.unconfirmed
+		removed, membersChanged := c.view.Expire(now)
+		for _, name := range removed {
+			c.Log.Info("upstream removed, it did not register again", "upstream", name)
+			c.OnUpstreamRemoved(name)
+		}
+		if n := len(unconfirmed.orders) + len(unconfirmed.zones); n > 0 && !c.view.hasUnconfirmed() {
+			c.Log.Info("operations were not written again and have ended", "orders", len(unconfirmed.orders), "zones", len(unconfirmed.zones))
+		}
+		c.publish()
+		if membersChanged {
+			c.OnMembersChanged(c.Snapshot().Members)
+			c.Log.Info("members updated, some did not register again", "members", len(c.Snapshot().Members))
+		}
+	}
+}
+
+// scheduleExpiry sends expiryDue once a part of the view expires.
+func (c *Control) scheduleExpiry(now clock.Millis) {
+	at, found := c.view.NextExpiry()
+	if !found || at == c.expiry {
+		return
 	}
+	c.expiry = at
+	due, stop := c.Clock.Timer(at - now)
+	go func() {
+		defer stop()
+		select {
+		case <-due:
+			c.Send(expiryDue{})
+		case <-c.stopped:
+		}
+	}()
 }
 
 func (c *Control) publish() {
@@ -133,6 +181,18 @@
 	}
 }
 
+// logConfirmation logs when the store, back from an older copy, lacks the active configuration and when it has it again.
+func (c *Control) logConfirmation(before bool) {
+	if c.view.table == nil || c.view.tableConfirmed == before {
+		return
+	}
+	if c.view.tableConfirmed {
+		c.Log.Info("the store has the active configuration", "version", c.view.table.Version)
+		return
+	}
+	c.Log.Info("the store lacks the active configuration, waiting until it is written again", "version", c.view.table.Version)
+}
+
 func (c *Control) logOperations(b archive.Batch[catalogue.Operation], before *catalogue.RouteTable, now clock.Millis) {
 	for _, op := range b.Items {
 		switch op.Kind {
@@ -150,7 +210,8 @@
 
 func (c *Control) logListings(b archive.Batch[catalogue.Listing], now clock.Millis) {
 	if b.Whole {
-		c.Log.Info("upstream list read", "upstreams", len(b.Items), "readLatencyMs", now-b.AsOf)
+		c.Log.Info("upstream list read", "upstreams", len(b.Items), "readLatencyMs", now-b.AsOf,
+			"missing", len(c.view.missingUpstreams), "doubtful", len(c.view.doubtfulListings))
 		return
 	}
 	for _, l := range b.Items {
@@ -158,6 +219,11 @@
 			c.Log.Info("upstream removed", "upstream", l.Name)
 			continue
 		}
+		if u := c.view.upstreams[l.Name]; u == nil || u.Leaving != l.Upstream.Leaving || u.Incarnation != l.Upstream.Incarnation {
+			c.Log.Info("upstream entry ignored, a newer one is known", "upstream", l.Name, "leaving", l.Upstream.Leaving, "sequence", l.Sequence,
+				"incarnation", l.Upstream.Incarnation)
+			continue
+		}
 		c.Log.Info("upstream listed", "upstream", l.Name, "service", l.Upstream.Service, "release", l.Upstream.Release,
 			"zone", l.Upstream.Zone, "leaving", l.Upstream.Leaving, "coldMs", l.ColdFor, "incarnation", l.Upstream.Incarnation)
 	}
--- a/pkg/gateway/filters_test.go
+++ b/pkg/gateway/filters_test.go
@@ -84,13 +84,13 @@
 	}})
 	ops.AsOf = in.Clock.Now()
 	in.control.Send(ops)
-	in.control.Send(listings(in.Clock.Now(), "u1", "u2", "u3", "u4"))
+	in.control.Send(wholeList(in.Clock.Now(), "u1", "u2", "u3", "u4"))
 	<-in.control.Loaded()
 	return in
 }
 
-// listings returns a whole read of a list of upstreams of the service desk.
-func listings(asOf clock.Millis, names ...string) archive.Batch[catalogue.Listing] {
+// wholeList returns a whole read of a list of upstreams of the service desk.
+func wholeList(asOf clock.Millis, names ...string) archive.Batch[catalogue.Listing] {
 	b := archive.Batch[catalogue.Listing]{Whole: true, AsOf: asOf}
 	for _, name := range names {
 		b.Items = append(b.Items, catalogue.Listing{Name: name, Upstream: &catalogue.Upstream{Name: name, Service: "desk", Address: name + ":1", Slots: 8}})
