--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -48,10 +48,17 @@
 func (f *Dispatch) Filter(ctx context.Context, c *request.Call, next request.Handler) error {
 	c.Excluded = nil
 	declines, runsBefore := 0, c.Runs
+	persist := persistence{required: c.Fallback == request.FallbackTaken}
+	// failed is the last error response of an upstream.
+	var failed FailedResponse
 	for {
 		u, refusal := f.choose(c)
 		if refusal != nil {
-			return refusal
+			if !persist.required || !f.awaitUpstream(ctx, c, &persist, refusal, true) {
+				return f.finalError(ctx, c, refusal, failed)
+			}
+			c.Excluded = nil
+			continue
 		}
 		c.Upstream = u
 		if c.Attempts == 0 {
@@ -74,15 +81,28 @@
 			declines++
 		}
 		c.Excluded = append(c.Excluded, u.Name)
+		errors.As(r.Cause, &failed)
+		persist.update(c, r, retry)
 		if noRetry := f.noRetryReason(ctx, c, r, declines, retry); noRetry != "" {
+			if persist.mayOvercome(noRetry) && f.awaitUpstream(ctx, c, &persist, r, retry.take()) {
+				// One upstream declines for all in the rounds after the first, which leaves retries for other calls.
+				c.Excluded, declines = nil, maxDeclines-1
+				continue
+			}
 			f.logGiveUp(c, u, r, noRetry, c.Runs-runsBefore)
-			return f.finalError(ctx, c, r)
+			return f.finalError(ctx, c, r, failed)
 		}
 		f.Log.Info("retrying request", "request", c.Request.ID, "route", c.Route.Name, "failed", u.Name, "reason", r.Reason,
 			"outcome", r.Outcome, "error", r.Error(), "after", c.LastEventID, "runs", c.Runs)
 	}
 }
 
+// Reasons not to retry that pass with time.
+const (
+	stopDeclined        = "declined by too many upstreams"
+	stopBudgetExhausted = "retry budget exhausted"
+)
+
 // noRetryReason returns why the call may not be retried, or "" if it may; it then takes one retry from the budget.
 func (f *Dispatch) noRetryReason(ctx context.Context, c *request.Call, r *request.Refusal, declines int, retry *reservedRetry) string {
 	switch r.Reason {
@@ -94,25 +114,25 @@
 	case ctx.Err() != nil:
 		return "caller disconnected"
 	case r.Outcome == request.NotRun && declines >= maxDeclines:
-		return "declined by too many upstreams"
+		return stopDeclined
 	case r.Outcome != request.NotRun && !c.Route.MayRepeat():
 		return "request is not repeatable"
 	case r.Outcome != request.NotRun && c.Runs >= c.Route.MaxAttempts:
 		return "attempt limit reached"
 	case c.HeadWritten && !c.Route.Resumable:
 		return "answer has begun and is not resumable"
-	case f.tooLate(c.Request.Deadline, c.Route):
+	case !retry.reserved.Load() && f.tooLate(c.Request.Deadline, c.Route):
 		return "too little time before the deadline"
 	case !retry.take() && !f.Budgets.TryWithdraw(c.Upstream.Service):
-		return "retry budget exhausted"
+		return stopBudgetExhausted
 	}
 	return ""
 }
 
-// finalError passes on the upstream's own error response if there is one, and otherwise returns the refusal.
-func (f *Dispatch) finalError(ctx context.Context, c *request.Call, r *request.Refusal) error {
-	var failed FailedResponse
-	if !c.HeadWritten && errors.As(r.Cause, &failed) {
+// finalError passes on the error response of an upstream if there was one, and otherwise returns the refusal.
+func (f *Dispatch) finalError(ctx context.Context, c *request.Call, r *request.Refusal, failed FailedResponse) error {
+	mayFallBack := c.Fallback == request.FallbackLeft && r.Outcome == request.NotRun
+	if failed != nil && !c.HeadWritten && !mayFallBack {
 		return failed.Forward(ctx, c)
 	}
 	if r.Outcome == request.NotRun && r.RetryAfter == 0 && ctx.Err() == nil {
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -12,21 +12,46 @@
 
 // View is the control state of an instance; it is not safe for concurrent use and only the control actor uses it.
 type View struct {
-	table    *catalogue.RouteTable
-	zonesOut map[string]bool
-	orders   map[string]catalogue.ReleaseOrder
-	statuses map[string]catalogue.ReleaseStatus
+	table *catalogue.RouteTable
+	// tableConfirmed is false while the store, back from an older copy, has no configuration as new as the table.
+	tableConfirmed bool
+	zonesOut       map[string]bool
+	orders         map[string]catalogue.ReleaseOrder
+	statuses       map[string]catalogue.ReleaseStatus
 	// rollouts has the release rollouts by service, also those whose order was removed.
-	rollouts  map[string]*catalogue.ReleaseRollout
-	upstreams map[string]*catalogue.Upstream
-	members   map[string]catalogue.Member
+	rollouts map[string]*catalogue.ReleaseRollout
+	// lostRollouts has the rollouts that ended only because the store lost their order.
+	lostRollouts map[string]*catalogue.ReleaseRollout
+	// unconfirmed is the part of orders and zonesOut that the store doesn't have.
+	unconfirmed   unconfirmedOperations
+	operationsEra topicEra
+	upstreams     map[string]*catalogue.Upstream
+	// upstreamRecords has the last records of the upstreams, also of those that were removed lately.
+	upstreamRecords map[string]upstreamRecord
+	listingsEra     topicEra
+	// missingUpstreams are upstreams that a store back from an older copy lacks; they are removed at missingUntil.
+	missingUpstreams map[string]bool
+	missingUntil     clock.Millis
+	// doubtfulListings are entries that such a store has of upstreams that were removed; they count from doubtfulUntil on.
+	doubtfulListings map[string]catalogue.Listing
+	doubtfulUntil    clock.Millis
+	members          map[string]catalogue.Member
+	membersEra       topicEra
+	// missingMembers are members that a store back from an older copy lacks; they are removed at missingMembersUntil.
+	missingMembers      map[string]bool
+	missingMembersUntil clock.Millis
 	// listRead and statusesRead are true once the upstream list and the rollout statuses were read.
 	listRead     bool
 	statusesRead bool
 }
 
-// ApplyOperations applies a batch of operators' changes; a configuration older than the active one is ignored.
+// ApplyOperations applies a batch of operators' changes; a configuration older than the active one is ignored. What a store that came
+// back from an older copy lacks holds for restoreGrace.
 func (v *View) ApplyOperations(b archive.Batch[catalogue.Operation], now clock.Millis) {
+	if observe(&v.operationsEra, b) {
+		v.unconfirm(now)
+	}
+	knownOrders := v.orders
 	if b.Whole {
 		v.zonesOut, v.orders = map[string]bool{}, map[string]catalogue.ReleaseOrder{}
 	}
@@ -36,13 +61,24 @@
 			if v.table == nil || op.Table.Version > v.table.Version {
 				v.table = op.Table
 			}
+			if op.Table.Version == v.table.Version {
+				v.tableConfirmed = true
+			} else if b.Whole {
+				v.tableConfirmed = false
+			}
 		case catalogue.OperationZoneOut:
+			if !b.Whole {
+				delete(v.unconfirmed.zones, op.Zone)
+			}
 			if op.Removed {
 				delete(v.zonesOut, op.Zone)
 			} else {
 				v.zonesOut[op.Zone] = true
 			}
 		case catalogue.OperationRelease:
+			if !b.Whole {
+				delete(v.unconfirmed.orders, op.Order.Service)
+			}
 			if op.Removed {
 				delete(v.orders, op.Order.Service)
 			} else {
@@ -50,6 +86,9 @@
 			}
 		}
 	}
+	if b.Whole {
+		v.keepUnconfirmed(knownOrders)
+	}
 	v.updateRollouts(now)
 }
 
@@ -74,6 +113,11 @@
 	rollouts := map[string]*catalogue.ReleaseRollout{}
 	for service, order := range v.orders {
 		rollout := v.rollouts[service]
+		if lost := v.lostRollouts[service]; lost != nil {
+			// The order is there again: the rollout goes on.
+			rollout = lost
+			delete(v.lostRollouts, service)
+		}
 		if rollout == nil || rollout.ReleaseOrder != order {
 			rollout = &catalogue.ReleaseRollout{ReleaseOrder: order, State: catalogue.ReleaseRunning, StartedAt: now, Canary: catalogue.CanaryFraction(v.countOldUpstreams(order))}
 		}
@@ -127,47 +171,50 @@
 	v.rollouts[service] = &copied
 }
 
-// ApplyListings applies a batch of the upstream list and returns the names of the upstreams that were removed.
-func (v *View) ApplyListings(b archive.Batch[catalogue.Listing], now clock.Millis) (removed []string) {
-	old := v.upstreams
-	if b.Whole || old == nil {
-		v.upstreams = map[string]*catalogue.Upstream{}
-	}
-	v.listRead = true
-	for _, l := range b.Items {
-		if l.Removed {
-			delete(v.upstreams, l.Name)
-			removed = append(removed, l.Name)
+// ApplyMembers applies a batch of the members' topic. Members that a store back from an older copy lacks stay for restoreGrace, in which
+// they register again.
+func (v *View) ApplyMembers(b archive.Batch[MemberRecord], now clock.Millis) {
+	restored := observe(&v.membersEra, b)
+	known := v.members
+	if b.Whole || known == nil {
+		v.members = map[string]catalogue.Member{}
+	}
+	if restored {
+		v.missingMembers, v.missingMembersUntil = map[string]bool{}, now+restoreGrace
+	}
+	for _, m := range b.Items {
+		name := m.Member.Name
+		delete(v.missingMembers, name)
+		if m.Removed {
+			delete(v.members, name)
 			continue
 		}
-		u := *l.Upstream
-		if l.ColdFor > 0 {
-			u.ColdUntil = now + l.ColdFor
+		v.members[name] = m.Member
+		if earlier, found := known[name]; restored && found && earlier.Incarnation > m.Member.Incarnation {
+			v.members[name] = earlier
 		}
-		v.upstreams[l.Name] = &u
 	}
-	if b.Whole {
-		for name := range old {
-			if v.upstreams[name] == nil {
-				removed = append(removed, name)
-			}
+	if !b.Whole {
+		return
+	}
+	for name, m := range known {
+		if _, listed := v.members[name]; !listed && (restored || v.missingMembers[name]) {
+			v.members[name] = m
+			v.missingMembers[name] = true
 		}
 	}
-	return removed
 }
 
-// ApplyMembers applies a batch of the members' topic.
-func (v *View) ApplyMembers(b archive.Batch[MemberRecord]) {
-	if b.Whole || v.members == nil {
-		v.members = map[string]catalogue.Member{}
+// expireMembers removes the members that did not register again in time and reports whether there were any.
+func (v *View) expireMembers(now clock.Millis) bool {
+	if len(v.missingMembers) == 0 || now < v.missingMembersUntil {
+		return false
 	}
-	for _, m := range b.Items {
-		if m.Removed {
-			delete(v.members, m.Member.Name)
-			continue
-		}
-		v.members[m.Member.Name] = m.Member
+	for name := range v.missingMembers {
+		delete(v.members, name)
 	}
+	v.missingMembers = nil
+	return true
 }
 
 // Snapshot builds the snapshot for the request path, without upstreams that are draining or in zones taken out of service.
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -79,6 +79,18 @@
 	Tokens int
 }
 
+// Fallback says whether a call may go back to a smaller model when no upstream takes the current one.
+type Fallback int
+
+const (
+	// NoFallback means that no answer to the call was dropped.
+	NoFallback Fallback = iota
+	// FallbackLeft means that an answer was dropped and can be had again.
+	FallbackLeft
+	// FallbackTaken means that the call went back to the smallest model; it isn't refused for want of a free upstream.
+	FallbackTaken
+)
+
 // Call is the state of a request while it passes through the filters, each of which sets the fields that it decides.
 type Call struct {
 	Request   *Request
@@ -128,6 +140,8 @@
 	Runs int
 	// OnFirstEvent, if set, is called when the first part of a streamed response arrives.
 	OnFirstEvent func()
+	// Fallback says whether the call may go back to a smaller model.
+	Fallback Fallback
 	// HeadWritten is true once the response head was written to the caller.
 	HeadWritten bool
 	// TokensAhead is the work that was pending at the upstream when the current attempt was sent, in prompt tokens of the call's model.
@@ -139,8 +153,14 @@
 	ReserveRetry func() bool
 }
 
-// MayAbort reports whether the current attempt may be aborted so that another upstream can take over; it then has a retry reserved.
-func (c *Call) MayAbort() bool { return c.ReserveRetry == nil || c.ReserveRetry() }
+// MayAbort returns a function that reports whether the current attempt may be aborted so that another upstream can take over, which then
+// has a retry reserved; the function may be called on any goroutine.
+func (c *Call) MayAbort() func() bool {
+	if c.ReserveRetry == nil {
+		return func() bool { return true }
+	}
+	return c.ReserveRetry
+}
 
 // UpstreamRequestID returns the ID that the upstream got for the latest attempt: AttemptID, or else the request ID.
 func (c *Call) UpstreamRequestID() string {
