Trust a store that lacks the active configuration after 10 s

Callers would be refused without end: an instance holds a configuration that was never acknowledged, the store came back from a copy without it, and no operator writes it again; its view then counts as too old for any key.

Evidence: TestControlAgeWithoutTheActiveConfigurationForLong doesn't end without this change, and passes with it.

Change: operators have 10 s, twice the time for orders, to write it again; the log says when it holds without the store.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -138,12 +138,15 @@
 		c.publish()
 	case expiryDue:
 		c.expiry = 0
-		unconfirmed := c.view.unconfirmed
+		unconfirmed, confirmed := c.view.unconfirmed, c.view.tableConfirmed
 		removed, membersChanged := c.view.Expire(now)
 		for _, name := range removed {
 			c.Log.Info("upstream removed, it did not register again", "upstream", name)
 			c.OnUpstreamRemoved(name)
 		}
+		if !confirmed && c.view.tableConfirmed {
+			c.Log.Info("the active configuration was not written again and holds without the store", "version", c.view.table.Version)
+		}
 		if n := len(unconfirmed.orders) + len(unconfirmed.zones); n > 0 && !c.view.hasUnconfirmed() {
 			c.Log.Info("operations were not written again and have ended", "orders", len(unconfirmed.orders), "zones", len(unconfirmed.zones))
 		}
--- a/pkg/gateway/control_test.go
+++ b/pkg/gateway/control_test.go
@@ -84,3 +84,23 @@
 		t.Errorf("ages (-want +got):\n%s", diff)
 	}
 }
+
+// A configuration that nobody writes again, since it was never acknowledged, kept the view too old for any key without end.
+func TestControlAgeWithoutTheActiveConfigurationForLong(t *testing.T) {
+	at := func(asOf clock.Millis, b archive.Batch[catalogue.Operation]) archive.Batch[catalogue.Operation] {
+		b.AsOf = asOf
+		return b
+	}
+	c := newTestControl(t)
+	c.sendAll(at(900, ofEra(1, operations(true, table(4)))), at(910, ofEra(2, operations(true, table(3)))))
+	c.clock.Advance(confirmGrace - 1)
+	c.sendAll(at(c.clock.Now(), ofEra(2, operations(false))))
+	if age := c.Age(c.clock.Now()); age < confirmGrace {
+		t.Errorf("age is %d ms before the configuration had time to be written again, want more", age)
+	}
+	c.clock.Advance(1)
+	for c.Age(c.clock.Now()) != 0 {
+		// The expiry is a message of its own, sent by a timer.
+		c.sendAll(at(c.clock.Now(), ofEra(2, operations(false))))
+	}
+}
--- a/pkg/gateway/restored.go
+++ b/pkg/gateway/restored.go
@@ -10,6 +10,10 @@
 // was known before holds so long.
 const restoreGrace = 5 * clock.Second
 
+// confirmGrace is how long an answer of such a store that lacks the active configuration doesn't count as current. If nobody has written the
+// configuration again by then, nobody will: it was never acknowledged, and refusing for its sake would have no end.
+const confirmGrace = 2 * restoreGrace
+
 // topicEra is the era of what was read of a topic, and the position behind it.
 type topicEra struct {
 	era  int64
@@ -52,7 +56,7 @@
 	for zone := range v.zonesOut {
 		v.unconfirmed.zones[zone] = true
 	}
-	v.tableConfirmed = false
+	v.tableConfirmed, v.tableConfirmedFrom = false, now+confirmGrace
 }
 
 // keepUnconfirmed puts unconfirmed orders and zones out back after the whole topic was read; those that the store has are confirmed.
@@ -111,6 +115,7 @@
 		at  clock.Millis
 	}{
 		{v.hasUnconfirmed(), v.unconfirmed.until},
+		{v.table != nil && !v.tableConfirmed, v.tableConfirmedFrom},
 		{len(v.missingUpstreams) > 0, v.missingUntil},
 		{len(v.doubtfulListings) > 0, v.doubtfulUntil},
 		{len(v.missingMembers) > 0, v.missingMembersUntil},
@@ -128,5 +133,8 @@
 	if v.hasUnconfirmed() && now >= v.unconfirmed.until {
 		v.dropUnconfirmed(now)
 	}
+	if v.table != nil && now >= v.tableConfirmedFrom {
+		v.tableConfirmed = true
+	}
 	return v.expireListings(now), v.expireMembers(now)
 }
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -15,9 +15,11 @@
 	table *catalogue.RouteTable
 	// tableConfirmed is false while the store, back from an older copy, has no configuration as new as the table.
 	tableConfirmed bool
-	zonesOut       map[string]bool
-	orders         map[string]catalogue.ReleaseOrder
-	statuses       map[string]catalogue.ReleaseStatus
+	// tableConfirmedFrom is the time from which such a store counts as current all the same.
+	tableConfirmedFrom clock.Millis
+	zonesOut           map[string]bool
+	orders             map[string]catalogue.ReleaseOrder
+	statuses           map[string]catalogue.ReleaseStatus
 	// rollouts has the release rollouts by service, also those whose order was removed.
 	rollouts map[string]*catalogue.ReleaseRollout
 	// lostRollouts has the rollouts that ended only because the store lost their order.
@@ -63,8 +65,8 @@
 			}
 			if op.Table.Version == v.table.Version {
 				v.tableConfirmed = true
-			} else if b.Whole {
-				v.tableConfirmed = false
+			} else if b.Whole && v.tableConfirmed {
+				v.tableConfirmed, v.tableConfirmedFrom = false, now+confirmGrace
 			}
 		case catalogue.OperationZoneOut:
 			if !b.Whole {
