Quarantine prompt parts under which upstreams crash

CrashSuspects counts, by part of the prompt (all but the last), the upstreams that ended in a row before an answer began. One request ends at most two upstreams, with or without a prompt.

--- a/pkg/desk/refusal.go
+++ b/pkg/desk/refusal.go
@@ -41,6 +41,7 @@
 	request.ReasonDeadline:         http.StatusGatewayTimeout,
 	request.ReasonNoVersion:        http.StatusServiceUnavailable,
 	request.ReasonNoUpstream:       http.StatusServiceUnavailable,
+	request.ReasonQuarantined:      http.StatusServiceUnavailable,
 	request.ReasonStaleView:        http.StatusServiceUnavailable,
 	request.ReasonLogUnavailable:   http.StatusServiceUnavailable,
 	request.ReasonDraining:         http.StatusServiceUnavailable,
--- /dev/null
+++ b/pkg/dispatch/crash_watch.go
@@ -0,0 +1,59 @@
+package dispatch
+
+import (
+	"errors"
+	"io"
+	"sync"
+	"syscall"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/request"
+)
+
+// maxCrashesPerRequest is the number of upstreams that may crash before they begin to answer a request until it is retried no more.
+const maxCrashesPerRequest = 2
+
+// attempt follows one attempt of a call: its work is pending until its answer begins, and its prompt is watched until it ends.
+type attempt struct {
+	PromptWatch
+	loads    *LoadTracker
+	upstream *catalogue.Upstream
+	work     float64
+	once     sync.Once
+}
+
+// begin records that the answer has begun.
+func (a *attempt) begin() {
+	a.subtractWork()
+	a.FirstEvent()
+}
+
+func (a *attempt) subtractWork() {
+	a.once.Do(func() { a.loads.SubtractWork(a.upstream.Name, a.work) })
+}
+
+// end reports whether the upstream crashed before it began to answer.
+func (a *attempt) end(err error) bool {
+	if err == nil && !a.call.Route.Streaming {
+		a.FirstEvent()
+	}
+	crashed := connectionEnded(err) && !a.begun.Load()
+	a.End(a.upstream, crashed)
+	return crashed
+}
+
+// connectionEnded reports whether the connection to the upstream ended after the request was sent and before the response was
+// complete. Timeouts and requests that this instance aborted end with other errors.
+func connectionEnded(err error) bool {
+	var r *request.Refusal
+	if !errors.As(err, &r) || r.Outcome != request.MayHaveRun {
+		return false
+	}
+	switch r.Reason {
+	case request.ReasonAnswerIncomplete:
+		return true
+	case request.ReasonUpstreamFailed:
+		return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	}
+	return false
+}
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 
 	"github.com/go-logr/logr"
 
@@ -35,6 +34,8 @@
 	Budgets *RetryBudgets
 	// Latency tracks the time to the first token of each model.
 	Latency *LatencyTracker
+	// Suspects quarantines parts of prompts under which upstreams crash; nil quarantines none.
+	Suspects *CrashSuspects
 }
 
 // FailedResponse is an error that carries the upstream's own error response, which the caller gets if no retry succeeds.
@@ -47,10 +48,15 @@
 // Filter sends the call to one upstream after another, and returns the last error if none answers.
 func (f *Dispatch) Filter(ctx context.Context, c *request.Call, next request.Handler) error {
 	c.Excluded = nil
-	declines, runsBefore := 0, c.Runs
+	declines, crashes, runsBefore := 0, 0, c.Runs
 	for {
+		a := &attempt{loads: f.Loads}
+		if refusal := f.Suspects.Admit(&a.PromptWatch, c); refusal != nil {
+			return refusal
+		}
 		u, refusal := f.choose(c)
 		if refusal != nil {
+			a.End(nil, false)
 			return refusal
 		}
 		c.Upstream = u
@@ -58,7 +64,10 @@
 			f.Budgets.Deposit(u.Service, f.Clock.Now())
 		}
 		retry := f.allowAbort(c)
-		err := f.send(ctx, c, next)
+		err := f.send(ctx, c, a, next)
+		if a.end(err) {
+			crashes++
+		}
 		f.recordAttempt(c, u, err)
 		if err == nil {
 			return nil
@@ -74,7 +83,7 @@
 			declines++
 		}
 		c.Excluded = append(c.Excluded, u.Name)
-		if noRetry := f.noRetryReason(ctx, c, r, declines, retry); noRetry != "" {
+		if noRetry := f.noRetryReason(ctx, c, r, declines, crashes, retry); noRetry != "" {
 			f.logGiveUp(c, u, r, noRetry, c.Runs-runsBefore)
 			return f.finalError(ctx, c, r)
 		}
@@ -84,7 +93,7 @@
 }
 
 // noRetryReason returns why the call may not be retried, or "" if it may; it then takes one retry from the budget.
-func (f *Dispatch) noRetryReason(ctx context.Context, c *request.Call, r *request.Refusal, declines int, retry *reservedRetry) string {
+func (f *Dispatch) noRetryReason(ctx context.Context, c *request.Call, r *request.Refusal, declines, crashes int, retry *reservedRetry) string {
 	switch r.Reason {
 	case request.ReasonUpstreamRefused, request.ReasonUpstreamFailed, request.ReasonAnswerIncomplete, request.ReasonAnswerMismatch:
 	default:
@@ -99,6 +108,10 @@
 		return "request is not repeatable"
 	case r.Outcome != request.NotRun && c.Runs >= c.Route.MaxAttempts:
 		return "attempt limit reached"
+	case crashes >= maxCrashesPerRequest && !c.HeadWritten:
+		return "upstreams crashed under the request"
+	case crashes > 0 && f.Suspects.Suspect(c) != "":
+		return "upstreams crashed under the prompt part " + f.Suspects.Suspect(c)
 	case c.HeadWritten && !c.Route.Resumable:
 		return "answer has begun and is not resumable"
 	case f.tooLate(c.Request.Deadline, c.Route):
@@ -126,13 +139,12 @@
 		"outcome", r.Outcome, "error", r.Error(), "stopReason", noRetry, "runs", runs)
 }
 
-func (f *Dispatch) send(ctx context.Context, c *request.Call, next request.Handler) error {
-	upstream, work := c.Upstream.Name, promptWork(c)
-	f.Loads.StartRequest(upstream, work)
-	defer f.Loads.EndRequest(upstream)
-	var once sync.Once
-	c.OnFirstEvent = func() { once.Do(func() { f.Loads.SubtractWork(upstream, work) }) }
-	defer c.OnFirstEvent()
+func (f *Dispatch) send(ctx context.Context, c *request.Call, a *attempt, next request.Handler) error {
+	a.upstream, a.work = c.Upstream, promptWork(c)
+	f.Loads.StartRequest(a.upstream.Name, a.work)
+	defer f.Loads.EndRequest(a.upstream.Name)
+	c.OnFirstEvent = a.begin
+	defer a.subtractWork()
 	return next.Handle(ctx, c)
 }
 
