Exchange the evidence on crashing prompt parts between instances

An instance alone can't know what others have met: each would lose upstreams of its own to a part. News are passed on at once as well, by way of a few neighbours (pkg/membership/rumors.go) rather than through the zone leaders, which may be down. Failures of quarantined prompts no longer count in the comparison of releases: they crash upstreams of any release. Counters and the state dump show crashes, probes, refusals and quarantined parts.

--- a/pkg/gateway/admin.go
+++ b/pkg/gateway/admin.go
@@ -34,13 +34,15 @@
 	// StoreReads and InstanceReads count the reads of topics from the store and from other instances.
 	StoreReads    map[archive.TopicName]int64
 	InstanceReads map[archive.TopicName]int64
+	// Crashes counts crashes under prompts and the work of the quarantine.
+	Crashes dispatch.CrashStats
 }
 
 func (in *Instance) dump() Dump {
 	s, now := in.control.Snapshot(), in.Clock.Now()
 	d := Dump{
 		Self: in.self, Now: now, InFlight: in.inFlight.Count(), ViewAge: in.control.Age(now), Upstreams: s.Upstreams,
-		Moves: s.Moves, Members: s.Members, OwnWork: in.loadTracker.OwnWork(),
+		Moves: s.Moves, Members: s.Members, OwnWork: in.loadTracker.OwnWork(), Crashes: in.suspects.Stats(),
 	}
 	d.StoreReads, d.InstanceReads = in.peerSource.Reads()
 	d.Models, d.ConfidenceNoise = in.latencies.Models(), map[string]float64{}
@@ -59,12 +61,31 @@
 	return d
 }
 
+// registerCrashMetrics registers the metrics of the quarantine of prompt parts.
+func (in *Instance) registerCrashMetrics() {
+	for _, c := range []struct {
+		name, help string
+		read       func(s dispatch.CrashStats) int64
+	}{
+		{"carawayknot_prompt_crashes_total", "Upstreams that ended before they began to answer a prompt.", func(s dispatch.CrashStats) int64 { return s.Crashes }},
+		{"carawayknot_quarantine_probes_total", "Requests with a quarantined prompt part that were sent as probes.", func(s dispatch.CrashStats) int64 { return s.Probes }},
+		{"carawayknot_quarantine_refusals_total", "Requests refused for a quarantined prompt part.", func(s dispatch.CrashStats) int64 { return s.Refused }},
+		{"carawayknot_quarantine_cleared_total", "Quarantined prompt parts cleared by an answer here.", func(s dispatch.CrashStats) int64 { return s.Cleared }},
+	} {
+		in.metrics.RegisterCounter(c.name, c.help, func() float64 { return float64(c.read(in.suspects.Stats())) })
+	}
+	in.metrics.RegisterGauge("carawayknot_quarantined_prompt_parts", "Prompt parts in quarantine.", func() float64 {
+		return float64(in.suspects.Stats().Quarantined)
+	})
+}
+
 // adminHandler serves the metrics and the state dump.
 func (in *Instance) adminHandler() http.Handler {
 	in.metrics.RegisterGauge("carawayknot_in_flight", "Requests being served.", func() float64 { return float64(in.inFlight.Count()) })
 	in.metrics.RegisterGauge("carawayknot_view_age_seconds", "Age of the view of the configuration.", func() float64 {
 		return in.control.Age(in.Clock.Now()).Seconds()
 	})
+	in.registerCrashMetrics()
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", in.metrics)
 	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -46,6 +46,7 @@
 		Releases: in.releases,
 		Budgets:  budgets,
 		Latency:  in.latencies,
+		Suspects: in.suspects,
 	}
 	return in.withMetrics(request.Chain(
 		&desk.ResolveRoute{Snapshot: in.control.Snapshot, Clock: in.Clock, Age: in.control.Age, MaxDenialAge: in.Settings.Bounds.ConfigApply, MaxKeyAge: in.maxKeyAge()},
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -82,6 +82,8 @@
 	latencies    *dispatch.LatencyTracker
 	calibration  *pricing.Calibration
 	releases     *dispatch.Releases
+	suspects     *dispatch.CrashSuspects
+	rumors       *membership.Rumors
 	inFlight     *desk.InFlight
 	draining     atomic.Bool
 	// cancelRequests cancels the context of the callers' requests in flight.
@@ -185,10 +187,22 @@
 		Clock: in.Clock, Self: in.self.Name, Zone: in.self.Zone, Network: in.network, OwnLoad: in.ownLoads,
 		SetPeerLoads: in.applyPeerLoads, ZoneLeaders: in.zoneLeaders,
 	}
-	return errors.CombineErrors(
+	in.buildSuspects()
+	return errors.CombineErrors(errors.CombineErrors(
 		in.network.Register(membership.ReaderName, &membership.Reader{Clock: in.Clock, Cache: cache}),
 		in.network.Register(membership.LoadsName, in.loads),
-	)
+	), in.network.Register(membership.RumorsName, in.rumors))
+}
+
+// buildSuspects creates the quarantine of prompt parts and the exchange of its news.
+func (in *Instance) buildSuspects() {
+	members := func() []catalogue.Member { return in.control.Snapshot().Members }
+	in.suspects = &dispatch.CrashSuspects{Clock: in.Clock, Log: in.Log.WithName("dispatch"), Self: in.self.Name, Members: members}
+	in.rumors = &membership.Rumors{
+		Clock: in.Clock, Log: in.Log.WithName("membership"), Self: in.self, Network: in.network, Members: members, News: in.suspects.News,
+		Hear: in.suspects.Hear,
+	}
+	in.suspects.OnNews = in.rumors.Wake
 }
 
 func (in *Instance) serve(name string, s *http.Server, l net.Listener) {
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -44,7 +44,8 @@
 	if s.Gap > 0 && !onTarget {
 		in.latencies.RecordGap(model, s.Gap)
 	}
-	if !running {
+	if !running || s.Result != request.ResultComplete && in.suspects.Suspect(c) != "" {
+		// A quarantined prompt crashes upstreams of any release.
 		return
 	}
 	k := in.comparisonOf(rollout.Service, rollout.Target)
@@ -57,10 +58,12 @@
 // keyPrefix returns the prefix of the keys under which instances exchange their counts for a release rollout.
 func (k *comparison) keyPrefix(service string) string { return service + " " + k.target + " " }
 
-// ownLoads returns this instance's pending work by upstream, its counts for release rollouts and its calibration of confidences.
+// ownLoads returns this instance's pending work by upstream, and its counts for release rollouts, its calibration of confidences and its
+// evidence of crashes.
 func (in *Instance) ownLoads() (work, counts map[string]float32) {
 	counts = map[string]float32{}
 	in.calibration.AddOwn(counts)
+	in.suspects.AddOwn(counts)
 	for _, rollout := range in.control.Snapshot().Moves {
 		in.releases.AddOwnSessions(rollout, in.Clock.Now(), counts)
 	}
@@ -76,6 +79,7 @@
 func (in *Instance) applyPeerLoads(work, counts map[string]float32) {
 	in.loadTracker.SetPeerWork(work)
 	in.calibration.SetPeers(counts)
+	in.suspects.ApplyPeers(counts)
 	for _, rollout := range in.control.Snapshot().Moves {
 		in.releases.PinPeerSessions(rollout, counts)
 	}
