Bound the upstreams that one chat completion may end, and tell outcomes by all attempts

A chat completion under which engines crash before its first token was sent to each engine that serves its version, within the retry budget. It now stops after two, like routed requests. TestChatEndsAtMostTwoUpstreams failed before: three of three engines got it.

--- a/pkg/dispatch/balancer.go
+++ b/pkg/dispatch/balancer.go
@@ -48,6 +48,7 @@
 		// A previous step of the cascade, with another version, failed at all upstreams that serve this version.
 		c.Excluded = nil
 	}
+	crashes := 0
 	for first := true; ; first = false {
 		u, refusal := f.acquire(ctx, c)
 		if refusal != nil {
@@ -62,7 +63,10 @@
 			return nil
 		}
 		c.Excluded = append(c.Excluded, u.Name)
-		if noRetry := f.noRetryReason(c, writer, err); noRetry != "" {
+		if peerClosed(err) {
+			crashes++
+		}
+		if noRetry := f.noRetryReason(c, writer, err, crashes); noRetry != "" {
 			f.Log.WithName("dispatch").Info("giving up on request", "request", c.Request.ID, "upstream", u.Name, "error", err.Error(),
 				"stopReason", noRetry, "tried", len(c.Excluded))
 			return err
@@ -71,10 +75,12 @@
 }
 
 // noRetryReason returns why the call may not be retried after err, or "" if it may; it then takes one retry from the budget.
-func (f *Balancer) noRetryReason(c *request.Call, w *trackingWriter, err error) string {
+func (f *Balancer) noRetryReason(c *request.Call, w *trackingWriter, err error, crashes int) string {
 	switch {
 	case w.committed:
 		return "answer has begun"
+	case crashes >= maxCrashesPerRequest:
+		return "upstreams crashed under the request"
 	case !MayRetry(err, c.Request.Repeatable):
 		return "failure is not retryable"
 	case !f.hasAlternative(c):
--- a/pkg/dispatch/crash_simulation_test.go
+++ b/pkg/dispatch/crash_simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -17,6 +18,7 @@
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/delivery"
 	"carawayknot.example/carawayknot/pkg/request"
 )
 
@@ -624,16 +626,29 @@
 
 // Guards against a refusal that claims NotRun although an attempt of the request was sent before.
 func TestQuarantineRefusalTellsWhetherTheRequestRan(t *testing.T) {
-	m := clock.NewManual(1000)
-	s := newSuspects(m)
-	for range suspectCrashes {
-		_, _ = crashOnce(s, "part")
-		m.Advance(clock.Second)
-	}
-	c := promptCall("r", "part", "last")
-	c.Runs = 1
-	if refusal := s.Admit(&PromptWatch{}, c); refusal == nil || refusal.Outcome != request.MayHaveRun {
-		t.Errorf("Admit() of a request that ran = %v, want a refusal with MayHaveRun", refusal)
+	for _, c := range []struct {
+		name string
+		sent bool
+		want request.Outcome
+	}{
+		{"not sent", false, request.NotRun},
+		{"sent before", true, request.MayHaveRun},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newDispatchHarness(newUpstream("u1"), newUpstream("u2"))
+			r.Suspects = newSuspects(r.clock)
+			for range suspectCrashes {
+				_, _ = crashOnce(r.Suspects, "part")
+				r.clock.Advance(clock.Second)
+			}
+			call := promptCall("r", "part", "last")
+			call.Sent = c.sent
+			err := request.Chain(delivery.FinalOutcome{}, r.Dispatch).Handle(context.Background(), call)
+			var refusal *request.Refusal
+			if !errors.As(err, &refusal) || refusal.Reason != request.ReasonQuarantined || refusal.Outcome != c.want || refusal.RetryAfter == 0 {
+				t.Errorf("Handle() = %v, want a Quarantined refusal with %s and a Retry-After", err, c.want)
+			}
+		})
 	}
 }
 
@@ -647,3 +662,18 @@
 		t.Errorf("sent to %v with error %v, want %d attempts and an error", r.sent, err, maxCrashesPerRequest)
 	}
 }
+
+// Guards against a chat completion under which engines crash ending each engine that serves its version.
+func TestChatEndsAtMostTwoUpstreams(t *testing.T) {
+	s := snapshot(8)
+	f := newBalancer(func() *catalogue.Snapshot { return s }, clock.NewManual(0))
+	f.Budget.Burst = 10
+	var sent []string
+	err := f.Filter(context.Background(), newCall("r1"), request.HandlerFunc(func(_ context.Context, c *request.Call) error {
+		sent = append(sent, c.Upstream.Name)
+		return &request.Refusal{Outcome: request.MayHaveRun, Reason: request.ReasonUpstreamFailed, Cause: io.EOF}
+	}))
+	if err == nil || len(sent) != maxCrashesPerRequest {
+		t.Errorf("sent to %v with error %v, want %d attempts and an error", sent, err, maxCrashesPerRequest)
+	}
+}
--- a/pkg/dispatch/crash_suspects.go
+++ b/pkg/dispatch/crash_suspects.go
@@ -215,11 +215,7 @@
 
 func quarantineRefusal(c *request.Call, p *crashPart, wait clock.Millis) *request.Refusal {
 	wait = jitter(c.Request.ID, max(minQuarantineRetryAfter, min(wait, maxQuarantineRetryAfter)))
-	r := request.Refuse(request.ReasonQuarantined, wait, "%d upstreams crashed under the part %s of the prompt", p.Crashes, p.id)
-	if c.Runs > 0 {
-		r.Outcome = request.MayHaveRun
-	}
-	return r
+	return request.Refuse(request.ReasonQuarantined, wait, "%d upstreams crashed under the part %s of the prompt", p.Crashes, p.id)
 }
 
 // Suspect returns the ID of a suspect part of the call's prompt, or "".
--- a/pkg/dispatch/crash_watch.go
+++ b/pkg/dispatch/crash_watch.go
@@ -45,14 +45,21 @@
 // connectionEnded reports whether the connection to the upstream ended after the request was sent and before the response was
 // complete. Timeouts and requests that this instance aborted end with other errors.
 func connectionEnded(err error) bool {
+	var r *request.Refusal
+	if !errors.As(err, &r) || r.Outcome != request.MayHaveRun {
+		return false
+	}
+	return r.Reason == request.ReasonAnswerIncomplete || peerClosed(err)
+}
+
+// peerClosed reports whether the upstream closed or reset the connection after the request was sent.
+func peerClosed(err error) bool {
 	var r *request.Refusal
 	if !errors.As(err, &r) || r.Outcome != request.MayHaveRun {
 		return false
 	}
 	switch r.Reason {
-	case request.ReasonAnswerIncomplete:
-		return true
-	case request.ReasonUpstreamFailed:
+	case request.ReasonUpstreamFailed, request.ReasonAnswerIncomplete:
 		return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 	}
 	return false
