Tests: no data race on the crashing parts, loops end before their bubble

go test -race ./... reported races on the map of crashing parts in the simulation (the scenario writes, upstreams read), and a loop of the exchange test that was still in a call when the bubble ended. Both were in the tests.

The outcome of all attempts leaves the chain of routed requests here again: with it callers get 502 in place of 503 after any attempt, and don't come back.

--- a/pkg/dispatch/crash_simulation_test.go
+++ b/pkg/dispatch/crash_simulation_test.go
@@ -235,6 +235,15 @@
 	time.AfterFunc(restartAfterEnd, func() { f.startUpstream(coldAfterRestart) })
 }
 
+// crashUnder lets upstreams crash under the parts from now on.
+func (f *crashFleet) crashUnder(parts ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, part := range parts {
+		f.crashing[part] = true
+	}
+}
+
 // endAtOnce ends n upstreams at one moment.
 func (f *crashFleet) endAtOnce(n int) {
 	for _, u := range f.snapshot.Load().Pools["lm"][:n] {
@@ -425,7 +434,7 @@
 	for seed := range uint64(5) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			play(t, seed, func(f *crashFleet) {
-				f.crashing["poison"] = true
+				f.crashUnder("poison")
 				f.sendEvery(5, 30*time.Second, false, crashingRequest("poison"))
 				f.wg.Wait()
 				f.check(maxCrashes)
@@ -442,13 +451,13 @@
 		scenario func(f *crashFleet)
 	}{
 		{"two parts at once", maxCrashes, func(f *crashFleet) {
-			f.crashing["poison"], f.crashing["other"] = true, true
+			f.crashUnder("poison", "other")
 			f.sendEvery(4, 30*time.Second, false, crashingRequest("poison"))
 			f.sendEvery(4, 30*time.Second, false, crashingRequest("other"))
 		}},
 		// An instance that has just started knows of no part until its first exchange, and gives a request one upstream until then.
 		{"instances start later", maxCrashes + 4, func(f *crashFleet) {
-			f.crashing["poison"] = true
+			f.crashUnder("poison")
 			f.sendEvery(5, 30*time.Second, false, crashingRequest("poison"))
 			for i := range 4 {
 				time.Sleep(3 * time.Second)
@@ -456,14 +465,14 @@
 			}
 		}},
 		{"an instance is cut off meanwhile", maxCrashes + suspectCrashes, func(f *crashFleet) {
-			f.crashing["poison"] = true
+			f.crashUnder("poison")
 			f.instances[3].isolated.Store(true)
 			f.sendEvery(5, 30*time.Second, false, crashingRequest("poison"))
 			time.Sleep(8 * time.Second)
 			f.instances[3].rejoin()
 		}},
 		{"a rack of upstreams ends at the same time", maxCrashes, func(f *crashFleet) {
-			f.crashing["poison"] = true
+			f.crashUnder("poison")
 			f.sendEvery(5, 30*time.Second, false, crashingRequest("poison"))
 			time.Sleep(200 * time.Millisecond)
 			f.endAtOnce(5)
@@ -505,9 +514,7 @@
 			play(t, seed, func(f *crashFleet) {
 				f.sendEvery(10, 5*time.Second, true, crashingRequest("turns"))
 				time.Sleep(6 * time.Second)
-				f.mu.Lock()
-				f.crashing["turns"] = true
-				f.mu.Unlock()
+				f.crashUnder("turns")
 				f.sendEvery(5, 25*time.Second, false, crashingRequest("turns"))
 				f.wg.Wait()
 				f.check(maxCrashes + maxLateSends)
--- a/pkg/gateway/crash_exchange_test.go
+++ b/pkg/gateway/crash_exchange_test.go
@@ -67,10 +67,18 @@
 	clock   bubbleClock
 	members []catalogue.Member
 	nodes   map[string]*exchangeNode
+	// stop ends the loops of all nodes and waits for them.
+	stop func()
 }
 
 func newExchangeMesh(ctx context.Context, n int) *exchangeMesh {
+	ctx, cancel := context.WithCancel(ctx)
+	var loops sync.WaitGroup
 	m := &exchangeMesh{clock: bubbleClock{start: time.Now()}, nodes: map[string]*exchangeNode{}}
+	m.stop = func() {
+		cancel()
+		loops.Wait()
+	}
 	for i := range n {
 		m.members = append(m.members, catalogue.Member{Name: fmt.Sprint("node-", i), Zone: fmt.Sprint("zone-", i%6)})
 	}
@@ -85,7 +93,7 @@
 		}
 		node.suspects.OnNews = node.rumors.Wake
 		m.nodes[self.Name] = node
-		go func() { _ = node.rumors.Run(ctx) }()
+		loops.Go(func() { _ = node.rumors.Run(ctx) })
 	}
 	return m
 }
@@ -151,9 +159,8 @@
 	for _, size := range []int{9, 68, 330} {
 		t.Run(fmt.Sprint(size, " instances"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				m := newExchangeMesh(ctx, size)
+				m := newExchangeMesh(t.Context(), size)
+				defer m.stop()
 				for _, down := range m.members[1 : 1+size/9] {
 					m.nodes[down.Name].down.Store(true)
 				}
@@ -167,7 +174,6 @@
 					t.Errorf("%d of %d instances know of the part by rumor after one report period, want 95 in 100", known, up)
 				}
 				t.Logf("%d instances: %d know after 350 ms, the busiest sent %d bytes", size, m.knowing(1), m.mostSent())
-				cancel()
 			})
 		})
 	}
@@ -179,9 +185,8 @@
 	for _, size := range []int{9, 68, 330} {
 		t.Run(fmt.Sprint(size, " instances"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				m := newExchangeMesh(ctx, size)
+				m := newExchangeMesh(t.Context(), size)
+				defer m.stop()
 				for i := range seconds * 1000 {
 					m.nodes[m.members[i%size].Name].crash(fmt.Sprint("invented-", i))
 					time.Sleep(time.Millisecond)
@@ -191,7 +196,6 @@
 					t.Errorf("the busiest instance sends %d bytes a second, want at most %d", perSecond, maxExchangeBytes)
 				}
 				t.Logf("%d instances: the busiest sends %d bytes a second", size, perSecond)
-				cancel()
 			})
 		})
 	}
@@ -200,9 +204,8 @@
 // Guards against many quarantined parts filling the load reports.
 func TestQuarantinedPartsInReportsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		m := newExchangeMesh(ctx, 9)
+		m := newExchangeMesh(t.Context(), 9)
+		defer m.stop()
 		node := m.nodes[m.members[0].Name]
 		for range 2 {
 			for i := range 100 {
@@ -227,6 +230,5 @@
 			t.Errorf("%d parts in quarantine and %d bytes a second in reports, want 100 and at most %d", known, perSecond, maxExchangeBytes)
 		}
 		t.Logf("reports carry %d parts in %d bytes a second", len(items), perSecond)
-		cancel()
 	})
 }
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -49,7 +49,6 @@
 		Suspects: in.suspects,
 	}
 	return in.withMetrics(request.Chain(
-		delivery.FinalOutcome{},
 		&desk.ResolveRoute{Snapshot: in.control.Snapshot, Clock: in.Clock, Age: in.control.Age, MaxDenialAge: in.Settings.Bounds.ConfigApply, MaxKeyAge: in.maxKeyAge()},
 		&pricing.ConfidenceCascade{Log: in.Log.WithName("pricing"), LeastSuccess: &in.leastSuccess, Calibration: in.calibration, ExpectedWait: d.ExpectedWait, Budgets: budgets},
 		d,
