--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -108,10 +108,10 @@
 		return "request is not repeatable"
 	case r.Outcome != request.NotRun && c.Runs >= c.Route.MaxAttempts:
 		return "attempt limit reached"
-	case crashes >= maxCrashesPerRequest && !c.HeadWritten:
-		return "upstreams crashed under the request"
 	case crashes > 0 && f.Suspects.Suspect(c) != "":
 		return "upstreams crashed under the prompt part " + f.Suspects.Suspect(c)
+	case crashes >= maxCrashesPerRequest && !c.HeadWritten:
+		return "upstreams crashed under the request"
 	case c.HeadWritten && !c.Route.Resumable:
 		return "answer has begun and is not resumable"
 	case f.tooLate(c.Request.Deadline, c.Route):
