--- /dev/null
+++ b/pkg/dispatch/crash_simulation_test.go
@@ -0,0 +1,686 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/delivery"
+	"carawayknot.example/carawayknot/pkg/request"
+)
+
+const (
+	// crashDelay is the time from the begin of an answer on a crashing part to the end of its upstream.
+	crashDelay = 80 * time.Millisecond
+	// listedAfterEnd, restartAfterEnd and coldAfterRestart are the times of an upstream that ended.
+	listedAfterEnd   = 2 * time.Second
+	restartAfterEnd  = 4 * time.Second
+	coldAfterRestart = 3 * clock.Second
+	// rumorDelay, rumorFanout and reportPeriod are those of the exchange between instances.
+	rumorDelay   = 20 * time.Millisecond
+	rumorFanout  = 5
+	reportPeriod = 350 * time.Millisecond
+	// contact is the time after the fifth crash within which all instances in touch know of it.
+	contact = 3 * clock.Second
+	// maxCrashes is the number of crashes after which at most maxLateSends requests may reach upstreams.
+	maxCrashes, maxLateSends = 5, 3
+)
+
+// bubbleClock is the clock of a synctest bubble.
+type bubbleClock struct{ start time.Time }
+
+func (b bubbleClock) Now() clock.Millis  { return clock.FromDuration(time.Since(b.start)) + 100_000 }
+func (b bubbleClock) Wall() clock.Millis { return b.Now() }
+func (b bubbleClock) Timer(d clock.Millis) (<-chan struct{}, func()) {
+	done := make(chan struct{})
+	t := time.AfterFunc(d.Duration(), func() { close(done) })
+	return done, func() { t.Stop() }
+}
+
+// crashUpstream is one incarnation of an upstream.
+type crashUpstream struct {
+	listing *catalogue.Upstream
+	ended   chan struct{}
+	down    bool
+}
+
+// crashFleet has several instances in front of upstreams that end under some parts of prompts.
+type crashFleet struct {
+	t         *testing.T
+	clock     bubbleClock
+	snapshot  atomic.Pointer[catalogue.Snapshot]
+	instances []*crashInstance
+	wg        sync.WaitGroup
+
+	seed uint64
+
+	mu        sync.Mutex
+	upstreams map[string]*crashUpstream
+	started   int
+	crashing  map[string]bool
+	// ends has the times at which upstreams ended under a part, sends those at which requests with it reached upstreams.
+	ends  map[string][]clock.Millis
+	sends map[string][]crashSend
+	sound []soundRequest
+}
+
+// crashSend is a request with a crashing part that reached an upstream; inTouch is true if its instance has been so for contact.
+type crashSend struct {
+	at      clock.Millis
+	inTouch bool
+}
+
+// soundRequest is a request without a crashing part; begun is true if its first attempt had a first event.
+type soundRequest struct {
+	at    clock.Millis
+	begun bool
+}
+
+// crashInstance is one instance; it exchanges nothing while isolated is true.
+type crashInstance struct {
+	*Dispatch
+	name     string
+	isolated atomic.Bool
+	// contactSince is the time since which it exchanges evidence, in milliseconds.
+	contactSince atomic.Int64
+}
+
+func newCrashFleet(t *testing.T, seed uint64, instances, upstreams int) *crashFleet {
+	f := &crashFleet{
+		t: t, clock: bubbleClock{start: time.Now()}, seed: seed, upstreams: map[string]*crashUpstream{},
+		crashing: map[string]bool{}, ends: map[string][]clock.Millis{}, sends: map[string][]crashSend{},
+	}
+	s := &catalogue.Snapshot{
+		Routes: &catalogue.RouteTable{Pools: map[string]*catalogue.Pool{"lm": {Name: "lm", ColdRate: 23}}},
+		Pools:  map[string][]*catalogue.Upstream{}, Moves: map[string]*catalogue.ReleaseRollout{},
+	}
+	for i := range instances {
+		s.Members = append(s.Members, catalogue.Member{Name: fmt.Sprint("instance-", i), Zone: "a"})
+	}
+	f.snapshot.Store(s)
+	for range upstreams {
+		f.startUpstream(0)
+	}
+	for i := range instances {
+		f.startInstance(fmt.Sprint("instance-", i))
+	}
+	return f
+}
+
+func (f *crashFleet) startInstance(name string) *crashInstance {
+	in := &crashInstance{name: name, Dispatch: &Dispatch{
+		Clock: f.clock, Log: logr.Discard(), Zone: "a", Snapshot: f.snapshot.Load, Loads: &LoadTracker{Self: name},
+		Outliers: &OutlierDetector{}, Releases: &Releases{SessionTimeout: 5000}, Budgets: &RetryBudgets{Share: 0.1}, Latency: &LatencyTracker{},
+	}}
+	in.Suspects = &CrashSuspects{Clock: f.clock, Log: logr.Discard(), Self: name, Members: func() []catalogue.Member { return f.snapshot.Load().Members }}
+	in.contactSince.Store(int64(f.clock.Now()))
+	in.Suspects.OnNews = func() { time.AfterFunc(rumorDelay, func() { f.tell(in) }) }
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.instances = append(f.instances, in)
+	return in
+}
+
+// rejoin ends the isolation of an instance.
+func (in *crashInstance) rejoin() {
+	in.contactSince.Store(int64(in.Clock.Now()))
+	in.isolated.Store(false)
+}
+
+// others returns the instances with which an instance exchanges evidence, which are none while it is isolated.
+func (f *crashFleet) others(in *crashInstance) []*crashInstance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var others []*crashInstance
+	for _, other := range f.instances {
+		if other != in && !in.isolated.Load() && !other.isolated.Load() {
+			others = append(others, other)
+		}
+	}
+	return others
+}
+
+// tell sends the news of an instance to a few others.
+func (f *crashFleet) tell(in *crashInstance) {
+	news := in.Suspects.News()
+	others := f.others(in)
+	if len(news) == 0 || len(others) == 0 {
+		return
+	}
+	for i := range rumorFanout {
+		other := others[int(f.draw("rumor", in.name, f.clock.Now(), i)*float64(len(others)))]
+		in.Suspects.Hear(other.Suspects.Hear(news))
+	}
+}
+
+// exchangeReports exchanges load reports for some time.
+func (f *crashFleet) exchangeReports(lasting time.Duration) {
+	f.wg.Go(func() {
+		for until := time.Now().Add(lasting); time.Now().Before(until); time.Sleep(reportPeriod) {
+			f.mu.Lock()
+			instances := slices.Clone(f.instances)
+			f.mu.Unlock()
+			for _, in := range instances {
+				var items map[string]float32
+				for _, other := range f.others(in) {
+					if items == nil {
+						items = map[string]float32{}
+					}
+					other.Suspects.AddOwn(items)
+				}
+				in.Suspects.ApplyPeers(items)
+			}
+		}
+	})
+}
+
+// startUpstream lists a new upstream; f.mu must not be held.
+func (f *crashFleet) startUpstream(coldFor clock.Millis) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.started++
+	u := &crashUpstream{ended: make(chan struct{}), listing: &catalogue.Upstream{
+		Name: fmt.Sprint("u", f.started), Zone: "a", Slots: 32, Service: "lm", ColdUntil: f.clock.Now() + coldFor,
+	}}
+	f.upstreams[u.listing.Name] = u
+	f.list()
+}
+
+// list publishes the listed upstreams; f.mu must be held.
+func (f *crashFleet) list() {
+	s := *f.snapshot.Load()
+	var names []string
+	for name := range f.upstreams {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	s.Pools = map[string][]*catalogue.Upstream{}
+	for _, name := range names {
+		s.Pools["lm"] = append(s.Pools["lm"], f.upstreams[name].listing)
+	}
+	f.snapshot.Store(&s)
+}
+
+// end ends an upstream, which is listed for some time and then starts again under another name.
+func (f *crashFleet) end(u *crashUpstream, part string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if u.down {
+		return
+	}
+	u.down = true
+	close(u.ended)
+	if part != "" {
+		f.ends[part] = append(f.ends[part], f.clock.Now())
+	}
+	time.AfterFunc(listedAfterEnd, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.upstreams, u.listing.Name)
+		f.list()
+	})
+	time.AfterFunc(restartAfterEnd, func() { f.startUpstream(coldAfterRestart) })
+}
+
+// crashUnder lets upstreams crash under the parts from now on.
+func (f *crashFleet) crashUnder(parts ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, part := range parts {
+		f.crashing[part] = true
+	}
+}
+
+// endAtOnce ends n upstreams at one moment.
+func (f *crashFleet) endAtOnce(n int) {
+	for _, u := range f.snapshot.Load().Pools["lm"][:n] {
+		f.mu.Lock()
+		up := f.upstreams[u.Name]
+		f.mu.Unlock()
+		f.end(up, "")
+	}
+}
+
+// draw returns a random number in [0, 1) that depends on the seed and the key alone, so that the order of goroutines doesn't matter.
+func (f *crashFleet) draw(key ...any) float64 {
+	return request.HashFraction(strconv.FormatUint(f.seed, 10), fmt.Sprint(key...))
+}
+
+// delay returns a random time between two numbers of milliseconds.
+func (f *crashFleet) delay(from, to int, key ...any) time.Duration {
+	return time.Duration((float64(from) + float64(to-from)*f.draw(key...)) * float64(time.Millisecond))
+}
+
+// arrive returns the upstream of an attempt, or nil if it is down, and the crashing part of the call.
+func (f *crashFleet) arrive(in *crashInstance, c *request.Call) (*crashUpstream, string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u := f.upstreams[c.Upstream.Name]
+	if u == nil || u.down {
+		return nil, ""
+	}
+	for _, p := range c.Request.Prompt.Parts {
+		if f.crashing[p.ID] {
+			now := f.clock.Now()
+			inTouch := !in.isolated.Load() && now-clock.Millis(in.contactSince.Load()) >= contact
+			f.sends[p.ID] = append(f.sends[p.ID], crashSend{at: now, inTouch: inTouch})
+			return u, p.ID
+		}
+	}
+	return u, ""
+}
+
+// noticeEnd waits until an instance notices the end of an upstream, at another moment for each request.
+func (f *crashFleet) noticeEnd(c *request.Call) {
+	time.Sleep(f.delay(0, 3, "end", c.Request.ID, c.Runs))
+}
+
+func (f *crashFleet) serve(in *crashInstance, c *request.Call) error {
+	c.Attempts++
+	u, crashing := f.arrive(in, c)
+	if u == nil {
+		return &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonUpstreamFailed}
+	}
+	c.Runs++
+	select {
+	case <-time.After(f.delay(30, 120, "read", c.Request.ID, c.Runs)):
+	case <-u.ended:
+		f.noticeEnd(c)
+		return &request.Refusal{Outcome: request.MayHaveRun, Reason: request.ReasonUpstreamFailed, Cause: fmt.Errorf("round trip: %w", io.EOF)}
+	}
+	if crashing != "" {
+		time.Sleep(crashDelay)
+		f.end(u, crashing)
+		return &request.Refusal{Outcome: request.MayHaveRun, Reason: request.ReasonUpstreamFailed, Cause: fmt.Errorf("round trip: %w", io.EOF)}
+	}
+	if c.OnFirstEvent != nil {
+		c.OnFirstEvent()
+	}
+	c.HeadWritten = true
+	select {
+	case <-time.After(f.delay(300, 900, "write", c.Request.ID, c.Runs)):
+		return nil
+	case <-u.ended:
+		f.noticeEnd(c)
+		return &request.Refusal{Outcome: request.MayHaveRun, Reason: request.ReasonAnswerIncomplete, Cause: io.ErrUnexpectedEOF}
+	}
+}
+
+// call sends a request with the parts to an instance, and returns its error and whether its first attempt began.
+func (f *crashFleet) call(in *crashInstance, id string, parts ...string) (begun bool, err error) {
+	p := &request.Prompt{Tokens: 400}
+	for _, part := range append(parts, "last of "+id) {
+		p.Parts = append(p.Parts, request.PromptPart{ID: part, Tokens: 200})
+	}
+	c := &request.Call{
+		Request: &request.Request{ID: id, Deadline: f.clock.Now() + 8000, Prompt: p},
+		Route: &catalogue.Route{
+			Name: "ask", Streaming: true, Resumable: true, MaxAttempts: 3, Target: 2000, Affinity: true, Split: []catalogue.Split{{Service: "lm", Weight: 1}},
+		},
+	}
+	err = in.Filter(context.Background(), c, request.HandlerFunc(func(_ context.Context, c *request.Call) error {
+		onFirstEvent := c.OnFirstEvent
+		c.OnFirstEvent = func() {
+			begun = begun || c.Attempts == 1
+			onFirstEvent()
+		}
+		return f.serve(in, c)
+	}))
+	return begun, err
+}
+
+// anyInstance returns a random instance.
+func (f *crashFleet) anyInstance(key ...any) *crashInstance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.instances[int(f.draw(key...)*float64(len(f.instances)))]
+}
+
+// sendEvery sends requests with the parts to random instances, perSecond on average, for some time.
+func (f *crashFleet) sendEvery(perSecond float64, lasting time.Duration, sound bool, parts func(i int) []string) {
+	f.wg.Go(func() {
+		until := time.Now().Add(lasting)
+		for i := 0; time.Now().Before(until); i++ {
+			p := parts(i)
+			time.Sleep(f.delay(0, int(2000/perSecond), "sent", p, i))
+			at, in := f.clock.Now(), f.anyInstance("instance", p, i)
+			f.wg.Go(func() {
+				begun, _ := f.call(in, fmt.Sprint(p, i), p...)
+				if sound {
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					f.sound = append(f.sound, soundRequest{at: at, begun: begun})
+				}
+			})
+		}
+	})
+}
+
+// crashingRequest returns the parts of a request with a crashing part between those of sound requests.
+func crashingRequest(part string) func(i int) []string {
+	return func(i int) []string { return []string{"shared", part, fmt.Sprint("session", i%7)} }
+}
+
+func soundParts(i int) []string { return []string{"shared", fmt.Sprint("session", i%7)} }
+
+// check asserts the bounds on crashes and sends for each crashing part, and on sound requests from twice contact after the last crash.
+func (f *crashFleet) check(maxEnds int) {
+	f.t.Helper()
+	from := clock.Millis(0)
+	for part := range f.crashing {
+		ends := f.ends[part]
+		if len(ends) > maxEnds {
+			f.t.Errorf("%s ended %d upstreams, want at most %d", part, len(ends), maxEnds)
+		}
+		if len(ends) == 0 {
+			continue
+		}
+		n := min(len(ends), maxCrashes) - 1
+		from = max(from, ends[n]+2*contact)
+		if n < maxCrashes-1 {
+			continue
+		}
+		late := 0
+		for _, send := range f.sends[part] {
+			if send.inTouch && send.at > ends[n]+contact {
+				late++
+			}
+		}
+		if late > maxLateSends {
+			f.t.Errorf("%s: %d requests of instances in touch reached upstreams later than %d ms after the fifth crash, want at most %d", part, late, contact, maxLateSends)
+		}
+	}
+	all, begun := 0, 0
+	for _, s := range f.sound {
+		if s.at >= from {
+			all++
+			if s.begun {
+				begun++
+			}
+		}
+	}
+	if all < 100 || begun*10 < all*9 {
+		f.t.Errorf("%d of %d sound requests began at the first attempt, want at least 9 in 10 of 100 or more", begun, all)
+	}
+}
+
+// play runs a scenario on virtual time.
+func play(t *testing.T, seed uint64, scenario func(f *crashFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFleet(t, seed, 8, 12)
+		f.exchangeReports(40 * time.Second)
+		f.sendEvery(50, 40*time.Second, true, soundParts)
+		time.Sleep(5 * time.Second)
+		scenario(f)
+		f.wg.Wait()
+	})
+}
+
+// Guards against requests with a part that crashes upstreams ending one upstream after the other, at any instance.
+func TestCrashingPartStopsAfterAFewUpstreams(t *testing.T) {
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			play(t, seed, func(f *crashFleet) {
+				f.crashUnder("poison")
+				f.sendEvery(5, 30*time.Second, false, crashingRequest("poison"))
+				f.wg.Wait()
+				f.check(maxCrashes)
+			})
+		})
+	}
+}
+
+// Guards against the evidence on a crashing part being lost or blamed on others beside further faults.
+func TestCrashingPartBesideOtherFaults(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		maxEnds  int
+		scenario func(f *crashFleet)
+	}{
+		{"two parts at once", maxCrashes, func(f *crashFleet) {
+			f.crashUnder("poison", "other")
+			f.sendEvery(4, 30*time.Second, false, crashingRequest("poison"))
+			f.sendEvery(4, 30*time.Second, false, crashingRequest("other"))
+		}},
+		// An instance that has just started knows of no part until its first exchange, and gives a request one upstream until then.
+		{"instances start later", maxCrashes + 4, func(f *crashFleet) {
+			f.crashUnder("poison")
+			f.sendEvery(5, 30*time.Second, false, crashingRequest("poison"))
+			for i := range 4 {
+				time.Sleep(3 * time.Second)
+				f.startInstance(fmt.Sprint("late-", i))
+			}
+		}},
+		{"an instance is cut off meanwhile", maxCrashes + suspectCrashes, func(f *crashFleet) {
+			f.crashUnder("poison")
+			f.instances[3].isolated.Store(true)
+			f.sendEvery(5, 30*time.Second, false, crashingRequest("poison"))
+			time.Sleep(8 * time.Second)
+			f.instances[3].rejoin()
+		}},
+		{"a rack of upstreams ends at the same time", maxCrashes, func(f *crashFleet) {
+			f.crashUnder("poison")
+			f.sendEvery(5, 30*time.Second, false, crashingRequest("poison"))
+			time.Sleep(200 * time.Millisecond)
+			f.endAtOnce(5)
+		}},
+	} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint(c.name, ", seed ", seed), func(t *testing.T) {
+				play(t, seed, func(f *crashFleet) {
+					c.scenario(f)
+					f.wg.Wait()
+					f.check(c.maxEnds)
+				})
+			})
+		}
+	}
+}
+
+// Guards against a rack of upstreams that ends putting the parts of sound prompts into quarantine.
+func TestRackCrashQuarantinesNoSoundPart(t *testing.T) {
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			play(t, seed, func(f *crashFleet) {
+				f.endAtOnce(6)
+				time.Sleep(3 * time.Second)
+				for _, in := range f.instances {
+					if stats := in.Suspects.Stats(); stats.Quarantined > 0 || stats.Refused > 0 {
+						t.Errorf("%s: %+v, want no part in quarantine and no refusal", in.name, stats)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a part that was sound for a while never being suspected.
+func TestPartThatWasSoundBeforeIsQuarantined(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			play(t, seed, func(f *crashFleet) {
+				f.sendEvery(10, 5*time.Second, true, crashingRequest("turns"))
+				time.Sleep(6 * time.Second)
+				f.crashUnder("turns")
+				f.sendEvery(5, 25*time.Second, false, crashingRequest("turns"))
+				f.wg.Wait()
+				f.check(maxCrashes + maxLateSends)
+			})
+		})
+	}
+}
+
+// Guards against callers that invent parts filling the memory of an instance and the messages between instances.
+func TestInventedPartsAreBounded(t *testing.T) {
+	m := clock.NewManual(1000)
+	s := newSuspects(m)
+	for i := range 20_000 {
+		if _, refusal := crashOnce(s, fmt.Sprint("invented-", strings.Repeat("x", 5000), i)); refusal != nil {
+			t.Fatal(refusal)
+		}
+		m.Advance(1)
+	}
+	items := map[string]float32{}
+	s.AddOwn(items)
+	news := s.News()
+	longest := 0
+	for _, p := range s.parts {
+		longest = max(longest, len(p.id))
+	}
+	if len(s.parts) > maxCrashParts || len(items) > maxReportedParts || len(news) > maxRumorParts || longest > maxLoggedID+len("...") {
+		t.Errorf("%d parts, %d items in a report, %d in a rumor, IDs of up to %d bytes, want at most %d, %d, %d and %d",
+			len(s.parts), len(items), len(news), longest, maxCrashParts, maxReportedParts, maxRumorParts, maxLoggedID)
+	}
+	if int(s.known.Load()) != len(s.parts) {
+		t.Errorf("known = %d, want %d", s.known.Load(), len(s.parts))
+	}
+}
+
+// newSuspects returns a quarantine that has heard of the other instances.
+func newSuspects(c clock.Clock) *CrashSuspects {
+	s := &CrashSuspects{Clock: c, Log: logr.Discard()}
+	s.ApplyPeers(map[string]float32{})
+	return s
+}
+
+// crashOnce sends a request with the part if it is admitted, and lets its upstream crash.
+func crashOnce(s *CrashSuspects, part string) (*PromptWatch, *request.Refusal) {
+	w := &PromptWatch{}
+	refusal := s.Admit(w, promptCall("r", part, "last"))
+	if refusal == nil {
+		w.End(&catalogue.Upstream{Name: "u"}, true)
+	}
+	return w, refusal
+}
+
+// promptCall returns a call whose prompt has the parts.
+func promptCall(id string, parts ...string) *request.Call {
+	p := &request.Prompt{}
+	for _, part := range parts {
+		p.Parts = append(p.Parts, request.PromptPart{ID: part})
+	}
+	return &request.Call{Request: &request.Request{ID: id, Prompt: p}, Route: &catalogue.Route{Streaming: true}}
+}
+
+// Guards against a part that crashes upstreams ending more than a few of them over a day of probes.
+func TestProbesOfADayAreFew(t *testing.T) {
+	m := clock.NewManual(1000)
+	s := newSuspects(m)
+	var sends []clock.Millis
+	for range 24 * 3600 {
+		if _, refusal := crashOnce(s, "crashing"); refusal == nil {
+			sends = append(sends, m.Now())
+		}
+		m.Advance(clock.Second)
+	}
+	if len(sends) > maxCrashes+maxLateSends {
+		t.Errorf("sent at %v, want at most %d sends", sends, maxCrashes+maxLateSends)
+	}
+}
+
+// Guards against a sound part staying in quarantine at other instances after the answer to a probe has begun.
+func TestProbeClearsPartEverywhere(t *testing.T) {
+	m := clock.NewManual(1000)
+	probing, other := newSuspects(m), newSuspects(m)
+	exchange := func() {
+		items := map[string]float32{}
+		probing.AddOwn(items)
+		other.ApplyPeers(items)
+	}
+	for range suspectCrashes {
+		if _, refusal := crashOnce(probing, "part"); refusal != nil {
+			t.Fatal(refusal)
+		}
+		m.Advance(clock.Second)
+	}
+	exchange()
+	for _, s := range []*CrashSuspects{probing, other} {
+		_, refusal := crashOnce(s, "part")
+		if refusal == nil || refusal.Reason != request.ReasonQuarantined || refusal.Outcome != request.NotRun || refusal.RetryAfter < minQuarantineRetryAfter {
+			t.Fatalf("Admit() refused with %v, want Quarantined, NotRun and a Retry-After", refusal)
+		}
+	}
+	m.Advance(firstProbePause)
+	probe := &PromptWatch{}
+	if refusal := probing.Admit(probe, promptCall("probe", "part", "last")); refusal != nil {
+		t.Fatalf("Admit() after the pause refused with %v, want a probe", refusal)
+	}
+	if refusal := probing.Admit(&PromptWatch{}, promptCall("second", "part", "last")); refusal == nil {
+		t.Error("Admit() admitted a second request beside the probe")
+	}
+	probe.FirstEvent()
+	probe.End(&catalogue.Upstream{Name: "u"}, false)
+	exchange()
+	for _, s := range []*CrashSuspects{probing, other} {
+		if refusal := s.Admit(&PromptWatch{}, promptCall("r", "part", "last")); refusal != nil {
+			t.Errorf("Admit() after the probe refused with %v", refusal)
+		}
+	}
+}
+
+// Guards against a refusal that claims NotRun although an attempt of the request was sent before.
+func TestQuarantineRefusalTellsWhetherTheRequestRan(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		sent bool
+		want request.Outcome
+	}{
+		{"not sent", false, request.NotRun},
+		{"sent before", true, request.MayHaveRun},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newDispatchHarness(newUpstream("u1"), newUpstream("u2"))
+			r.Suspects = newSuspects(r.clock)
+			for range suspectCrashes {
+				_, _ = crashOnce(r.Suspects, "part")
+				r.clock.Advance(clock.Second)
+			}
+			call := promptCall("r", "part", "last")
+			call.Sent = c.sent
+			err := request.Chain(delivery.FinalOutcome{}, r.Dispatch).Handle(context.Background(), call)
+			var refusal *request.Refusal
+			if !errors.As(err, &refusal) || refusal.Reason != request.ReasonQuarantined || refusal.Outcome != c.want || refusal.RetryAfter == 0 {
+				t.Errorf("Handle() = %v, want a Quarantined refusal with %s and a Retry-After", err, c.want)
+			}
+		})
+	}
+}
+
+// Guards against one request without a prompt ending more than two upstreams.
+func TestRequestEndsAtMostTwoUpstreams(t *testing.T) {
+	r := newDispatchHarness(newUpstream("u1"), newUpstream("u2"), newUpstream("u3"), newUpstream("u4"))
+	r.answer = func(*request.Call) error {
+		return &request.Refusal{Outcome: request.MayHaveRun, Reason: request.ReasonUpstreamFailed, Cause: io.EOF}
+	}
+	if _, err := r.call("r1", catalogue.Route{Repeatable: true, MaxAttempts: 4, Target: 300}); err == nil || len(r.sent) != maxCrashesPerRequest {
+		t.Errorf("sent to %v with error %v, want %d attempts and an error", r.sent, err, maxCrashesPerRequest)
+	}
+}
+
+// Guards against a chat completion under which engines crash ending each engine that serves its version.
+func TestChatEndsAtMostTwoUpstreams(t *testing.T) {
+	s := snapshot(8)
+	f := newBalancer(func() *catalogue.Snapshot { return s }, clock.NewManual(0))
+	f.Budget.Burst = 10
+	var sent []string
+	err := f.Filter(context.Background(), newCall("r1"), request.HandlerFunc(func(_ context.Context, c *request.Call) error {
+		sent = append(sent, c.Upstream.Name)
+		return &request.Refusal{Outcome: request.MayHaveRun, Reason: request.ReasonUpstreamFailed, Cause: io.EOF}
+	}))
+	if err == nil || len(sent) != maxCrashesPerRequest {
+		t.Errorf("sent to %v with error %v, want %d attempts and an error", sent, err, maxCrashesPerRequest)
+	}
+}
