Tell a crash from a cut answer by a new connection

Callers would be refused for 30 s and more: two answers in a row that were broken off before their first event put a sound part of their prompts into quarantine, though both upstreams were up.

Cause: the end of a connection was taken for the end of its upstream.

Change: after an end of the connection before the first byte of the answer the relay connects once more. Refused, or accepted and closed within 50 ms: the upstream is down, and only that counts against a prompt.

--- a/pkg/delivery/relay.go
+++ b/pkg/delivery/relay.go
@@ -135,7 +135,9 @@
 	if err == nil {
 		return nil
 	}
-	return a.refusal(err, outcome, denied)
+	refusal := a.refusal(err, outcome, denied)
+	refusal.UpstreamDown = outcome == request.MayHaveRun && a.upstreamDown(err)
+	return refusal
 }
 
 func (a *relayAttempt) run(timeLeft clock.Millis) error {
@@ -264,7 +266,7 @@
 	return request.MayHaveRun
 }
 
-func (a *relayAttempt) refusal(err error, outcome request.Outcome, denied error) error {
+func (a *relayAttempt) refusal(err error, outcome request.Outcome, denied error) *request.Refusal {
 	var refusal *request.Refusal
 	if denied != nil && errors.As(denied, &refusal) {
 		return refusal
--- a/pkg/dispatch/crash_watch.go
+++ b/pkg/dispatch/crash_watch.go
@@ -37,19 +37,15 @@
 	if err == nil && !a.call.Route.Streaming {
 		a.FirstEvent()
 	}
-	crashed := connectionEnded(err) && !a.begun.Load()
+	crashed := upstreamDown(err) && !a.begun.Load()
 	a.End(a.upstream, crashed)
 	return crashed
 }
 
-// connectionEnded reports whether the connection to the upstream ended after the request was sent and before the response was
-// complete. Timeouts and requests that this instance aborted end with other errors.
-func connectionEnded(err error) bool {
+// upstreamDown reports whether the upstream ended with the attempt.
+func upstreamDown(err error) bool {
 	var r *request.Refusal
-	if !errors.As(err, &r) || r.Outcome != request.MayHaveRun {
-		return false
-	}
-	return r.Reason == request.ReasonAnswerIncomplete || peerClosed(err)
+	return errors.As(err, &r) && r.UpstreamDown
 }
 
 // peerClosed reports whether the upstream closed or reset the connection after the request was sent.
--- a/pkg/request/outcome.go
+++ b/pkg/request/outcome.go
@@ -72,6 +72,8 @@
 	Detail     string
 	RetryAfter clock.Millis
 	Cause      error
+	// UpstreamDown is true if the upstream ended before it began to answer.
+	UpstreamDown bool
 }
 
 // Error returns reason, outcome, field, detail and cause in one line.
