Quarantine: an upstream that still answers has not crashed

An upstream that closes connections without an answer but goes on answering others is a bad upstream, not a bad prompt: two such upstreams in a row put a sound new part into quarantine for 30 s. An answer to a request that was sent to it within 1.5 s after the end now clears what was blamed on it. TestUpstreamThatStillAnswersHasNotCrashed failed in its first row before.

--- a/pkg/dispatch/crash_simulation_test.go
+++ b/pkg/dispatch/crash_simulation_test.go
@@ -174,11 +174,8 @@
 			instances := slices.Clone(f.instances)
 			f.mu.Unlock()
 			for _, in := range instances {
-				var items map[string]float32
+				items := map[string]float32{}
 				for _, other := range f.others(in) {
-					if items == nil {
-						items = map[string]float32{}
-					}
 					other.Suspects.AddOwn(items)
 				}
 				in.Suspects.ApplyPeers(items)
@@ -549,11 +546,8 @@
 	}
 }
 
-// newSuspects returns a quarantine that has heard of the other instances.
 func newSuspects(c clock.Clock) *CrashSuspects {
-	s := &CrashSuspects{Clock: c, Log: logr.Discard()}
-	s.ApplyPeers(map[string]float32{})
-	return s
+	return &CrashSuspects{Clock: c, Log: logr.Discard()}
 }
 
 // crashOnce sends a request with the part if it is admitted, and lets its upstream crash.
@@ -631,6 +625,48 @@
 	}
 }
 
+// Guards against an upstream that closes connections but goes on answering putting sound parts into quarantine.
+func TestUpstreamThatStillAnswersHasNotCrashed(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		answers         *catalogue.Upstream
+		sentAfterwards  bool
+		after           clock.Millis
+		wantQuarantined int
+	}{
+		{"the same one answers", &catalogue.Upstream{Name: "u2"}, true, 1200, 0},
+		{"the same one answers what it got before", &catalogue.Upstream{Name: "u2"}, false, 1200, 1},
+		{"another one answers", &catalogue.Upstream{Name: "u3"}, true, 1200, 1},
+		{"it has started again", &catalogue.Upstream{Name: "u2", Incarnation: 2}, true, 1200, 1},
+		{"it may have started again", &catalogue.Upstream{Name: "u2"}, true, 2000, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := clock.NewManual(1000)
+			s := newSuspects(m)
+			other := &PromptWatch{}
+			call := promptCall("other", "another part", "last")
+			call.Upstream = c.answers
+			if !c.sentAfterwards {
+				_ = s.Admit(other, call)
+			}
+			for _, name := range []string{"u1", "u2"} {
+				w := &PromptWatch{}
+				_ = s.Admit(w, promptCall("r", "part", "last"))
+				m.Advance(clock.Second)
+				w.End(&catalogue.Upstream{Name: name}, true)
+			}
+			m.Advance(c.after)
+			if c.sentAfterwards {
+				_ = s.Admit(other, call)
+			}
+			other.FirstEvent()
+			if got := s.Stats().Quarantined; got != c.wantQuarantined {
+				t.Errorf("%d parts in quarantine, want %d", got, c.wantQuarantined)
+			}
+		})
+	}
+}
+
 // Guards against a refusal that claims NotRun although an attempt of the request was sent before.
 func TestQuarantineRefusalTellsWhetherTheRequestRan(t *testing.T) {
 	for _, c := range []struct {
--- a/pkg/dispatch/crash_suspects.go
+++ b/pkg/dispatch/crash_suspects.go
@@ -42,6 +42,12 @@
 	suspectTTL = maxProbePause + 24*3600*clock.Second
 	// maxCrashParts bounds the parts that an instance remembers.
 	maxCrashParts = 512
+	// stillAnsweringWindow is the time after its end within which a request must be sent to an upstream for its answer to show that it
+	// didn't crash, in milliseconds; it is longer than the upstream is avoided and shorter than a restart takes.
+	stillAnsweringWindow clock.Millis = 1500
+	// maxEndedUpstreams bounds the upstreams that are remembered for the parts blamed for their end, and maxBlamedParts those of each.
+	maxEndedUpstreams = 64
+	maxBlamedParts    = 32
 	// maxReportedParts bounds the parts in one load report, maxRumorParts those in one rumor.
 	maxReportedParts = 5
 	maxRumorParts    = 16
@@ -56,7 +62,7 @@
 
 // CrashSuspects quarantines parts of prompts under which upstreams crash: after the second upstream in a row that ended before an
 // answer to a prompt with the part began, such requests are refused, except for single probes after growing pauses. An answer that
-// begins clears its parts. All instances exchange the evidence. It is safe for concurrent use; a nil CrashSuspects admits everything.
+// begins clears its parts, and those that were blamed for a crash of its upstream, which still answers. All instances exchange the evidence. It is safe for concurrent use; a nil CrashSuspects admits everything.
 type CrashSuspects struct {
 	Clock clock.Clock
 	Log   logr.Logger
@@ -71,11 +77,26 @@
 	known, counted atomic.Int64
 
 	begun begunParts
-	// heard is true once the evidence of other instances was received; one crash is enough for a quarantine before.
-	heard atomic.Bool
 
 	mu    sync.Mutex
 	parts map[uint64]*crashPart
+	ended map[upstreamID]endedUpstream
+}
+
+// upstreamID identifies an upstream until it restarts.
+type upstreamID struct {
+	name        string
+	incarnation int64
+}
+
+func idOf(u *catalogue.Upstream) upstreamID {
+	return upstreamID{name: u.Name, incarnation: u.Incarnation}
+}
+
+// endedUpstream is an upstream that seems to have crashed, with the evidence against the parts that were blamed.
+type endedUpstream struct {
+	at     clock.Millis
+	blamed []CrashEvidence
 }
 
 // crashPart is the state of one part.
@@ -101,8 +122,9 @@
 type PromptWatch struct {
 	suspects *CrashSuspects
 	call     *request.Call
-	// sent has the evidence on the parts when the attempt was sent; it is nil while there is none.
+	// sent has the evidence on the parts when the attempt was sent, at sentAt; it is nil while there is none.
 	sent    []CrashEvidence
+	sentAt  clock.Millis
 	probing []uint64
 	begun   atomic.Bool
 }
@@ -126,6 +148,7 @@
 		return nil
 	}
 	now, parts := s.Clock.Now(), sharedParts(c)
+	w.sentAt = now
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var found []*crashPart
@@ -195,9 +218,6 @@
 	if s.begun.contains(p.Part) {
 		return int(p.Crashes) - soundSuspectCrashes
 	}
-	if !s.heard.Load() {
-		return int(p.Crashes) - 1
-	}
 	return int(p.Crashes) - suspectCrashes
 }
 
@@ -247,33 +267,49 @@
 	}
 	parts := sharedParts(w.call)
 	if s.counted.Load() > 0 {
-		s.clear(w.call, parts)
+		s.clear(w, parts)
 	}
 	for _, part := range parts {
 		s.begun.add(hashPart(part.ID))
 	}
 }
 
-func (s *CrashSuspects) clear(c *request.Call, parts []request.PromptPart) {
+// clear clears the parts of a prompt to which the answer has begun, and those that were blamed for a crash of its upstream before the
+// attempt was sent: it can't have crashed.
+func (s *CrashSuspects) clear(w *PromptWatch, parts []request.PromptPart) {
 	now := s.Clock.Now()
 	s.mu.Lock()
 	news := false
 	for _, part := range parts {
-		p := s.parts[hashPart(part.ID)]
-		if p == nil || p.Crashes == 0 {
-			continue
-		}
-		news = true
-		if s.quarantined(p) {
-			s.cleared.Add(1)
-			s.Log.Info("prompt part cleared: an answer has begun", "request", c.Request.ID, "part", p.id, "crashes", p.Crashes)
+		news = s.clearPart(w.call, s.parts[hashPart(part.ID)], now) || news
+	}
+	if u := w.call.Upstream; u != nil {
+		if ended, found := s.ended[idOf(u)]; found && w.sentAt > ended.at && w.sentAt-ended.at < stillAnsweringWindow {
+			delete(s.ended, idOf(u))
+			for _, e := range ended.blamed {
+				if p := s.parts[e.Part]; p != nil && p.Generation == e.Generation {
+					news = s.clearPart(w.call, p, now) || news
+				}
+			}
 		}
-		s.set(p, CrashEvidence{Part: p.Part, Generation: p.Generation + 1}, now)
 	}
 	s.mu.Unlock()
 	s.notify(news)
 }
 
+// clearPart clears a part, which may be nil, and reports whether that is news; s.mu must be held.
+func (s *CrashSuspects) clearPart(c *request.Call, p *crashPart, now clock.Millis) bool {
+	if p == nil || p.Crashes == 0 {
+		return false
+	}
+	if s.quarantined(p) {
+		s.cleared.Add(1)
+		s.Log.Info("prompt part cleared: an answer has begun", "request", c.Request.ID, "part", p.id, "crashes", p.Crashes)
+	}
+	s.set(p, CrashEvidence{Part: p.Part, Generation: p.Generation + 1}, now)
+	return true
+}
+
 // End ends the watch; crashed is true if the connection to the upstream ended although the request was sent.
 func (w *PromptWatch) End(upstream *catalogue.Upstream, crashed bool) {
 	s := w.suspects
@@ -316,6 +352,7 @@
 		}
 		s.set(p, CrashEvidence{Part: hash, Generation: p.Generation, Crashes: p.Crashes + 1}, now)
 		news = true
+		s.blame(upstream, p.CrashEvidence, now)
 		s.Log.Info("upstream ended before it began an answer", "request", w.call.Request.ID, "upstream", upstream.Name,
 			"part", p.id, "crashes", p.Crashes)
 		s.logSuspect(p, "own")
@@ -326,6 +363,19 @@
 	return news
 }
 
+// blame notes the evidence that comes from an upstream; s.mu must be held.
+func (s *CrashSuspects) blame(upstream *catalogue.Upstream, e CrashEvidence, now clock.Millis) {
+	if s.ended == nil || len(s.ended) >= maxEndedUpstreams {
+		s.ended = map[upstreamID]endedUpstream{}
+	}
+	ended := s.ended[idOf(upstream)]
+	ended.at = now
+	if len(ended.blamed) < maxBlamedParts {
+		ended.blamed = append(ended.blamed, e)
+	}
+	s.ended[idOf(upstream)] = ended
+}
+
 // sentKnowing reports whether the attempt was sent when the crashes under the part were known.
 func (w *PromptWatch) sentKnowing(p *crashPart) bool {
 	return p.Crashes == 0 || slices.Contains(w.sent, p.CrashEvidence)
@@ -455,12 +505,8 @@
 	}
 }
 
-// ApplyPeers merges the evidence of other instances from the items of their load reports, which are nil when there are none.
+// ApplyPeers merges the evidence of other instances from the items of their load reports.
 func (s *CrashSuspects) ApplyPeers(items map[string]float32) {
-	if items == nil {
-		return
-	}
-	s.heard.Store(true)
 	var evidence []CrashEvidence
 	for key := range items {
 		if e, ok := parseCrashEvidence(key); ok {
@@ -491,7 +537,6 @@
 			evidence = append(evidence, e)
 		}
 	}
-	s.heard.Store(true)
 	return s.merge(evidence)
 }
 
--- a/pkg/gateway/crash_exchange_test.go
+++ b/pkg/gateway/crash_exchange_test.go
@@ -86,7 +86,6 @@
 	for _, self := range m.members {
 		node := &exchangeNode{name: self.Name, mesh: m, links: map[string]*exchangeLink{}}
 		node.suspects = &dispatch.CrashSuspects{Clock: m.clock, Log: logr.Discard(), Self: self.Name, Members: members}
-		node.suspects.ApplyPeers(map[string]float32{})
 		node.rumors = &membership.Rumors{
 			Clock: m.clock, Log: logr.Discard(), Self: self, Network: node, Members: members, News: node.suspects.News,
 			Hear: node.suspects.Hear,
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -79,10 +79,7 @@
 func (in *Instance) applyPeerLoads(work, counts map[string]float32) {
 	in.loadTracker.SetPeerWork(work)
 	in.calibration.SetPeers(counts)
-	if len(in.control.Snapshot().Members) > 0 {
-		// Before the members are known there is nobody to hear from.
-		in.suspects.ApplyPeers(counts)
-	}
+	in.suspects.ApplyPeers(counts)
 	for _, rollout := range in.control.Snapshot().Moves {
 		in.releases.PinPeerSessions(rollout, counts)
 	}
