--- a/pkg/dispatch/crash_simulation_test.go
+++ b/pkg/dispatch/crash_simulation_test.go
@@ -174,11 +174,8 @@
 			instances := slices.Clone(f.instances)
 			f.mu.Unlock()
 			for _, in := range instances {
-				var items map[string]float32
+				items := map[string]float32{}
 				for _, other := range f.others(in) {
-					if items == nil {
-						items = map[string]float32{}
-					}
 					other.Suspects.AddOwn(items)
 				}
 				in.Suspects.ApplyPeers(items)
@@ -549,11 +546,8 @@
 	}
 }
 
-// newSuspects returns a quarantine that has heard of the other instances.
 func newSuspects(c clock.Clock) *CrashSuspects {
-	s := &CrashSuspects{Clock: c, Log: logr.Discard()}
-	s.ApplyPeers(map[string]float32{})
-	return s
+	return &CrashSuspects{Clock: c, Log: logr.Discard()}
 }
 
 // crashOnce sends a request with the part if it is admitted, and lets its upstream crash.
--- a/pkg/dispatch/crash_suspects.go
+++ b/pkg/dispatch/crash_suspects.go
@@ -71,8 +71,6 @@
 	known, counted atomic.Int64
 
 	begun begunParts
-	// heard is true once the evidence of other instances was received; one crash is enough for a quarantine before.
-	heard atomic.Bool
 
 	mu    sync.Mutex
 	parts map[uint64]*crashPart
@@ -195,9 +193,6 @@
 	if s.begun.contains(p.Part) {
 		return int(p.Crashes) - soundSuspectCrashes
 	}
-	if !s.heard.Load() {
-		return int(p.Crashes) - 1
-	}
 	return int(p.Crashes) - suspectCrashes
 }
 
@@ -455,12 +450,8 @@
 	}
 }
 
-// ApplyPeers merges the evidence of other instances from the items of their load reports, which are nil when there are none.
+// ApplyPeers merges the evidence of other instances from the items of their load reports.
 func (s *CrashSuspects) ApplyPeers(items map[string]float32) {
-	if items == nil {
-		return
-	}
-	s.heard.Store(true)
 	var evidence []CrashEvidence
 	for key := range items {
 		if e, ok := parseCrashEvidence(key); ok {
@@ -491,7 +482,6 @@
 			evidence = append(evidence, e)
 		}
 	}
-	s.heard.Store(true)
 	return s.merge(evidence)
 }
 
