Releases: retries and silences are no failures of a release

Callers saw nothing; operators saw good releases taken back. An attempt that was given up because its upstream was silent counted as a failure too, and the usual time to the first token was learned from the release under judgement, so that a slow one became the usual.

Now only the first attempt of a call counts; an attempt given up for silence is a late answer, and a connection that ends without an answer is an answer cut off; the usual time is learned from the old release alone.

--- a/pkg/delivery/relay.go
+++ b/pkg/delivery/relay.go
@@ -303,6 +303,8 @@
 		s.Result = request.ResultUnreached
 	}
 	s.Total = s.At - a.startedAt
+	var failed *FailedResponse
+	s.Answered = err == nil || errors.As(err, &failed)
 	a.Observe(a.call, s)
 }
 
--- a/pkg/dispatch/latency.go
+++ b/pkg/dispatch/latency.go
@@ -13,10 +13,10 @@
 	latencyWeight = 0.1
 	// firstByteTimeoutFactor is the ratio of the first-byte timeout to the usual time to the first token.
 	firstByteTimeoutFactor = 3.0
-	// An answer is slow if its first token takes longer than slowFactor times the usual time plus slowMargin milliseconds. Queueing
-	// delays answers by some hundred milliseconds, a bad release makes them several times as long.
+	// An answer is slow if its first token takes longer than slowFactor times the usual time plus slowMargin milliseconds, which is
+	// above the time on the network. Queues make answers of both releases slow, a bad release makes its own several times as long.
 	slowFactor              = 3.0
-	slowMargin clock.Millis = 100
+	slowMargin clock.Millis = 30
 	// A stream is slow if its gap between tokens exceeds slowGapFactor times the usual one plus slowGapMargin milliseconds. A full
 	// engine doubles the gap, a bad release makes it several times as long.
 	slowGapFactor              = 2.5
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -35,11 +35,13 @@
 	slow := false
 	if latency > 0 {
 		slow = in.latencies.IsSlowFirstToken(model, tokens, latency)
-		in.latencies.RecordFirstToken(model, tokens, latency)
 	}
 	rollout := in.control.Snapshot().Moves[c.Upstream.Service]
 	running := rollout != nil && rollout.State == catalogue.ReleaseRunning
 	onTarget := running && c.Upstream.Release == rollout.Target
+	if latency > 0 && !onTarget {
+		in.latencies.RecordFirstToken(model, tokens, latency)
+	}
 	slowStream := s.Gap > 0 && in.latencies.IsSlowGap(model, s.Gap)
 	if s.Gap > 0 && !onTarget {
 		in.latencies.RecordGap(model, s.Gap)
@@ -48,12 +50,35 @@
 		return
 	}
 	k := in.comparisonOf(rollout.Service, rollout.Target)
-	k.RecordAttempt(c.Route.Name, s.Upstream, onTarget, s.Result, slow)
+	if result, slow, ok := releaseEvidence(c, s, slow); ok {
+		k.RecordAttempt(c.Route.Name, s.Upstream, onTarget, result, slow)
+	}
 	if s.Gap > 0 {
 		k.RecordStream(c.Route.Name, s.Upstream, onTarget, slowStream)
 	}
 }
 
+// releaseEvidence returns what an attempt says of the release of its upstream. It says nothing if another attempt of the same call has
+// failed: some requests fail at any upstream, and their retries would count several times. An attempt that was ended because its
+// upstream was silent is a late answer, and a failure without an answer is an answer cut off.
+func releaseEvidence(c *request.Call, s request.Sample, slow bool) (result request.Result, isSlow, ok bool) {
+	if len(c.Excluded) > 0 {
+		return "", false, false
+	}
+	if s.Result != request.ResultFailed || s.Answered {
+		return s.Result, slow, true
+	}
+	if gaveUpWaiting(c, s) {
+		return request.ResultComplete, true, true
+	}
+	return request.ResultCut, false, true
+}
+
+// gaveUpWaiting reports whether an attempt without an answer was ended because its upstream was silent for too long.
+func gaveUpWaiting(c *request.Call, s request.Sample) bool {
+	return s.FirstToken > 0 || c.FirstByteTimeout > 0 && s.Total >= c.FirstByteTimeout || s.At >= c.Request.Deadline
+}
+
 // keyPrefix returns the prefix of the keys under which instances exchange their counts for a release rollout.
 func (k *comparison) keyPrefix(service string) string { return service + " " + k.target + " " }
 
--- a/pkg/request/sample.go
+++ b/pkg/request/sample.go
@@ -30,12 +30,14 @@
 type Sample struct {
 	At clock.Millis
 	// RequestID identifies the attempt at the upstream.
-	RequestID  string
-	Workspace  string
-	Task       string
-	Version    catalogue.VersionID
-	Upstream   string
-	Result     Result
+	RequestID string
+	Workspace string
+	Task      string
+	Version   catalogue.VersionID
+	Upstream  string
+	Result    Result
+	// Answered is true if the upstream answered, with whatever result.
+	Answered   bool
 	FirstToken clock.Millis
 	Total      clock.Millis
 	Tokens     int
