Rating: judge a release by the evidence of the last seconds as well

A release that turned bad late was diluted by its answers of before: the comparison weighed the whole time at once. Silences of sound upstreams, which come at any time and many at once, made late answers enough to take a good release back.

Comparison.Advance feeds CUSUM tests of failures and of late answers, by route and over all, from the differences of the sums that instances exchange anyway; the rate of the old release in the same time is the base. What two seconds add to the test of late answers is bounded, and the worst two seconds don't count over the whole time. Over the whole time failures must also be likelier of a bad release, because callers repeat requests that fail everywhere. A verdict of one instance is all instances'.

--- a/pkg/rating/comparison.go
+++ b/pkg/rating/comparison.go
@@ -19,6 +19,9 @@
 	// Bad releases fail or are slow on a third of their requests and more.
 	minFailedRateRise = 0.2
 	minSlowRateRise   = 0.25
+	// minFailedEvidence is the log likelihood ratio of failures that a bad release explains better than a good one. Some requests fail
+	// at any release, and their callers repeat them, so that a few in a row are no evidence.
+	minFailedEvidence = 2.5
 	// minSlowStreams is how many streams with slow generation make a new release bad, and minSlowStreamRateRise how much higher
 	// their rate must be than that of the old release. A good release has few of them.
 	minSlowStreams        = 5
@@ -31,6 +34,9 @@
 	// own has the counts of this instance, and peers the sums of all others, by countKey.
 	own   map[string]float32
 	peers map[string]float32
+	// peersKnown is true if the last report of the others arrived.
+	peersKnown bool
+	recent     recent
 }
 
 // Kinds of counts and releases, as in a countKey.
@@ -45,18 +51,30 @@
 	countSlowUpstreams = "dragger"
 	// countFailingUpstreams counts failures by upstream in place of the route.
 	countFailingUpstreams = "failing"
+	// countErrors counts failures that upstreams answered with. countErringUpstreams and countLateUpstreams count them, and late
+	// answers, by upstream in place of the route.
+	countErrors          = "errors"
+	countErringUpstreams = "erring"
+	countLateUpstreams   = "late"
+	// countSends counts the requests sent, without a route.
+	countSends = "sends"
 
 	releaseOld    = "old"
 	releaseTarget = "target"
 	keySeparator  = "\x00"
 )
 
+// badKey is the key under which an instance tells the others that it found the release bad.
+var badKey = countKey("bad", releaseTarget, "")
+
 // countKey joins the kind, the release, and the route or upstream; instances exchange counts under such keys.
 func countKey(kind, release, subject string) string {
 	return kind + keySeparator + release + keySeparator + subject
 }
 
-// RecordAttempt counts one attempt at an upstream; slow means that the answer was far later than usual for its prompt.
+// RecordAttempt counts one attempt at an upstream; slow means that the answer was far later than usual for its prompt, or didn't come.
+// A connection that an upstream ended without an answer is ResultCut: it counts over the whole time only, because the crash of several
+// upstreams ends many at once.
 func (c *Comparison) RecordAttempt(route, upstream string, onTarget bool, result request.Result, slow bool) {
 	switch result {
 	case request.ResultRefused, request.ResultCancelled, request.ResultUnreached:
@@ -72,8 +90,18 @@
 		if onTarget {
 			c.increment(countFailingUpstreams, onTarget, upstream)
 		}
+		if result == request.ResultCut {
+			break
+		}
+		c.increment(countErrors, onTarget, route)
+		if onTarget {
+			c.increment(countErringUpstreams, onTarget, upstream)
+		}
 	case slow:
 		c.increment(countSlow, onTarget, route)
+		if onTarget {
+			c.increment(countLateUpstreams, onTarget, upstream)
+		}
 	}
 }
 
@@ -112,7 +140,8 @@
 	}
 }
 
-// SetPeerCounts replaces the counts of the other instances by those in seen whose keys begin with prefix.
+// SetPeerCounts replaces the counts of the other instances by those in seen whose keys begin with prefix; if seen is nil, because no
+// report arrived, the last ones stay.
 func (c *Comparison) SetPeerCounts(prefix string, seen map[string]float32) {
 	peers := map[string]float32{}
 	for key, n := range seen {
@@ -122,12 +151,22 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.peers = peers
+	c.peersKnown = seen != nil
+	if c.peersKnown {
+		c.peers = peers
+	}
 }
 
 // Verdict reports whether a new release is bad, with its counts over all routes and instances.
 type Verdict struct {
 	Bad bool
+	// Recent is the evidence of the last seconds against the release, as a share of what makes it bad.
+	Recent float64
+	// Suspect is true if that evidence speaks against the release, though it need not be enough to make it bad.
+	Suspect bool
+	// Doubt is true if recent answers leave it open whether the release fails or is late more often than the old one; a release isn't
+	// completed then, because that can't be taken back.
+	Doubt bool
 	// Answers, Failed and Slow count the answers of the new release, and SlowStreams its streams with slow generation.
 	Answers, Failed, Slow, SlowStreams float32
 }
@@ -135,7 +174,8 @@
 // releaseCounts has the counts of one release on one route.
 type releaseCounts struct{ answers, failed, slow, streams, slowStreams float32 }
 
-// Verdict compares the releases; the new one is bad if it is much worse than the old one on any route or over all of them.
+// Verdict compares the releases; the new one is bad if it is much worse than the old one on any route or over all of them, over the
+// whole time or, as of the last call of Advance, in the last seconds.
 func (c *Comparison) Verdict() Verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -154,6 +194,8 @@
 			case countSlowUpstreams:
 				slowUpstreams[parts[2]] = true
 				continue
+			case countErringUpstreams, countLateUpstreams, countSends:
+				continue
 			}
 			addCount(routes, parts[2], parts[1], parts[0], n)
 			addCount(routes, "", parts[1], parts[0], n)
@@ -168,12 +210,22 @@
 		if old == nil {
 			old = &releaseCounts{}
 		}
-		v.Bad = v.Bad || failsMoreOften(old, target) && len(failingUpstreams) >= minBadUpstreams || isSlowMoreOften(old, target) ||
+		v.Bad = v.Bad || failsMoreOften(old, target) && len(failingUpstreams) >= minBadUpstreams || isSlowMoreOften(old, c.withoutBurst(route, target)) ||
 			hasMoreSlowStreams(old, target) && len(slowUpstreams) >= minBadUpstreams
 		if route == "" {
 			v.Answers, v.Failed, v.Slow, v.SlowStreams = target.answers, target.failed, target.slow, target.slowStreams
 		}
 	}
+	v.Recent = c.recentEvidence()
+	v.Suspect = v.Recent >= suspectShare
+	v.Doubt = v.Suspect || c.inDoubt()
+	v.Bad = v.Bad || v.Recent >= 1 || c.peers[badKey] > 0
+	if v.Bad {
+		if c.own == nil {
+			c.own = map[string]float32{}
+		}
+		c.own[badKey] = 1
+	}
 	return v
 }
 
@@ -201,13 +253,34 @@
 }
 
 func failsMoreOften(old, target *releaseCounts) bool {
-	return target.failed >= minFailedAnswers && target.failed/target.answers > rate(old.failed, old.answers)+minFailedRateRise
+	oldRate := rate(old.failed, old.answers)
+	if target.failed < minFailedAnswers || target.failed/target.answers <= oldRate+minFailedRateRise {
+		return false
+	}
+	var t rateTest
+	p0 := min(maxToleratedRate, float64(oldRate)+toleratedRise)
+	t.addAgainst(int64(target.answers), int64(target.failed), p0, p0+testedRise)
+	return t.sum >= minFailedEvidence
 }
 
 func isSlowMoreOften(old, target *releaseCounts) bool {
 	return target.slow >= minSlowAnswers && target.slow/target.answers > rate(old.slow, old.answers)+minSlowRateRise
 }
 
+// withoutBurst returns the counts without the late answers that one silence of several upstreams may have caused. The caller must hold
+// mu.
+func (c *Comparison) withoutBurst(route string, target *releaseCounts) *releaseCounts {
+	t := c.recent.tests[route]
+	if t == nil {
+		return target
+	}
+	counts := *target
+	burst := min(counts.slow, float32(t.lateBurst.most))
+	counts.slow -= burst
+	counts.answers -= burst
+	return &counts
+}
+
 func hasMoreSlowStreams(old, target *releaseCounts) bool {
 	return target.slowStreams >= minSlowStreams && target.slowStreams/target.streams > rate(old.slowStreams, old.streams)+minSlowStreamRateRise
 }
--- a/pkg/rating/cusum.go
+++ b/pkg/rating/cusum.go
@@ -76,7 +76,11 @@
 // add adds n attempts, bad of them bad, tested against the rate of bad attempts of other versions.
 func (t *rateTest) add(n, bad int64, othersRate float64) {
 	p0 := min(maxExpectedRate, baseRate+toleratedRateFactor*othersRate)
-	p1 := testedOddsRatio * p0 / (1 + (testedOddsRatio-1)*p0)
+	t.addAgainst(n, bad, p0, testedOddsRatio*p0/(1+(testedOddsRatio-1)*p0))
+}
+
+// addAgainst adds n attempts, bad of them bad, and weighs a rate of p1 against one of p0.
+func (t *rateTest) addAgainst(n, bad int64, p0, p1 float64) {
 	t.n += n
 	t.bad += bad
 	t.sum += float64(bad)*math.Log(p1/p0) + float64(n-bad)*math.Log((1-p1)/(1-p0))
