Rollouts: the share of a release follows from the exposure that is allowed

All traffic was on a release from 0.68 of the span on, whatever its budget, and it was never judged under that load; a completed release can't be taken back.

The upstreams of the new release that get the share are as few as make each about as busy as an old one, two at least, so that a step is evidence at that load. Evidence holds the next step, a doubt the completion. Verdicts are no longer held up by writes of statuses. A revert near the end of the span is written before others complete the rollout.

TestReleaseRolloutShare and TestSessionsKeepTheirRelease get the shares of a shift, and assert the same of them.

--- a/pkg/catalogue/route.go
+++ b/pkg/catalogue/route.go
@@ -132,8 +132,6 @@
 	prepareFraction = 0.12
 	// canaryFraction ends the canary phase; until then sessions keep the release that they had.
 	canaryFraction = 0.52
-	// shiftedFraction ends the gradual shift; from then on all sessions are on the new release.
-	shiftedFraction = 0.68
 )
 
 // CanaryFraction returns the fraction of sessions on the new release during the canary phase, by the service's number of upstreams.
@@ -155,11 +153,6 @@
 	return 0.012
 }
 
-// ShiftedAt returns the monotonic time from which no new work is sent to the old release.
-func (r *ReleaseRollout) ShiftedAt() clock.Millis {
-	return r.StartedAt + clock.Millis(shiftedFraction*float64(r.Span))
-}
-
 // KeepsSessions reports whether sessions must keep the release that they had, which is until the end of the canary phase.
 func (r *ReleaseRollout) KeepsSessions(now clock.Millis) bool {
 	return r.State == ReleaseRunning && float64(now-r.StartedAt) < canaryFraction*float64(r.Span)
@@ -170,8 +163,9 @@
 	return r.State == ReleaseRunning && float64(now-r.StartedAt) < prepareFraction*float64(r.Span)
 }
 
-// Share returns the fraction of sessions that belong to the new release; it never falls while the rollout is running.
-func (r *ReleaseRollout) Share(now clock.Millis) float64 {
+// Share returns the fraction of sessions that belong to the new release, if shifted is the fraction to which the shift has come; it
+// never falls while the rollout is running and shifted doesn't.
+func (r *ReleaseRollout) Share(now clock.Millis, shifted float64) float64 {
 	switch r.State {
 	case ReleaseCompleted:
 		return 1
@@ -181,9 +175,11 @@
 	if r.Preparing(now) {
 		return 0
 	}
-	elapsed := float64(now-r.StartedAt) / float64(max(1, r.Span))
-	if elapsed <= canaryFraction {
+	if r.KeepsSessions(now) {
 		return r.Canary
 	}
-	return min(1, r.Canary+(1-r.Canary)*(elapsed-canaryFraction)/(shiftedFraction-canaryFraction))
+	return max(r.Canary, shifted)
 }
+
+// Left returns the time left of the rollout's span.
+func (r *ReleaseRollout) Left(now clock.Millis) clock.Millis { return r.StartedAt + r.Span - now }
--- a/pkg/catalogue/route_test.go
+++ b/pkg/catalogue/route_test.go
@@ -7,7 +7,7 @@
 	rollout := &ReleaseRollout{ReleaseOrder: ReleaseOrder{Span: 10_000}, State: ReleaseRunning, StartedAt: 1000, Canary: 0.06}
 	last := 0.0
 	for now := rollout.StartedAt; now < rollout.StartedAt+rollout.Span; now += 100 {
-		share := rollout.Share(now)
+		share := rollout.Share(now, float64(now-rollout.StartedAt)/float64(rollout.Span))
 		if share < last {
 			t.Fatalf("share of the new release falls from %g to %g at %d", last, share, now)
 		}
@@ -19,15 +19,16 @@
 		}
 		last = share
 	}
-	if got := rollout.Share(rollout.ShiftedAt()); got < 0.999 {
+	end := rollout.StartedAt + rollout.Span
+	if got := rollout.Share(end, 1); got < 0.999 {
 		t.Errorf("share of the new release is %g at the end of the shift, want 1", got)
 	}
 	rollout.State = ReleaseReverted
-	if got := rollout.Share(rollout.ShiftedAt()); got != 0 {
+	if got := rollout.Share(end, 1); got != 0 {
 		t.Errorf("share of the new release is %g for a reverted rollout, want 0", got)
 	}
 	rollout.State = ReleaseCompleted
-	if got := rollout.Share(rollout.StartedAt); got != 1 {
+	if got := rollout.Share(rollout.StartedAt, 0); got != 1 {
 		t.Errorf("share of the new release is %g for a completed rollout, want 1", got)
 	}
 }
--- a/pkg/dispatch/choose_upstream.go
+++ b/pkg/dispatch/choose_upstream.go
@@ -93,7 +93,10 @@
 		useTarget = false
 	}
 	if useTarget && len(target) > 0 {
-		return target
+		if len(c.Excluded) > 0 {
+			return target
+		}
+		return f.Releases.loaded(rollout, target, len(rest), now)
 	}
 	if rollout.State == catalogue.ReleaseReverted || len(rest) > 0 {
 		return rest
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -129,6 +129,7 @@
 func (f *Dispatch) send(ctx context.Context, c *request.Call, next request.Handler) error {
 	upstream, work := c.Upstream.Name, promptWork(c)
 	f.Loads.StartRequest(upstream, work)
+	f.Releases.RecordSend(f.Snapshot().Moves[c.Upstream.Service], c.Upstream)
 	defer f.Loads.EndRequest(upstream)
 	var once sync.Once
 	c.OnFirstEvent = func() { once.Do(func() { f.Loads.SubtractWork(upstream, work) }) }
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -314,7 +314,8 @@
 	// After the canary phase all sessions change to the new release, and none changes back.
 	r.clock.Advance(10_000)
 	moved := map[string]bool{}
-	for range 8 {
+	for step := range 8 {
+		r.Releases.SetShare(rollout, float64(step+1)/8)
 		for i := range 200 {
 			session := fmt.Sprint("after", i)
 			if got := send(session); got == "v2" {
--- a/pkg/dispatch/releases.go
+++ b/pkg/dispatch/releases.go
@@ -17,12 +17,16 @@
 type Releases struct {
 	// SessionTimeout is the idle time after which a session expires, in milliseconds.
 	SessionTimeout clock.Millis
+	// OnSend is called for each request that is sent to a service with a running rollout; it is optional.
+	OnSend func(rollout *catalogue.ReleaseRollout, onTarget bool)
 
 	mu       sync.Mutex
 	sessions map[string]sessionRelease
 	// pinned are, by rollout, the sessions that were on the old release when it began although their hash selects the new one. The
 	// instances exchange them before any session changes its release, since callers switch between instances.
 	pinned map[string]map[string]bool
+	// shifted has, by rollout, the share of the sessions that the shift has given to the new release.
+	shifted map[string]float64
 }
 
 // pinnedKeyPrefix is the prefix, after that of the rollout, of the keys under which instances exchange their pinned sessions.
@@ -64,6 +68,49 @@
 	}
 }
 
+// SetShare sets the share of the sessions that belong to the new release of a rollout once its canary phase has ended.
+func (r *Releases) SetShare(rollout *catalogue.ReleaseRollout, share float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.shifted == nil || len(r.shifted) >= maxRollouts {
+		r.shifted = map[string]float64{}
+	}
+	r.shifted[rolloutKey(rollout)] = share
+}
+
+// loaded returns the upstreams of the new release that get its share of the requests: as many as make each of them about as busy as one
+// of the old release, so that the release is judged under load before it has all requests. The upstreams are in the order of their
+// names, and all instances choose the same ones.
+func (r *Releases) loaded(rollout *catalogue.ReleaseRollout, target []*catalogue.Upstream, old int, now clock.Millis) []*catalogue.Upstream {
+	r.mu.Lock()
+	share := rollout.Share(now, r.shifted[rolloutKey(rollout)])
+	r.mu.Unlock()
+	n := max(minLoaded, int(share*float64(max(old, len(target)))))
+	if n >= len(target) {
+		return target
+	}
+	var warm []*catalogue.Upstream
+	for _, u := range target {
+		if now >= u.ColdUntil {
+			warm = append(warm, u)
+		}
+	}
+	if len(warm) < n {
+		return target
+	}
+	return warm[:n]
+}
+
+// minLoaded is the least number of upstreams of a new release that get requests: what happens at one of them alone may be its own doing.
+const minLoaded = 2
+
+// RecordSend notes that a request is sent to an upstream; rollout is nil if its service has no rollout.
+func (r *Releases) RecordSend(rollout *catalogue.ReleaseRollout, u *catalogue.Upstream) {
+	if r.OnSend != nil && rollout != nil && rollout.State == catalogue.ReleaseRunning {
+		r.OnSend(rollout, u.Release == rollout.Target)
+	}
+}
+
 func (r *Releases) pinnedSessions(rollout *catalogue.ReleaseRollout) map[string]bool {
 	pinned := r.pinned[rolloutKey(rollout)]
 	if pinned == nil {
@@ -94,11 +141,12 @@
 		return false
 	}
 	key := c.Request.Session
-	if key == "" {
-		return request.HashFraction("release", c.Request.ID) < rollout.Share(now)
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	share := rollout.Share(now, r.shifted[rolloutKey(rollout)])
+	if key == "" {
+		return request.HashFraction("release", c.Request.ID) < share
+	}
 	last, known := r.sessions[key]
 	if rollout.KeepsSessions(now) && r.pinned[rolloutKey(rollout)][key] {
 		return false
@@ -106,7 +154,7 @@
 	if known && now-last.lastSeen < r.SessionTimeout && (last.onTarget || rollout.KeepsSessions(now)) {
 		return last.onTarget
 	}
-	return request.HashFraction("release", key) < rollout.Share(now)
+	return request.HashFraction("release", key) < share
 }
 
 // RecordSession records the release on which a request of a session ran; rollout is nil if the service has no rollout.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -156,7 +156,7 @@
 	in.outliers = &dispatch.OutlierDetector{}
 	in.latencies = &dispatch.LatencyTracker{}
 	in.calibration = &pricing.Calibration{}
-	in.releases = &dispatch.Releases{SessionTimeout: in.Settings.Bounds.Session()}
+	in.releases = &dispatch.Releases{SessionTimeout: in.Settings.Bounds.Session(), OnSend: in.recordSend}
 	in.inFlight = &desk.InFlight{}
 	in.rolloutOrdered = make(chan struct{}, 1)
 	in.registered, in.membersRead = make(chan struct{}), make(chan struct{})
--- a/pkg/gateway/loops.go
+++ b/pkg/gateway/loops.go
@@ -106,14 +106,19 @@
 	g.Go(func() error {
 		return followTopic(ctx, in, archive.TopicStatuses, statusWait, in.Decoders.Status, in.recordStatuses)
 	})
-	g.Go(func() error {
-		c := &RolloutController{Instance: in}
-		for {
-			if err := clock.Sleep(ctx, in.Clock, rolloutPeriod); err != nil {
-				return err
-			}
-			c.Evaluate(ctx)
-		}
-	})
+	c := &RolloutController{Instance: in}
+	g.Go(func() error { return in.repeatEach(ctx, rolloutPeriod, c.Judge) })
+	// Writes may take long, and must not hold up a verdict.
+	g.Go(func() error { return in.repeatEach(ctx, rolloutPeriod, func() { c.WriteStatuses(ctx) }) })
 	return g.Wait()
 }
+
+// repeatEach calls f, with a pause of period before each call, until ctx ends, and returns the error of ctx.
+func (in *Instance) repeatEach(ctx context.Context, period clock.Millis, f func()) error {
+	for {
+		if err := clock.Sleep(ctx, in.Clock, period); err != nil {
+			return err
+		}
+		f()
+	}
+}
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -79,6 +79,11 @@
 	return s.FirstToken > 0 || c.FirstByteTimeout > 0 && s.Total >= c.FirstByteTimeout || s.At >= c.Request.Deadline
 }
 
+// recordSend counts a request that is sent to a service whose rollout is running.
+func (in *Instance) recordSend(rollout *catalogue.ReleaseRollout, onTarget bool) {
+	in.comparisonOf(rollout.Service, rollout.Target).RecordSend(onTarget)
+}
+
 // keyPrefix returns the prefix of the keys under which instances exchange their counts for a release rollout.
 func (k *comparison) keyPrefix(service string) string { return service + " " + k.target + " " }
 
@@ -142,7 +147,10 @@
 func (in *Instance) queueRevert(rollout *catalogue.ReleaseRollout) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.pendingReverts[rollout.Service] = pendingRevert{rollout: rollout, notBefore: in.Clock.Now() + in.writeDelay(rollout)}
+	now := in.Clock.Now()
+	// Near the end of the span, the revert must be known before another instance completes the rollout.
+	delay := min(in.writeDelay(rollout), clock.Millis(in.spread(rollout)*revertDelayFraction*float64(max(0, rollout.Left(now)))))
+	in.pendingReverts[rollout.Service] = pendingRevert{rollout: rollout, notBefore: now + delay}
 }
 
 // pendingRevert is a reverted rollout whose status is to be written from notBefore on.
--- a/pkg/gateway/rollout.go
+++ b/pkg/gateway/rollout.go
@@ -12,12 +12,19 @@
 const (
 	// rolloutPeriod is the time between evaluations of the rollouts.
 	rolloutPeriod clock.Millis = 100
-	// completeFraction is the fraction of a rollout's span after which a good rollout is completed, so that requests in flight on
-	// the old release end before the span does.
-	completeFraction = 0.8
-	// writeDelayFraction is the fraction of a rollout's span over which instances spread their writes of the same status, so that
-	// usually only one writes it.
+	// A good rollout is completed between completeFrom and completeTo of the time from when the new release gets all requests to the
+	// end of the span, so that requests in flight on the old release end before that; the instances spread their writes over it.
+	completeFrom = 0.6
+	completeTo   = 0.75
+	// latestFrom and latestTo are the parts of the exposure budget, as a share of the span, that are left when a rollout is completed
+	// at the latest, whatever the share of the new release.
+	latestFrom = 0.2
+	latestTo   = 0.13
+	// writeDelayFraction is the fraction of a rollout's span over which instances spread their writes of its beginning or its revert,
+	// so that usually only one writes it.
 	writeDelayFraction = 0.1
+	// revertDelayFraction is the part of the time left of the span over which they spread their writes of its revert at most.
+	revertDelayFraction = 0.2
 	// statusWriteTimeout bounds one write of a status.
 	statusWriteTimeout clock.Millis = 1500
 )
@@ -27,8 +34,8 @@
 	PutStatus(ctx context.Context, st catalogue.ReleaseStatus) error
 }
 
-// RolloutController evaluates release rollouts and completes or reverts them; all instances do so independently, and a status that
-// two of them write does no harm.
+// RolloutController judges release rollouts, shifts them, and completes or reverts them; all instances do so independently, and a
+// status that two of them write does no harm.
 type RolloutController struct {
 	Instance *Instance
 }
@@ -37,10 +44,57 @@
 type comparison struct {
 	target string
 	rating.Comparison
+	shift rating.Shift
 }
 
-// Evaluate evaluates each running rollout once and completes or reverts it if that is due.
-func (c *RolloutController) Evaluate(ctx context.Context) {
+// Judge judges each running rollout once: it reverts it if the new release is bad, and otherwise raises the release's share if the
+// exposure that is allowed affords it and nothing speaks against the release.
+func (c *RolloutController) Judge() {
+	in := c.Instance
+	now := in.Clock.Now()
+	for service, rollout := range in.control.Snapshot().Moves {
+		if rollout.State != catalogue.ReleaseRunning {
+			continue
+		}
+		k := in.comparisonOf(service, rollout.Target)
+		k.Advance(now)
+		v := k.Verdict()
+		if v.Bad {
+			in.Log.Info("new release is bad; reverting the rollout", "service", service, "target", rollout.Target,
+				"answers", v.Answers, "failed", v.Failed, "slow", v.Slow, "dragging", v.SlowStreams, "recent", v.Recent)
+			in.control.Send(rolloutEnded{service: service, target: rollout.Target, state: catalogue.ReleaseReverted})
+			in.queueRevert(rollout)
+			continue
+		}
+		if rollout.KeepsSessions(now) || v.Suspect || !k.PeersKnown() {
+			continue
+		}
+		if share, raised := in.raiseShare(k, rollout, now); raised {
+			e := k.Exposure(rollout.Left(now))
+			in.Log.Info("share of the new release raised", "service", service, "target", rollout.Target, "share", share,
+				"requests", e.Requests, "exposed", e.Exposed, "leftMs", e.Left)
+			in.releases.SetShare(rollout, share)
+		}
+	}
+}
+
+// raiseShare raises the share of the new release if that is due, and returns it.
+func (in *Instance) raiseShare(k *comparison, rollout *catalogue.ReleaseRollout, now clock.Millis) (share float64, raised bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	before := k.shift.Share(rollout.Canary)
+	k.shift.Advance(now, in.exposureBudget(), k.Exposure(rollout.Left(now)))
+	share = k.shift.Share(rollout.Canary)
+	return share, share > before
+}
+
+func (in *Instance) exposureBudget() rating.ExposureBudget {
+	b := &in.Settings.Bounds
+	return rating.ExposureBudget{Share: b.ExposureShare, Slack: float64(b.ExposureSlack)}
+}
+
+// WriteStatuses completes the good rollouts that are due, and writes the beginning of new ones.
+func (c *RolloutController) WriteStatuses(ctx context.Context) {
 	in := c.Instance
 	now := in.Clock.Now()
 	s := in.control.Snapshot()
@@ -50,25 +104,44 @@
 		}
 		k := in.comparisonOf(service, rollout.Target)
 		v := k.Verdict()
-		delay := in.writeDelay(rollout)
 		switch {
-		case v.Bad:
-			in.Log.Info("new release is bad; reverting the rollout", "service", service, "target", rollout.Target,
-				"answers", v.Answers, "failed", v.Failed, "slow", v.Slow, "dragging", v.SlowStreams)
-			c.finish(ctx, rollout, catalogue.ReleaseReverted)
-		case now >= rollout.StartedAt+clock.Millis(completeFraction*float64(rollout.Span))+delay && hasRelease(s, service, rollout.Target):
+		case !v.Bad && !v.Doubt && now >= in.completeAt(k, rollout) && hasRelease(s, service, rollout.Target):
 			in.Log.Info("new release is good; completing the rollout", "service", service, "target", rollout.Target,
 				"answers", v.Answers, "failed", v.Failed, "slow", v.Slow, "dragging", v.SlowStreams)
-			c.finish(ctx, rollout, catalogue.ReleaseCompleted)
-		case now >= rollout.StartedAt+delay && !in.statusWritten(service, rollout.Target):
+			if c.putStatus(ctx, rollout, catalogue.ReleaseCompleted) {
+				in.control.Send(rolloutEnded{service: service, target: rollout.Target, state: catalogue.ReleaseCompleted})
+			}
+		case now >= rollout.StartedAt+in.writeDelay(rollout) && !in.statusWritten(service, rollout.Target):
 			c.putStatus(ctx, rollout, catalogue.ReleaseRunning)
 		}
 	}
 }
 
+// completeAt returns when this instance completes a rollout if its release is good.
+func (in *Instance) completeAt(k *comparison, rollout *catalogue.ReleaseRollout) clock.Millis {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return completionTime(rollout, &k.shift, in.Settings.Bounds.ExposureShare, in.spread(rollout))
+}
+
+// completionTime returns when an instance with this place among all completes a rollout if its release is good.
+func completionTime(rollout *catalogue.ReleaseRollout, shift *rating.Shift, exposureShare, spread float64) clock.Millis {
+	end := rollout.StartedAt + rollout.Span
+	at := end - clock.Millis((latestFrom-(latestFrom-latestTo)*spread)*exposureShare*float64(rollout.Span))
+	if full, ok := shift.FullSince(); ok {
+		at = min(at, full+clock.Millis((completeFrom+(completeTo-completeFrom)*spread)*float64(end-full)))
+	}
+	return at
+}
+
+// spread returns the place of this instance, from 0 to 1, among those that may write the same status.
+func (in *Instance) spread(rollout *catalogue.ReleaseRollout) float64 {
+	return request.HashFraction("spread "+rollout.Service+rollout.Target, in.Settings.Name)
+}
+
 // writeDelay returns how long this instance waits before it writes a status that other instances may write as well.
 func (in *Instance) writeDelay(rollout *catalogue.ReleaseRollout) clock.Millis {
-	return clock.Millis(request.HashFraction("spread "+rollout.Service+rollout.Target, in.Settings.Name) * writeDelayFraction * float64(rollout.Span))
+	return clock.Millis(in.spread(rollout) * writeDelayFraction * float64(rollout.Span))
 }
 
 func hasRelease(s *catalogue.Snapshot, service, release string) bool {
@@ -80,20 +153,6 @@
 	return false
 }
 
-// finish ends a rollout. A revert takes effect on this instance at once and its status is written in the background; a completion
-// takes effect only after its status was written.
-func (c *RolloutController) finish(ctx context.Context, rollout *catalogue.ReleaseRollout, state catalogue.ReleaseState) {
-	in := c.Instance
-	if state == catalogue.ReleaseReverted {
-		in.control.Send(rolloutEnded{service: rollout.Service, target: rollout.Target, state: state})
-		in.queueRevert(rollout)
-		return
-	}
-	if c.putStatus(ctx, rollout, state) {
-		in.control.Send(rolloutEnded{service: rollout.Service, target: rollout.Target, state: state})
-	}
-}
-
 // putStatus writes the state of a rollout and reports whether that succeeded.
 func (c *RolloutController) putStatus(ctx context.Context, rollout *catalogue.ReleaseRollout, state catalogue.ReleaseState) bool {
 	in := c.Instance
--- a/pkg/gateway/rollout_simulation_test.go
+++ b/pkg/gateway/rollout_simulation_test.go
@@ -22,23 +22,28 @@
 	simExchange clock.Millis = 350
 )
 
-// releaseDay is a simulated rollout: perSecond requests are spread over five instances and two routes.
+// simRates are the rates of failed and late answers; bad ones count toward the 50.
+type simRates struct {
+	failed, late float64
+	bad          bool
+}
+
+// releaseDay is a simulated rollout: perSecond requests are spread over five instances, two routes and four upstreams of each release.
 type releaseDay struct {
 	name      string
-	perSecond float64
-	// oldFails is the rate of failures of the old release.
-	oldFails float64
-	// fails is the rate of failures of the new release, at the time since the order and the share of the requests that it gets.
-	fails func(elapsed clock.Millis, share float64, route string) float64
-	bad   bool
+	perSecond func(elapsed clock.Millis) float64
+	// old and target give the rates of the releases, at the time since the order, and the share of the requests of the new one.
+	old    func(elapsed clock.Millis) simRates
+	target func(elapsed clock.Millis, share float64, route string) simRates
+	// want is the state before the end of the span, or empty if both are right.
+	want catalogue.ReleaseState
 }
 
-// releaseOutcome is what a simulated rollout came to; revertedAfter counts from the 50th bad answer.
+// releaseOutcome is what a simulated rollout came to; badFor is how long the release went on after its 50th bad answer.
 type releaseOutcome struct {
 	requests, exposed int
 	state             catalogue.ReleaseState
-	revertedAfter     clock.Millis
-	badAnswers        int
+	badFor            clock.Millis
 }
 
 // simulateRollout plays a day until the end of the rollout's span.
@@ -47,36 +52,42 @@
 	rollout := &catalogue.ReleaseRollout{
 		ReleaseOrder: catalogue.ReleaseOrder{Service: "lm", Target: "v2", Span: simSpan}, State: catalogue.ReleaseRunning, Canary: 0.06,
 	}
-	comparisons := make([]*rating.Comparison, 5)
+	comparisons, shifts := make([]*rating.Comparison, 5), make([]rating.Shift, 5)
 	for i := range comparisons {
 		comparisons[i] = &rating.Comparison{}
 	}
+	budget := rating.ExposureBudget{Share: simShare, Slack: simSlack}
 	out := releaseOutcome{state: catalogue.ReleaseRunning}
 	owed := 0.0
-	var badSince clock.Millis
+	badAnswers, badSince := 0, simSpan
 	for now := clock.Millis(0); now < simSpan; now += simTick {
-		share := rollout.Share(now)
-		for owed += d.perSecond * float64(simTick) / float64(clock.Second); owed >= 1; owed-- {
+		for owed += d.perSecond(now) * float64(simTick) / float64(clock.Second); owed >= 1; owed-- {
 			out.requests++
+			at := rng.Intn(len(comparisons))
+			share := rollout.Share(now, shifts[at].Share(rollout.Canary))
 			onTarget := rng.Float64() < share
-			route, fails := "a", d.oldFails
+			route, rates := "a", d.old(now)
 			if rng.Intn(3) == 0 {
 				route = "b"
 			}
 			if onTarget {
 				out.exposed++
-				fails = d.fails(now, share, route)
+				rates = d.target(now, share, route)
 			}
-			result := request.ResultComplete
-			if rng.Float64() < fails {
+			result, late := request.ResultComplete, false
+			switch p := rng.Float64(); {
+			case p < rates.failed:
 				result = request.ResultFailed
+			case p < rates.failed+rates.late:
+				late = true
 			}
-			if onTarget && result == request.ResultFailed && d.bad {
-				if out.badAnswers++; out.badAnswers == simBadCount {
+			if onTarget && rates.bad && (late || result == request.ResultFailed) {
+				if badAnswers++; badAnswers == simBadCount {
 					badSince = now
 				}
 			}
-			comparisons[rng.Intn(len(comparisons))].RecordAttempt(route, fmt.Sprint("u", rng.Intn(4)), onTarget, result, false)
+			comparisons[at].RecordSend(onTarget)
+			comparisons[at].RecordAttempt(route, fmt.Sprint("u", rng.Intn(4)), onTarget, result, late)
 		}
 		if now%simExchange == 0 {
 			exchangeCounts(comparisons)
@@ -84,15 +95,27 @@
 		if now%rolloutPeriod != 0 || rollout.State != catalogue.ReleaseRunning {
 			continue
 		}
-		switch {
-		case comparisons[0].Verdict().Bad:
-			rollout.State = catalogue.ReleaseReverted
-			out.revertedAfter = now - badSince
-		case now >= clock.Millis(completeFraction*float64(simSpan)):
-			rollout.State = catalogue.ReleaseCompleted
+		for i, k := range comparisons {
+			k.Advance(now)
+			v := k.Verdict()
+			if v.Bad {
+				rollout.State = catalogue.ReleaseReverted
+				out.badFor = now - badSince
+				break
+			}
+			if !rollout.KeepsSessions(now) && !v.Suspect {
+				shifts[i].Advance(now, budget, k.Exposure(rollout.Left(now)))
+			}
+			if !v.Doubt && now >= completionTime(rollout, &shifts[i], simShare, float64(i)/float64(len(comparisons))) {
+				rollout.State = catalogue.ReleaseCompleted
+				break
+			}
 		}
 		out.state = rollout.State
 	}
+	if out.state != catalogue.ReleaseReverted {
+		out.badFor = simSpan - badSince
+	}
 	return out
 }
 
@@ -114,34 +137,121 @@
 	}
 }
 
+func steady(perSecond float64) func(clock.Millis) float64 {
+	return func(clock.Millis) float64 { return perSecond }
+}
+
+func burst(perSecond, factor float64, from, to clock.Millis) func(clock.Millis) float64 {
+	return func(elapsed clock.Millis) float64 {
+		if elapsed >= from && elapsed < to {
+			return factor * perSecond
+		}
+		return perSecond
+	}
+}
+
+// silences returns the rate of late answers while half of the upstreams are silent for 1.6 s.
+func silences(elapsed clock.Millis) float64 {
+	for _, at := range []clock.Millis{4000, 10_000, 14_600} {
+		if elapsed >= at && elapsed < at+1600 {
+			return 0.5
+		}
+	}
+	return 0
+}
+
 // A release that fails only once it has all requests was completed, with several times the requests that a bad one may get: answers
 // from before the load diluted those since, and the schedule didn't know the exposure that is allowed.
 func TestReleaseBadUnderLoad(t *testing.T) {
-	underLoad := func(_ clock.Millis, share float64, _ string) float64 {
-		if share >= 0.9 {
-			return 0.65
+	const usual = 0.14
+	old := func(clock.Millis) simRates { return simRates{failed: usual} }
+	when := func(least float64, rates simRates) func(clock.Millis, float64, string) simRates {
+		return func(_ clock.Millis, share float64, _ string) simRates {
+			if share >= least {
+				return rates
+			}
+			return simRates{failed: usual}
 		}
-		return 0.14
 	}
-	for _, d := range []releaseDay{
-		{"few requests", 22, 0.14, underLoad, true},
-		{"many requests", 120, 0.14, underLoad, true},
-		{"half of the answers fail", 36, 0.14, func(_ clock.Millis, share float64, _ string) float64 {
-			if share >= 0.4 {
-				return 0.5
+	fails, halfFails := simRates{failed: 0.65, bad: true}, simRates{failed: 0.5, bad: true}
+	late := simRates{failed: usual, late: 0.5, bad: true}
+	checkRollouts(t, []releaseDay{
+		{"few requests", steady(22), old, when(0.9, fails), ""},
+		{"many requests", steady(120), old, when(0.9, fails), catalogue.ReleaseReverted},
+		{"half of the answers fail", steady(36), old, when(0.4, halfFails), ""},
+		{"half of the answers fail from the first step", steady(120), old, when(0.2, halfFails), catalogue.ReleaseReverted},
+		{"late answers from the first step", steady(120), old, when(0.2, late), ""},
+		{"no answer that fails", steady(36), old, when(2, fails), ""},
+		{"no answer that fails, and a burst at the end", burst(36, 1.5, 16_500, simSpan), old, when(2, fails), ""},
+		{"no answer that fails, and bursts", burst(120, 3, 5000, 9000), old, when(2, fails), ""},
+		{"hardly any requests", steady(3), old, when(2, fails), ""},
+	})
+}
+
+func TestReleaseBad(t *testing.T) {
+	good := func(clock.Millis) simRates { return simRates{} }
+	always := func(r simRates) func(clock.Millis, float64, string) simRates {
+		return func(clock.Millis, float64, string) simRates { return r }
+	}
+	checkRollouts(t, []releaseDay{
+		{"failures", steady(36), good, always(simRates{failed: 0.6, bad: true}), catalogue.ReleaseReverted},
+		{"late answers", steady(60), good, always(simRates{late: 0.6, bad: true}), catalogue.ReleaseReverted},
+		{"late answers while upstreams of both releases are silent", steady(60), func(at clock.Millis) simRates {
+			return simRates{late: silences(at)}
+		}, func(at clock.Millis, _ float64, _ string) simRates {
+			return simRates{late: 0.6 + 0.4*silences(at), bad: true}
+		}, catalogue.ReleaseReverted},
+		{"one route only", steady(60), good, func(_ clock.Millis, _ float64, route string) simRates {
+			return simRates{failed: map[string]float64{"b": 0.6}[route], bad: true}
+		}, catalogue.ReleaseReverted},
+		{"failures from the middle of the span", steady(60), good, func(at clock.Millis, _ float64, _ string) simRates {
+			if at < 9000 {
+				return simRates{}
 			}
-			return 0.14
-		}, true},
-		{"no answer that fails", 36, 0.14, func(clock.Millis, float64, string) float64 { return 0.14 }, true},
-	} {
+			return simRates{failed: 0.5, bad: true}
+		}, catalogue.ReleaseReverted},
+	})
+}
+
+// A good release must be completed before the span ends.
+func TestReleaseGood(t *testing.T) {
+	rates := func(r simRates) (old func(clock.Millis) simRates, target func(clock.Millis, float64, string) simRates) {
+		return func(clock.Millis) simRates { return r }, func(clock.Millis, float64, string) simRates { return r }
+	}
+	old, target := rates(simRates{})
+	oldFew, targetFew := rates(simRates{failed: 0.02, late: 0.02})
+	silent := func(at clock.Millis) simRates { return simRates{late: silences(at)} }
+	checkRollouts(t, []releaseDay{
+		{"steady", steady(36), old, target, catalogue.ReleaseCompleted},
+		{"a few requests", steady(5), old, target, catalogue.ReleaseCompleted},
+		{"many requests", steady(400), old, target, catalogue.ReleaseCompleted},
+		{"a burst", burst(36, 3, 6000, 12_000), old, target, catalogue.ReleaseCompleted},
+		{"a burst at the end", burst(36, 1.5, 16_500, simSpan), old, target, catalogue.ReleaseCompleted},
+		{"some failures and late answers", steady(60), oldFew, targetFew, ""},
+		{"silences of both releases", steady(60), silent, func(at clock.Millis, _ float64, _ string) simRates { return silent(at) }, catalogue.ReleaseCompleted},
+		{"a silence of the new release alone", steady(60), old, func(at clock.Millis, _ float64, _ string) simRates {
+			if at >= 14_600 && at < 16_200 {
+				return simRates{late: 0.5}
+			}
+			return simRates{}
+		}, catalogue.ReleaseCompleted},
+	})
+}
+
+// checkRollouts plays each day with several seeds, and checks the exposure, the time to the revert, and the state.
+func checkRollouts(t *testing.T, days []releaseDay) {
+	for _, d := range days {
 		t.Run(d.name, func(t *testing.T) {
 			for seed := range int64(5) {
 				out := simulateRollout(d, seed)
 				if allowed := simShare*float64(out.requests) + simSlack; float64(out.exposed) > allowed {
-					t.Errorf("seed %d: the bad release got %d of %d requests, allowed %.0f", seed, out.exposed, out.requests, allowed)
+					t.Errorf("seed %d: the new release got %d of %d requests, allowed %.0f", seed, out.exposed, out.requests, allowed)
+				}
+				if out.badFor > simRevert {
+					t.Errorf("seed %d: the new release went on for %d ms after its 50th bad answer, want at most %d", seed, out.badFor, simRevert)
 				}
-				if out.badAnswers >= simBadCount && (out.state != catalogue.ReleaseReverted || out.revertedAfter > simRevert) {
-					t.Errorf("seed %d: %s, %d ms after the 50th bad answer, want Reverted within %d ms", seed, out.state, out.revertedAfter, simRevert)
+				if d.want != "" && out.state != d.want {
+					t.Errorf("seed %d: %s at the end of the span, want %s", seed, out.state, d.want)
 				}
 			}
 		})
--- a/pkg/settings/entry.go
+++ b/pkg/settings/entry.go
@@ -41,6 +41,10 @@
 	GraceSeconds float64
 	// SessionSeconds is how long a session lasts after its last request, in seconds.
 	SessionSeconds float64
+	// ExposureShare is the share of a service's requests in the span of a rollout that a bad release may get, and ExposureSlack how
+	// many requests more.
+	ExposureShare float64
+	ExposureSlack int
 }
 
 // Grace returns the time from the stop signal until the process must have exited, in milliseconds.
@@ -71,6 +75,7 @@
 			Drain:          2 * clock.Second,
 			GraceSeconds:   8,
 			SessionSeconds: 5,
+			ExposureShare:  0.1,
 		},
 		Policy:  Policy{LeastConfidence: 75, RetryShare: 0.75},
 		Logging: Logging{Format: "json"},
@@ -109,6 +114,8 @@
 		checkDuration("Bounds.Drain", b.Drain, minPropagation),
 		checkDuration("Bounds.GraceSeconds", b.Grace(), clock.Second),
 		checkDuration("Bounds.SessionSeconds", b.Session(), 1),
+		{"Bounds.ExposureShare", b.ExposureShare > 0 && b.ExposureShare <= 1, "a number above 0, up to 1"},
+		{"Bounds.ExposureSlack", b.ExposureSlack >= 0, "a whole number of at least 0"},
 		{"Policy.LeastConfidence", p.LeastConfidence >= 0 && p.LeastConfidence <= maxConfidence, "a whole number from 0 to 100"},
 		{"Policy.RetryShare", p.RetryShare >= 0 && p.RetryShare <= 1, "a number from 0 to 1"},
 		{"Logging.Format", e.Logging.Format == "json" || e.Logging.Format == "console", `"json" or "console"`},
