Rollouts: a good release is completed in time beside a slow store

Each instance that reads the store measures its answers by reads that find nothing (timedSource), and completes three to four of them before the end, within 0.4 of the exposure budget.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -74,6 +74,7 @@
 	self         catalogue.Member
 	network      *membership.Network
 	peerSource   *membership.PeerSource
+	timedStore   *timedSource
 	loads        *membership.Loads
 	control      *Control
 	relay        *delivery.Relay
@@ -177,8 +178,9 @@
 		in.membersReadOnce.Do(func() { close(in.membersRead) })
 	}
 	cache := &archive.Cache{}
+	in.timedStore = &timedSource{Source: in.Store, clock: in.Clock}
 	in.peerSource = &membership.PeerSource{
-		Clock: in.Clock, Network: in.network, Store: in.Store, Cache: cache, Drain: in.Settings.Bounds.Drain,
+		Clock: in.Clock, Network: in.network, Store: in.timedStore, Cache: cache, Drain: in.Settings.Bounds.Drain,
 		OlderInstances: in.olderMembers, AwaitMembers: in.awaitMembers,
 	}
 	in.loads = &membership.Loads{
--- a/pkg/gateway/rollout.go
+++ b/pkg/gateway/rollout.go
@@ -20,11 +20,16 @@
 	// at the latest, whatever the share of the new release.
 	latestFrom = 0.2
 	latestTo   = 0.13
+	// storeAnswers is how many answers of the store must fit in before the end of the span: of the write, of the reader that is to find
+	// it, and one in reserve.
+	storeAnswers = 3.0
 	// writeDelayFraction is the fraction of a rollout's span over which instances spread their writes of its beginning or its revert,
 	// so that usually only one writes it.
 	writeDelayFraction = 0.1
 	// revertDelayFraction is the part of the time left of the span over which they spread their writes of its revert at most.
 	revertDelayFraction = 0.2
+	// maxStoreTime bounds the time for these answers, as a part of the exposure budget.
+	maxStoreTime = 0.4
 	// statusWriteTimeout bounds one write of a status.
 	statusWriteTimeout clock.Millis = 1500
 )
@@ -121,17 +126,18 @@
 func (in *Instance) completeAt(k *comparison, rollout *catalogue.ReleaseRollout) clock.Millis {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	return completionTime(rollout, &k.shift, in.Settings.Bounds.ExposureShare, in.spread(rollout))
+	return completionTime(rollout, &k.shift, in.Settings.Bounds.ExposureShare, in.spread(rollout), in.timedStore.Latency())
 }
 
-// completionTime returns when an instance with this place among all completes a rollout if its release is good.
-func completionTime(rollout *catalogue.ReleaseRollout, shift *rating.Shift, exposureShare, spread float64) clock.Millis {
+// completionTime returns when an instance with this place among all completes a rollout if its release is good; a slow store needs more
+// time to confirm it.
+func completionTime(rollout *catalogue.ReleaseRollout, shift *rating.Shift, exposureShare, spread float64, store clock.Millis) clock.Millis {
 	end := rollout.StartedAt + rollout.Span
 	at := end - clock.Millis((latestFrom-(latestFrom-latestTo)*spread)*exposureShare*float64(rollout.Span))
 	if full, ok := shift.FullSince(); ok {
 		at = min(at, full+clock.Millis((completeFrom+(completeTo-completeFrom)*spread)*float64(end-full)))
 	}
-	return at
+	return min(at, end-clock.Millis(min((storeAnswers+1-spread)*float64(store), maxStoreTime*exposureShare*float64(rollout.Span))))
 }
 
 // spread returns the place of this instance, from 0 to 1, among those that may write the same status.
--- a/pkg/gateway/rollout_simulation_test.go
+++ b/pkg/gateway/rollout_simulation_test.go
@@ -106,7 +106,7 @@
 			if !rollout.KeepsSessions(now) && !v.Suspect {
 				shifts[i].Advance(now, budget, k.Exposure(rollout.Left(now)))
 			}
-			if !v.Doubt && now >= completionTime(rollout, &shifts[i], simShare, float64(i)/float64(len(comparisons))) {
+			if !v.Doubt && now >= completionTime(rollout, &shifts[i], simShare, float64(i)/float64(len(comparisons)), 6) {
 				rollout.State = catalogue.ReleaseCompleted
 				break
 			}
@@ -257,3 +257,26 @@
 		})
 	}
 }
+
+// The store confirmed the completion of a good release only after the span, because it took 50 times its usual time for each answer.
+func TestCompletionTime(t *testing.T) {
+	rollout := &catalogue.ReleaseRollout{ReleaseOrder: catalogue.ReleaseOrder{Span: 20_000}, StartedAt: 1000}
+	for _, c := range []struct {
+		name   string
+		spread float64
+		store  clock.Millis
+		want   clock.Millis
+	}{
+		{"the first instance", 0, 6, 20_400},
+		{"the last instance", 1, 6, 20_610},
+		{"a slow store", 0, 300, 19_800},
+		{"the last instance beside a slow store", 1, 300, 20_100},
+		{"a very slow store", 0, 5000, 19_800},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := completionTime(rollout, &rating.Shift{}, simShare, c.spread, c.store); got != c.want {
+				t.Errorf("completionTime() = %d, want %d", got, c.want)
+			}
+		})
+	}
+}
