--- a/pkg/gateway/status.go
+++ b/pkg/gateway/status.go
@@ -86,7 +86,13 @@
 	if queued && p.rollout.Target == rollout.Target && p.state != catalogue.ReleaseRunning {
 		return
 	}
-	in.pendingStatuses[rollout.Service] = pendingStatus{rollout: rollout, state: state, notBefore: in.Clock.Now() + in.writeDelay(rollout)}
+	now := in.Clock.Now()
+	delay := in.writeDelay(rollout)
+	if state == catalogue.ReleaseReverted {
+		// Near the end of the span, the revert must be known before another instance completes the rollout.
+		delay = min(delay, clock.Millis(in.spread(rollout)*revertDelayFraction*float64(max(0, rollout.Left(now)))))
+	}
+	in.pendingStatuses[rollout.Service] = pendingStatus{rollout: rollout, state: state, notBefore: now + delay}
 }
 
 // dueStatuses returns the pending statuses that may be written now.
