Test: wait until the slow upstream has the request

TestSlowAnswerIsAwaitedWithoutARetry/retry_reserved failed once beside a loaded machine: result Unreached instead of Failed. Its first-byte timer of 1 ms fired before the request was sent. The hook now waits until the upstream has it; the check is the same. 20 runs with -race passed.

--- a/pkg/delivery/relay_test.go
+++ b/pkg/delivery/relay_test.go
@@ -94,8 +94,9 @@
 		{"retry reserved", true, request.ResultFailed},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			asked := make(chan struct{})
+			asked, reached := make(chan struct{}), make(chan struct{})
 			slow := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				close(reached)
 				<-asked
 				if c.reserved {
 					<-r.Context().Done()
@@ -117,6 +118,7 @@
 				Writer:           discardWriter{},
 				FirstByteTimeout: 1,
 				ReserveRetry: func() bool {
+					<-reached
 					close(asked)
 					return c.reserved
 				},
