--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -46,6 +46,7 @@
 		Releases: in.releases,
 		Budgets:  budgets,
 		Latency:  in.latencies,
+		Suspects: in.suspects,
 	}
 	return in.withMetrics(request.Chain(
 		delivery.FinalOutcome{},
