--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -45,65 +45,84 @@
 	Forward(ctx context.Context, c *request.Call) error
 }
 
+// callProgress is what the attempts of a call have come to.
+type callProgress struct {
+	// declines counts the attempts that no upstream ran, and crashes the upstreams that ended before they began to answer.
+	declines, crashes int
+	// runsBefore is the number of runs before the first attempt.
+	runsBefore int
+	persist    persistence
+	// failed is the last error response of an upstream.
+	failed FailedResponse
+}
+
 // Filter sends the call to one upstream after another, and returns the last error if none answers.
 func (f *Dispatch) Filter(ctx context.Context, c *request.Call, next request.Handler) error {
 	c.Excluded = nil
-	declines, crashes, runsBefore := 0, 0, c.Runs
-	persist := persistence{required: c.Fallback == request.FallbackTaken}
-	// failed is the last error response of an upstream.
-	var failed FailedResponse
+	p := &callProgress{runsBefore: c.Runs, persist: persistence{required: c.Fallback == request.FallbackTaken}}
 	for {
-		a := &attempt{loads: f.Loads}
-		if refusal := f.Suspects.Admit(&a.PromptWatch, c); refusal != nil {
-			return refusal
-		}
-		u, refusal := f.choose(c)
-		if refusal != nil {
-			a.End(nil, false)
-			if !persist.required || !f.awaitUpstream(ctx, c, &persist, refusal, true) {
-				return f.finalError(ctx, c, refusal, failed)
-			}
-			c.Excluded = nil
-			continue
-		}
-		c.Upstream = u
-		if c.Attempts == 0 {
-			f.Budgets.Deposit(u.Service, f.Clock.Now())
-		}
-		retry := f.allowAbort(c)
-		err := f.send(ctx, c, a, next)
-		if a.end(err) {
-			crashes++
-		}
-		f.recordAttempt(c, u, err)
-		if err == nil {
-			return nil
-		}
-		var r *request.Refusal
-		if !errors.As(err, &r) {
+		if again, err := f.attempt(ctx, c, p, next); !again {
 			return err
 		}
-		if r.Reason == request.ReasonUnsure {
-			return r
-		}
-		if r.Outcome == request.NotRun {
-			declines++
-		}
-		c.Excluded = append(c.Excluded, u.Name)
-		errors.As(r.Cause, &failed)
-		persist.update(c, r, retry)
-		if noRetry := f.noRetryReason(ctx, c, r, declines, crashes, retry); noRetry != "" {
-			if persist.mayOvercome(noRetry) && f.awaitUpstream(ctx, c, &persist, r, retry.take()) {
-				// One upstream declines for all in the rounds after the first, which leaves retries for other calls.
-				c.Excluded, declines = nil, maxDeclines-1
-				continue
-			}
-			f.logGiveUp(c, u, r, noRetry, c.Runs-runsBefore)
-			return f.finalError(ctx, c, r, failed)
+	}
+}
+
+// attempt sends the call to one upstream, and reports whether it may be tried again.
+func (f *Dispatch) attempt(ctx context.Context, c *request.Call, p *callProgress, next request.Handler) (again bool, err error) {
+	a := &attempt{loads: f.Loads}
+	if refusal := f.Suspects.Admit(&a.PromptWatch, c); refusal != nil {
+		return false, refusal
+	}
+	u, refusal := f.choose(c)
+	if refusal != nil {
+		a.End(nil, false)
+		if p.persist.required && f.awaitUpstream(ctx, c, &p.persist, refusal, true) {
+			c.Excluded = nil
+			return true, nil
 		}
-		f.Log.Info("retrying request", "request", c.Request.ID, "route", c.Route.Name, "failed", u.Name, "reason", r.Reason,
+		return false, f.finalError(ctx, c, refusal, p.failed)
+	}
+	c.Upstream = u
+	if c.Attempts == 0 {
+		f.Budgets.Deposit(u.Service, f.Clock.Now())
+	}
+	retry := f.allowAbort(c)
+	err = f.send(ctx, c, a, next)
+	if a.end(err) {
+		p.crashes++
+	}
+	f.recordAttempt(c, u, err)
+	var r *request.Refusal
+	if !errors.As(err, &r) {
+		return false, err
+	}
+	if r.Reason == request.ReasonUnsure {
+		return false, r
+	}
+	return f.afterFailure(ctx, c, p, r, retry)
+}
+
+// afterFailure decides whether a call whose attempt has failed is tried again, and returns the final error if not.
+func (f *Dispatch) afterFailure(ctx context.Context, c *request.Call, p *callProgress, r *request.Refusal, retry *reservedRetry) (again bool, err error) {
+	if r.Outcome == request.NotRun {
+		p.declines++
+	}
+	c.Excluded = append(c.Excluded, c.Upstream.Name)
+	errors.As(r.Cause, &p.failed)
+	p.persist.update(c, r, retry)
+	noRetry := f.noRetryReason(ctx, c, r, p, retry)
+	if noRetry == "" {
+		f.Log.Info("retrying request", "request", c.Request.ID, "route", c.Route.Name, "failed", c.Upstream.Name, "reason", r.Reason,
 			"outcome", r.Outcome, "error", r.Error(), "after", c.LastEventID, "runs", c.Runs)
+		return true, nil
+	}
+	if p.persist.mayOvercome(noRetry) && f.awaitUpstream(ctx, c, &p.persist, r, retry.take()) {
+		// One upstream declines for all in the rounds after the first, which leaves retries for other calls.
+		c.Excluded, p.declines = nil, maxDeclines-1
+		return true, nil
 	}
+	f.logGiveUp(c, c.Upstream, r, noRetry, c.Runs-p.runsBefore)
+	return false, f.finalError(ctx, c, r, p.failed)
 }
 
 // Reasons not to retry that pass with time.
@@ -113,7 +132,7 @@
 )
 
 // noRetryReason returns why the call may not be retried, or "" if it may; it then takes one retry from the budget.
-func (f *Dispatch) noRetryReason(ctx context.Context, c *request.Call, r *request.Refusal, declines, crashes int, retry *reservedRetry) string {
+func (f *Dispatch) noRetryReason(ctx context.Context, c *request.Call, r *request.Refusal, p *callProgress, retry *reservedRetry) string {
 	switch r.Reason {
 	case request.ReasonUpstreamRefused, request.ReasonUpstreamFailed, request.ReasonAnswerIncomplete, request.ReasonAnswerMismatch:
 	default:
@@ -122,15 +141,15 @@
 	switch {
 	case ctx.Err() != nil:
 		return "caller disconnected"
-	case r.Outcome == request.NotRun && declines >= maxDeclines:
+	case r.Outcome == request.NotRun && p.declines >= maxDeclines:
 		return stopDeclined
 	case r.Outcome != request.NotRun && !c.Route.MayRepeat():
 		return "request is not repeatable"
 	case r.Outcome != request.NotRun && c.Runs >= c.Route.MaxAttempts:
 		return "attempt limit reached"
-	case crashes > 0 && f.Suspects.Suspect(c) != "":
+	case p.crashes > 0 && f.Suspects.Suspect(c) != "":
 		return "upstreams crashed under the prompt part " + f.Suspects.Suspect(c)
-	case crashes >= maxCrashesPerRequest && !c.HeadWritten:
+	case p.crashes >= maxCrashesPerRequest && !c.HeadWritten:
 		return "upstreams crashed under the request"
 	case c.HeadWritten && !c.Route.Resumable:
 		return "answer has begun and is not resumable"
