Don't blame the parts that all prompts share for an outage

Cause: three upstreams in a row that ended without any answer in between quarantined a part to which answers had begun before; where all links fail, each prompt looks so, and the parts that all prompts share are blamed.

Evidence: TestPartsOfAllPromptsAreNotBlamedForAnOutage failed in its first scenario before this change, and passes after it.

Change: for a part that has been answered before, the last crash counts, and the quarantine holds, only if a prompt without the part was answered since.

--- a/pkg/dispatch/crash_parts.go
+++ b/pkg/dispatch/crash_parts.go
@@ -17,6 +17,8 @@
 	changedAt clock.Millis
 	// wasSuspect is true if the part was suspect before it was cleared.
 	wasSuspect bool
+	// othersBegun is true once an answer to a prompt without the part has begun here since the last news.
+	othersBegun bool
 	// probing is true while a probe of this instance is in flight, untold until News has returned what changed.
 	probing, untold bool
 }
@@ -83,7 +85,7 @@
 		s.counted.Add(-1)
 		p.wasSuspect = p.suspect()
 	}
-	p.CrashEvidence, p.changedAt, p.untold = e, now, true
+	p.CrashEvidence, p.changedAt, p.untold, p.othersBegun = e, now, true, false
 }
 
 // byPriority returns the parts that match, those with the most crashes first, then those that were suspect, then the newest; s.mu must
--- a/pkg/dispatch/crash_simulation_test.go
+++ b/pkg/dispatch/crash_simulation_test.go
@@ -625,6 +625,48 @@
 	}
 }
 
+// Guards against the common parts of prompts being quarantined while links to all upstreams fail.
+func TestPartsOfAllPromptsAreNotBlamedForAnOutage(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// others is true if prompts without the part are answered during the outage.
+		others bool
+		want   int
+	}{
+		{"no prompt is answered", false, 0},
+		{"prompts without the part are answered", true, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := clock.NewManual(1000)
+			s := newSuspects(m)
+			begin := func(part string) {
+				w := &PromptWatch{}
+				if refusal := s.Admit(w, promptCall("r", part, "last")); refusal != nil {
+					t.Fatal(refusal)
+				}
+				w.FirstEvent()
+				w.End(&catalogue.Upstream{Name: "u"}, false)
+			}
+			begin("common")
+			for range 2 * soundSuspectCrashes {
+				_, _ = crashOnce(s, "common")
+				m.Advance(100)
+				if c.others {
+					begin("other")
+				} else {
+					// An answer of a service without prompts says nothing of the models.
+					w := &PromptWatch{}
+					_ = s.Admit(w, &request.Call{Request: &request.Request{ID: "call"}, Route: &catalogue.Route{}})
+					w.FirstEvent()
+				}
+			}
+			if got := s.Stats().Quarantined; got != c.want {
+				t.Errorf("%d parts in quarantine, want %d", got, c.want)
+			}
+		})
+	}
+}
+
 // Guards against a refusal that claims NotRun although an attempt of the request was sent before.
 func TestQuarantineRefusalTellsWhetherTheRequestRan(t *testing.T) {
 	for _, c := range []struct {
--- a/pkg/dispatch/crash_suspects.go
+++ b/pkg/dispatch/crash_suspects.go
@@ -159,8 +159,11 @@
 	return min(before, probeSlots)
 }
 
-// quarantined reports whether the part is quarantined at this instance; s.mu must be held.
-func (s *CrashSuspects) quarantined(p *crashPart) bool { return s.furtherCrashes(p) >= 0 }
+// quarantined reports whether the part is quarantined at this instance; s.mu must be held. Where an answer to a prompt with it has begun
+// before, prompts without it must be answered since the last crash: where nothing is, it is not the part that fails.
+func (s *CrashSuspects) quarantined(p *crashPart) bool {
+	return s.furtherCrashes(p) >= 0 && (p.othersBegun || !s.begun.contains(p.Part))
+}
 
 // furtherCrashes returns the number of crashes since the one that put the part into quarantine; it is negative before.
 func (s *CrashSuspects) furtherCrashes(p *crashPart) int {
--- a/pkg/dispatch/prompt_watch.go
+++ b/pkg/dispatch/prompt_watch.go
@@ -33,7 +33,7 @@
 		return
 	}
 	parts := sharedParts(w.call)
-	if s.counted.Load() > 0 {
+	if len(parts) > 0 && s.counted.Load() > 0 {
 		s.clear(w.call, parts)
 	}
 	for _, part := range parts {
@@ -44,6 +44,10 @@
 func (s *CrashSuspects) clear(c *request.Call, parts []request.PromptPart) {
 	now := s.Clock.Now()
 	s.mu.Lock()
+	for _, p := range s.parts {
+		// Set for the parts of the prompt as well, whose crashes are cleared below.
+		p.othersBegun = true
+	}
 	news := false
 	for _, part := range parts {
 		p := s.parts[hashPart(part.ID)]
@@ -85,7 +89,9 @@
 
 // recordCrash counts a crash for the parts of a prompt and reports whether there is news; s.mu must be held. Attempts that are lost
 // together, at one upstream or with a whole rack, count once: a further one counts if it was sent after the others were known, or for a
-// part to which no answer has begun here, if it ended later than they did. Such parts alone are blamed if the prompt has any.
+// part to which no answer has begun here, if it ended later than they did. Such parts alone are blamed if the prompt has any. The
+// crash that would quarantine any other part counts only if prompts without it are answered meanwhile: where nothing is, links or upstreams
+// fail whatever they are sent.
 func (s *CrashSuspects) recordCrash(w *PromptWatch, upstream *catalogue.Upstream, now clock.Millis) bool {
 	news := false
 	parts := sharedParts(w.call)
@@ -98,6 +104,9 @@
 		}
 		p := s.part(hash, now)
 		p.id = loggedID(part.ID)
+		if sound && p.Crashes == soundSuspectCrashes-1 && !p.othersBegun {
+			continue
+		}
 		if p.Crashes >= maxCrashCount || !w.sentKnowing(p) && (sound || now-p.changedAt < sameCrashWindow) {
 			continue
 		}
