Resume a begun stream whatever part of its prompt is quarantined

Callers would see a stream cut in the middle (LOST): its upstream ended, and the resume was refused because a part of the prompt had come into quarantine meanwhile.

Evidence: TestBegunStreamIsResumedInQuarantine failed in its second scenario before this change, and passes after it; found by reading.

Change: a call whose answer has begun passes; a prompt that crashes upstreams never comes so far.

--- a/pkg/dispatch/crash_simulation_test.go
+++ b/pkg/dispatch/crash_simulation_test.go
@@ -667,6 +667,27 @@
 	}
 }
 
+// Guards against a stream that has begun being cut because a part of its prompt is quarantined when it is to be resumed.
+func TestBegunStreamIsResumedInQuarantine(t *testing.T) {
+	s := newSuspects(clock.NewManual(1000))
+	for range suspectCrashes {
+		_, _ = crashOnce(s, "part")
+		s.Clock.(*clock.Manual).Advance(clock.Second)
+	}
+	for _, c := range []struct {
+		name  string
+		begun bool
+	}{{"not begun", false}, {"begun", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			call := promptCall("r", "part", "last")
+			call.HeadWritten = c.begun
+			if refusal := s.Admit(&PromptWatch{}, call); (refusal == nil) != c.begun {
+				t.Errorf("Admit() refused with %v, want admission: %t", refusal, c.begun)
+			}
+		})
+	}
+}
+
 // Guards against a refusal that claims NotRun although an attempt of the request was sent before.
 func TestQuarantineRefusalTellsWhetherTheRequestRan(t *testing.T) {
 	for _, c := range []struct {
--- a/pkg/dispatch/crash_suspects.go
+++ b/pkg/dispatch/crash_suspects.go
@@ -94,7 +94,8 @@
 // probe.
 func (s *CrashSuspects) Admit(w *PromptWatch, c *request.Call) *request.Refusal {
 	w.suspects, w.call = s, c
-	if s == nil || s.known.Load() == 0 {
+	if s == nil || s.known.Load() == 0 || c.HeadWritten {
+		// An answer that has begun before doesn't crash the upstream that goes on with it.
 		return nil
 	}
 	now, parts := s.Clock.Now(), sharedParts(c)
