Quarantine prompt parts briefly while nothing is answered

Callers were refused (Quarantined) for minutes after an outage: instances that had all just started lost prompts with links to upstreams, and quarantined the parts that all prompts share for 30 s times 6.

Cause: the end of an upstream tells of its prompt only while other prompts are answered; nothing asked for that.

Change: while no answer to a prompt has begun here for 3 s, a crash counts only if each prompt that was lost lately has the part, and probes come after 2 s, 12 s and so on instead of 30 s and 8 min.

Also a method of Dispatch is renamed, since a type has its name.

--- a/pkg/dispatch/crash_parts.go
+++ b/pkg/dispatch/crash_parts.go
@@ -19,6 +19,8 @@
 	wasSuspect bool
 	// othersBegun is true once an answer to a prompt without the part has begun here since the last news.
 	othersBegun bool
+	// inOutage is true if no answer to a prompt had begun here for a while when the last news arrived.
+	inOutage bool
 	// probing is true while a probe of this instance is in flight, untold until News has returned what changed.
 	probing, untold bool
 }
@@ -85,7 +87,7 @@
 		s.counted.Add(-1)
 		p.wasSuspect = p.suspect()
 	}
-	p.CrashEvidence, p.changedAt, p.untold, p.othersBegun = e, now, true, false
+	p.CrashEvidence, p.changedAt, p.untold, p.othersBegun, p.inOutage = e, now, true, false, s.inOutage(now)
 }
 
 // byPriority returns the parts that match, those with the most crashes first, then those that were suspect, then the newest; s.mu must
--- a/pkg/dispatch/crash_simulation_test.go
+++ b/pkg/dispatch/crash_simulation_test.go
@@ -667,6 +667,36 @@
 	}
 }
 
+// Guards against parts that nobody has seen yet, since all instances have just started, being quarantined for long by an outage.
+func TestOutageAfterAStartQuarantinesBriefly(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// parts are those of the prompts that are lost in turn.
+		parts []string
+		// latest is when the first part must be admitted again, in milliseconds after the outage.
+		latest clock.Millis
+	}{
+		{"prompts have nothing in common", []string{"first", "second"}, 0},
+		{"all prompts have the part", []string{"first"}, outageProbePause},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			// The clock of an instance begins at one second.
+			m := clock.NewManual(clock.Second)
+			s := newSuspects(m)
+			for range suspectCrashes {
+				for _, part := range c.parts {
+					_, _ = crashOnce(s, part)
+					m.Advance(sameCrashWindow)
+				}
+			}
+			m.Advance(c.latest)
+			if refusal := s.Admit(&PromptWatch{}, promptCall("r", "first", "last")); refusal != nil {
+				t.Errorf("Admit() %d ms after the outage refused with %v", c.latest, refusal)
+			}
+		})
+	}
+}
+
 // Guards against a stream that has begun being cut because a part of its prompt is quarantined when it is to be resumed.
 func TestBegunStreamIsResumedInQuarantine(t *testing.T) {
 	s := newSuspects(clock.NewManual(1000))
--- a/pkg/dispatch/crash_suspects.go
+++ b/pkg/dispatch/crash_suspects.go
@@ -21,6 +21,11 @@
 	soundSuspectCrashes = 3
 	// sameCrashWindow is the time within which upstreams that end are taken to end for one cause, in milliseconds.
 	sameCrashWindow clock.Millis = 40
+	// servingWindow is the time within which an answer to a prompt must have begun here for a crash to tell of its prompt, in milliseconds.
+	// outageProbePause and outageProbeFactor replace firstProbePause and probePauseFactor for crashes without that.
+	servingWindow     = 3 * clock.Second
+	outageProbePause  = 2 * clock.Second
+	outageProbeFactor = 6
 	// soundProbePause is the time from the quarantine to the first probe of a part to which answers have begun before, in milliseconds.
 	soundProbePause = 1 * clock.Second
 	// firstProbePause is the time from the quarantine to the first probe of any other part, in milliseconds; it grows by
@@ -70,9 +75,13 @@
 	known, counted atomic.Int64
 
 	begun begunParts
+	// lastBegun is the monotonic time at which the last answer to a prompt began, in milliseconds; 0 before the first.
+	lastBegun atomic.Int64
 
 	mu    sync.Mutex
 	parts map[uint64]*crashPart
+	// lost are the last prompts that were lost with an upstream.
+	lost lostPrompts
 }
 
 // CrashStats counts what CrashSuspects has seen and done since the start; Quarantined is the number of parts in quarantine now.
@@ -135,7 +144,7 @@
 func (s *CrashSuspects) untilProbe(p *crashPart, several bool, now clock.Millis) clock.Millis {
 	pause := s.probePause(p)
 	wait := pause
-	if several {
+	if several && !p.inOutage {
 		wait *= severalSuspectsFactor
 	}
 	wait += s.rank(p)*max(probeSlot, pause/probeSlots) + p.changedAt - now
@@ -183,7 +192,11 @@
 		}
 		further--
 	}
-	return clock.Millis(min(float64(firstProbePause)*math.Pow(probePauseFactor, float64(further)), float64(maxProbePause)))
+	first, factor := firstProbePause, float64(probePauseFactor)
+	if p.inOutage {
+		first, factor = outageProbePause, outageProbeFactor
+	}
+	return clock.Millis(min(float64(first)*math.Pow(factor, float64(further)), float64(maxProbePause)))
 }
 
 func quarantineRefusal(c *request.Call, p *crashPart, wait clock.Millis) *request.Refusal {
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -61,14 +61,14 @@
 	c.Excluded = nil
 	p := &callProgress{runsBefore: c.Runs, persist: persistence{required: c.Fallback == request.FallbackTaken}}
 	for {
-		if again, err := f.attempt(ctx, c, p, next); !again {
+		if again, err := f.tryUpstream(ctx, c, p, next); !again {
 			return err
 		}
 	}
 }
 
-// attempt sends the call to one upstream, and reports whether it may be tried again.
-func (f *Dispatch) attempt(ctx context.Context, c *request.Call, p *callProgress, next request.Handler) (again bool, err error) {
+// tryUpstream sends the call to one upstream, and reports whether it may be tried again.
+func (f *Dispatch) tryUpstream(ctx context.Context, c *request.Call, p *callProgress, next request.Handler) (again bool, err error) {
 	a := &attempt{loads: f.Loads}
 	if refusal := f.Suspects.Admit(&a.PromptWatch, c); refusal != nil {
 		return false, refusal
--- a/pkg/dispatch/prompt_watch.go
+++ b/pkg/dispatch/prompt_watch.go
@@ -33,8 +33,11 @@
 		return
 	}
 	parts := sharedParts(w.call)
-	if len(parts) > 0 && s.counted.Load() > 0 {
-		s.clear(w.call, parts)
+	if len(parts) > 0 {
+		s.lastBegun.Store(int64(s.Clock.Now()))
+		if s.counted.Load() > 0 {
+			s.clear(w.call, parts)
+		}
 	}
 	for _, part := range parts {
 		s.begun.add(hashPart(part.ID))
@@ -96,6 +99,8 @@
 	news := false
 	parts := sharedParts(w.call)
 	anyNew := s.anyUnproven(parts)
+	inOutage := s.inOutage(now)
+	s.lost.add(parts, now)
 	for _, part := range parts {
 		hash := hashPart(part.ID)
 		sound := s.begun.contains(hash)
@@ -107,6 +112,10 @@
 		if sound && p.Crashes == soundSuspectCrashes-1 && !p.othersBegun {
 			continue
 		}
+		if inOutage && s.lost.anyWithout(hash, now-servingWindow) {
+			// Prompts are lost whatever their parts.
+			continue
+		}
 		if p.Crashes >= maxCrashCount || !w.sentKnowing(p) && (sound || now-p.changedAt < sameCrashWindow) {
 			continue
 		}
@@ -122,6 +131,12 @@
 	return news
 }
 
+// inOutage reports whether no answer to a prompt has begun here for a while.
+func (s *CrashSuspects) inOutage(now clock.Millis) bool {
+	at := clock.Millis(s.lastBegun.Load())
+	return at == 0 || now-at > servingWindow
+}
+
 // sentKnowing reports whether the attempt was sent when the crashes under the part were known.
 func (w *PromptWatch) sentKnowing(p *crashPart) bool {
 	return p.Crashes == 0 || slices.Contains(w.sent, p.CrashEvidence)
