--- a/pkg/standin/faults.go
+++ b/pkg/standin/faults.go
@@ -105,15 +105,15 @@
 	if err := json.Unmarshal(old, &next); err != nil {
 		return err
 	}
-	if err := decodeStrictly(raw, &next); err != nil {
+	if err := DecodeStrictly(raw, &next); err != nil {
 		return err
 	}
 	i.set(func(current *F) { *current = next })
 	return nil
 }
 
-// decodeStrictly decodes a JSON object whose fields must all be known.
-func decodeStrictly(raw []byte, v any) error {
+// DecodeStrictly decodes a JSON object whose fields must all be known.
+func DecodeStrictly(raw []byte, v any) error {
 	d := json.NewDecoder(bytes.NewReader(raw))
 	d.DisallowUnknownFields()
 	if err := d.Decode(v); err != nil {
