--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -138,6 +138,10 @@
 	default:
 		return "failure is not retryable"
 	}
+	suspect := ""
+	if p.crashes > 0 {
+		suspect = f.Suspects.Suspect(c)
+	}
 	switch {
 	case ctx.Err() != nil:
 		return "caller disconnected"
@@ -147,8 +151,8 @@
 		return "request is not repeatable"
 	case r.Outcome != request.NotRun && c.Runs >= c.Route.MaxAttempts:
 		return "attempt limit reached"
-	case p.crashes > 0 && f.Suspects.Suspect(c) != "":
-		return "upstreams crashed under the prompt part " + f.Suspects.Suspect(c)
+	case suspect != "":
+		return "upstreams crashed under the prompt part " + suspect
 	case p.crashes >= maxCrashesPerRequest && !c.HeadWritten:
 		return "upstreams crashed under the request"
 	case c.HeadWritten && !c.Route.Resumable:
