Rollout simulation: slow answers and instances that restart, failing

A release whose answers take eight times as long is completed on the few that came early, and an instance that has just started completes a bad one.

--- a/pkg/gateway/rollout_simulation_test.go
+++ b/pkg/gateway/rollout_simulation_test.go
@@ -20,6 +20,8 @@
 	simSpan     clock.Millis = 18_000
 	simTick     clock.Millis = 10
 	simExchange clock.Millis = 350
+	// simAnswer is the time that a sound answer usually takes.
+	simAnswer clock.Millis = 700
 )
 
 // simRates are the rates of failed and late answers; bad ones count toward the 50.
@@ -37,6 +39,72 @@
 	target func(elapsed clock.Millis, share float64, route string) simRates
 	// want is the state before the end of the span, or empty if both are right.
 	want catalogue.ReleaseState
+	// answerTime is how long a late answer takes, and one in time; nil means that all come at once.
+	answerTime func(late bool) clock.Millis
+	// restarts has the times at which the instances start again, one after the other.
+	restarts []clock.Millis
+	// neverCompleted is true if the rollout must not be completed, although it need not be reverted before the end of the span.
+	neverCompleted bool
+}
+
+// simAttempt is an attempt of the simulation; at is the instance that made it, of the given incarnation.
+type simAttempt struct {
+	at, incarnation int
+	route, upstream string
+	onTarget, late  bool
+	bad             bool
+	result          request.Result
+	endsAt          clock.Millis
+}
+
+// simInstances are the instances of the simulation.
+type simInstances struct {
+	comparisons []*rating.Comparison
+	shifts      []rating.Shift
+	// incarnations counts the starts of each instance.
+	incarnations []int
+	pending      []*simAttempt
+}
+
+func newSimInstances(n int) *simInstances {
+	in := &simInstances{comparisons: make([]*rating.Comparison, n), shifts: make([]rating.Shift, n), incarnations: make([]int, n)}
+	for i := range in.comparisons {
+		in.comparisons[i] = &rating.Comparison{}
+	}
+	return in
+}
+
+// restart starts an instance again, which loses what it knew and what it had sent.
+func (in *simInstances) restart(i int) {
+	in.comparisons[i], in.shifts[i] = &rating.Comparison{}, rating.Shift{}
+	in.incarnations[i]++
+}
+
+// send begins an attempt.
+func (in *simInstances) send(a *simAttempt) {
+	a.incarnation = in.incarnations[a.at]
+	in.comparisons[a.at].RecordSend(a.onTarget)
+	in.pending = append(in.pending, a)
+}
+
+// end records the attempts that have ended by now, and returns how many of them were bad.
+func (in *simInstances) end(now clock.Millis) (bad int) {
+	rest := in.pending[:0]
+	for _, a := range in.pending {
+		if a.endsAt > now {
+			rest = append(rest, a)
+			continue
+		}
+		if a.incarnation != in.incarnations[a.at] {
+			continue
+		}
+		in.comparisons[a.at].RecordAttempt(a.route, a.upstream, a.onTarget, a.result, a.late)
+		if a.bad {
+			bad++
+		}
+	}
+	in.pending = rest
+	return bad
 }
 
 // releaseOutcome is what a simulated rollout came to; badFor is how long the release went on after its 50th bad answer.
@@ -52,19 +120,21 @@
 	rollout := &catalogue.ReleaseRollout{
 		ReleaseOrder: catalogue.ReleaseOrder{Service: "lm", Target: "v2", Span: simSpan}, State: catalogue.ReleaseRunning, Canary: 0.06,
 	}
-	comparisons, shifts := make([]*rating.Comparison, 5), make([]rating.Shift, 5)
-	for i := range comparisons {
-		comparisons[i] = &rating.Comparison{}
-	}
+	instances := newSimInstances(5)
 	budget := rating.ExposureBudget{Share: simShare, Slack: simSlack}
 	out := releaseOutcome{state: catalogue.ReleaseRunning}
 	owed := 0.0
 	badAnswers, badSince := 0, simSpan
 	for now := clock.Millis(0); now < simSpan; now += simTick {
+		for i, at := range d.restarts {
+			if at == now {
+				instances.restart(i % len(instances.comparisons))
+			}
+		}
 		for owed += d.perSecond(now) * float64(simTick) / float64(clock.Second); owed >= 1; owed-- {
 			out.requests++
-			at := rng.Intn(len(comparisons))
-			share := rollout.Share(now, shifts[at].Share(rollout.Canary))
+			at := rng.Intn(len(instances.comparisons))
+			share := rollout.Share(now, instances.shifts[at].Share(rollout.Canary))
 			onTarget := rng.Float64() < share
 			route, rates := "a", d.old(now)
 			if rng.Intn(3) == 0 {
@@ -81,21 +151,24 @@
 			case p < rates.failed+rates.late:
 				late = true
 			}
-			if onTarget && rates.bad && (late || result == request.ResultFailed) {
-				if badAnswers++; badAnswers == simBadCount {
-					badSince = now
-				}
+			a := &simAttempt{at: at, route: route, upstream: fmt.Sprint("u", rng.Intn(4)), onTarget: onTarget, late: late, result: result, endsAt: now}
+			a.bad = onTarget && rates.bad && (late || result == request.ResultFailed)
+			if d.answerTime != nil {
+				a.endsAt += d.answerTime(late)
 			}
-			comparisons[at].RecordSend(onTarget)
-			comparisons[at].RecordAttempt(route, fmt.Sprint("u", rng.Intn(4)), onTarget, result, late)
+			instances.send(a)
+		}
+		before := badAnswers
+		if badAnswers += instances.end(now); before < simBadCount && badAnswers >= simBadCount {
+			badSince = now
 		}
 		if now%simExchange == 0 {
-			exchangeCounts(comparisons)
+			exchangeCounts(instances.comparisons)
 		}
 		if now%rolloutPeriod != 0 || rollout.State != catalogue.ReleaseRunning {
 			continue
 		}
-		for i, k := range comparisons {
+		for i, k := range instances.comparisons {
 			k.Advance(now)
 			v := k.Verdict()
 			if v.Bad {
@@ -104,9 +177,9 @@
 				break
 			}
 			if !rollout.KeepsSessions(now) && !v.Suspect {
-				shifts[i].Advance(now, budget, k.Exposure(rollout.Left(now)))
+				instances.shifts[i].Advance(now, budget, k.Exposure(rollout.Left(now)))
 			}
-			if !v.Doubt && now >= completionTime(rollout, &shifts[i], simShare, float64(i)/float64(len(comparisons)), 6) {
+			if !v.Doubt && now >= completionTime(rollout, &instances.shifts[i], simShare, float64(i)/float64(len(instances.comparisons)), 6) {
 				rollout.State = catalogue.ReleaseCompleted
 				break
 			}
@@ -176,15 +249,15 @@
 	fails, halfFails := simRates{failed: 0.65, bad: true}, simRates{failed: 0.5, bad: true}
 	late := simRates{failed: usual, late: 0.5, bad: true}
 	checkRollouts(t, []releaseDay{
-		{"few requests", steady(22), old, when(0.9, fails), ""},
-		{"many requests", steady(120), old, when(0.9, fails), catalogue.ReleaseReverted},
-		{"half of the answers fail", steady(36), old, when(0.4, halfFails), ""},
-		{"half of the answers fail from the first step", steady(120), old, when(0.2, halfFails), catalogue.ReleaseReverted},
-		{"late answers from the first step", steady(120), old, when(0.2, late), ""},
-		{"no answer that fails", steady(36), old, when(2, fails), ""},
-		{"no answer that fails, and a burst at the end", burst(36, 1.5, 16_500, simSpan), old, when(2, fails), ""},
-		{"no answer that fails, and bursts", burst(120, 3, 5000, 9000), old, when(2, fails), ""},
-		{"hardly any requests", steady(3), old, when(2, fails), ""},
+		{name: "few requests", perSecond: steady(22), old: old, target: when(0.9, fails)},
+		{name: "many requests", perSecond: steady(120), old: old, target: when(0.9, fails), want: catalogue.ReleaseReverted},
+		{name: "half of the answers fail", perSecond: steady(36), old: old, target: when(0.4, halfFails)},
+		{name: "half of the answers fail from the first step", perSecond: steady(120), old: old, target: when(0.2, halfFails), want: catalogue.ReleaseReverted},
+		{name: "late answers from the first step", perSecond: steady(120), old: old, target: when(0.2, late)},
+		{name: "no answer that fails", perSecond: steady(36), old: old, target: when(2, fails)},
+		{name: "no answer that fails, and a burst at the end", perSecond: burst(36, 1.5, 16_500, simSpan), old: old, target: when(2, fails)},
+		{name: "no answer that fails, and bursts", perSecond: burst(120, 3, 5000, 9000), old: old, target: when(2, fails)},
+		{name: "hardly any requests", perSecond: steady(3), old: old, target: when(2, fails)},
 	})
 }
 
@@ -194,22 +267,56 @@
 		return func(clock.Millis, float64, string) simRates { return r }
 	}
 	checkRollouts(t, []releaseDay{
-		{"failures", steady(36), good, always(simRates{failed: 0.6, bad: true}), catalogue.ReleaseReverted},
-		{"late answers", steady(60), good, always(simRates{late: 0.6, bad: true}), catalogue.ReleaseReverted},
-		{"late answers while upstreams of both releases are silent", steady(60), func(at clock.Millis) simRates {
+		{name: "failures", perSecond: steady(36), old: good, target: always(simRates{failed: 0.6, bad: true}), want: catalogue.ReleaseReverted},
+		{name: "late answers", perSecond: steady(60), old: good, target: always(simRates{late: 0.6, bad: true}), want: catalogue.ReleaseReverted},
+		{name: "late answers while upstreams of both releases are silent", perSecond: steady(60), old: func(at clock.Millis) simRates {
 			return simRates{late: silences(at)}
-		}, func(at clock.Millis, _ float64, _ string) simRates {
+		}, target: func(at clock.Millis, _ float64, _ string) simRates {
 			return simRates{late: 0.6 + 0.4*silences(at), bad: true}
-		}, catalogue.ReleaseReverted},
-		{"one route only", steady(60), good, func(_ clock.Millis, _ float64, route string) simRates {
+		}, want: catalogue.ReleaseReverted},
+		{name: "one route only", perSecond: steady(60), old: good, target: func(_ clock.Millis, _ float64, route string) simRates {
 			return simRates{failed: map[string]float64{"b": 0.6}[route], bad: true}
-		}, catalogue.ReleaseReverted},
-		{"failures from the middle of the span", steady(60), good, func(at clock.Millis, _ float64, _ string) simRates {
+		}, want: catalogue.ReleaseReverted},
+		{name: "failures from the middle of the span", perSecond: steady(60), old: good, target: func(at clock.Millis, _ float64, _ string) simRates {
 			if at < 9000 {
 				return simRates{}
 			}
 			return simRates{failed: 0.5, bad: true}
-		}, catalogue.ReleaseReverted},
+		}, want: catalogue.ReleaseReverted},
+	})
+}
+
+// A release whose answers outlast the steps of its share was completed on the few that came early, because nothing spoke against it yet.
+func TestSlowReleaseIsNotCompletedUnseen(t *testing.T) {
+	good := func(clock.Millis) simRates { return simRates{} }
+	slow := func(clock.Millis, float64, string) simRates { return simRates{late: 0.5, bad: true} }
+	eightfold := func(late bool) clock.Millis {
+		if late {
+			return 8 * simAnswer
+		}
+		return simAnswer
+	}
+	checkRollouts(t, []releaseDay{
+		{name: "few requests", perSecond: steady(12), old: good, target: slow, answerTime: eightfold, neverCompleted: true},
+		{name: "some requests", perSecond: steady(36), old: good, target: slow, answerTime: eightfold, neverCompleted: true},
+		{name: "many requests", perSecond: steady(120), old: good, target: slow, answerTime: eightfold, neverCompleted: true},
+	})
+}
+
+// The evidence against a release left with the instances that had it, and one that had just started completed the rollout.
+func TestBadReleaseWhileInstancesRestart(t *testing.T) {
+	const usual = 0.14
+	old := func(clock.Millis) simRates { return simRates{failed: usual} }
+	target := func(rates simRates) func(clock.Millis, float64, string) simRates {
+		return func(clock.Millis, float64, string) simRates { return rates }
+	}
+	inTurn := []clock.Millis{3000, 6000, 9000, 12_000, 15_000}
+	atTheEnd := []clock.Millis{13_000, 14_000, 15_000, 16_000, 16_800}
+	half, third := simRates{failed: 0.5, bad: true}, simRates{failed: 0.42, bad: true}
+	checkRollouts(t, []releaseDay{
+		{name: "half of the answers fail", perSecond: steady(36), old: old, target: target(half), restarts: inTurn, neverCompleted: true},
+		{name: "few requests", perSecond: steady(12), old: old, target: target(half), restarts: atTheEnd, neverCompleted: true},
+		{name: "two fifths of the answers fail", perSecond: steady(36), old: old, target: target(third), restarts: atTheEnd, neverCompleted: true},
 	})
 }
 
@@ -222,19 +329,21 @@
 	oldFew, targetFew := rates(simRates{failed: 0.02, late: 0.02})
 	silent := func(at clock.Millis) simRates { return simRates{late: silences(at)} }
 	checkRollouts(t, []releaseDay{
-		{"steady", steady(36), old, target, catalogue.ReleaseCompleted},
-		{"a few requests", steady(5), old, target, catalogue.ReleaseCompleted},
-		{"many requests", steady(400), old, target, catalogue.ReleaseCompleted},
-		{"a burst", burst(36, 3, 6000, 12_000), old, target, catalogue.ReleaseCompleted},
-		{"a burst at the end", burst(36, 1.5, 16_500, simSpan), old, target, catalogue.ReleaseCompleted},
-		{"some failures and late answers", steady(60), oldFew, targetFew, ""},
-		{"silences of both releases", steady(60), silent, func(at clock.Millis, _ float64, _ string) simRates { return silent(at) }, catalogue.ReleaseCompleted},
-		{"a silence of the new release alone", steady(60), old, func(at clock.Millis, _ float64, _ string) simRates {
+		{name: "steady", perSecond: steady(36), old: old, target: target, want: catalogue.ReleaseCompleted},
+		{name: "a few requests", perSecond: steady(5), old: old, target: target, want: catalogue.ReleaseCompleted},
+		{name: "many requests", perSecond: steady(400), old: old, target: target, want: catalogue.ReleaseCompleted},
+		{name: "a burst", perSecond: burst(36, 3, 6000, 12_000), old: old, target: target, want: catalogue.ReleaseCompleted},
+		{name: "a burst at the end", perSecond: burst(36, 1.5, 16_500, simSpan), old: old, target: target, want: catalogue.ReleaseCompleted},
+		{name: "some failures and late answers", perSecond: steady(60), old: oldFew, target: targetFew},
+		{name: "silences of both releases", perSecond: steady(60), old: silent, target: func(at clock.Millis, _ float64, _ string) simRates { return silent(at) }, want: catalogue.ReleaseCompleted},
+		{name: "answers that take their time", perSecond: steady(36), old: old, target: target, want: catalogue.ReleaseCompleted, answerTime: func(bool) clock.Millis { return simAnswer }},
+		{name: "restarts in turn", perSecond: steady(60), old: old, target: target, want: catalogue.ReleaseCompleted, restarts: []clock.Millis{3000, 6000, 9000, 12_000, 15_000}},
+		{name: "a silence of the new release alone", perSecond: steady(60), old: old, target: func(at clock.Millis, _ float64, _ string) simRates {
 			if at >= 14_600 && at < 16_200 {
 				return simRates{late: 0.5}
 			}
 			return simRates{}
-		}, catalogue.ReleaseCompleted},
+		}, want: catalogue.ReleaseCompleted},
 	})
 }
 
@@ -250,6 +359,9 @@
 				if out.badFor > simRevert {
 					t.Errorf("seed %d: the new release went on for %d ms after its 50th bad answer, want at most %d", seed, out.badFor, simRevert)
 				}
+				if d.neverCompleted && out.state == catalogue.ReleaseCompleted {
+					t.Errorf("seed %d: the new release was completed", seed)
+				}
 				if d.want != "" && out.state != d.want {
 					t.Errorf("seed %d: %s at the end of the span, want %s", seed, out.state, d.want)
 				}
