Rollouts: a release is completed on evidence that it is sound

What callers saw: a bad release was completed by an instance that had just started, with 9 answers of which 2 had failed, and got all requests.

Cause: the completion, which can't be taken back, asked only that nothing spoke against the release. An instance that has just started, or that lacks the counts of the others, has seen nothing, and so completed it. Class: an irreversible step is taken because little was seen, not because enough was seen to be good.

Change: a verdict has a soundness, the log likelihood ratio of a sound release against a bad one over its answers and streams of the whole time. The log says once that a rollout which is due waits for evidence, with the figures.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -72,6 +72,7 @@
 	metrics      *desk.Metrics
 	leastSuccess atomic.Int32
 	self         catalogue.Member
+	startedAt    clock.Millis
 	network      *membership.Network
 	peerSource   *membership.PeerSource
 	timedStore   *timedSource
@@ -155,6 +156,7 @@
 }
 
 func (in *Instance) build() error {
+	in.startedAt = in.Clock.Now()
 	in.metrics = desk.NewMetrics()
 	in.leastSuccess.Store(int32(in.Settings.Policy.LeastConfidence))
 	in.loadTracker = &dispatch.LoadTracker{Self: in.Settings.Name}
--- a/pkg/gateway/rollout.go
+++ b/pkg/gateway/rollout.go
@@ -50,6 +50,8 @@
 	target string
 	rating.Comparison
 	shift rating.Shift
+	// waitLogged is true once the log says that the completion waits for evidence.
+	waitLogged bool
 }
 
 // Judge judges each running rollout once: it reverts it if the new release is bad, and otherwise raises the release's share if the
@@ -110,9 +112,9 @@
 		k := in.comparisonOf(service, rollout.Target)
 		v := k.Verdict()
 		switch {
-		case !v.Bad && !v.Doubt && now >= in.completeAt(k, rollout) && hasRelease(s, service, rollout.Target):
+		case !v.Bad && !v.Doubt && now >= in.completeAt(k, rollout) && hasRelease(s, service, rollout.Target) && in.isProven(k, rollout, v, now):
 			in.Log.Info("new release is good; completing the rollout", "service", service, "target", rollout.Target,
-				"answers", v.Answers, "failed", v.Failed, "slow", v.Slow, "dragging", v.SlowStreams)
+				"answers", v.Answers, "failed", v.Failed, "slow", v.Slow, "dragging", v.SlowStreams, "soundness", v.Soundness)
 			if c.putStatus(ctx, rollout, catalogue.ReleaseCompleted) {
 				in.control.Send(rolloutEnded{service: service, target: rollout.Target, state: catalogue.ReleaseCompleted})
 			}
@@ -122,6 +124,30 @@
 	}
 }
 
+// isProven reports whether enough was seen of a release to complete its rollout, which can't be taken back.
+func (in *Instance) isProven(k *comparison, rollout *catalogue.ReleaseRollout, v rating.Verdict, now clock.Millis) bool {
+	needed := soundnessNeeded(in.exposureBudget(), k.Exposure(rollout.Left(now)), rollout, in.startedAt)
+	if k.PeersKnown() && v.Soundness >= needed {
+		return true
+	}
+	if !k.waitLogged {
+		k.waitLogged = true
+		in.Log.Info("too little is known of the new release; the rollout is not completed yet", "service", rollout.Service, "target", rollout.Target,
+			"answers", v.Answers, "failed", v.Failed, "slow", v.Slow, "dragging", v.SlowStreams, "soundness", v.Soundness, "needed", needed,
+			"peersKnown", k.PeersKnown())
+	}
+	return false
+}
+
+// soundnessNeeded returns the soundness that a release needs to be completed by an instance that started at the given time. One that
+// started during the rollout doesn't know how many requests there were before.
+func soundnessNeeded(b rating.ExposureBudget, e rating.Exposure, rollout *catalogue.ReleaseRollout, instanceStart clock.Millis) float64 {
+	if instanceStart > rollout.StartedAt {
+		return rating.FullSoundness()
+	}
+	return b.SoundnessNeeded(e)
+}
+
 // completeAt returns when this instance completes a rollout if its release is good.
 func (in *Instance) completeAt(k *comparison, rollout *catalogue.ReleaseRollout) clock.Millis {
 	in.mu.Lock()
--- a/pkg/gateway/rollout_simulation_test.go
+++ b/pkg/gateway/rollout_simulation_test.go
@@ -61,13 +61,14 @@
 type simInstances struct {
 	comparisons []*rating.Comparison
 	shifts      []rating.Shift
-	// incarnations counts the starts of each instance.
+	// incarnations counts the starts of each instance, and startedAt has the time of the last one.
 	incarnations []int
+	startedAt    []clock.Millis
 	pending      []*simAttempt
 }
 
 func newSimInstances(n int) *simInstances {
-	in := &simInstances{comparisons: make([]*rating.Comparison, n), shifts: make([]rating.Shift, n), incarnations: make([]int, n)}
+	in := &simInstances{comparisons: make([]*rating.Comparison, n), shifts: make([]rating.Shift, n), incarnations: make([]int, n), startedAt: make([]clock.Millis, n)}
 	for i := range in.comparisons {
 		in.comparisons[i] = &rating.Comparison{}
 	}
@@ -75,9 +76,10 @@
 }
 
 // restart starts an instance again, which loses what it knew and what it had sent.
-func (in *simInstances) restart(i int) {
+func (in *simInstances) restart(i int, now clock.Millis) {
 	in.comparisons[i], in.shifts[i] = &rating.Comparison{}, rating.Shift{}
 	in.incarnations[i]++
+	in.startedAt[i] = now
 }
 
 // send begins an attempt.
@@ -128,7 +130,7 @@
 	for now := clock.Millis(0); now < simSpan; now += simTick {
 		for i, at := range d.restarts {
 			if at == now {
-				instances.restart(i % len(instances.comparisons))
+				instances.restart(i%len(instances.comparisons), now)
 			}
 		}
 		for owed += d.perSecond(now) * float64(simTick) / float64(clock.Second); owed >= 1; owed-- {
@@ -179,7 +181,8 @@
 			if !rollout.KeepsSessions(now) && !v.Suspect {
 				instances.shifts[i].Advance(now, budget, k.Exposure(rollout.Left(now)))
 			}
-			if !v.Doubt && now >= completionTime(rollout, &instances.shifts[i], simShare, float64(i)/float64(len(instances.comparisons)), 6) {
+			needed := soundnessNeeded(budget, k.Exposure(rollout.Left(now)), rollout, instances.startedAt[i])
+			if !v.Doubt && k.PeersKnown() && v.Soundness >= needed && now >= completionTime(rollout, &instances.shifts[i], simShare, float64(i)/float64(len(instances.comparisons)), 6) {
 				rollout.State = catalogue.ReleaseCompleted
 				break
 			}
--- a/pkg/rating/comparison.go
+++ b/pkg/rating/comparison.go
@@ -167,6 +167,8 @@
 	// Doubt is true if recent answers leave it open whether the release fails or is late more often than the old one; a release isn't
 	// completed then, because that can't be taken back.
 	Doubt bool
+	// Soundness is the log likelihood ratio of a sound release against a bad one; without answers it is 0.
+	Soundness float64
 	// Answers, Failed and Slow count the answers of the new release, and SlowStreams its streams with slow generation.
 	Answers, Failed, Slow, SlowStreams float32
 }
@@ -214,6 +216,7 @@
 			hasMoreSlowStreams(old, target) && len(slowUpstreams) >= minBadUpstreams
 		if route == "" {
 			v.Answers, v.Failed, v.Slow, v.SlowStreams = target.answers, target.failed, target.slow, target.slowStreams
+			v.Soundness = soundness(old, c.withoutBurst(route, target))
 		}
 	}
 	v.Recent = c.recentEvidence()
--- a/pkg/rating/exposure.go
+++ b/pkg/rating/exposure.go
@@ -39,15 +39,19 @@
 
 // Full returns for how long the rest of the budget affords that all requests go to the new release.
 func (b ExposureBudget) Full(e Exposure) clock.Millis {
-	allowed := b.Share * (e.Requests + e.PerMilli*float64(max(0, e.Left)))
-	allowed += min(b.Slack, allowed)
-	rest := plannedExposure*allowed - e.Exposed
+	rest := plannedExposure*b.allowed(e) - e.Exposed
 	if rest <= 0 || e.PerMilli <= 0 {
 		return 0
 	}
 	return clock.Millis(math.Round(min(rest/e.PerMilli, float64(maxFull))))
 }
 
+// allowed returns the requests that the budget allows the release over the whole span.
+func (b ExposureBudget) allowed(e Exposure) float64 {
+	allowed := b.Share * (e.Requests + e.PerMilli*float64(max(0, e.Left)))
+	return allowed + min(b.Slack, allowed)
+}
+
 // maxFull bounds the time that a budget affords, for rollouts with hardly any requests.
 const maxFull clock.Millis = 24 * 60 * 60 * clock.Second
 
