Rollouts: late answers count before they end

What callers saw: a release that answers eight times slower was completed with 10 answers, while about 50 requests had been sent to it.

Cause: an attempt counted when it ended, so that a slow release was judged by its fastest answers; the steps of its share are shorter than its answers take. Class: silence about what is still under way is taken for good news.

Change: an attempt without an answer counts as late as soon as it would be late, for both releases alike, and not again at its end; a stream counts by the pace of its first six pauses.

--- a/pkg/delivery/relay.go
+++ b/pkg/delivery/relay.go
@@ -79,6 +79,9 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Observe receives one sample per attempt; it is optional.
 	Observe func(c *request.Call, s request.Sample)
+	// OnProgress receives a sample of a stream when its first event has arrived, and another with its pace once that is known; it is
+	// optional.
+	OnProgress func(c *request.Call, s request.Sample)
 
 	transports *transports
 }
--- a/pkg/delivery/stream.go
+++ b/pkg/delivery/stream.go
@@ -23,6 +23,8 @@
 	pauseLimitShare = 0.5
 	// minGaps is the number of pauses needed to estimate the pace of a stream; at most maxGaps are recorded.
 	minGaps, maxGaps = 3, 64
+	// paceGaps is the number of pauses after which the pace of a stream is reported before its end.
+	paceGaps = 6
 	// streamBufferBytes is the initial size of the read buffer of a stream.
 	streamBufferBytes = 8 << 10
 )
@@ -88,10 +90,14 @@
 	c, now := a.call, a.Clock.Now()
 	if a.lastEventAt > 0 && len(a.gaps) < maxGaps {
 		a.gaps = append(a.gaps, now-a.lastEventAt)
+		if len(a.gaps) == paceGaps {
+			a.reportProgress(lowerQuartileGap(slices.Clone(a.gaps)))
+		}
 	}
 	a.lastEventAt = now
 	if a.firstByte == 0 {
 		a.firstByte = max(1, now-a.startedAt)
+		a.reportProgress(0)
 		if c.OnFirstEvent != nil {
 			c.OnFirstEvent()
 		}
@@ -109,6 +115,13 @@
 	return nil
 }
 
+// reportProgress reports the attempt before its end, with the pace of its stream unless that is 0.
+func (a *relayAttempt) reportProgress(gap clock.Millis) {
+	if a.OnProgress != nil {
+		a.OnProgress(a.call, request.Sample{At: a.Clock.Now(), Upstream: a.call.Upstream.Name, Result: request.ResultStarted, FirstToken: a.firstByte, Gap: gap})
+	}
+}
+
 // lowerQuartileGap returns the lower quartile of the pauses, because the engine's work on other prompts makes some of them
 // long; it is 0 if there are too few.
 func lowerQuartileGap(gaps []clock.Millis) clock.Millis {
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -185,7 +185,7 @@
 func (f *Dispatch) send(ctx context.Context, c *request.Call, a *attempt, next request.Handler) error {
 	a.upstream, a.work = c.Upstream, promptWork(c)
 	f.Loads.StartRequest(a.upstream.Name, a.work)
-	f.Releases.RecordSend(f.Snapshot().Moves[a.upstream.Service], a.upstream)
+	defer f.Releases.RecordSend(c, f.Snapshot().Moves[a.upstream.Service])()
 	defer f.Loads.EndRequest(a.upstream.Name)
 	c.OnFirstEvent = a.begin
 	defer a.subtractWork()
--- a/pkg/dispatch/latency.go
+++ b/pkg/dispatch/latency.go
@@ -59,10 +59,16 @@
 	return clock.Millis(perToken * (fixedCostTokens + float64(tokens))), known
 }
 
+// SlowAfter returns the time to the first token above which an answer is slow, and false while there is no sample of the model.
+func (l *LatencyTracker) SlowAfter(model string, tokens int) (clock.Millis, bool) {
+	expected, known := l.ExpectedFirstToken(model, tokens)
+	return clock.Millis(slowFactor*float64(expected)) + slowMargin, known
+}
+
 // IsSlowFirstToken reports whether an answer began far later than usual; it is false while there is no sample of the model.
 func (l *LatencyTracker) IsSlowFirstToken(model string, tokens int, took clock.Millis) bool {
-	expected, known := l.ExpectedFirstToken(model, tokens)
-	return known && float64(took) > slowFactor*float64(expected)+float64(slowMargin)
+	slowAfter, known := l.SlowAfter(model, tokens)
+	return known && took > slowAfter
 }
 
 // RecordGap records the lower quartile of the gaps between the tokens of a stream, in milliseconds.
--- a/pkg/dispatch/releases.go
+++ b/pkg/dispatch/releases.go
@@ -17,8 +17,9 @@
 type Releases struct {
 	// SessionTimeout is the idle time after which a session expires, in milliseconds.
 	SessionTimeout clock.Millis
-	// OnSend is called for each request that is sent to a service with a running rollout; it is optional.
-	OnSend func(rollout *catalogue.ReleaseRollout, onTarget bool)
+	// OnSend is called for each request that is sent to a service with a running rollout, and returns a function that is called when
+	// the attempt has ended; it is optional.
+	OnSend func(c *request.Call, rollout *catalogue.ReleaseRollout, onTarget bool) (ended func())
 
 	mu       sync.Mutex
 	sessions map[string]sessionRelease
@@ -104,11 +105,13 @@
 // minLoaded is the least number of upstreams of a new release that get requests: what happens at one of them alone may be its own doing.
 const minLoaded = 2
 
-// RecordSend notes that a request is sent to an upstream; rollout is nil if its service has no rollout.
-func (r *Releases) RecordSend(rollout *catalogue.ReleaseRollout, u *catalogue.Upstream) {
-	if r.OnSend != nil && rollout != nil && rollout.State == catalogue.ReleaseRunning {
-		r.OnSend(rollout, u.Release == rollout.Target)
+// RecordSend notes that a call is sent to its upstream, and returns a function to call when the attempt has ended; rollout is nil if the
+// service has no rollout.
+func (r *Releases) RecordSend(c *request.Call, rollout *catalogue.ReleaseRollout) (ended func()) {
+	if r.OnSend == nil || rollout == nil || rollout.State != catalogue.ReleaseRunning {
+		return func() {}
 	}
+	return r.OnSend(c, rollout, c.Upstream.Release == rollout.Target)
 }
 
 func (r *Releases) pinnedSessions(rollout *catalogue.ReleaseRollout) map[string]bool {
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -28,12 +28,13 @@
 func (in *Instance) filterChain() request.Handler {
 	budgets := &dispatch.RetryBudgets{Share: in.Settings.Policy.RetryShare}
 	in.relay = &delivery.Relay{
-		Clock:   in.Clock,
-		Log:     in.Log.WithName("delivery"),
-		Wire:    in.Wire,
-		Permit:  in.recheck,
-		Dial:    in.Dial,
-		Observe: in.observe,
+		Clock:      in.Clock,
+		Log:        in.Log.WithName("delivery"),
+		Wire:       in.Wire,
+		Permit:     in.recheck,
+		Dial:       in.Dial,
+		Observe:    in.observe,
+		OnProgress: in.progress,
 	}
 	in.relay.Open()
 	d := &dispatch.Dispatch{
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -99,11 +99,13 @@
 	// registrationLost receives a value when the members' topic lacks this instance although it was registered.
 	registrationLost chan struct{}
 
-	// mu guards the fields below, whose keys are services; writtenStatuses has the statuses that the store has or had.
+	// mu guards the fields below; the keys of the first three are services, and writtenStatuses has the statuses that the store has or had.
 	mu              sync.Mutex
 	comparisons     map[string]*comparison
 	writtenStatuses map[string]catalogue.ReleaseStatus
 	pendingStatuses map[string]pendingStatus
+	// awaited has the attempts under way at services with a running rollout.
+	awaited map[*request.Call]awaited
 }
 
 // Run serves until ctx ends, then drains; it fails if a listener cannot be opened, a background loop fails or requests were aborted.
@@ -171,6 +173,7 @@
 	in.comparisons = map[string]*comparison{}
 	in.writtenStatuses = map[string]catalogue.ReleaseStatus{}
 	in.pendingStatuses = map[string]pendingStatus{}
+	in.awaited = map[*request.Call]awaited{}
 	in.control = &Control{Clock: in.Clock, Log: in.Log.WithName("control"), OnUpstreamRemoved: func(upstream string) {
 		in.loadTracker.Forget(upstream)
 		in.outliers.Forget(upstream)
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -2,6 +2,8 @@
 
 import (
 	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/rating"
 	"carawayknot.example/carawayknot/pkg/request"
 )
 
@@ -21,14 +23,8 @@
 func (in *Instance) observe(c *request.Call, s request.Sample) {
 	in.metrics.ObserveAttempt(s)
 	in.loadTracker.Report(s.Upstream, s.Load, s.At)
-	model, tokens, latency := c.Model, 0, s.FirstToken
-	if c.Request.Prompt != nil {
-		tokens = c.Request.Prompt.Tokens + c.TokensAhead
-	}
-	if model == "" {
-		model = c.Route.Name
-	}
-	slow := false
+	model, tokens := latencyKey(c)
+	latency, slow := s.FirstToken, false
 	if latency > 0 {
 		slow = in.latencies.IsSlowFirstToken(model, tokens, latency)
 	}
@@ -46,13 +42,59 @@
 		// A quarantined prompt crashes upstreams of any release.
 		return
 	}
-	k := in.comparisonOf(rollout.Service, rollout.Target)
+	k, a := in.awaitedOf(c)
+	if a == nil {
+		k = in.comparisonOf(rollout.Service, rollout.Target)
+		a = k.Await(c.Route.Name, s.Upstream, onTarget, 0)
+	}
 	if result, slow, ok := releaseEvidence(c, s, slow); ok {
-		k.RecordAttempt(c.Route.Name, s.Upstream, onTarget, result, slow)
+		k.Ended(a, result, slow)
 	}
 	if s.Gap > 0 {
-		k.RecordStream(c.Route.Name, s.Upstream, onTarget, slowStream)
+		k.EndedStream(a, slowStream)
 	}
+	k.Drop(a)
+}
+
+// latencyKey returns the model or route by which the latency of a call's answer is known, and the tokens that are read before it begins.
+func latencyKey(c *request.Call) (model string, tokens int) {
+	model = c.Model
+	if model == "" {
+		model = c.Route.Name
+	}
+	if c.Request.Prompt != nil {
+		tokens = c.Request.Prompt.Tokens + c.TokensAhead
+	}
+	return model, tokens
+}
+
+// progress records what is known of an attempt before it ends: that its answer has begun, or the pace of its stream. An answer that outlasts a
+// rollout would come too late to judge the release.
+func (in *Instance) progress(c *request.Call, s request.Sample) {
+	k, a := in.awaitedOf(c)
+	if a == nil {
+		return
+	}
+	if s.Gap == 0 {
+		k.Begun(a)
+		return
+	}
+	model, _ := latencyKey(c)
+	k.Paced(a, in.latencies.IsSlowGap(model, s.Gap))
+}
+
+// awaited is an attempt at a service with a running rollout.
+type awaited struct {
+	comparison *comparison
+	attempt    *rating.Awaited
+}
+
+// awaitedOf returns the attempt of a call that is under way, or nil if the rollout began after it.
+func (in *Instance) awaitedOf(c *request.Call) (*comparison, *rating.Awaited) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	a := in.awaited[c]
+	return a.comparison, a.attempt
 }
 
 // releaseEvidence returns what an attempt says of the release of its upstream. It says nothing if another attempt of the same call has
@@ -76,9 +118,24 @@
 	return s.FirstToken > 0 || c.FirstByteTimeout > 0 && s.Total >= c.FirstByteTimeout || s.At >= c.Request.Deadline
 }
 
-// recordSend counts a request that is sent to a service whose rollout is running.
-func (in *Instance) recordSend(rollout *catalogue.ReleaseRollout, onTarget bool) {
-	in.comparisonOf(rollout.Service, rollout.Target).RecordSend(onTarget)
+// recordSend counts a request that is sent to a service whose rollout is running, and awaits its answer until the returned function is called.
+func (in *Instance) recordSend(c *request.Call, rollout *catalogue.ReleaseRollout, onTarget bool) (ended func()) {
+	k := in.comparisonOf(rollout.Service, rollout.Target)
+	k.RecordSend(onTarget)
+	var lateAt clock.Millis
+	if after, known := in.latencies.SlowAfter(latencyKey(c)); known && len(c.Excluded) == 0 {
+		lateAt = in.Clock.Now() + after
+	}
+	a := k.Await(c.Route.Name, c.Upstream.Name, onTarget, lateAt)
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.awaited[c] = awaited{comparison: k, attempt: a}
+	return func() {
+		k.Drop(a)
+		in.mu.Lock()
+		defer in.mu.Unlock()
+		delete(in.awaited, c)
+	}
 }
 
 // keyPrefix returns the prefix of the keys under which instances exchange their counts for a release rollout.
--- a/pkg/gateway/rollout_simulation_test.go
+++ b/pkg/gateway/rollout_simulation_test.go
@@ -22,6 +22,8 @@
 	simExchange clock.Millis = 350
 	// simAnswer is the time that a sound answer usually takes.
 	simAnswer clock.Millis = 700
+	// simLate is the time after which an answer is late.
+	simLate = 3 * simAnswer
 )
 
 // simRates are the rates of failed and late answers; bad ones count toward the 50.
@@ -55,6 +57,7 @@
 	bad             bool
 	result          request.Result
 	endsAt          clock.Millis
+	awaited         *rating.Awaited
 }
 
 // simInstances are the instances of the simulation.
@@ -83,9 +86,10 @@
 }
 
 // send begins an attempt.
-func (in *simInstances) send(a *simAttempt) {
+func (in *simInstances) send(a *simAttempt, now clock.Millis) {
 	a.incarnation = in.incarnations[a.at]
 	in.comparisons[a.at].RecordSend(a.onTarget)
+	a.awaited = in.comparisons[a.at].Await(a.route, a.upstream, a.onTarget, now+simLate)
 	in.pending = append(in.pending, a)
 }
 
@@ -100,7 +104,7 @@
 		if a.incarnation != in.incarnations[a.at] {
 			continue
 		}
-		in.comparisons[a.at].RecordAttempt(a.route, a.upstream, a.onTarget, a.result, a.late)
+		in.comparisons[a.at].Ended(a.awaited, a.result, a.late)
 		if a.bad {
 			bad++
 		}
@@ -158,7 +162,7 @@
 			if d.answerTime != nil {
 				a.endsAt += d.answerTime(late)
 			}
-			instances.send(a)
+			instances.send(a, now)
 		}
 		before := badAnswers
 		if badAnswers += instances.end(now); before < simBadCount && badAnswers >= simBadCount {
--- a/pkg/rating/comparison.go
+++ b/pkg/rating/comparison.go
@@ -37,6 +37,8 @@
 	// peersKnown is true if the last report of the others arrived.
 	peersKnown bool
 	recent     recent
+	// awaited has the attempts whose answers have not begun.
+	awaited map[*Awaited]bool
 }
 
 // Kinds of counts and releases, as in a countKey.
@@ -76,32 +78,41 @@
 // A connection that an upstream ended without an answer is ResultCut: it counts over the whole time only, because the crash of several
 // upstreams ends many at once.
 func (c *Comparison) RecordAttempt(route, upstream string, onTarget bool, result request.Result, slow bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordAttempt(&Awaited{route: route, upstream: upstream, onTarget: onTarget}, result, slow)
+}
+
+// recordAttempt counts an attempt that has ended, but for what was counted while it was awaited. The caller must hold mu.
+func (c *Comparison) recordAttempt(a *Awaited, result request.Result, slow bool) {
 	switch result {
 	case request.ResultRefused, request.ResultCancelled, request.ResultUnreached:
 		// None of these is the release's doing, and an unreachable upstream is no reason to revert a release.
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.increment(countAnswers, onTarget, route)
+	if !a.late {
+		c.increment(countAnswers, a.onTarget, a.route)
+	}
 	switch {
 	case result != request.ResultComplete:
-		c.increment(countFailed, onTarget, route)
-		if onTarget {
-			c.increment(countFailingUpstreams, onTarget, upstream)
-		}
-		if result == request.ResultCut {
-			break
-		}
-		c.increment(countErrors, onTarget, route)
-		if onTarget {
-			c.increment(countErringUpstreams, onTarget, upstream)
-		}
-	case slow:
-		c.increment(countSlow, onTarget, route)
-		if onTarget {
-			c.increment(countLateUpstreams, onTarget, upstream)
-		}
+		c.countFailure(a, result)
+	case slow && !a.late:
+		c.countSlow(a)
+	}
+}
+
+// countFailure counts a failed attempt. The caller must hold mu.
+func (c *Comparison) countFailure(a *Awaited, result request.Result) {
+	c.increment(countFailed, a.onTarget, a.route)
+	if a.onTarget {
+		c.increment(countFailingUpstreams, a.onTarget, a.upstream)
+	}
+	if result == request.ResultCut {
+		return
+	}
+	c.increment(countErrors, a.onTarget, a.route)
+	if a.onTarget {
+		c.increment(countErringUpstreams, a.onTarget, a.upstream)
 	}
 }
 
@@ -109,6 +120,11 @@
 func (c *Comparison) RecordStream(route, upstream string, onTarget, isSlow bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.recordStream(route, upstream, onTarget, isSlow)
+}
+
+// recordStream counts one stream. The caller must hold mu.
+func (c *Comparison) recordStream(route, upstream string, onTarget, isSlow bool) {
 	c.increment(countStreams, onTarget, route)
 	if !isSlow {
 		return
--- a/pkg/rating/comparison_recent.go
+++ b/pkg/rating/comparison_recent.go
@@ -125,10 +125,12 @@
 	m.most = max(m.most, m.total-m.history[0].sum)
 }
 
-// Advance takes the answers and sends that became known since the last call into the evidence of the last seconds.
+// Advance counts the answers that are late by now, and takes the answers and sends that became known since the last call into the
+// evidence of the last seconds.
 func (c *Comparison) Advance(now clock.Millis) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.countLate(now)
 	r := &c.recent
 	if r.seen == nil {
 		r.seen, r.tests, r.badAt = map[string]float32{}, map[string]*routeTests{}, map[string]clock.Millis{}
