Retry budget: no sliding window exceeds the bounds of the settings

What callers saw: when a service failed after a burst, it got more arrivals beyond the first of their request than are allowed, over all instances: the retries of up to 20 s of requests came at once.

Cause: the budget was an account. It saved the share of the requests of one or two windows and let all of it go at once, besides what new requests earned; the rule counts each window that slides. The ratio, the window and the slack of the settings were passed on to nobody; a share of 0.75 and a burst of 3 an instance fitted 7 to 9 instances, and one that started again had a full burst. Class: a bound on each window kept by an account that outlasts the window, and a bound on all instances by a constant of each.

Change: the budget counts requests and retries by step, and allows a retry only if every window that contains it keeps its bound: the share of 0.7 of its requests and 0.3 of those of the window before. Fixed weights let the allowances of instances add up whatever the traffic does. The slack is divided by the members, half of it, a quarter in the first window of an instance, which doesn't know what it sent before it started. Bounds.RetryShare, RetrySlack and RetryWindowSeconds come from the platform's settings. A retry that was reserved for an attempt that then ended well is given back. On the own interface the window is a minute, with one retry more.

Tests: fixtures state a slack where they had the constant burst of 3, the same number of retries.

--- a/pkg/dispatch/balancer.go
+++ b/pkg/dispatch/balancer.go
@@ -85,7 +85,7 @@
 		return "failure is not retryable"
 	case !f.hasAlternative(c):
 		return "no other upstream serves it"
-	case !f.Budget.TryWithdraw():
+	case !f.Budget.TryWithdraw(f.Clock.Now()):
 		return "retry budget exhausted"
 	}
 	return ""
@@ -222,7 +222,7 @@
 		TimeLeft:    c.Request.Deadline - now,
 		ColdHold:    f.Settings.Times.ColdHold,
 		Outliers:    f.Outliers,
-		NoRetryLeft: f.Budget.Exhausted(),
+		NoRetryLeft: f.Budget.Exhausted(f.Clock.Now()),
 	}
 }
 
--- a/pkg/dispatch/crash_simulation_test.go
+++ b/pkg/dispatch/crash_simulation_test.go
@@ -123,7 +123,7 @@
 func (f *crashFleet) startInstance(name string) *crashInstance {
 	in := &crashInstance{name: name, Dispatch: &Dispatch{
 		Clock: f.clock, Log: logr.Discard(), Zone: "a", Snapshot: f.snapshot.Load, Loads: &LoadTracker{Self: name},
-		Outliers: &OutlierDetector{}, Releases: &Releases{SessionTimeout: 5000}, Budgets: &RetryBudgets{Share: 0.1}, Latency: &LatencyTracker{},
+		Outliers: &OutlierDetector{}, Releases: &Releases{SessionTimeout: 5000}, Budgets: &RetryBudgets{Share: 0.1, Window: 10 * clock.Second, Slack: 2 * testBurst}, Latency: &LatencyTracker{},
 	}}
 	in.Suspects = &CrashSuspects{Clock: f.clock, Log: logr.Discard(), Self: name, Members: func() []catalogue.Member { return f.snapshot.Load().Members }}
 	in.contactSince.Store(int64(f.clock.Now()))
@@ -761,7 +761,7 @@
 func TestChatEndsAtMostTwoUpstreams(t *testing.T) {
 	s := snapshot(8)
 	f := newBalancer(func() *catalogue.Snapshot { return s }, clock.NewManual(0))
-	f.Budget.Burst = 10
+	f.Budget.Burst = func(clock.Millis) float64 { return 10 }
 	var sent []string
 	err := f.Filter(context.Background(), newCall("r1"), request.HandlerFunc(func(_ context.Context, c *request.Call) error {
 		sent = append(sent, c.Upstream.Name)
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -87,6 +87,7 @@
 		f.Budgets.Deposit(u.Service, f.Clock.Now())
 	}
 	retry := f.allowAbort(c)
+	defer retry.close()
 	err = f.send(ctx, c, a, next)
 	if a.end(err) {
 		p.crashes++
@@ -103,7 +104,7 @@
 }
 
 // afterFailure decides whether a call whose attempt has failed is tried again, and returns the final error if not.
-func (f *Dispatch) afterFailure(ctx context.Context, c *request.Call, p *callProgress, r *request.Refusal, retry *reservedRetry) (again bool, err error) {
+func (f *Dispatch) afterFailure(ctx context.Context, c *request.Call, p *callProgress, r *request.Refusal, retry *abortReserve) (again bool, err error) {
 	if r.Outcome == request.NotRun {
 		p.declines++
 	}
@@ -116,7 +117,7 @@
 			"outcome", r.Outcome, "error", r.Error(), "after", c.LastEventID, "runs", c.Runs)
 		return true, nil
 	}
-	if p.persist.mayOvercome(noRetry) && f.awaitUpstream(ctx, c, &p.persist, r, retry.take()) {
+	if p.persist.mayOvercome(noRetry) && f.awaitUpstream(ctx, c, &p.persist, r, retry.take(f.Clock.Now())) {
 		// One upstream declines for all in the rounds after the first, which leaves retries for other calls.
 		c.Excluded, p.declines = nil, maxDeclines-1
 		return true, nil
@@ -132,7 +133,7 @@
 )
 
 // noRetryReason returns why the call may not be retried, or "" if it may; it then takes one retry from the budget.
-func (f *Dispatch) noRetryReason(ctx context.Context, c *request.Call, r *request.Refusal, p *callProgress, retry *reservedRetry) string {
+func (f *Dispatch) noRetryReason(ctx context.Context, c *request.Call, r *request.Refusal, p *callProgress, retry *abortReserve) string {
 	switch r.Reason {
 	case request.ReasonUpstreamRefused, request.ReasonUpstreamFailed, request.ReasonAnswerIncomplete, request.ReasonAnswerMismatch:
 	default:
@@ -157,9 +158,9 @@
 		return "upstreams crashed under the request"
 	case c.HeadWritten && !c.Route.Resumable:
 		return "answer has begun and is not resumable"
-	case !retry.reserved.Load() && f.tooLate(c.Request.Deadline, c.Route):
+	case !retry.isReserved() && f.tooLate(c.Request.Deadline, c.Route):
 		return "too little time before the deadline"
-	case !retry.take() && !f.Budgets.TryWithdraw(c.Upstream.Service):
+	case !retry.take(f.Clock.Now()) && !f.Budgets.TryWithdraw(c.Upstream.Service, f.Clock.Now()):
 		return stopBudgetExhausted
 	}
 	return ""
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -39,7 +39,7 @@
 	}
 	r.Dispatch = &Dispatch{
 		Clock: m, Log: logr.Discard(), Zone: "a", Snapshot: func() *catalogue.Snapshot { return r.snapshot }, Loads: &LoadTracker{},
-		Outliers: &OutlierDetector{}, Releases: &Releases{SessionTimeout: 5000}, Budgets: &RetryBudgets{Share: 1}, Latency: &LatencyTracker{},
+		Outliers: &OutlierDetector{}, Releases: &Releases{SessionTimeout: 5000}, Budgets: &RetryBudgets{Share: 1, Slack: 2 * testBurst}, Latency: &LatencyTracker{},
 	}
 	return r
 }
@@ -113,6 +113,9 @@
 	}
 }
 
+// testBurst is the number of retries that the budget of a dispatchHarness allows regardless of traffic.
+const testBurst = 3
+
 func TestDispatchBudgetCountsARequestOnce(t *testing.T) {
 	r := newDispatchHarness(newUpstream("u1"), newUpstream("u2"), newUpstream("u3"), newUpstream("u4"))
 	r.Budgets.Share = 0.1
@@ -123,8 +126,9 @@
 	for i := range 40 {
 		_, _ = r.call(fmt.Sprint("r", i), catalogue.Route{MaxAttempts: 1, Target: 300})
 	}
-	if r.Budgets.budget("lm").sent != 40 {
-		t.Errorf("the retry budget counted %d requests, want 40", r.Budgets.budget("lm").sent)
+	now := r.clock.Now()
+	if got := r.Budgets.budget("lm").requestsBetween(0, r.Budgets.budget("lm").stepNumber(now)); got != 40 {
+		t.Errorf("the retry budget counted %.0f requests, want 40", got)
 	}
 }
 
@@ -147,8 +151,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			r := newDispatchHarness(newUpstream("u1"), newUpstream("u2"), newUpstream("u3"))
 			r.Budgets.Share = 0
-			for range retryBurst - c.budget {
-				r.Budgets.TryWithdraw("lm")
+			for range testBurst - c.budget {
+				r.Budgets.TryWithdraw("lm", r.clock.Now())
 			}
 			aborted := false
 			c.route.Split = []catalogue.Split{{Service: "lm", Weight: 1}}
@@ -167,7 +171,7 @@
 			if err != nil || aborted != c.want {
 				t.Errorf("aborted = %t with error %v, want %t and an answer", aborted, err, c.want)
 			}
-			if c.want && r.Budgets.TryWithdraw("lm") {
+			if c.want && r.Budgets.TryWithdraw("lm", r.clock.Now()) {
 				t.Error("a retry is left in the budget, want the one retry used for the abort")
 			}
 		})
--- a/pkg/dispatch/persistence.go
+++ b/pkg/dispatch/persistence.go
@@ -22,8 +22,8 @@
 }
 
 // update notes whether the call must not be given up after an attempt that failed; retry is the one reserved for that attempt.
-func (p *persistence) update(c *request.Call, r *request.Refusal, retry *reservedRetry) {
-	aborted := r.Outcome != request.NotRun && retry.reserved.Load()
+func (p *persistence) update(c *request.Call, r *request.Refusal, retry *abortReserve) {
+	aborted := r.Outcome != request.NotRun && retry.isReserved()
 	p.required = p.required || c.HeadWritten || aborted && c.Fallback != request.FallbackLeft
 }
 
@@ -41,7 +41,7 @@
 		if pause <= 0 || clock.Sleep(ctx, f.Clock, pause) != nil {
 			return false
 		}
-		if paid || f.Budgets.TryWithdraw(c.Pool.Name) {
+		if paid || f.Budgets.TryWithdraw(c.Pool.Name, f.Clock.Now()) {
 			f.Log.Info("trying a request again after a pause", "request", c.Request.ID, "route", c.Route.Name, "pauseMs", pause,
 				"reason", r.Reason, "outcome", r.Outcome, "error", r.Error(), "after", c.LastEventID, "runs", c.Runs)
 			return true
--- a/pkg/dispatch/reserved_retry.go
+++ b/pkg/dispatch/reserved_retry.go
@@ -2,34 +2,68 @@
 
 import (
 	"slices"
-	"sync/atomic"
+	"sync"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/request"
 )
 
-// reservedRetry is a retry that was taken from the budget before the attempt that it replaces was aborted.
-type reservedRetry struct{ reserved atomic.Bool }
+// abortReserve holds the retry that is reserved before an attempt is aborted. Timers of an attempt may fire when it has ended; they get none.
+type abortReserve struct {
+	mu     sync.Mutex
+	retry  *ReservedRetry
+	closed bool
+}
+
+// reserve reserves a retry by f unless there is one, and reports whether one is reserved.
+func (r *abortReserve) reserve(f func() *ReservedRetry) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return false
+	}
+	if r.retry == nil {
+		r.retry = f()
+	}
+	return r.retry != nil
+}
 
-// take returns whether a retry is reserved, and uses it up.
-func (r *reservedRetry) take() bool { return r.reserved.Swap(false) }
+// isReserved reports whether a retry is reserved.
+func (r *abortReserve) isReserved() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.retry != nil
+}
+
+// take returns whether a retry was reserved, and uses it up.
+func (r *abortReserve) take(now clock.Millis) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.retry != nil && r.retry.Use(now)
+}
+
+// close returns a retry that was not used.
+func (r *abortReserve) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	r.retry.Close()
+}
 
 // allowAbort lets the next attempt of the call be aborted for its slowness, but only with a retry in reserve and another upstream for it:
 // an upstream that is slow or silent may still answer, and without another attempt its answer is all that the caller can get.
-func (f *Dispatch) allowAbort(c *request.Call) *reservedRetry {
-	r := &reservedRetry{}
+func (f *Dispatch) allowAbort(c *request.Call) *abortReserve {
+	r := &abortReserve{}
 	service, upstream, deadline, route := c.Upstream.Service, c.Upstream.Name, c.Request.Deadline, c.Route
 	attemptLeft := c.Runs+1 < route.MaxAttempts
 	c.ReserveRetry = func() bool {
-		if r.reserved.Load() {
-			return true
-		}
-		if !attemptLeft || f.tooLate(deadline, route) || !f.hasAlternative(service, upstream) || !f.Budgets.TryWithdraw(service) {
-			return false
-		}
-		r.reserved.Store(true)
-		return true
+		return r.reserve(func() *ReservedRetry {
+			if !attemptLeft || f.tooLate(deadline, route) || !f.hasAlternative(service, upstream) {
+				return nil
+			}
+			return f.Budgets.Reserve(service, f.Clock.Now())
+		})
 	}
 	return r
 }
--- a/pkg/dispatch/retry_budget.go
+++ b/pkg/dispatch/retry_budget.go
@@ -7,63 +7,153 @@
 )
 
 const (
-	// budgetWindow is the length of the window over which requests are counted, in milliseconds; their number bounds how many retries
-	// a budget can accumulate.
-	budgetWindow = 10 * clock.Second
+	// defaultRetryWindow is the length of the windows of a budget that sets none.
+	defaultRetryWindow = 60 * clock.Second
+	// retrySteps is the number of steps of a window, and retryHistory the windows of which requests and retries are kept.
+	retrySteps   = 40
+	retryHistory = 3
+	// presentWeight is the weight of the requests of a window in what it allows; those of the window before it have the rest. Weights that
+	// are the same for all instances and times let the allowances of instances add up.
+	presentWeight = 0.7
 	// minBurst is the smallest burst of a budget, in retries.
 	minBurst = 1.0
 )
 
-// RetryBudget limits retries to a fraction of the requests; it is safe for concurrent use.
+// RetryBudget limits the retries in each window of time to a share of its requests and of those of the window before it; it is safe for
+// concurrent use.
 type RetryBudget struct {
 	// Share is the number of retries that each request adds to the budget.
 	Share float64
-	// Burst is the number of retries available regardless of traffic; 0 means 1.
-	Burst float64
+	// Window is the length of a window, in milliseconds; 0 means 60 s.
+	Window clock.Millis
+	// Burst returns the number of retries available regardless of traffic; nil means 1.
+	Burst func(now clock.Millis) float64
 
 	mu sync.Mutex
-	// spent is the number of retries minus the deposits of requests; it starts at 0, so that the first request may be retried.
-	spent float64
-	// sent counts the requests since windowStart, sentPrevious those of the window before it.
-	windowStart  clock.Millis
-	sent         int
-	sentPrevious int
+	// steps is a ring of counts; the step of a time is the number of step lengths since 0.
+	steps [retrySteps * retryHistory]retryStep
+	// reserved counts the retries that are reserved and not used yet.
+	reserved float64
+}
+
+// retryStep has the requests and the retries of one step of time.
+type retryStep struct {
+	number            int64
+	requests, retries float64
 }
 
 // Deposit adds the share of one new request to the budget; it must not be called for retries.
 func (b *RetryBudget) Deposit(now clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if age := now - b.windowStart; age >= budgetWindow {
-		b.sentPrevious = b.sent
-		if age >= 2*budgetWindow {
-			b.sentPrevious = 0
-		}
-		b.windowStart, b.sent = now, 0
-	}
-	b.sent++
-	maxSaved := max(b.burst(), b.Share*float64(max(b.sent, b.sentPrevious)))
-	b.spent = max(b.burst()-maxSaved, b.spent-b.Share)
+	b.step(now).requests++
 }
 
 // Exhausted reports whether no retry is available.
-func (b *RetryBudget) Exhausted() bool {
+func (b *RetryBudget) Exhausted(now clock.Millis) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.exhausted()
+	return !b.allows(now)
 }
 
-func (b *RetryBudget) exhausted() bool { return b.spent > b.burst()-1 }
-
 // TryWithdraw takes one retry from the budget and reports whether one was available.
-func (b *RetryBudget) TryWithdraw() bool {
+func (b *RetryBudget) TryWithdraw(now clock.Millis) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.exhausted() {
+	if !b.allows(now) {
 		return false
 	}
-	b.spent++
+	b.step(now).retries++
 	return true
 }
 
-func (b *RetryBudget) burst() float64 { return max(minBurst, b.Burst) }
+// TryReserve sets one retry aside and reports whether one was available; UseReserved or Release must follow.
+func (b *RetryBudget) TryReserve(now clock.Millis) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.allows(now) {
+		return false
+	}
+	b.reserved++
+	return true
+}
+
+// UseReserved counts a reserved retry as sent.
+func (b *RetryBudget) UseReserved(now clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserved--
+	b.step(now).retries++
+}
+
+// Release returns a reserved retry that isn't needed.
+func (b *RetryBudget) Release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserved--
+}
+
+// allows reports whether one more retry keeps within each window that contains now. The caller must hold mu.
+func (b *RetryBudget) allows(now clock.Millis) bool {
+	last := b.stepNumber(now)
+	burst := b.burst(now)
+	retries, requests := b.reserved, 0.0
+	earlier := b.requestsBetween(last-retrySteps, last-1)
+	for first := last; first > last-retrySteps; first-- {
+		s := b.stepAt(first)
+		retries += s.retries
+		requests += s.requests
+		if retries+1 > b.Share*(presentWeight*requests+(1-presentWeight)*earlier)+burst {
+			return false
+		}
+		earlier += b.stepAt(first-1-retrySteps).requests - b.stepAt(first-1).requests
+	}
+	return true
+}
+
+// requestsBetween returns the requests of the steps from first to last.
+func (b *RetryBudget) requestsBetween(first, last int64) float64 {
+	sum := 0.0
+	for i := first; i <= last; i++ {
+		sum += b.stepAt(i).requests
+	}
+	return sum
+}
+
+func (b *RetryBudget) burst(now clock.Millis) float64 {
+	if b.Burst == nil {
+		return minBurst
+	}
+	return b.Burst(now)
+}
+
+func (b *RetryBudget) stepNumber(now clock.Millis) int64 {
+	window := b.Window
+	if window <= 0 {
+		window = defaultRetryWindow
+	}
+	return int64(now / max(1, window/retrySteps))
+}
+
+// step returns the counts of the present step, to be changed. The caller must hold mu.
+func (b *RetryBudget) step(now clock.Millis) *retryStep {
+	number := b.stepNumber(now)
+	s := &b.steps[ringIndex(number)]
+	if s.number != number {
+		*s = retryStep{number: number}
+	}
+	return s
+}
+
+// stepAt returns the counts of a step, which are 0 if nothing was counted then.
+func (b *RetryBudget) stepAt(number int64) retryStep {
+	if s := b.steps[ringIndex(number)]; s.number == number {
+		return s
+	}
+	return retryStep{}
+}
+
+func ringIndex(number int64) int64 {
+	const n = retrySteps * retryHistory
+	return (number%n + n) % n
+}
--- a/pkg/dispatch/retry_budget_test.go
+++ b/pkg/dispatch/retry_budget_test.go
@@ -69,9 +69,11 @@
 	return counts
 }
 
-func newDayBudgets(_ *clock.Manual, _ int) *RetryBudgets { return &RetryBudgets{Share: 0.75} }
+func newDayBudgets(clk *clock.Manual, members int) *RetryBudgets {
+	return &RetryBudgets{Share: dayRatio, Window: dayWindow, Slack: daySlack, Members: func() int { return members }, StartedAt: clk.Now()}
+}
 
-func tryDayRetry(b *RetryBudgets, _ *clock.Manual) bool { return b.TryWithdraw("lm") }
+func tryDayRetry(b *RetryBudgets, clk *clock.Manual) bool { return b.TryWithdraw("lm", clk.Now()) }
 
 // worstWindow returns the beginning of the window that exceeds its retries by most, and by how many.
 func (c *retryCounts) worstWindow() (at clock.Millis, excess float64) {
--- a/pkg/gateway/chain_test.go
+++ b/pkg/gateway/chain_test.go
@@ -148,7 +148,7 @@
 
 // newBudget returns a budget after the given number of requests.
 func newBudget(share float64, deposits int, now clock.Millis) *dispatch.RetryBudgets {
-	b := &dispatch.RetryBudgets{Share: share}
+	b := &dispatch.RetryBudgets{Share: share, Window: 60 * clock.Second}
 	for range deposits {
 		b.Deposit("lm", now)
 	}
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -22,11 +22,13 @@
 	// keyAgeMargin is subtracted from the time for which a revoked key may still be used, to cover the time that a request takes to
 	// reach the upstream.
 	keyAgeMargin clock.Millis = 400
+	// plannedRetryShare is the part of the share of retries that is planned for; the rest covers the time that requests take to arrive.
+	plannedRetryShare = 0.95
 )
 
 // filterChain returns the chain of filters that each request passes, in order.
 func (in *Instance) filterChain() request.Handler {
-	budgets := &dispatch.RetryBudgets{Share: in.Settings.Policy.RetryShare}
+	budgets := in.retryBudgets()
 	in.relay = &delivery.Relay{
 		Clock:      in.Clock,
 		Log:        in.Log.WithName("delivery"),
@@ -58,6 +60,18 @@
 	))
 }
 
+// retryBudgets returns the budgets of the services, which keep within the bounds of the settings over all instances.
+func (in *Instance) retryBudgets() *dispatch.RetryBudgets {
+	b := &in.Settings.Bounds
+	return &dispatch.RetryBudgets{
+		Share:     min(in.Settings.Policy.RetryShare, plannedRetryShare*b.RetryShare),
+		Window:    b.RetryWindow(),
+		Slack:     float64(b.RetrySlack),
+		Members:   func() int { return len(in.control.Snapshot().Members) },
+		StartedAt: in.startedAt,
+	}
+}
+
 // withMetrics returns a handler that counts each call in the metrics.
 func (in *Instance) withMetrics(next request.Handler) request.Handler {
 	return request.HandlerFunc(func(ctx context.Context, c *request.Call) error {
--- a/pkg/gateway/filters_test.go
+++ b/pkg/gateway/filters_test.go
@@ -62,6 +62,7 @@
 func newChainInstance(t *testing.T, serve func(net.Conn)) *Instance {
 	t.Helper()
 	e := settings.DefaultEntry()
+	e.Bounds.RetrySlack = 200
 	in := &Instance{
 		Settings: &e, Clock: clock.NewReal(), Log: logr.Discard(), Wire: scriptedWire{},
 		Dial: func(context.Context, string, string) (net.Conn, error) {
--- a/pkg/gateway/persistence_test.go
+++ b/pkg/gateway/persistence_test.go
@@ -102,7 +102,7 @@
 // retriesLeft empties the budget and returns the number of retries that were left.
 func (x *scriptedChain) retriesLeft() int {
 	n := 0
-	for x.budgets.TryWithdraw("lm") {
+	for x.budgets.TryWithdraw("lm", clock.NewReal().Now()) {
 		n++
 	}
 	return n
--- a/pkg/pricing/confidence.go
+++ b/pkg/pricing/confidence.go
@@ -94,7 +94,7 @@
 		return keepAnswer
 	}
 	next := f.cheapestSize(c, size, confidence)
-	if !f.Budgets.TryWithdraw(c.Pool.Name) {
+	if !f.Budgets.TryWithdraw(c.Pool.Name, f.Clock.Now()) {
 		return keepAnswer
 	}
 	f.Log.Info("model confidence below the threshold; trying a larger model", "request", c.Request.ID, "route", c.Route.Name,
--- a/pkg/pricing/confidence_test.go
+++ b/pkg/pricing/confidence_test.go
@@ -43,7 +43,7 @@
 			leastSuccess := &atomic.Int32{}
 			leastSuccess.Store(75)
 			f := &ConfidenceCascade{
-				Log: logr.Discard(), Clock: clock.NewManual(0), LeastSuccess: leastSuccess, Calibration: &Calibration{}, Budgets: &dispatch.RetryBudgets{Share: 1},
+				Log: logr.Discard(), Clock: clock.NewManual(0), LeastSuccess: leastSuccess, Calibration: &Calibration{}, Budgets: &dispatch.RetryBudgets{Share: 1, Slack: 6},
 				ExpectedWait: func(*request.Call, string) clock.Millis { return c.wait },
 			}
 			call := &request.Call{
@@ -98,7 +98,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			leastSuccess := &atomic.Int32{}
 			leastSuccess.Store(leastSuccessAtSixty)
-			f := &ConfidenceCascade{Log: logr.Discard(), Clock: clock.NewManual(0), LeastSuccess: leastSuccess, Calibration: &Calibration{}, Budgets: &dispatch.RetryBudgets{Share: 1}}
+			f := &ConfidenceCascade{Log: logr.Discard(), Clock: clock.NewManual(0), LeastSuccess: leastSuccess, Calibration: &Calibration{}, Budgets: &dispatch.RetryBudgets{Share: 1, Slack: 6}}
 			w := &headRecorder{confidence: -2}
 			call := &request.Call{
 				Request: &request.Request{ID: "r", Prompt: &request.Prompt{Model: c.model}}, Writer: w, Pool: &catalogue.Pool{Name: "lm"},
--- a/pkg/settings/entry.go
+++ b/pkg/settings/entry.go
@@ -45,8 +45,16 @@
 	// many requests more.
 	ExposureShare float64
 	ExposureSlack int
+	// RetryShare is the number of attempts beyond the first that a service may get from all instances together for each request, and
+	// RetrySlack how many more, in any time of RetryWindowSeconds.
+	RetryShare         float64
+	RetrySlack         int
+	RetryWindowSeconds float64
 }
 
+// RetryWindow returns the time in which retries are bounded, in milliseconds.
+func (b *Bounds) RetryWindow() clock.Millis { return fromSeconds(b.RetryWindowSeconds) }
+
 // Grace returns the time from the stop signal until the process must have exited, in milliseconds.
 func (b *Bounds) Grace() clock.Millis { return fromSeconds(b.GraceSeconds) }
 
@@ -70,14 +78,17 @@
 		AdminAddress: "127.0.0.1:8081",
 		Machine:      Resources{MemoryMegabytes: 256, Descriptors: 4096, Cores: 1},
 		Bounds: Bounds{
-			Revocation:     5 * clock.Second,
-			ConfigApply:    2 * clock.Second,
-			Drain:          2 * clock.Second,
-			GraceSeconds:   8,
-			SessionSeconds: 5,
-			ExposureShare:  0.1,
+			Revocation:         5 * clock.Second,
+			ConfigApply:        2 * clock.Second,
+			Drain:              2 * clock.Second,
+			GraceSeconds:       8,
+			SessionSeconds:     5,
+			ExposureShare:      0.1,
+			RetryShare:         0.75,
+			RetrySlack:         20,
+			RetryWindowSeconds: 10,
 		},
-		Policy:  Policy{LeastConfidence: 75, RetryShare: 0.75},
+		Policy:  Policy{LeastConfidence: 75, RetryShare: 1},
 		Logging: Logging{Format: "json"},
 	}
 }
@@ -94,6 +105,7 @@
 	minDescriptors     = 64
 	maxCores           = 1024
 	maxConfidence      = 100
+	maxRetryShare      = 10
 )
 
 func entryChecks(e *Entry) []fieldCheck {
@@ -116,6 +128,9 @@
 		checkDuration("Bounds.SessionSeconds", b.Session(), 1),
 		{"Bounds.ExposureShare", b.ExposureShare > 0 && b.ExposureShare <= 1, "a number above 0, up to 1"},
 		{"Bounds.ExposureSlack", b.ExposureSlack >= 0, "a whole number of at least 0"},
+		{"Bounds.RetryShare", b.RetryShare >= 0 && b.RetryShare <= maxRetryShare, "a number from 0 to 10"},
+		{"Bounds.RetrySlack", b.RetrySlack >= 0, "a whole number of at least 0"},
+		checkDuration("Bounds.RetryWindowSeconds", b.RetryWindow(), clock.Second),
 		{"Policy.LeastConfidence", p.LeastConfidence >= 0 && p.LeastConfidence <= maxConfidence, "a whole number from 0 to 100"},
 		{"Policy.RetryShare", p.RetryShare >= 0 && p.RetryShare <= 1, "a number from 0 to 1"},
 		{"Logging.Format", e.Logging.Format == "json" || e.Logging.Format == "console", `"json" or "console"`},
