Cascade: going back to the smallest model is paid for before an answer is dropped

Cause: the larger model's attempt was withdrawn from the budget, the one that goes back to the smallest wasn't: a send that no budget counts. Class: a release of what is in hand without its replacement being secured.

Change: a retry for the way back is reserved before the answer is dropped, used when the call goes back, and given back otherwise; without one the answer is kept.

Evidence: TestGoingBackIsPaidForBeforeAnAnswerIsDropped fails without the change (two of three rows) and passes with it.

--- a/pkg/pricing/confidence.go
+++ b/pkg/pricing/confidence.go
@@ -57,7 +57,10 @@
 	out := c.Writer
 	w := &confidenceWriter{Writer: out, cascade: f, previous: keepAnswer}
 	c.Writer = w
-	defer func() { c.Writer = out }()
+	defer func() {
+		c.Writer = out
+		w.wayBack.Close()
+	}()
 	for {
 		c.Model, w.next = sizes[w.size], keepAnswer
 		err := next.Handle(ctx, c)
@@ -70,6 +73,7 @@
 			return err
 		}
 		// An answer of low confidence is better than none.
+		w.wayBack.Use(f.Clock.Now())
 		c.Model, c.Writer, c.Fallback = sizes[0], out, request.FallbackTaken
 		return next.Handle(ctx, c)
 	}
@@ -83,8 +87,8 @@
 
 // nextSize returns the index of the model to try after an answer with this confidence, or keepAnswer. c.Runs does not count the
 // current run yet.
-func (f *ConfidenceCascade) nextSize(c *request.Call, size, confidence int) int {
-	sizes := c.Route.Sizes
+func (w *confidenceWriter) nextSize(c *request.Call, confidence int) int {
+	f, size, sizes := w.cascade, w.size, c.Route.Sizes
 	last := len(sizes) - 1
 	if confidence < 0 || size >= last || c.Runs+2 > c.Route.MaxAttempts || f.timeLeft(c) < clock.Millis(minTimeShare*float64(c.Route.Target)) {
 		return keepAnswer
@@ -94,7 +98,7 @@
 		return keepAnswer
 	}
 	next := f.cheapestSize(c, size, confidence)
-	if !f.Budgets.TryWithdraw(c.Pool.Name, f.Clock.Now()) {
+	if !w.payFor(c) {
 		return keepAnswer
 	}
 	f.Log.Info("model confidence below the threshold; trying a larger model", "request", c.Request.ID, "route", c.Route.Name,
@@ -147,13 +151,25 @@
 	size, next int
 	// previous is the index of the model whose answer was dropped last, or keepAnswer, and confidence that of its answer.
 	previous, confidence int
+	// wayBack is reserved for going back to the smallest model once an answer was dropped.
+	wayBack *dispatch.ReservedRetry
+}
+
+// payFor takes the retry for a larger model from the budget, and reserves the one for going back to the smallest; it reports whether both were
+// available.
+func (w *confidenceWriter) payFor(c *request.Call) bool {
+	budgets, now := w.cascade.Budgets, w.cascade.Clock.Now()
+	if w.wayBack == nil {
+		w.wayBack = budgets.Reserve(c.Pool.Name, now)
+	}
+	return w.wayBack != nil && budgets.TryWithdraw(c.Pool.Name, now)
 }
 
 // WriteHead forwards the head, or returns request.ErrResponseDiscarded when a larger model is to be tried.
 func (w *confidenceWriter) WriteHead(ctx context.Context, c *request.Call, h request.Head) error {
 	if h.Status < 300 {
 		w.record(c, h.Confidence)
-		if w.next = w.cascade.nextSize(c, w.size, h.Confidence); w.next != keepAnswer {
+		if w.next = w.nextSize(c, h.Confidence); w.next != keepAnswer {
 			w.confidence = h.Confidence
 			return request.ErrResponseDiscarded
 		}
--- a/pkg/pricing/confidence_test.go
+++ b/pkg/pricing/confidence_test.go
@@ -129,3 +129,52 @@
 		})
 	}
 }
+
+// A call that went back to the smallest model sent one request more than its retry budget had paid for.
+func TestGoingBackIsPaidForBeforeAnAnswerIsDropped(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		retries  int
+		refused  bool
+		want     []string
+		wantLeft int
+	}{
+		{"nothing left for going back", 1, true, []string{"small"}, 1},
+		{"the larger model is refused", 2, true, []string{"small", "large", "small"}, 0},
+		{"the larger model answers", 2, false, []string{"small", "large"}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			leastSuccess := &atomic.Int32{}
+			leastSuccess.Store(75)
+			budgets := &dispatch.RetryBudgets{Slack: float64(2 * c.retries)}
+			f := &ConfidenceCascade{Log: logr.Discard(), Clock: clock.NewManual(0), LeastSuccess: leastSuccess, Calibration: &Calibration{}, Budgets: budgets}
+			call := &request.Call{
+				Request: &request.Request{ID: "r", Prompt: &request.Prompt{}}, Writer: &headRecorder{}, Pool: &catalogue.Pool{Name: "lm"},
+				Route: &catalogue.Route{Sizes: []string{"small", "large"}, Resumable: true, MaxAttempts: 3},
+			}
+			var models []string
+			err := f.Filter(context.Background(), call, request.HandlerFunc(func(ctx context.Context, call *request.Call) error {
+				models = append(models, call.Model)
+				if c.refused && call.Model == "large" {
+					return request.Refuse(request.ReasonNoUpstream, 0, "none")
+				}
+				err := call.Writer.WriteHead(ctx, call, request.Head{Status: 200, Confidence: 1})
+				call.Runs++
+				return err
+			}))
+			if err != nil {
+				t.Error(err)
+			}
+			if diff := cmp.Diff(c.want, models); diff != "" {
+				t.Errorf("models tried (-want +got):\n%s", diff)
+			}
+			left := 0
+			for budgets.TryWithdraw("lm", 0) {
+				left++
+			}
+			if left != c.wantLeft {
+				t.Errorf("%d retries are left, want %d", left, c.wantLeft)
+			}
+		})
+	}
+}
