Delivery: responses without end stay within the memory of an instance

What callers saw: the body of a failure that was longer than 1 MB was cut there and passed on as whole, with the seal of its upstream. 100 requests to an upstream whose bytes don't end held up to 149 MB of the 284 MB of an instance.

Cause: each attempt could hold 1 MB before it forwarded any of it, whatever the others held; a failure's body was read up to that bound and then taken for whole. Class: a bound on each of what only all together must keep, and a cut that looks complete.

Change: what all attempts hold before they forward it is bounded to an eighth of the memory; beyond it, a plain response is streamed from what was read, and an event is too long. Each may always hold 64 KB. A failure whose body is longer than that is an incomplete answer.

Evidence: TestBytesWithoutEnd plays 18 kinds of bytes without end (heads, interim responses, chunks, trailers, bodies, streams, trickles): body_of_a_failure failed before and passes; the others held before too: callers answered in time and truly, connections closed.

--- a/pkg/delivery/relay.go
+++ b/pkg/delivery/relay.go
@@ -88,11 +88,19 @@
 	// optional.
 	OnProgress func(c *request.Call, s request.Sample)
 
+	// BufferBytes bounds the bytes of responses that all attempts together hold before they forward them, beyond a small part that each may
+	// hold; 0 means no bound.
+	BufferBytes int64
+
+	buffers    bufferLimit
 	transports *transports
 }
 
 // Open prepares the relay; it must be called before the first call of Filter.
-func (r *Relay) Open() { r.transports = newTransports(r.Dial) }
+func (r *Relay) Open() {
+	r.buffers.total = r.BufferBytes
+	r.transports = newTransports(r.Dial)
+}
 
 // Close closes idle connections; calls in progress continue.
 func (r *Relay) Close() { r.transports.closeIdle() }
@@ -211,20 +219,32 @@
 
 // readFailure reads a 5xx response, so that the caller can get it if no other upstream succeeds.
 func (a *relayAttempt) readFailure(resp *http.Response, head request.Head) error {
-	body, err := a.readBody(resp)
+	// The body is kept while other upstreams are tried.
+	buffer := &responseBuffer{limit: &a.buffers, most: freeBufferBytes}
+	complete, err := a.readBody(resp, buffer)
 	if err != nil {
 		return err
 	}
-	head.Length = int64(len(body))
-	return &FailedResponse{Head: head, Body: body}
+	if !complete {
+		return &incompleteError{cause: errBodyTooLong}
+	}
+	head.Length = int64(len(buffer.bytes))
+	return &FailedResponse{Head: head, Body: buffer.bytes}
 }
 
-func (a *relayAttempt) readBody(resp *http.Response) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
-	if err != nil {
-		return nil, a.readError(err)
+// readBody reads the body of a response, and reports whether the buffer may hold all of it.
+func (a *relayAttempt) readBody(resp *http.Response, buffer *responseBuffer) (complete bool, err error) {
+	for {
+		full, err := buffer.read(resp.Body)
+		switch {
+		case full:
+			return false, nil
+		case errors.Is(err, io.EOF):
+			return true, nil
+		case err != nil:
+			return false, a.readError(err)
+		}
 	}
-	return b, nil
 }
 
 // readError returns the reason why reading a response ended early: the cancellation cause, or a truncated response.
@@ -235,18 +255,20 @@
 	return &incompleteError{cause: err}
 }
 
-// forwardBuffered reads the response to its end before forwarding it; the part beyond maxBufferedBytes is streamed.
+// forwardBuffered reads the response to its end before forwarding it; the part beyond what may be buffered is streamed.
 func (a *relayAttempt) forwardBuffered(resp *http.Response, head request.Head) error {
-	body, err := a.readBody(resp)
+	buffer := &responseBuffer{limit: &a.buffers, most: maxBufferedBytes}
+	defer buffer.release()
+	complete, err := a.readBody(resp, buffer)
 	if err != nil {
 		return err
 	}
 	a.firstByte = a.Clock.Now() - a.startedAt
-	complete := len(body) <= maxBufferedBytes
 	if complete {
-		head.Length = int64(len(body))
+		head.Length = int64(len(buffer.bytes))
 	}
-	return writeResponse(a.ctx, a.call, head, body, func() error {
+	return writeResponse(a.ctx, a.call, head, buffer.bytes, func() error {
+		buffer.release()
 		if complete {
 			return nil
 		}
--- a/pkg/delivery/stream.go
+++ b/pkg/delivery/stream.go
@@ -57,28 +57,25 @@
 func (a *relayAttempt) stream(resp *http.Response, head request.Head, stopFirstByteTimer func()) error {
 	pauseTimer := a.newPauseTimer()
 	defer pauseTimer.Stop()
-	buffer := make([]byte, 0, streamBufferBytes)
+	buffer := &responseBuffer{limit: &a.buffers, most: maxBufferedBytes}
+	defer buffer.release()
 	for {
-		if len(buffer) == cap(buffer) {
-			if len(buffer) >= maxBufferedBytes {
-				return errEventTooLong
-			}
-			buffer = append(buffer, make([]byte, len(buffer))...)[:len(buffer)]
+		full, err := buffer.read(resp.Body)
+		if full {
+			return errEventTooLong
 		}
-		n, err := resp.Body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		events, id, rest := splitEvents(buffer)
+		events, id, rest := splitEvents(buffer.bytes)
 		if len(events) > 0 {
 			stopFirstByteTimer()
 			pauseTimer.Stop()
 			if werr := a.forwardEvents(head, events, id); werr != nil {
 				return werr
 			}
-			buffer = buffer[:copy(buffer, rest)]
+			buffer.bytes = buffer.bytes[:copy(buffer.bytes, rest)]
 			a.resetPauseTimer(pauseTimer)
 		}
 		if errors.Is(err, io.EOF) {
-			return a.finishStream(head, buffer, isUnframed(resp))
+			return a.finishStream(head, buffer.bytes, isUnframed(resp))
 		}
 		if err != nil {
 			return a.readError(err)
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -19,6 +19,8 @@
 	kilobytesPerRequest = 128
 	// memoryFraction is the fraction of the memory available to requests.
 	memoryFraction = 0.5
+	// bufferFraction is the fraction of the memory that responses may hold before they are forwarded.
+	bufferFraction = 0.125
 	// keyAgeMargin is subtracted from the time for which a revoked key may still be used, to cover the time that a request takes to
 	// reach the upstream.
 	keyAgeMargin clock.Millis = 400
@@ -30,13 +32,14 @@
 func (in *Instance) filterChain() request.Handler {
 	budgets := in.retryBudgets()
 	in.relay = &delivery.Relay{
-		Clock:      in.Clock,
-		Log:        in.Log.WithName("delivery"),
-		Wire:       in.Wire,
-		Permit:     in.recheck,
-		Dial:       in.Dial,
-		Observe:    in.observe,
-		OnProgress: in.progress,
+		Clock:       in.Clock,
+		Log:         in.Log.WithName("delivery"),
+		Wire:        in.Wire,
+		Permit:      in.recheck,
+		Dial:        in.Dial,
+		Observe:     in.observe,
+		BufferBytes: int64(bufferFraction * float64(in.Settings.Machine.MemoryMegabytes<<20)),
+		OnProgress:  in.progress,
 		OnLimit: func(upstream string, limit request.NamedLimit, sentAt clock.Millis) {
 			in.limits.Observe(upstream, limit, sentAt, in.Clock.Now())
 		},
