Rollouts: answers in time count when they begin

Cause: with late answers known before they end, sound ones were known only at the end of their streams. While the share rose, the late ones of the first second stood alone, and the completion was held for doubt. Class: two counts that are compared, taken at different moments.

Change: an answer counts for lateness when it begins, or when it is late. Failures and the soundness still count at the end.

Evidence: TestAnswersInTimeCountWhenTheyBegin fails without the change.

--- a/pkg/rating/awaited.go
+++ b/pkg/rating/awaited.go
@@ -11,8 +11,8 @@
 	onTarget        bool
 	// lateAt is when an answer that has not begun is late, or 0 if that isn't known.
 	lateAt clock.Millis
-	// late is true once the attempt was counted as a late answer, and paced once its stream was counted.
-	late, paced bool
+	// begun is true once it was counted whether the answer began in time, late if it did not, and paced once the stream was counted.
+	begun, late, paced bool
 }
 
 // Await begins an attempt, whose answer counts as late from lateAt on even before it comes; 0 means that this isn't known.
@@ -27,11 +27,20 @@
 	return a
 }
 
-// Begun notes that the answer of an attempt has begun.
+// Begun counts an answer that has begun, and begun in time unless it was late before.
 func (c *Comparison) Begun(a *Awaited) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.awaited, a)
+	c.countBegun(a)
+}
+
+// countBegun counts once that it is known whether an answer began in time. The caller must hold mu.
+func (c *Comparison) countBegun(a *Awaited) {
+	if !a.begun {
+		a.begun = true
+		c.increment(countBegun, a.onTarget, a.route)
+	}
 }
 
 // Paced counts the stream of an attempt that is still running.
@@ -43,7 +52,11 @@
 }
 
 // Drop forgets an attempt; what was counted of it stays.
-func (c *Comparison) Drop(a *Awaited) { c.Begun(a) }
+func (c *Comparison) Drop(a *Awaited) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.awaited, a)
+}
 
 // Ended counts an attempt that has ended like RecordAttempt, but for what was counted before.
 func (c *Comparison) Ended(a *Awaited, result request.Result, slow bool) {
@@ -70,6 +83,7 @@
 		}
 		delete(c.awaited, a)
 		a.late = true
+		c.countBegun(a)
 		c.increment(countAnswers, a.onTarget, a.route)
 		c.countSlow(a)
 	}
--- a/pkg/rating/awaited_test.go
+++ b/pkg/rating/awaited_test.go
@@ -57,3 +57,22 @@
 		})
 	}
 }
+
+// Late answers were known at once and sound ones only at the end of their streams, so that a good release was doubted while its share rose.
+func TestAnswersInTimeCountWhenTheyBegin(t *testing.T) {
+	k := &Comparison{}
+	for range 300 {
+		k.RecordAttempt("a", "old", false, request.ResultComplete, false)
+	}
+	k.Advance(100)
+	for i := range 44 {
+		a := k.Await("a", "u", true, 1000)
+		if i >= 4 {
+			k.Begun(a)
+		}
+	}
+	k.Advance(1000)
+	if v := k.Verdict(); v.Doubt || v.Bad || v.Slow != 4 {
+		t.Errorf("verdict %+v with 40 of 44 answers begun in time, want neither doubt nor a bad release, and 4 late answers", v)
+	}
+}
--- a/pkg/rating/comparison.go
+++ b/pkg/rating/comparison.go
@@ -44,8 +44,10 @@
 // Kinds of counts and releases, as in a countKey.
 const (
 	countAnswers = "answers"
-	countFailed  = "failed"
-	countSlow    = "slow"
+	// countBegun counts the answers that began in time or were late, before they end.
+	countBegun  = "begun"
+	countFailed = "failed"
+	countSlow   = "slow"
 	// countStreams counts the streams whose time between tokens is known, and countSlowStreams those far slower than usual.
 	countStreams     = "streams"
 	countSlowStreams = "dragging"
@@ -90,6 +92,7 @@
 		// None of these is the release's doing, and an unreachable upstream is no reason to revert a release.
 		return
 	}
+	c.countBegun(a)
 	if !a.late {
 		c.increment(countAnswers, a.onTarget, a.route)
 	}
--- a/pkg/rating/comparison_recent.go
+++ b/pkg/rating/comparison_recent.go
@@ -52,7 +52,10 @@
 }
 
 // recentCounts are the answers that became known of both releases on a route.
-type recentCounts struct{ answers, errors, late, oldAnswers, oldErrors, oldLate float64 }
+type recentCounts struct {
+	answers, begun, errors, late             float64
+	oldAnswers, oldBegun, oldErrors, oldLate float64
+}
 
 // add adds answers to the test; wholeRate is the rate of the old release over the whole time.
 func (t *recentTest) add(now clock.Millis, answers, bad, oldAnswers, oldBad, wholeRate float64, bounded bool) {
@@ -175,10 +178,10 @@
 		}
 		w := whole[route]
 		t.errors.add(now, n.answers, n.errors, n.oldAnswers, n.oldErrors, w.errors, false)
-		t.late.add(now, n.answers, n.late, n.oldAnswers, n.oldLate, w.late, true)
+		t.late.add(now, n.begun, n.late, n.oldBegun, n.oldLate, w.late, true)
 		t.lateBurst.add(now, n.late)
 		addDoubt(&t.errorsDoubt, n.answers, n.errors, w.errors)
-		addDoubt(&t.lateDoubt, n.answers, n.late, w.late)
+		addDoubt(&t.lateDoubt, n.begun, n.late, w.late)
 	}
 }
 
@@ -190,13 +193,15 @@
 }
 
 func (n *recentCounts) add(kind string, onTarget bool, more float64) {
-	answers, errors, late := &n.oldAnswers, &n.oldErrors, &n.oldLate
+	answers, begun, errors, late := &n.oldAnswers, &n.oldBegun, &n.oldErrors, &n.oldLate
 	if onTarget {
-		answers, errors, late = &n.answers, &n.errors, &n.late
+		answers, begun, errors, late = &n.answers, &n.begun, &n.errors, &n.late
 	}
 	switch kind {
 	case countAnswers:
 		*answers += more
+	case countBegun:
+		*begun += more
 	case countErrors:
 		*errors += more
 	case countSlow:
@@ -235,7 +240,7 @@
 	}
 	rates := make(map[string]oldRates, len(counts))
 	for route, n := range counts {
-		rates[route] = oldRates{errors: n.oldErrors / math.Max(1, n.oldAnswers), late: n.oldLate / math.Max(1, n.oldAnswers)}
+		rates[route] = oldRates{errors: n.oldErrors / math.Max(1, n.oldAnswers), late: n.oldLate / math.Max(1, n.oldBegun)}
 	}
 	return rates
 }
