Rollouts: retries say nothing of a release before they end either

Cause: an attempt of a call of which another attempt had failed was counted as begun in time, though it isn't judged; such attempts thinned out the late ones. TestRetriesSayNothingOfARelease fails without the change.

--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -101,7 +101,7 @@
 // failed: some requests fail at any upstream, and their retries would count several times. An attempt that was ended because its
 // upstream was silent is a late answer, and a failure without an answer is an answer cut off.
 func releaseEvidence(c *request.Call, s request.Sample, slow bool) (result request.Result, isSlow, ok bool) {
-	if len(c.Excluded) > 0 {
+	if isRetry(c) {
 		return "", false, false
 	}
 	if s.Result != request.ResultFailed || s.Answered {
@@ -113,6 +113,9 @@
 	return request.ResultCut, false, true
 }
 
+// isRetry reports whether another attempt of the call has failed.
+func isRetry(c *request.Call) bool { return len(c.Excluded) > 0 }
+
 // gaveUpWaiting reports whether an attempt without an answer was ended because its upstream was silent for too long.
 func gaveUpWaiting(c *request.Call, s request.Sample) bool {
 	return s.FirstToken > 0 || c.FirstByteTimeout > 0 && s.Total >= c.FirstByteTimeout || s.At >= c.Request.Deadline
@@ -122,8 +125,11 @@
 func (in *Instance) recordSend(c *request.Call, rollout *catalogue.ReleaseRollout, onTarget bool) (ended func()) {
 	k := in.comparisonOf(rollout.Service, rollout.Target)
 	k.RecordSend(onTarget)
+	if isRetry(c) {
+		return func() {}
+	}
 	var lateAt clock.Millis
-	if after, known := in.latencies.SlowAfter(latencyKey(c)); known && len(c.Excluded) == 0 {
+	if after, known := in.latencies.SlowAfter(latencyKey(c)); known {
 		lateAt = in.Clock.Now() + after
 	}
 	a := k.Await(c.Route.Name, c.Upstream.Name, onTarget, lateAt)
--- a/pkg/gateway/observe_test.go
+++ b/pkg/gateway/observe_test.go
@@ -3,6 +3,11 @@
 import (
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/dispatch"
 	"carawayknot.example/carawayknot/pkg/request"
 )
 
@@ -41,3 +46,37 @@
 		})
 	}
 }
+
+// Retries that began in time were counted beside the answers that are judged, and thinned out the late ones.
+func TestRetriesSayNothingOfARelease(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		excluded []string
+		want     int
+	}{
+		{"a first attempt", nil, 1},
+		{"a retry", []string{"u1"}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			in := &Instance{
+				Clock: clock.NewManual(0), latencies: &dispatch.LatencyTracker{}, comparisons: map[string]*comparison{}, awaited: map[*request.Call]awaited{},
+			}
+			rollout := &catalogue.ReleaseRollout{ReleaseOrder: catalogue.ReleaseOrder{Service: "lm", Target: "v2"}}
+			call := &request.Call{
+				Request: &request.Request{}, Route: &catalogue.Route{Name: "a"}, Upstream: &catalogue.Upstream{Name: "u2"}, Excluded: c.excluded,
+			}
+			ended := in.recordSend(call, rollout, true)
+			in.progress(call, request.Sample{FirstToken: 10})
+			counts := map[string]float32{}
+			in.comparisonOf("lm", "v2").AddOwnCounts("", counts)
+			// The send itself is counted in both cases.
+			if diff := cmp.Diff(c.want+1, len(counts)); diff != "" {
+				t.Errorf("counts %v (-want +got):\n%s", counts, diff)
+			}
+			ended()
+			if diff := cmp.Diff(0, len(in.awaited)); diff != "" {
+				t.Errorf("attempts under way (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
