Delivery: a resumed stream without framing and events is not the end of an answer

Cause: an upstream reset the stream, and the one that went on with it ended its connection without an event and without framing. Only a call that had no event yet took that for a cut; a resumed one took it for the end. Class: the end of a connection is taken for the end of an answer.

Change: once an answer has begun here, such a response is incomplete and another upstream is tried. A caller's own resume after its last event may still get an empty response.

Evidence: TestBegunStreamIsNotEndedByAnEmptyUnframedOne fails without the change and passes with it; the seed is kept.

--- a/pkg/delivery/stream.go
+++ b/pkg/delivery/stream.go
@@ -147,7 +147,7 @@
 	if len(bytes.TrimSpace(rest)) > 0 {
 		return &incompleteError{cause: errPartialEvent}
 	}
-	if unframed && a.firstByte == 0 && a.call.LastEventID == "" {
+	if unframed && a.firstByte == 0 && (a.call.LastEventID == "" || a.call.HeadWritten) {
 		return &incompleteError{cause: errNoEvent}
 	}
 	if err := a.forwardHead(head); err != nil {
--- a/pkg/gateway/persistence_test.go
+++ b/pkg/gateway/persistence_test.go
@@ -113,3 +113,21 @@
 	fresh := &scriptedChain{budgets: newBudget(x.share, x.deposits+1, clock.NewReal().Now())}
 	return fresh.retriesLeft()
 }
+
+// A begun stream was taken for whole when the upstream that went on with it ended its connection without an event and without framing.
+func TestBegunStreamIsNotEndedByAnEmptyUnframedOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newScriptedChain(resumableStream, fourUpstreams, func(_ string, n int, conn net.Conn, req *http.Request) {
+			switch n {
+			case 1:
+				cutAfterFirstEvent(conn)
+			case 2:
+				_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
+			default:
+				serveEvents(conn, req, 90, 0, 0)
+			}
+		})
+		took, err := x.handle(t.Context(), 0)
+		x.expectWhole(t, took, err)
+	})
+}
