Delivery: responses hold a sixteenth of the memory before they are forwarded

While a buffer grows, the old and the new one are held both, and the detector adds to each. The bound stays; what all attempts may hold is halved.

--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -20,7 +20,7 @@
 	// memoryFraction is the fraction of the memory available to requests.
 	memoryFraction = 0.5
 	// bufferFraction is the fraction of the memory that responses may hold before they are forwarded.
-	bufferFraction = 0.125
+	bufferFraction = 0.0625
 	// keyAgeMargin is subtracted from the time for which a revoked key may still be used, to cover the time that a request takes to
 	// reach the upstream.
 	keyAgeMargin clock.Millis = 400
