Rollouts and retry budget: what stood twice or was not needed

No change of behaviour. Attempts that are not awaited were registered to be dropped at once, and RecordAttempt and RecordStream served tests alone: they record those attempts again. A reserved retry has one flag, which needs no lock of its own. MinSoundness is the constant that a function returned. A wrapper of a test that only passed on its arguments is gone; the assertions are the same.

--- a/pkg/dispatch/named_limits.go
+++ b/pkg/dispatch/named_limits.go
@@ -27,7 +27,8 @@
 	// limitNewsDelay is how long an instance keeps the limit that an answer named although no other one reports it; the news takes two
 	// load reports.
 	limitNewsDelay clock.Millis = 1500
-	// maxLimitedRetryAfter bounds the Retry-After of a call that is refused because all upstreams have named limits.
+	// minLimitedRetryAfter and maxLimitedRetryAfter bound the Retry-After of a call that is refused because all upstreams have named limits.
+	minLimitedRetryAfter clock.Millis = 100
 	maxLimitedRetryAfter clock.Millis = 5 * clock.Second
 	// minHolderRate is the least rate of an instance, in requests a second, so that the end of a limit of 0 is seen.
 	minHolderRate = 0.05
@@ -252,9 +253,6 @@
 	return request.Refuse(request.ReasonNoUpstream, retryAfter, "all upstreams of %s have named limits that are used up", service)
 }
 
-// minLimitedRetryAfter is the shortest Retry-After of such a call.
-const minLimitedRetryAfter clock.Millis = 100
-
 // Kinds of items by which instances share limits.
 const (
 	limitItem       = "limit "
--- a/pkg/dispatch/retry_budget_test.go
+++ b/pkg/dispatch/retry_budget_test.go
@@ -60,7 +60,7 @@
 			}
 			b := budgets[i]
 			b.Deposit("lm", clk.Now())
-			for try := 0; try < maxRetries && rng.Float64() < d.failing(at) && tryDayRetry(b, clk); try++ {
+			for try := 0; try < maxRetries && rng.Float64() < d.failing(at) && b.TryWithdraw("lm", clk.Now()); try++ {
 				counts.retries[step]++
 			}
 		}
@@ -73,8 +73,6 @@
 	return &RetryBudgets{Share: dayRatio, Window: dayWindow, Slack: daySlack, Members: func() int { return members }, StartedAt: clk.Now()}
 }
 
-func tryDayRetry(b *RetryBudgets, clk *clock.Manual) bool { return b.TryWithdraw("lm", clk.Now()) }
-
 // worstWindow returns the beginning of the window that exceeds its retries by most, and by how many.
 func (c *retryCounts) worstWindow() (at clock.Millis, excess float64) {
 	n := int(dayWindow / dayStep)
--- a/pkg/dispatch/retry_budgets.go
+++ b/pkg/dispatch/retry_budgets.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"carawayknot.example/carawayknot/pkg/clock"
 )
@@ -82,14 +83,13 @@
 // ReservedRetry is a retry that was set aside before the attempt that it replaces was given up; it is safe for concurrent use.
 type ReservedRetry struct {
 	budget *RetryBudget
-
-	mu   sync.Mutex
-	done bool
+	// done is true once the retry was used or returned.
+	done atomic.Bool
 }
 
 // Use counts the retry as sent and reports whether it was still reserved.
 func (r *ReservedRetry) Use(now clock.Millis) bool {
-	if !r.finish() {
+	if r.done.Swap(true) {
 		return false
 	}
 	r.budget.UseReserved(now)
@@ -98,16 +98,7 @@
 
 // Close returns the retry to its budget unless it was used; r may be nil.
 func (r *ReservedRetry) Close() {
-	if r != nil && r.finish() {
+	if r != nil && !r.done.Swap(true) {
 		r.budget.Release()
 	}
 }
-
-// finish ends the reservation and reports whether it had not ended before.
-func (r *ReservedRetry) finish() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	ended := r.done
-	r.done = true
-	return !ended
-}
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -42,18 +42,23 @@
 		// A quarantined prompt crashes upstreams of any release.
 		return
 	}
-	k, a := in.awaitedOf(c)
-	if a == nil {
-		k = in.comparisonOf(rollout.Service, rollout.Target)
-		a = k.Await(c.Route.Name, s.Upstream, onTarget, 0)
+	result, slow, ok := releaseEvidence(c, s, slow)
+	if k, a := in.awaitedOf(c); a != nil {
+		if ok {
+			k.Ended(a, result, slow)
+		}
+		if s.Gap > 0 {
+			k.EndedStream(a, slowStream)
+		}
+		return
 	}
-	if result, slow, ok := releaseEvidence(c, s, slow); ok {
-		k.Ended(a, result, slow)
+	k := in.comparisonOf(rollout.Service, rollout.Target)
+	if ok {
+		k.RecordAttempt(c.Route.Name, s.Upstream, onTarget, result, slow)
 	}
 	if s.Gap > 0 {
-		k.EndedStream(a, slowStream)
+		k.RecordStream(c.Route.Name, s.Upstream, onTarget, slowStream)
 	}
-	k.Drop(a)
 }
 
 // latencyKey returns the model or route by which the latency of a call's answer is known, and the tokens that are read before it begins.
@@ -89,7 +94,7 @@
 	attempt    *rating.Awaited
 }
 
-// awaitedOf returns the attempt of a call that is under way, or nil if the rollout began after it.
+// awaitedOf returns the attempt of a call that is under way, or nil if the rollout began after it or it is a retry.
 func (in *Instance) awaitedOf(c *request.Call) (*comparison, *rating.Awaited) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
--- a/pkg/gateway/rollout.go
+++ b/pkg/gateway/rollout.go
@@ -143,7 +143,7 @@
 // started during the rollout doesn't know how many requests there were before.
 func soundnessNeeded(b rating.ExposureBudget, e rating.Exposure, rollout *catalogue.ReleaseRollout, instanceStart clock.Millis) float64 {
 	if instanceStart > rollout.StartedAt {
-		return rating.FullSoundness()
+		return rating.MinSoundness
 	}
 	return b.SoundnessNeeded(e)
 }
--- a/pkg/rating/cusum.go
+++ b/pkg/rating/cusum.go
@@ -83,8 +83,13 @@
 func (t *rateTest) addAgainst(n, bad int64, p0, p1 float64) {
 	t.n += n
 	t.bad += bad
-	t.sum += float64(bad)*math.Log(p1/p0) + float64(n-bad)*math.Log((1-p1)/(1-p0))
+	t.sum += badEvidence(float64(n), float64(bad), p0, p1)
 	if t.sum <= 0 {
 		*t = rateTest{}
 	}
 }
+
+// badEvidence returns the log likelihood ratio of a rate of p1 against one of p0, for n attempts of which some are bad.
+func badEvidence(n, bad, p0, p1 float64) float64 {
+	return bad*math.Log(p1/p0) + (n-bad)*math.Log((1-p1)/(1-p0))
+}
--- a/pkg/rating/soundness_test.go
+++ b/pkg/rating/soundness_test.go
@@ -16,10 +16,10 @@
 		least, most          float64
 	}{
 		{name: "no answers", least: 0, most: 0},
-		{name: "a few sound answers", good: 5, least: 1, most: minSoundness},
-		{name: "enough sound answers", good: 12, least: minSoundness, most: 4},
-		{name: "one failure among few", good: 9, failed: 1, least: 0, most: minSoundness},
-		{name: "as many failures as the old release", good: 43, failed: 7, oldGood: 86, oldFailed: 14, least: minSoundness, most: 20},
+		{name: "a few sound answers", good: 5, least: 1, most: MinSoundness},
+		{name: "enough sound answers", good: 12, least: MinSoundness, most: 4},
+		{name: "one failure among few", good: 9, failed: 1, least: 0, most: MinSoundness},
+		{name: "as many failures as the old release", good: 43, failed: 7, oldGood: 86, oldFailed: 14, least: MinSoundness, most: 20},
 		{name: "late answers", good: 8, late: 2, least: -20, most: 0},
 		{name: "slow streams", good: 12, streams: 6, slowStreams: 4, least: -20, most: 1},
 		{name: "failures", good: 10, failed: 10, least: -30, most: -5},
@@ -56,7 +56,7 @@
 	}{
 		{"no requests", Exposure{}, 0},
 		{"a few requests", Exposure{Requests: 40}, 1.44},
-		{"many requests", Exposure{Requests: 4000}, minSoundness},
+		{"many requests", Exposure{Requests: 4000}, MinSoundness},
 	} {
 		if got := b.SoundnessNeeded(c.e); math.Abs(got-c.want) > 1e-9 {
 			t.Errorf("%s: %.3f needed, want %.3f", c.name, got, c.want)
