Failing test: a request crashes one upstream after the other each time it comes again

TestCrashingRequestStopsAfterAFewUpstreams plays it without the bench: 7 instances, 4 or 12 upstreams that are back after 4 s, one request (same path, caller and body) five times a second among sound ones; plain, not repeatable, beside a request that is polled, two at once, and a whole prompt.

--- a/pkg/dispatch/crash_simulation_test.go
+++ b/pkg/dispatch/crash_simulation_test.go
@@ -66,12 +66,15 @@
 	wg        sync.WaitGroup
 
 	seed uint64
+	// countedCrashes is the number of crashes from which sends are counted; the sends later than contact after it are bounded.
+	countedCrashes int
 
 	mu        sync.Mutex
 	upstreams map[string]*crashUpstream
 	started   int
-	crashing  map[string]bool
-	// ends has the times at which upstreams ended under a part, sends those at which requests with it reached upstreams.
+	// crashing has the parts of prompts and the bodies under which upstreams crash.
+	crashing map[string]bool
+	// ends has the times at which upstreams ended under a part or body, sends those at which requests with it reached upstreams.
 	ends  map[string][]clock.Millis
 	sends map[string][]crashSend
 	sound []soundRequest
@@ -83,10 +86,11 @@
 	inTouch bool
 }
 
-// soundRequest is a request without a crashing part; begun is true if its first attempt had a first event.
+// soundRequest is a request without a crashing part; begun is true if its first attempt had a first event, quarantined if it was refused
+// for a quarantine.
 type soundRequest struct {
-	at    clock.Millis
-	begun bool
+	at                 clock.Millis
+	begun, quarantined bool
 }
 
 // crashInstance is one instance; it exchanges nothing while isolated is true.
@@ -100,7 +104,7 @@
 
 func newCrashFleet(t *testing.T, seed uint64, instances, upstreams int) *crashFleet {
 	f := &crashFleet{
-		t: t, clock: bubbleClock{start: time.Now()}, seed: seed, upstreams: map[string]*crashUpstream{},
+		t: t, clock: bubbleClock{start: time.Now()}, seed: seed, countedCrashes: maxCrashes, upstreams: map[string]*crashUpstream{},
 		crashing: map[string]bool{}, ends: map[string][]clock.Millis{}, sends: map[string][]crashSend{},
 	}
 	s := &catalogue.Snapshot{
@@ -261,7 +265,18 @@
 	return time.Duration((float64(from) + float64(to-from)*f.draw(key...)) * float64(time.Millisecond))
 }
 
-// arrive returns the upstream of an attempt, or nil if it is down, and the crashing part of the call.
+// crashKeys returns what upstreams may crash under: the parts of the prompt, or the body.
+func crashKeys(q *request.Request) []string {
+	var keys []string
+	if q.Prompt != nil {
+		for _, p := range q.Prompt.Parts {
+			keys = append(keys, p.ID)
+		}
+	}
+	return append(keys, string(q.Body))
+}
+
+// arrive returns the upstream of an attempt, or nil if it is down, and the crashing part or body of the call.
 func (f *crashFleet) arrive(in *crashInstance, c *request.Call) (*crashUpstream, string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -269,12 +284,12 @@
 	if u == nil || u.down {
 		return nil, ""
 	}
-	for _, p := range c.Request.Prompt.Parts {
-		if f.crashing[p.ID] {
+	for _, key := range crashKeys(c.Request) {
+		if f.crashing[key] {
 			now := f.clock.Now()
 			inTouch := !in.isolated.Load() && now-clock.Millis(in.contactSince.Load()) >= contact
-			f.sends[p.ID] = append(f.sends[p.ID], crashSend{at: now, inTouch: inTouch})
-			return u, p.ID
+			f.sends[key] = append(f.sends[key], crashSend{at: now, inTouch: inTouch})
+			return u, key
 		}
 	}
 	return u, ""
@@ -307,6 +322,9 @@
 		c.OnFirstEvent()
 	}
 	c.HeadWritten = true
+	if !c.Route.Streaming {
+		return nil
+	}
 	select {
 	case <-time.After(f.delay(300, 900, "write", c.Request.ID, c.Runs)):
 		return nil
@@ -316,18 +334,23 @@
 	}
 }
 
-// call sends a request with the parts to an instance, and returns its error and whether its first attempt began.
-func (f *crashFleet) call(in *crashInstance, id string, parts ...string) (begun bool, err error) {
+// promptOf returns a call of a streaming route whose prompt has the parts and one of its own.
+func (f *crashFleet) promptOf(id string, parts ...string) *request.Call {
 	p := &request.Prompt{Tokens: 400}
-	for _, part := range append(parts, "last of "+id) {
+	for _, part := range append(slices.Clone(parts), "last of "+id) {
 		p.Parts = append(p.Parts, request.PromptPart{ID: part, Tokens: 200})
 	}
-	c := &request.Call{
-		Request: &request.Request{ID: id, Deadline: f.clock.Now() + 8000, Prompt: p},
+	return &request.Call{
+		Request: &request.Request{ID: id, Prompt: p, Body: []byte("prompt of " + id)},
 		Route: &catalogue.Route{
 			Name: "ask", Streaming: true, Resumable: true, MaxAttempts: 3, Target: 2000, Affinity: true, Split: []catalogue.Split{{Service: "lm", Weight: 1}},
 		},
 	}
+}
+
+// call sends a call to an instance, and returns its error and whether its first attempt began.
+func (f *crashFleet) call(in *crashInstance, c *request.Call) (begun bool, err error) {
+	c.Request.Deadline = f.clock.Now() + 8000
 	err = in.Filter(context.Background(), c, request.HandlerFunc(func(_ context.Context, c *request.Call) error {
 		onFirstEvent := c.OnFirstEvent
 		c.OnFirstEvent = func() {
@@ -348,18 +371,28 @@
 
 // sendEvery sends requests with the parts to random instances, perSecond on average, for some time.
 func (f *crashFleet) sendEvery(perSecond float64, lasting time.Duration, sound bool, parts func(i int) []string) {
+	f.callEvery(perSecond, lasting, sound, func(i int) *request.Call {
+		p := parts(i)
+		return f.promptOf(fmt.Sprint(p, i), p...)
+	})
+}
+
+// callEvery sends calls to random instances, perSecond on average, for some time.
+func (f *crashFleet) callEvery(perSecond float64, lasting time.Duration, sound bool, next func(i int) *request.Call) {
 	f.wg.Go(func() {
 		until := time.Now().Add(lasting)
 		for i := 0; time.Now().Before(until); i++ {
-			p := parts(i)
-			time.Sleep(f.delay(0, int(2000/perSecond), "sent", p, i))
-			at, in := f.clock.Now(), f.anyInstance("instance", p, i)
+			c := next(i)
+			time.Sleep(f.delay(0, int(2000/perSecond), "sent", c.Request.ID))
+			at, in := f.clock.Now(), f.anyInstance("instance", c.Request.ID)
 			f.wg.Go(func() {
-				begun, _ := f.call(in, fmt.Sprint(p, i), p...)
+				begun, err := f.call(in, c)
 				if sound {
 					f.mu.Lock()
 					defer f.mu.Unlock()
-					f.sound = append(f.sound, soundRequest{at: at, begun: begun})
+					var r *request.Refusal
+					quarantined := errors.As(err, &r) && r.Reason == request.ReasonQuarantined
+					f.sound = append(f.sound, soundRequest{at: at, begun: begun, quarantined: quarantined})
 				}
 			})
 		}
@@ -385,9 +418,9 @@
 		if len(ends) == 0 {
 			continue
 		}
-		n := min(len(ends), maxCrashes) - 1
+		n := min(len(ends), f.countedCrashes) - 1
 		from = max(from, ends[n]+2*contact)
-		if n < maxCrashes-1 {
+		if n < f.countedCrashes-1 {
 			continue
 		}
 		late := 0
@@ -397,7 +430,7 @@
 			}
 		}
 		if late > maxLateSends {
-			f.t.Errorf("%s: %d requests of instances in touch reached upstreams later than %d ms after the fifth crash, want at most %d", part, late, contact, maxLateSends)
+			f.t.Errorf("%s: %d requests of instances in touch reached upstreams later than %d ms after crash %d, want at most %d", part, late, contact, f.countedCrashes, maxLateSends)
 		}
 	}
 	all, begun := 0, 0
