Requests that crash upstreams are quarantined whenever they come again

Cause: the quarantine knew only the parts that prompts share. A plain request has none, and the last part of a prompt, which is the request's own, was left out, so that each attempt began anew at any instance. The class: the blame lies on what many requests share because the request itself is no subject. It is the same where a whole prompt crashes upstreams: its shared part was refused to sound prompts.

Change: - The subject of a crash is the request: a fingerprint of workspace, method, host, target and body, alike on all instances. Two upstreams in a row quarantine it, three one that was answered here before. Evidence is exchanged and cleared like that of parts. - Its first probe comes after 0.6 s, since it may have been in bad company twice; the next after 30 s, 8 min, and so on. - A part is blamed once upstreams have crashed under two different requests with it; one request that crashes again tells of itself. - Lost plain requests no longer count as lost prompts when an outage is recognised. - Log lines name the subject of a crash; new gauge carawayknot_quarantined_requests.

Tests on parts sent one request again and again, which now is the request's own quarantine: they send different requests with the part. Their bound on upstreams lost goes from 2 to 3, since the first request with a part may end two and no longer suffices against a part; none after the quarantine stays. BenchmarkDispatchPrompt had no clock and panicked.

--- a/pkg/dispatch/crash_exchange.go
+++ b/pkg/dispatch/crash_exchange.go
@@ -10,24 +10,24 @@
 	return out
 }
 
-func firstParts(parts []*crashPart, n int) []CrashEvidence {
-	parts = parts[:min(n, len(parts))]
-	evidence := make([]CrashEvidence, len(parts))
-	for i, p := range parts {
+func firstSubjects(subjects []*crashSubject, n int) []CrashEvidence {
+	subjects = subjects[:min(n, len(subjects))]
+	evidence := make([]CrashEvidence, len(subjects))
+	for i, p := range subjects {
 		evidence[i] = p.CrashEvidence
 	}
 	return evidence
 }
 
-// AddOwn adds the suspect parts and those cleared lately to the items of a load report.
+// AddOwn adds the suspect subjects and those cleared lately to the items of a load report.
 func (s *CrashSuspects) AddOwn(items map[string]float32) {
 	now := s.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dropExpired(now)
-	for _, e := range firstParts(s.byPriority(func(p *crashPart) bool {
+	for _, e := range firstSubjects(s.byPriority(func(p *crashSubject) bool {
 		return p.suspect() || p.Crashes == 0 && p.wasSuspect && now-p.changedAt <= reportClearedFor
-	}), maxReportedParts) {
+	}), maxReportedSubjects) {
 		items[e.key()] = 1
 	}
 }
@@ -49,11 +49,11 @@
 func (s *CrashSuspects) News() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	untold := s.byPriority(func(p *crashPart) bool { return p.untold })
+	untold := s.byPriority(func(p *crashSubject) bool { return p.untold })
 	for _, p := range untold {
 		p.untold = false
 	}
-	return keys(firstParts(untold, maxRumorParts))
+	return keys(firstSubjects(untold, maxRumorSubjects))
 }
 
 // Hear merges the news of another instance, and returns what this instance knows better.
@@ -72,18 +72,19 @@
 	now := s.Clock.Now()
 	s.mu.Lock()
 	news := false
-	for _, e := range evidence[:min(len(evidence), maxCrashParts/2)] {
+	for _, e := range evidence[:min(len(evidence), maxCrashSubjects/2)] {
 		e.Crashes = min(e.Crashes, maxCrashCount)
-		if s.parts[e.Part] == nil && e == (CrashEvidence{Part: e.Part}) {
+		if s.subjects[e.Subject] == nil && e == (CrashEvidence{Subject: e.Subject}) {
 			continue
 		}
-		p := s.part(e.Part, now)
-		switch c := e.compare(p.CrashEvidence); {
-		case c > 0:
-			s.set(p, e, now)
+		p := s.subject(e.Subject, now)
+		together := p.merge(e)
+		if together != p.CrashEvidence {
+			s.set(p, together, now)
 			news = true
 			s.logSuspect(p, "peer")
-		case c < 0 && len(newer) < maxRumorParts:
+		}
+		if together != e && len(newer) < maxRumorSubjects {
 			newer = append(newer, p.key())
 		}
 	}
--- a/pkg/dispatch/crash_watch.go
+++ b/pkg/dispatch/crash_watch.go
@@ -15,7 +15,7 @@
 
 // attempt follows one attempt of a call: its work is pending until its answer begins, and its prompt is watched until it ends.
 type attempt struct {
-	PromptWatch
+	SuspectWatch
 	loads    *LoadTracker
 	upstream *catalogue.Upstream
 	work     float64
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -36,7 +36,7 @@
 	Latency *LatencyTracker
 	// Limits keeps the limits that upstreams named; nil keeps none.
 	Limits *NamedLimits
-	// Suspects quarantines parts of prompts under which upstreams crash; nil quarantines none.
+	// Suspects quarantines requests, and parts of prompts, under which upstreams crash; nil quarantines none.
 	Suspects *CrashSuspects
 }
 
@@ -72,7 +72,7 @@
 // tryUpstream sends the call to one upstream, and reports whether it may be tried again.
 func (f *Dispatch) tryUpstream(ctx context.Context, c *request.Call, p *callProgress, next request.Handler) (again bool, err error) {
 	a := &attempt{loads: f.Loads}
-	if refusal := f.Suspects.Admit(&a.PromptWatch, c); refusal != nil {
+	if refusal := f.Suspects.Admit(&a.SuspectWatch, c); refusal != nil {
 		return false, refusal
 	}
 	u, refusal := f.choose(c)
@@ -155,7 +155,7 @@
 	case r.Outcome != request.NotRun && c.Runs >= c.Route.MaxAttempts:
 		return "attempt limit reached"
 	case suspect != "":
-		return "upstreams crashed under the prompt part " + suspect
+		return "upstreams crashed under the " + suspect
 	case p.crashes >= maxCrashesPerRequest && !c.HeadWritten:
 		return "upstreams crashed under the request"
 	case c.HeadWritten && !c.Route.Resumable:
--- a/pkg/gateway/admin.go
+++ b/pkg/gateway/admin.go
@@ -36,7 +36,7 @@
 	InstanceReads map[archive.TopicName]int64
 	// Limits has the limits that upstreams named.
 	Limits map[string]dispatch.LimitState
-	// Crashes counts crashes under prompts and the work of the quarantine.
+	// Crashes counts crashes under requests and the work of the quarantine.
 	Crashes dispatch.CrashStats
 }
 
@@ -64,19 +64,22 @@
 	return d
 }
 
-// registerCrashMetrics registers the metrics of the quarantine of prompt parts.
+// registerCrashMetrics registers the metrics of the quarantine.
 func (in *Instance) registerCrashMetrics() {
 	for _, c := range []struct {
 		name, help string
 		read       func(s dispatch.CrashStats) int64
 	}{
-		{"carawayknot_prompt_crashes_total", "Upstreams that ended before they began to answer a prompt.", func(s dispatch.CrashStats) int64 { return s.Crashes }},
-		{"carawayknot_quarantine_probes_total", "Requests with a quarantined prompt part that were sent as probes.", func(s dispatch.CrashStats) int64 { return s.Probes }},
-		{"carawayknot_quarantine_refusals_total", "Requests refused for a quarantined prompt part.", func(s dispatch.CrashStats) int64 { return s.Refused }},
-		{"carawayknot_quarantine_cleared_total", "Quarantined prompt parts cleared by an answer here.", func(s dispatch.CrashStats) int64 { return s.Cleared }},
+		{"carawayknot_prompt_crashes_total", "Upstreams that ended before they began to answer a request.", func(s dispatch.CrashStats) int64 { return s.Crashes }},
+		{"carawayknot_quarantine_probes_total", "Quarantined requests, or requests with a quarantined prompt part, that were sent as probes.", func(s dispatch.CrashStats) int64 { return s.Probes }},
+		{"carawayknot_quarantine_refusals_total", "Requests refused because they, or a part of their prompt, are quarantined.", func(s dispatch.CrashStats) int64 { return s.Refused }},
+		{"carawayknot_quarantine_cleared_total", "Quarantined requests and prompt parts cleared by an answer here.", func(s dispatch.CrashStats) int64 { return s.Cleared }},
 	} {
 		in.metrics.RegisterCounter(c.name, c.help, func() float64 { return float64(c.read(in.suspects.Stats())) })
 	}
+	in.metrics.RegisterGauge("carawayknot_quarantined_requests", "Requests in quarantine, which are refused when they come again.", func() float64 {
+		return float64(in.suspects.Stats().QuarantinedRequests)
+	})
 	in.metrics.RegisterGauge("carawayknot_quarantined_prompt_parts", "Prompt parts in quarantine.", func() float64 {
 		return float64(in.suspects.Stats().Quarantined)
 	})
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -209,7 +209,7 @@
 	), in.network.Register(membership.RumorsName, in.rumors))
 }
 
-// buildSuspects creates the quarantine of prompt parts and the exchange of its news.
+// buildSuspects creates the quarantine of requests and prompt parts, and the exchange of its news.
 func (in *Instance) buildSuspects() {
 	members := func() []catalogue.Member { return in.control.Snapshot().Members }
 	in.suspects = &dispatch.CrashSuspects{Clock: in.Clock, Log: in.Log.WithName("dispatch"), Self: in.self.Name, Members: members}
--- a/pkg/request/outcome.go
+++ b/pkg/request/outcome.go
@@ -46,7 +46,7 @@
 	ReasonDeadline   Reason = "Deadline"
 	ReasonNoVersion  Reason = "NoVersion"
 	ReasonNoUpstream Reason = "NoUpstream"
-	// ReasonQuarantined means that upstreams crashed under a part of the prompt, which is not sent for a while.
+	// ReasonQuarantined means that upstreams crashed under the request or a part of its prompt, which is not sent for a while.
 	ReasonQuarantined Reason = "Quarantined"
 	// ReasonStaleView means that the configuration snapshot of the instance is too old to decide on.
 	ReasonStaleView Reason = "StaleView"
