Calls go through another instance while their own reaches no upstream

Cause: each instance's own links were its only way. The class: a part that fails takes its callers along although others of its kind could serve them. Where connections hang, one wait to connect of 1.2 s took all the time that a short call has.

Change: - pkg/detour notes which services are not reached: two upstreams or a third of the listed ones, one after the other, none in between. Their calls go to another instance's caller address as the caller sent them, spread over all instances; that one decides on key, route, upstream, retries and limits. It needs no trust beyond the caller's own key. - One hop: a call that was handed over goes no further, and an instance that is cut off itself declines it at once; the next is tried, three at most. Where none helps, the own links are tried as before. - A stream that has begun goes on there with the last event that its caller has. A refusal without the id that upstreams echo is the other instance's own promise; 502 and 504 promise nothing. - Requests of other instances are taken up to half of the limit of requests in flight. - The way back: one attempt to connect each 400 ms, two in a row. - Connecting to an upstream takes 400 ms at most, to the store 1.2 s as before.

--- a/pkg/catalogue/snapshot.go
+++ b/pkg/catalogue/snapshot.go
@@ -76,9 +76,11 @@
 type Member struct {
 	Name        string
 	PeerAddress string
-	Zone        string
-	Incarnation int64
-	Leaving     bool
+	// CallerAddress is where the instance takes requests of callers; it is empty if an older version has registered it.
+	CallerAddress string
+	Zone          string
+	Incarnation   int64
+	Leaving       bool
 }
 
 // Health has the rating and latency statistics of a version for a task.
--- a/pkg/delivery/conn.go
+++ b/pkg/delivery/conn.go
@@ -18,6 +18,8 @@
 type exchange struct {
 	// permit is called right before the first byte; its error stops the exchange.
 	permit func() error
+	// connected is true once the exchange had a connection.
+	connected atomic.Bool
 
 	mu     sync.Mutex
 	conn   *gatedConn
--- a/pkg/delivery/relay.go
+++ b/pkg/delivery/relay.go
@@ -152,6 +152,7 @@
 		return nil
 	}
 	refusal := a.refusal(err, outcome, denied)
+	refusal.Unreached = outcome == request.NotRun && !a.ex.connected.Load() && refusal.Reason != request.ReasonCallerGone
 	refusal.UpstreamDown = outcome == request.MayHaveRun && a.upstreamDown(err)
 	return refusal
 }
--- a/pkg/delivery/transport.go
+++ b/pkg/delivery/transport.go
@@ -55,6 +55,7 @@
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*gatedConn); ok {
 			c.owner.Store(e)
+			e.connected.Store(true)
 		}
 	}}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -38,6 +38,12 @@
 	Limits *NamedLimits
 	// Suspects quarantines requests, and parts of prompts, under which upstreams crash; nil quarantines none.
 	Suspects *CrashSuspects
+	// Detours finds other instances for calls of services that aren't reached from here, and Through sends a call to one of them; without
+	// Detours, all calls use the links of this instance.
+	Detours Detours
+	Through interface {
+		Filter(ctx context.Context, c *request.Call, next request.Handler) error
+	}
 }
 
 // FailedResponse is an error that carries the upstream's own error response, which the caller gets if no retry succeeds.
@@ -51,6 +57,9 @@
 type callProgress struct {
 	// declines counts the attempts that no upstream ran, and crashes the upstreams that ended before they began to answer.
 	declines, crashes int
+	// unreached counts the attempts that didn't connect to their upstream, and detours has the instances that didn't take the call.
+	unreached int
+	detours   []string
 	// runsBefore is the number of runs before the first attempt.
 	runsBefore int
 	persist    persistence
@@ -75,7 +84,11 @@
 	if refusal := f.Suspects.Admit(&a.SuspectWatch, c); refusal != nil {
 		return false, refusal
 	}
-	u, refusal := f.choose(c)
+	u, refusal := f.detour(c, p)
+	via := u != nil
+	if u == nil && refusal == nil {
+		u, refusal = f.choose(c)
+	}
 	if refusal != nil {
 		a.End(nil, false)
 		if p.persist.required && f.awaitUpstream(ctx, c, &p.persist, refusal, true) {
@@ -85,16 +98,24 @@
 		return false, f.finalError(ctx, c, refusal, p.failed)
 	}
 	c.Upstream = u
-	if c.Attempts == 0 {
+	if c.Attempts == 0 && !via {
 		f.Budgets.Deposit(u.Service, f.Clock.Now())
 	}
 	retry := f.allowAbort(c)
 	defer retry.close()
-	err = f.send(ctx, c, a, next)
+	if via {
+		err = f.sendThrough(ctx, c, a)
+	} else {
+		startedAt := f.Clock.Now()
+		err = f.send(ctx, c, a, next)
+		f.observeReach(c, p, err, startedAt)
+	}
 	if a.end(err) {
 		p.crashes++
 	}
-	f.recordAttempt(c, u, err)
+	if !via {
+		f.recordAttempt(c, u, err)
+	}
 	var r *request.Refusal
 	if !errors.As(err, &r) {
 		return false, err
@@ -102,6 +123,9 @@
 	if r.Reason == request.ReasonUnsure {
 		return false, r
 	}
+	if f.goesOn(ctx, c, p, r, via) {
+		return true, nil
+	}
 	return f.afterFailure(ctx, c, p, r, retry)
 }
 
--- a/pkg/gateway/admin.go
+++ b/pkg/gateway/admin.go
@@ -38,6 +38,8 @@
 	Limits map[string]dispatch.LimitState
 	// Crashes counts crashes under requests and the work of the quarantine.
 	Crashes dispatch.CrashStats
+	// Detours has the services that this instance doesn't reach, whose calls go through other instances.
+	Detours []string
 }
 
 func (in *Instance) dump() Dump {
@@ -45,6 +47,7 @@
 	d := Dump{
 		Self: in.self, Now: now, InFlight: in.inFlight.Count(), ViewAge: in.control.Age(now), Upstreams: s.Upstreams,
 		Moves: s.Moves, Members: s.Members, OwnWork: in.loadTracker.OwnWork(), Crashes: in.suspects.Stats(),
+		Detours: in.detours.Services(),
 	}
 	d.Limits, _ = in.limits.States()
 	d.StoreReads, d.InstanceReads = in.peerSource.Reads()
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -45,6 +45,12 @@
 		},
 	}
 	in.relay.Open()
+	in.through = &delivery.Relay{
+		Clock: in.Clock, Log: in.Log.WithName("delivery"), Wire: in.InstanceWire, Dial: in.Dial,
+		Permit:      func(*request.Call) error { return nil },
+		BufferBytes: in.relay.BufferBytes,
+	}
+	in.through.Open()
 	d := &dispatch.Dispatch{
 		Clock:    in.Clock,
 		Log:      in.Log.WithName("dispatch"),
@@ -57,6 +63,8 @@
 		Latency:  in.latencies,
 		Suspects: in.suspects,
 		Limits:   in.limits,
+		Detours:  in.detours,
+		Through:  in.through,
 	}
 	return in.withMetrics(request.Chain(
 		delivery.FinalOutcome{},
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/delivery"
 	"carawayknot.example/carawayknot/pkg/desk"
+	"carawayknot.example/carawayknot/pkg/detour"
 	"carawayknot.example/carawayknot/pkg/dispatch"
 	"carawayknot.example/carawayknot/pkg/membership"
 	"carawayknot.example/carawayknot/pkg/pricing"
@@ -59,7 +60,9 @@
 	Decoders Decoders
 	Status   StatusWriter
 	Wire     delivery.Wire
-	Adapter  Adapter
+	// InstanceWire encodes calls for other instances, which take them like those of callers.
+	InstanceWire delivery.Wire
+	Adapter      Adapter
 	// Dial opens connections to upstreams.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Listen opens the listeners for the addresses in the settings.
@@ -79,16 +82,19 @@
 	loads        *membership.Loads
 	control      *Control
 	relay        *delivery.Relay
-	loadTracker  *dispatch.LoadTracker
-	outliers     *dispatch.OutlierDetector
-	latencies    *dispatch.LatencyTracker
-	calibration  *pricing.Calibration
-	releases     *dispatch.Releases
-	suspects     *dispatch.CrashSuspects
-	limits       *dispatch.NamedLimits
-	rumors       *membership.Rumors
-	inFlight     *desk.InFlight
-	draining     atomic.Bool
+	// through sends calls to other instances.
+	through     *delivery.Relay
+	detours     *detour.Detours
+	loadTracker *dispatch.LoadTracker
+	outliers    *dispatch.OutlierDetector
+	latencies   *dispatch.LatencyTracker
+	calibration *pricing.Calibration
+	releases    *dispatch.Releases
+	suspects    *dispatch.CrashSuspects
+	limits      *dispatch.NamedLimits
+	rumors      *membership.Rumors
+	inFlight    *desk.InFlight
+	draining    atomic.Bool
 	// cancelRequests cancels the context of the callers' requests in flight.
 	cancelRequests context.CancelFunc
 	// rolloutOrdered receives a value once a release rollout is ordered.
@@ -153,6 +159,7 @@
 	stop()
 	_ = loops.Wait()
 	in.relay.Close()
+	in.through.Close()
 	err = errors.CombineErrors(err, errors.CombineErrors(readyServer.Close(), adminServer.Close()))
 	in.Log.Info("stopped", "inFlight", in.inFlight.Count())
 	return err
@@ -181,7 +188,8 @@
 		in.limits.Forget(upstream)
 	}}
 	in.self = catalogue.Member{
-		Name: in.Settings.Name, PeerAddress: in.Settings.PeerAddress, Zone: in.Settings.Zone, Incarnation: int64(in.Clock.Wall()),
+		Name: in.Settings.Name, PeerAddress: in.Settings.PeerAddress, CallerAddress: in.Settings.CallerAddress, Zone: in.Settings.Zone,
+		Incarnation: int64(in.Clock.Wall()),
 	}
 	common := settings.Common{Log: in.Log, Clock: in.Clock}
 	in.network = &membership.Network{Common: common, Self: in.self}
@@ -203,6 +211,11 @@
 		Log: in.Log.WithName("dispatch"), Self: in.self.Name, Members: func() []catalogue.Member { return in.control.Snapshot().Members },
 	}
 	in.buildSuspects()
+	in.detours = &detour.Detours{
+		Clock: in.Clock, Log: in.Log.WithName("detour"), Self: in.self.Name, Dial: in.Dial,
+		Members:   func() []catalogue.Member { return in.control.Snapshot().Members },
+		Upstreams: func(service string) []*catalogue.Upstream { return in.control.Snapshot().Pools[service] },
+	}
 	return errors.CombineErrors(errors.CombineErrors(
 		in.network.Register(membership.ReaderName, &membership.Reader{Clock: in.Clock, Cache: cache}),
 		in.network.Register(membership.LoadsName, in.loads),
--- a/pkg/request/outcome.go
+++ b/pkg/request/outcome.go
@@ -74,6 +74,8 @@
 	Cause      error
 	// UpstreamDown is true if the upstream ended before it began to answer.
 	UpstreamDown bool
+	// Unreached is true if no connection to the upstream could be made.
+	Unreached bool
 }
 
 // Error returns reason, outcome, field, detail and cause in one line.
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -60,6 +60,8 @@
 	Prompt *Prompt
 	// LastEventID is the ID of the last stream event that the caller received; it is empty if the stream starts at its beginning.
 	LastEventID string
+	// HandedOver is true if another instance sent the request on, because it reaches no upstream.
+	HandedOver bool
 }
 
 // Prompt is the description of a prompt that the caller sends with a request to a model.
