Upstreams that leave or name a time to come back get no more requests

What callers saw: requests to upstreams that had said in their answers that they leave, or want nothing for some seconds; 72 of 119 later than the drain time, 135 at each of two upstreams that had named 5 s (measured on before).

Cause: an upstream's leaving was known from its entry in the store alone, and the Retry-After of its 503 was not read.

Change: the head of each answer of the upstream that was meant is decoded once into request.Notice; dispatch.Notices keeps it by upstream and lifetime, and each choice of an upstream, the reserved retries and the predicted wait ask it. When all upstreams of a service want nothing, the call is refused at once with the time at which the first one comes back. Metrics of calls through other instances.

--- a/pkg/delivery/relay.go
+++ b/pkg/delivery/relay.go
@@ -31,6 +31,8 @@
 	Head(c *request.Call, resp *http.Response) (request.Head, error)
 	// Limit decodes the limit that a response names.
 	Limit(resp *http.Response) request.NamedLimit
+	// Notice decodes what a response says of its upstream; now is the time of day.
+	Notice(resp *http.Response, now clock.Millis) request.Notice
 }
 
 // DeclinedError reports that the upstream did not execute the call and never will.
@@ -84,6 +86,8 @@
 	// OnLimit receives what the head of each response of the call's upstream says of its limit, with the time at which the request was
 	// sent; it is optional.
 	OnLimit func(upstream string, limit request.NamedLimit, sentAt clock.Millis)
+	// OnNotice receives what the head of each response of the call's upstream says of it; it is optional.
+	OnNotice func(u *catalogue.Upstream, notice request.Notice)
 	// OnProgress receives a sample of a stream when its first event has arrived, and another with its pace once that is known; it is
 	// optional.
 	OnProgress func(c *request.Call, s request.Sample)
@@ -167,7 +171,7 @@
 	}
 	defer resp.Body.Close()
 	head, err := a.Wire.Head(a.call, resp)
-	a.reportLimit(resp, err)
+	a.reportHead(resp, err)
 	if err != nil {
 		stopTimer()
 		var declined *DeclinedError
@@ -193,14 +197,20 @@
 	return a.forwardBuffered(resp, head)
 }
 
-// reportLimit reports the limit that a response names; err is that of its head. Only responses of the upstream that was meant count.
-func (a *relayAttempt) reportLimit(resp *http.Response, err error) {
+// reportHead reports the limit that a response names and what it says of its upstream; err is that of its head. Only responses of the upstream
+// that was meant count.
+func (a *relayAttempt) reportHead(resp *http.Response, err error) {
 	var declined *DeclinedError
 	var invalid *InvalidResponseError
-	if a.OnLimit == nil || errors.As(err, &invalid) || errors.As(err, &declined) && declined.WrongUpstream {
+	if errors.As(err, &invalid) || errors.As(err, &declined) && declined.WrongUpstream {
 		return
 	}
-	a.OnLimit(a.call.Upstream.Name, a.Wire.Limit(resp), a.startedAt)
+	if a.OnLimit != nil {
+		a.OnLimit(a.call.Upstream.Name, a.Wire.Limit(resp), a.startedAt)
+	}
+	if a.OnNotice != nil {
+		a.OnNotice(a.call.Upstream, a.Wire.Notice(resp, a.Clock.Wall()))
+	}
 }
 
 // startFirstByteTimer aborts the attempt if its response does not start in time and it may be retried; the returned function stops the
--- a/pkg/delivery/upstream_down_test.go
+++ b/pkg/delivery/upstream_down_test.go
@@ -84,6 +84,8 @@
 
 func (w decliningWire) Limit(*http.Response) request.NamedLimit { return request.NamedLimit{} }
 
+func (decliningWire) Notice(*http.Response, clock.Millis) request.Notice { return request.Notice{} }
+
 func (w decliningWire) Head(c *request.Call, resp *http.Response) (request.Head, error) {
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		return request.Head{}, &DeclinedError{Status: resp.StatusCode}
--- a/pkg/detour/detours.go
+++ b/pkg/detour/detours.go
@@ -137,10 +137,12 @@
 	if best == nil {
 		return nil
 	}
-	d.sent.Add(1)
 	return &catalogue.Upstream{Name: best.Name, Address: best.CallerAddress, Service: service, Zone: best.Zone}
 }
 
+// CountSent counts an attempt through another instance.
+func (d *Detours) CountSent() { d.sent.Add(1) }
+
 // Avoid records that an instance didn't take a call of the service.
 func (d *Detours) Avoid(service, instance string) {
 	now := d.Clock.Now()
--- a/pkg/dispatch/choose_upstream.go
+++ b/pkg/dispatch/choose_upstream.go
@@ -31,10 +31,14 @@
 		return nil, request.Refuse(request.ReasonNoUpstream, jitter(c.Request.ID, clock.Second), "the service %s is not known", service)
 	}
 	c.Pool = pool
-	candidates := f.filterByRelease(s, c, s.Pools[service], now)
+	listed, soonest := f.Notices.Open(s.Pools[service], now)
+	if len(listed) == 0 && len(s.Pools[service]) > 0 {
+		return nil, f.Notices.refuse(c, service, soonest)
+	}
+	candidates := f.filterByRelease(s, c, listed, now)
 	open := f.Limits.Open(withoutExcluded(candidates, c.Excluded), now)
 	if len(open) == 0 && len(candidates) > 0 {
-		open = f.Limits.Open(withoutExcluded(f.otherUpstreams(s, candidates), c.Excluded), now)
+		open = f.Limits.Open(withoutExcluded(f.otherUpstreams(s, listed, candidates), c.Excluded), now)
 	}
 	u, warm := f.chooseOpen(s, c, open, now)
 	if u == nil && len(open) == 0 && len(candidates) > 0 {
@@ -73,15 +77,21 @@
 	}
 }
 
-// otherUpstreams returns the upstreams of the old release if the candidates are those of the new one in a running rollout; there are none
+// open returns the upstreams to which this instance may send a request now, by what they said of themselves.
+func (f *Dispatch) open(upstreams []*catalogue.Upstream, now clock.Millis) []*catalogue.Upstream {
+	listed, _ := f.Notices.Open(upstreams, now)
+	return f.Limits.Open(listed, now)
+}
+
+// otherUpstreams returns those of the listed upstreams that have the old release if the candidates are those of the new one in a running rollout; there are none
 // otherwise, because the old release's requests may not go to a release that is not known to be good.
-func (f *Dispatch) otherUpstreams(s *catalogue.Snapshot, candidates []*catalogue.Upstream) []*catalogue.Upstream {
+func (f *Dispatch) otherUpstreams(s *catalogue.Snapshot, listed, candidates []*catalogue.Upstream) []*catalogue.Upstream {
 	service := candidates[0].Service
 	rollout := s.Moves[service]
 	if rollout == nil || rollout.State != catalogue.ReleaseRunning || candidates[0].Release != rollout.Target {
 		return nil
 	}
-	return slices.DeleteFunc(slices.Clone(s.Pools[service]), func(u *catalogue.Upstream) bool { return u.Release == rollout.Target })
+	return slices.DeleteFunc(slices.Clone(listed), func(u *catalogue.Upstream) bool { return u.Release == rollout.Target })
 }
 
 // firstByteTimeout returns the time without a first byte after which the attempt is retried at another upstream.
@@ -187,7 +197,7 @@
 		return 0
 	}
 	now := f.Clock.Now()
-	warm, _ := splitCold(f.Limits.Open(f.Snapshot().Pools[c.Pool.Name], now), now)
+	warm, _ := splitCold(f.open(f.Snapshot().Pools[c.Pool.Name], now), now)
 	if len(warm) == 0 {
 		return 0
 	}
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -36,6 +36,8 @@
 	Latency *LatencyTracker
 	// Limits keeps the limits that upstreams named; nil keeps none.
 	Limits *NamedLimits
+	// Notices keeps which upstreams want no requests; nil keeps none.
+	Notices *Notices
 	// Suspects quarantines requests, and parts of prompts, under which upstreams crash; nil quarantines none.
 	Suspects *CrashSuspects
 	// Detours finds other instances for calls of services that aren't reached from here, and Through sends a call to one of them; without
--- /dev/null
+++ b/pkg/dispatch/notices.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"sync"
+
+	"github.com/go-logr/logr"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/request"
+)
+
+const (
+	// minNoticeRetryAfter and maxNoticeRetryAfter bound the Retry-After of a call that is refused because all upstreams want no requests.
+	minNoticeRetryAfter = clock.Second / 5
+	maxNoticeRetryAfter = 60 * clock.Second
+)
+
+// Notices keeps which upstreams want no requests from this instance, by what they said in their answers: those that leave for the rest of their
+// lifetime, those that named a time to come back until then. It is safe for concurrent use; a nil Notices keeps none.
+type Notices struct {
+	Log logr.Logger
+
+	mu        sync.RWMutex
+	upstreams map[string]noticed
+}
+
+type noticed struct {
+	incarnation int64
+	leaving     bool
+	// until is the monotonic time at which the upstream takes requests again, in milliseconds.
+	until clock.Millis
+}
+
+// Observe takes what an answer of an upstream says of it.
+func (n *Notices) Observe(u *catalogue.Upstream, notice request.Notice, now clock.Millis) {
+	if n == nil || notice == (request.Notice{}) {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	old := n.upstreams[u.Name]
+	if old.incarnation != u.Incarnation {
+		old = noticed{incarnation: u.Incarnation}
+	}
+	// An answer that overtook another one takes nothing back.
+	next := old
+	next.leaving = old.leaving || notice.Leaving
+	if notice.PauseFor > 0 {
+		next.until = max(old.until, now+notice.PauseFor)
+	}
+	if next == old {
+		return
+	}
+	if n.upstreams == nil {
+		n.upstreams = map[string]noticed{}
+	}
+	n.upstreams[u.Name] = next
+	if next.leaving != old.leaving || now >= old.until {
+		n.Log.Info("upstream wants no requests", "upstream", u.Name, "leaving", next.leaving, "pauseMs", notice.PauseFor)
+	}
+}
+
+// Open returns the upstreams that take requests from this instance now, and for how long none of the others does, in milliseconds.
+func (n *Notices) Open(upstreams []*catalogue.Upstream, now clock.Millis) (open []*catalogue.Upstream, soonest clock.Millis) {
+	if n == nil {
+		return upstreams, 0
+	}
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	if len(n.upstreams) == 0 {
+		return upstreams, 0
+	}
+	open = make([]*catalogue.Upstream, 0, len(upstreams))
+	for _, u := range upstreams {
+		known, ok := n.upstreams[u.Name]
+		switch {
+		case !ok || known.incarnation != u.Incarnation || !known.leaving && now >= known.until:
+			open = append(open, u)
+		case !known.leaving && (soonest == 0 || known.until-now < soonest):
+			soonest = known.until - now
+		}
+	}
+	return open, soonest
+}
+
+// Forget drops what a removed upstream has said.
+func (n *Notices) Forget(upstream string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.upstreams, upstream)
+}
+
+// refuse returns the refusal of a call whose upstreams want no requests before soonest, in milliseconds.
+func (n *Notices) refuse(c *request.Call, service string, soonest clock.Millis) *request.Refusal {
+	wait := max(minNoticeRetryAfter, min(soonest, maxNoticeRetryAfter))
+	if soonest == 0 {
+		wait = clock.Second / 2
+	}
+	return request.Refuse(request.ReasonNoUpstream, jitter(c.Request.ID, wait), "all upstreams of %s are leaving or want no requests for now", service)
+}
--- a/pkg/dispatch/reserved_retry.go
+++ b/pkg/dispatch/reserved_retry.go
@@ -85,7 +85,7 @@
 	if s.Draining {
 		return false
 	}
-	return slices.ContainsFunc(f.Limits.Open(s.Pools[service], now), func(u *catalogue.Upstream) bool {
+	return slices.ContainsFunc(f.open(s.Pools[service], now), func(u *catalogue.Upstream) bool {
 		return u.Name != upstream && now >= u.ColdUntil && !f.Outliers.ShouldAvoid(u.Name, now)
 	})
 }
--- a/pkg/gateway/admin.go
+++ b/pkg/gateway/admin.go
@@ -88,6 +88,21 @@
 	})
 }
 
+// registerDetourMetrics registers the metrics of calls that go through other instances.
+func (in *Instance) registerDetourMetrics() {
+	in.metrics.RegisterGauge("carawayknot_unreached_services", "Services of which this instance reaches no upstream.", func() float64 {
+		return float64(len(in.detours.Services()))
+	})
+	in.metrics.RegisterCounter("carawayknot_handed_over_total", "Attempts through other instances.", func() float64 {
+		sent, _ := in.detours.Counts()
+		return float64(sent)
+	})
+	in.metrics.RegisterCounter("carawayknot_handed_over_declined_total", "Attempts through other instances that were not taken.", func() float64 {
+		_, declined := in.detours.Counts()
+		return float64(declined)
+	})
+}
+
 // registerLimitMetrics registers the metrics of the limits that upstreams named.
 func (in *Instance) registerLimitMetrics() {
 	in.metrics.RegisterGauge("carawayknot_limited_upstreams", "Upstreams that named a limit.", func() float64 {
@@ -116,6 +131,7 @@
 	})
 	in.registerCrashMetrics()
 	in.registerLimitMetrics()
+	in.registerDetourMetrics()
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", in.metrics)
 	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
--- a/pkg/gateway/chain_test.go
+++ b/pkg/gateway/chain_test.go
@@ -37,6 +37,8 @@
 
 func (scriptedWire) Limit(*http.Response) request.NamedLimit { return request.NamedLimit{} }
 
+func (scriptedWire) Notice(*http.Response, clock.Millis) request.Notice { return request.Notice{} }
+
 func (scriptedWire) Head(_ *request.Call, resp *http.Response) (request.Head, error) {
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		return request.Head{}, &delivery.DeclinedError{Status: resp.StatusCode}
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -43,11 +43,13 @@
 		OnLimit: func(upstream string, limit request.NamedLimit, sentAt clock.Millis) {
 			in.limits.Observe(upstream, limit, sentAt, in.Clock.Now())
 		},
+		OnNotice: func(u *catalogue.Upstream, notice request.Notice) { in.notices.Observe(u, notice, in.Clock.Now()) },
 	}
 	in.relay.Open()
 	in.through = &delivery.Relay{
 		Clock: in.Clock, Log: in.Log.WithName("delivery"), Wire: in.InstanceWire, Dial: in.Dial,
 		Permit:      func(*request.Call) error { return nil },
+		Observe:     func(*request.Call, request.Sample) { in.detours.CountSent() },
 		BufferBytes: in.relay.BufferBytes,
 	}
 	in.through.Open()
@@ -63,6 +65,7 @@
 		Latency:  in.latencies,
 		Suspects: in.suspects,
 		Limits:   in.limits,
+		Notices:  in.notices,
 		Detours:  in.detours,
 		Through:  in.through,
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -92,6 +92,7 @@
 	releases    *dispatch.Releases
 	suspects    *dispatch.CrashSuspects
 	limits      *dispatch.NamedLimits
+	notices     *dispatch.Notices
 	rumors      *membership.Rumors
 	inFlight    *desk.InFlight
 	draining    atomic.Bool
@@ -186,6 +187,7 @@
 		in.loadTracker.Forget(upstream)
 		in.outliers.Forget(upstream)
 		in.limits.Forget(upstream)
+		in.notices.Forget(upstream)
 	}}
 	in.self = catalogue.Member{
 		Name: in.Settings.Name, PeerAddress: in.Settings.PeerAddress, CallerAddress: in.Settings.CallerAddress, Zone: in.Settings.Zone,
@@ -210,6 +212,7 @@
 	in.limits = &dispatch.NamedLimits{
 		Log: in.Log.WithName("dispatch"), Self: in.self.Name, Members: func() []catalogue.Member { return in.control.Snapshot().Members },
 	}
+	in.notices = &dispatch.Notices{Log: in.Log.WithName("dispatch")}
 	in.buildSuspects()
 	in.detours = &detour.Detours{
 		Clock: in.Clock, Log: in.Log.WithName("detour"), Self: in.self.Name, Dial: in.Dial,
