The instance that hands a call over decides on its retries

Cause: both instances retried, so that the attempts multiplied.

Change: the instance that takes a call over runs it once and aborts nothing for its slowness; the one that has the caller counts attempts, withdraws retries from its budget and hedges, as for an upstream of its own.

--- a/pkg/dispatch/choose_upstream.go
+++ b/pkg/dispatch/choose_upstream.go
@@ -48,7 +48,7 @@
 		return nil, request.Refuse(request.ReasonNoUpstream, jitter(c.Request.ID, clock.Second/2), "no upstream of %s may get new work", service)
 	}
 	c.FirstByteTimeout, c.TokensAhead = 0, tokensAhead(pool, c.Model, f.Loads.Work(u.Name))
-	if warm > 1 && !c.HeadWritten && c.Runs+1 < c.Route.MaxAttempts {
+	if warm > 1 && !c.Request.HandedOver && !c.HeadWritten && c.Runs+1 < c.Route.MaxAttempts {
 		c.FirstByteTimeout = f.firstByteTimeout(c)
 	}
 	return u, nil
--- a/pkg/dispatch/detour.go
+++ b/pkg/dispatch/detour.go
@@ -24,8 +24,8 @@
 	Avoid(service, instance string)
 }
 
-// detour returns the instance through which the next attempt of the call goes, or nil if it uses the links of this one. A call that another
-// instance has handed over goes no further.
+// detour returns the instance through which the next attempt of the call goes, or nil if it uses the links of this one. The other instance
+// runs the call once; this one goes on deciding on retries. A call that another instance has handed over goes no further.
 func (f *Dispatch) detour(c *request.Call, p *callProgress) (via *catalogue.Upstream, refusal *request.Refusal) {
 	if f.Detours == nil {
 		return nil, nil
@@ -44,6 +44,9 @@
 	}
 	if via = f.Detours.Next(service, c.Request.ID, p.detours); via != nil {
 		c.Pool, c.TokensAhead, c.FirstByteTimeout = pool, 0, 0
+		if !c.HeadWritten && c.Runs+1 < c.Route.MaxAttempts {
+			c.FirstByteTimeout = f.firstByteTimeout(c)
+		}
 	}
 	return via, nil
 }
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -100,7 +100,7 @@
 		return false, f.finalError(ctx, c, refusal, p.failed)
 	}
 	c.Upstream = u
-	if c.Attempts == 0 && !via {
+	if c.Attempts == 0 && !c.Request.HandedOver {
 		f.Budgets.Deposit(u.Service, f.Clock.Now())
 	}
 	retry := f.allowAbort(c)
@@ -174,6 +174,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return "caller disconnected"
+	case c.Request.HandedOver && r.Outcome != request.NotRun:
+		return "the instance that handed the request over decides"
 	case r.Outcome == request.NotRun && p.declines >= maxDeclines:
 		return stopDeclined
 	case r.Outcome != request.NotRun && !c.Route.MayRepeat():
--- a/pkg/dispatch/reserved_retry.go
+++ b/pkg/dispatch/reserved_retry.go
@@ -56,10 +56,10 @@
 func (f *Dispatch) allowAbort(c *request.Call) *abortReserve {
 	r := &abortReserve{}
 	service, upstream, deadline, route := c.Upstream.Service, c.Upstream.Name, c.Request.Deadline, c.Route
-	attemptLeft := c.Runs+1 < route.MaxAttempts
+	handedOver, attemptLeft := c.Request.HandedOver, c.Runs+1 < route.MaxAttempts
 	c.ReserveRetry = func() bool {
 		return r.reserve(func() *ReservedRetry {
-			if !attemptLeft || f.tooLate(deadline, route) || !f.hasAlternative(service, upstream) {
+			if handedOver || !attemptLeft || f.tooLate(deadline, route) || !f.hasAlternative(service, upstream) {
 				return nil
 			}
 			return f.Budgets.Reserve(service, f.Clock.Now())
