A request that was handed over isn't decided by an older configuration

The instance that takes it over may lag behind by some milliseconds; a caller that has seen the newer configuration would then see the older one. The request carries the version by which it was accepted, and an instance with an older one declines it, so that the next is asked.

--- a/pkg/desk/resolve_route.go
+++ b/pkg/desk/resolve_route.go
@@ -38,6 +38,9 @@
 	if s.Routes == nil {
 		return request.Refuse(request.ReasonStaleView, minStaleRetryAfter, "no configuration was read yet")
 	}
+	if s.Routes.Version < c.Request.MinTableVersion {
+		return request.Refuse(request.ReasonStaleView, minStaleRetryAfter, "configuration %d is in force here, the request was accepted by %d", s.Routes.Version, c.Request.MinTableVersion)
+	}
 	age := f.Age(now)
 	r := s.Routes.Find(c.Request.Host, c.Request.Path)
 	if r == nil {
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -62,6 +62,8 @@
 	LastEventID string
 	// HandedOver is true if another instance sent the request on, because it reaches no upstream.
 	HandedOver bool
+	// MinTableVersion is the configuration by which that instance accepted it; an older one must not decide on it.
+	MinTableVersion int64
 }
 
 // Prompt is the description of a prompt that the caller sends with a request to a model.
