--- a/pkg/dispatch/detour.go
+++ b/pkg/dispatch/detour.go
@@ -24,6 +24,11 @@
 	Avoid(service, instance string)
 }
 
+// InstanceSender sends a call to the instance in c.Upstream once; it doesn't call next.
+type InstanceSender interface {
+	Filter(ctx context.Context, c *request.Call, next request.Handler) error
+}
+
 // detour returns the instance through which the next attempt of the call goes, or nil if it uses the links of this one. The other instance
 // runs the call once; this one goes on deciding on retries. A call that another instance has handed over goes no further.
 func (f *Dispatch) detour(c *request.Call, p *callProgress) (via *catalogue.Upstream, refusal *request.Refusal) {
@@ -39,10 +44,10 @@
 		return nil, nil
 	}
 	pool := f.Snapshot().Routes.Pools[service]
-	if pool == nil || !cut && p.unreached < unreachedForDetour || len(p.detours) >= maxDetours {
+	if pool == nil || !cut && p.unreached < unreachedForDetour || len(p.declinedBy) >= maxDetours {
 		return nil, nil
 	}
-	if via = f.Detours.Next(service, c.Request.ID, p.detours); via != nil {
+	if via = f.Detours.Next(service, c.Request.ID, p.declinedBy); via != nil {
 		c.Pool, c.TokensAhead, c.FirstByteTimeout = pool, 0, 0
 		if !c.HeadWritten && c.Runs+1 < c.Route.MaxAttempts {
 			c.FirstByteTimeout = f.firstByteTimeout(c)
@@ -79,15 +84,15 @@
 	f.Detours.Observe(c.Upstream, !unreached, startedAt)
 }
 
-// goesOn reports whether a call whose attempt reached no upstream, or was declined by another instance, is tried again at once. Nothing
+// mayDetour reports whether a call whose attempt reached no upstream, or was declined by another instance, is tried again at once. Nothing
 // has reached an upstream then, so that it takes no retry from the budget.
-func (f *Dispatch) goesOn(ctx context.Context, c *request.Call, p *callProgress, r *request.Refusal, via bool) bool {
+func (f *Dispatch) mayDetour(ctx context.Context, c *request.Call, p *callProgress, r *request.Refusal, via bool) bool {
 	if f.Detours == nil || c.Request.HandedOver || r.Outcome != request.NotRun || ctx.Err() != nil || f.timeToRetry(c.Request.Deadline, c.Route) <= 0 {
 		return false
 	}
 	if via {
 		f.Detours.Avoid(c.Upstream.Service, c.Upstream.Name)
-		p.detours = append(p.detours, c.Upstream.Name)
+		p.declinedBy = append(p.declinedBy, c.Upstream.Name)
 		f.Log.Info("another instance didn't take the request", "request", c.Request.ID, "route", c.Route.Name, "instance", c.Upstream.Name,
 			"reason", r.Reason, "error", r.Error())
 		return true
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -43,9 +43,7 @@
 	// Detours finds other instances for calls of services that aren't reached from here, and Through sends a call to one of them; without
 	// Detours, all calls use the links of this instance.
 	Detours Detours
-	Through interface {
-		Filter(ctx context.Context, c *request.Call, next request.Handler) error
-	}
+	Through InstanceSender
 }
 
 // FailedResponse is an error that carries the upstream's own error response, which the caller gets if no retry succeeds.
@@ -59,9 +57,9 @@
 type callProgress struct {
 	// declines counts the attempts that no upstream ran, and crashes the upstreams that ended before they began to answer.
 	declines, crashes int
-	// unreached counts the attempts that didn't connect to their upstream, and detours has the instances that didn't take the call.
-	unreached int
-	detours   []string
+	// unreached counts the attempts that didn't connect to their upstream, and declinedBy has the instances that didn't take the call.
+	unreached  int
+	declinedBy []string
 	// runsBefore is the number of runs before the first attempt.
 	runsBefore int
 	persist    persistence
@@ -125,7 +123,7 @@
 	if r.Reason == request.ReasonUnsure {
 		return false, r
 	}
-	if f.goesOn(ctx, c, p, r, via) {
+	if f.mayDetour(ctx, c, p, r, via) {
 		return true, nil
 	}
 	return f.afterFailure(ctx, c, p, r, retry)
