--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -84,7 +84,7 @@
 	return &dispatch.RetryBudgets{
 		Share:     min(in.Settings.Policy.RetryShare, plannedRetryShare*b.RetryShare),
 		Window:    b.RetryWindow(),
-		Slack:     float64(b.RetrySlack),
+		Slack:     b.RetrySlack,
 		Members:   func() int { return len(in.control.Snapshot().Members) },
 		StartedAt: in.startedAt,
 	}
--- a/pkg/gateway/rollout.go
+++ b/pkg/gateway/rollout.go
@@ -97,7 +97,7 @@
 
 func (in *Instance) exposureBudget() rating.ExposureBudget {
 	b := &in.Settings.Bounds
-	return rating.ExposureBudget{Share: b.ExposureShare, Slack: float64(b.ExposureSlack)}
+	return rating.ExposureBudget{Share: b.ExposureShare, Slack: b.ExposureSlack}
 }
 
 // WriteStatuses completes the good rollouts that are due, and writes the beginning of new ones.
--- a/pkg/settings/decode.go
+++ b/pkg/settings/decode.go
@@ -4,12 +4,19 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math"
 	"reflect"
 	"strings"
 
+	"github.com/cockroachdb/errors"
 	"github.com/tailscale/hujson"
+
+	"carawayknot.example/carawayknot/pkg/clock"
 )
 
+// maxMillis limits the size of a time, in milliseconds, to what a float64 represents exactly.
+const maxMillis = 1 << 53
+
 // decoder fills a struct from parsed JSON and records the position of each field for error messages.
 type decoder struct {
 	source []byte
@@ -50,9 +57,26 @@
 		return d.decodeObject(fieldPath, &m.Value, field)
 	}
 	lit, isLiteral := m.Value.Value.(hujson.Literal)
-	if !isLiteral || lit.Kind() == 'n' || json.Unmarshal(lit, field.Addr().Interface()) != nil {
-		return d.fieldError(fieldPath, m.Name.StartOffset, typeDescription(field.Kind()))
+	if !isLiteral || lit.Kind() == 'n' || decodeLiteral(lit, field) != nil {
+		return d.fieldError(fieldPath, m.Name.StartOffset, typeDescription(field))
+	}
+	return nil
+}
+
+// decodeLiteral sets a field; a time is rounded down to whole milliseconds, since it is a bound mostly.
+func decodeLiteral(lit hujson.Literal, field reflect.Value) error {
+	millis, isTime := field.Addr().Interface().(*clock.Millis)
+	if !isTime {
+		return json.Unmarshal(lit, field.Addr().Interface())
+	}
+	var n float64
+	if err := json.Unmarshal(lit, &n); err != nil {
+		return err
+	}
+	if math.Abs(n) > maxMillis {
+		return errors.Newf("%g is out of range", n)
 	}
+	*millis = clock.Millis(math.Floor(n))
 	return nil
 }
 
@@ -68,11 +92,11 @@
 	return names
 }
 
-func typeDescription(k reflect.Kind) string {
-	switch k {
-	case reflect.String:
+func typeDescription(field reflect.Value) string {
+	switch {
+	case field.Kind() == reflect.String:
 		return "a string in quotes"
-	case reflect.Float64:
+	case field.Kind() == reflect.Float64, field.Type() == reflect.TypeFor[clock.Millis]():
 		return "a number"
 	default:
 		return "a whole number"
--- a/pkg/settings/entry.go
+++ b/pkg/settings/entry.go
@@ -44,11 +44,11 @@
 	// ExposureShare is the share of a service's requests in the span of a rollout that a bad release may get, and ExposureSlack how
 	// many requests more.
 	ExposureShare float64
-	ExposureSlack int
+	ExposureSlack float64
 	// RetryShare is the number of attempts beyond the first that a service may get from all instances together for each request, and
 	// RetrySlack how many more, in any time of RetryWindowSeconds.
 	RetryShare         float64
-	RetrySlack         int
+	RetrySlack         float64
 	RetryWindowSeconds float64
 }
 
@@ -127,9 +127,9 @@
 		checkDuration("Bounds.GraceSeconds", b.Grace(), clock.Second),
 		checkDuration("Bounds.SessionSeconds", b.Session(), 1),
 		{"Bounds.ExposureShare", b.ExposureShare > 0 && b.ExposureShare <= 1, "a number above 0, up to 1"},
-		{"Bounds.ExposureSlack", b.ExposureSlack >= 0, "a whole number of at least 0"},
+		{"Bounds.ExposureSlack", b.ExposureSlack >= 0, "a number of at least 0"},
 		{"Bounds.RetryShare", b.RetryShare >= 0 && b.RetryShare <= maxRetryShare, "a number from 0 to 10"},
-		{"Bounds.RetrySlack", b.RetrySlack >= 0, "a whole number of at least 0"},
+		{"Bounds.RetrySlack", b.RetrySlack >= 0, "a number of at least 0"},
 		checkDuration("Bounds.RetryWindowSeconds", b.RetryWindow(), clock.Second),
 		{"Policy.LeastConfidence", p.LeastConfidence >= 0 && p.LeastConfidence <= maxConfidence, "a whole number from 0 to 100"},
 		{"Policy.RetryShare", p.RetryShare >= 0 && p.RetryShare <= 1, "a number from 0 to 1"},
