--- a/pkg/dispatch/retry_budget.go
+++ b/pkg/dispatch/retry_budget.go
@@ -32,7 +32,7 @@
 	mu sync.Mutex
 	// steps is a ring of counts; the step of a time is the number of step lengths since 0.
 	steps [retrySteps * retryHistory]retryStep
-	// reserved counts the retries that are reserved and not used yet.
+	// reserved is the sum of what is set aside for retries that are reserved and not used yet.
 	reserved float64
 }
 
@@ -67,30 +67,34 @@
 	return true
 }
 
-// TryReserve sets one retry aside and reports whether one was available; UseReserved or Release must follow.
-func (b *RetryBudget) TryReserve(now clock.Millis) bool {
+// TryReserve sets a part of one retry aside and reports whether a whole one was available; UseReserved or Release must follow.
+func (b *RetryBudget) TryReserve(part float64, now clock.Millis) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.allows(now) {
 		return false
 	}
-	b.reserved++
+	b.reserved += part
 	return true
 }
 
-// UseReserved counts a reserved retry as sent.
-func (b *RetryBudget) UseReserved(now clock.Millis) {
+// UseReserved counts a retry of which a part was reserved as sent, and reports whether the rest was available.
+func (b *RetryBudget) UseReserved(part float64, now clock.Millis) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.reserved--
+	b.reserved -= part
+	if part < 1 && !b.allows(now) {
+		return false
+	}
 	b.step(now).retries++
+	return true
 }
 
 // Release returns a reserved retry that isn't needed.
-func (b *RetryBudget) Release() {
+func (b *RetryBudget) Release(part float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.reserved--
+	b.reserved -= part
 }
 
 // allows reports whether one more retry keeps within each window that contains now. The caller must hold mu.
--- a/pkg/dispatch/retry_budgets.go
+++ b/pkg/dispatch/retry_budgets.go
@@ -43,11 +43,16 @@
 
 // Reserve returns a retry that is set aside from the budget of the service, or nil if none was available; its Close must be called.
 func (b *RetryBudgets) Reserve(service string, now clock.Millis) *ReservedRetry {
+	return b.ReservePart(service, 1, now)
+}
+
+// ReservePart is Reserve for a retry that only a part of those that reserve one will need, which is all that is set aside.
+func (b *RetryBudgets) ReservePart(service string, part float64, now clock.Millis) *ReservedRetry {
 	budget := b.budget(service)
-	if !budget.TryReserve(now) {
+	if !budget.TryReserve(part, now) {
 		return nil
 	}
-	return &ReservedRetry{budget: budget}
+	return &ReservedRetry{budget: budget, part: part}
 }
 
 func (b *RetryBudgets) budget(service string) *RetryBudget {
@@ -83,22 +88,20 @@
 // ReservedRetry is a retry that was set aside before the attempt that it replaces was given up; it is safe for concurrent use.
 type ReservedRetry struct {
 	budget *RetryBudget
+	// part is what was set aside of the retry.
+	part float64
 	// done is true once the retry was used or returned.
 	done atomic.Bool
 }
 
-// Use counts the retry as sent and reports whether it was still reserved.
+// Use counts the retry as sent and reports whether it was still reserved, and available if only a part of it was.
 func (r *ReservedRetry) Use(now clock.Millis) bool {
-	if r.done.Swap(true) {
-		return false
-	}
-	r.budget.UseReserved(now)
-	return true
+	return !r.done.Swap(true) && r.budget.UseReserved(r.part, now)
 }
 
 // Close returns the retry to its budget unless it was used; r may be nil.
 func (r *ReservedRetry) Close() {
 	if r != nil && !r.done.Swap(true) {
-		r.budget.Release()
+		r.budget.Release(r.part)
 	}
 }
--- a/pkg/pricing/confidence.go
+++ b/pkg/pricing/confidence.go
@@ -26,6 +26,8 @@
 	ExpectedWait func(c *request.Call, model string) clock.Millis
 	// Budgets limits the attempts beyond the first.
 	Budgets *dispatch.RetryBudgets
+
+	waysBack waysBack
 }
 
 // maxWaitShare is the fraction of the route's target latency from which a wait for a larger model is too long to drop any answer for;
@@ -69,11 +71,15 @@
 			c.LastEventID, c.Fallback = c.Request.LastEventID, request.FallbackLeft
 			continue
 		}
-		if w.size == 0 || !mayFallBack(ctx, c, err) {
+		if w.size == 0 {
 			return err
 		}
+		goBack := mayFallBack(ctx, c, err)
+		f.waysBack.record(c.Pool.Name, goBack)
 		// An answer of low confidence is better than none.
-		w.wayBack.Use(f.Clock.Now())
+		if !goBack || !w.wayBack.Use(f.Clock.Now()) {
+			return err
+		}
 		c.Model, c.Writer, c.Fallback = sizes[0], out, request.FallbackTaken
 		return next.Handle(ctx, c)
 	}
@@ -155,12 +161,12 @@
 	wayBack *dispatch.ReservedRetry
 }
 
-// payFor takes the retry for a larger model from the budget, and reserves the one for going back to the smallest; it reports whether both were
-// available.
+// payFor takes the retry for a larger model from the budget, and reserves the one for going back to the smallest as far as calls go back; it
+// reports whether both were available.
 func (w *confidenceWriter) payFor(c *request.Call) bool {
 	budgets, now := w.cascade.Budgets, w.cascade.Clock.Now()
 	if w.wayBack == nil {
-		w.wayBack = budgets.Reserve(c.Pool.Name, now)
+		w.wayBack = budgets.ReservePart(c.Pool.Name, w.cascade.waysBack.share(c.Pool.Name), now)
 	}
 	return w.wayBack != nil && budgets.TryWithdraw(c.Pool.Name, now)
 }
