--- a/pkg/archive/source.go
+++ b/pkg/archive/source.go
@@ -55,8 +55,8 @@
 	// era is that of the positions.
 	era  int64
 	asOf clock.Millis
-	// changed is closed when new records arrive or the topic was read anew, advanced also when a read found none.
-	changed, advanced chan struct{}
+	// changed is closed when new records arrive or the topic was read anew.
+	changed chan struct{}
 }
 
 // Update stores the result of a read. A batch that is Whole replaces the topic; another one is ignored when it is of another era,
@@ -70,13 +70,12 @@
 		return
 	}
 	if t == nil || b.Whole {
-		replacement := &cachedTopic{newest: map[string]Record{}, next: b.Next, era: b.Era, changed: make(chan struct{}), advanced: make(chan struct{})}
+		replacement := &cachedTopic{newest: map[string]Record{}, next: b.Next, era: b.Era, changed: make(chan struct{})}
 		if b.Era == 0 && t != nil {
 			replacement.era = t.era
 		}
 		if t != nil {
 			close(t.changed)
-			close(t.advanced)
 		}
 		if c.topics == nil {
 			c.topics = map[TopicName]*cachedTopic{}
@@ -84,9 +83,6 @@
 		t = replacement
 		c.topics[topic] = t
 	}
-	if !b.Whole {
-		b = t.unseen(b)
-	}
 	for _, r := range b.Items {
 		if len(r.Value) == 0 {
 			delete(t.newest, r.Key)
@@ -109,53 +105,6 @@
 		close(t.changed)
 		t.changed = make(chan struct{})
 	}
-	close(t.advanced)
-	t.advanced = make(chan struct{})
-}
-
-// unseen returns the part of a batch that is not in the topic yet: reads of the same records may overlap.
-func (t *cachedTopic) unseen(b Batch[Record]) Batch[Record] {
-	b.AsOf = max(b.AsOf, t.asOf)
-	n := b.Next - t.next
-	if n <= 0 {
-		b.Items, b.Next = nil, t.next
-		return b
-	}
-	if int64(len(b.Items)) > n {
-		b.Items = b.Items[int64(len(b.Items))-n:]
-	}
-	return b
-}
-
-// AsOf returns the monotonic time of the newest read of a topic, or 0 if it was not read.
-func (c *Cache) AsOf(topic TopicName) clock.Millis {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if t := c.topics[topic]; t != nil {
-		return t.asOf
-	}
-	return 0
-}
-
-// Advanced returns a channel that is closed at the next read of a topic, also at one without records; it is nil if the topic was not read.
-func (c *Cache) Advanced(topic TopicName) <-chan struct{} {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if t := c.topics[topic]; t != nil {
-		return t.advanced
-	}
-	return nil
-}
-
-// Next returns the position behind the records of a topic, and whether it was read.
-func (c *Cache) Next(topic TopicName) (next int64, found bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	t := c.topics[topic]
-	if t == nil {
-		return 0, false
-	}
-	return t.next, true
 }
 
 // noteEra notes the era of a batch; c.mu must be held.
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -24,8 +24,6 @@
 
 	view     View
 	draining bool
-	// listingLines limits the log lines of single upstreams.
-	listingLines lineLimit
 	// expiry is the time of the next expiryDue message; stopped is closed by Stop.
 	expiry   clock.Millis
 	stopped  chan struct{}
@@ -219,29 +217,17 @@
 			"missing", len(c.view.missingUpstreams), "doubtful", len(c.view.doubtfulListings))
 		return
 	}
-	left := 0
 	for _, l := range b.Items {
-		if !c.listingLines.allow(now) {
-			left++
+		if l.Removed {
+			c.Log.Info("upstream removed", "upstream", l.Name)
 			continue
 		}
-		c.logListing(l)
-	}
-	if left > 0 {
-		c.Log.Info("upstream list changed, lines of single upstreams left out", "changes", len(b.Items), "leftOut", left, "upstreams", len(c.view.upstreams))
-	}
-}
-
-func (c *Control) logListing(l catalogue.Listing) {
-	if l.Removed {
-		c.Log.Info("upstream removed", "upstream", l.Name)
-		return
-	}
-	if u := c.view.upstreams[l.Name]; u == nil || u.Leaving != l.Upstream.Leaving || u.Incarnation != l.Upstream.Incarnation {
-		c.Log.Info("upstream entry ignored, a newer one is known", "upstream", l.Name, "leaving", l.Upstream.Leaving, "sequence", l.Sequence,
-			"incarnation", l.Upstream.Incarnation)
-		return
+		if u := c.view.upstreams[l.Name]; u == nil || u.Leaving != l.Upstream.Leaving || u.Incarnation != l.Upstream.Incarnation {
+			c.Log.Info("upstream entry ignored, a newer one is known", "upstream", l.Name, "leaving", l.Upstream.Leaving, "sequence", l.Sequence,
+				"incarnation", l.Upstream.Incarnation)
+			continue
+		}
+		c.Log.Info("upstream listed", "upstream", l.Name, "service", l.Upstream.Service, "release", l.Upstream.Release,
+			"zone", l.Upstream.Zone, "leaving", l.Upstream.Leaving, "coldMs", l.ColdFor, "incarnation", l.Upstream.Incarnation)
 	}
-	c.Log.Info("upstream listed", "upstream", l.Name, "service", l.Upstream.Service, "release", l.Upstream.Release,
-		"zone", l.Upstream.Zone, "leaving", l.Upstream.Leaving, "coldMs", l.ColdFor, "incarnation", l.Upstream.Incarnation)
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -107,15 +107,11 @@
 	// registrationLost receives a value when the members' topic lacks this instance although it was registered.
 	registrationLost chan struct{}
 
-	// statusesRead is true once the statuses of rollouts were read; before that, a status could replace a newer one.
-	statusesRead atomic.Bool
-
-	// mu guards the fields below; the keys of the first four are services, and writtenStatuses has the statuses that the store has or had.
+	// mu guards the fields below; the keys of the first three are services, and writtenStatuses has the statuses that the store has or had.
 	mu              sync.Mutex
 	comparisons     map[string]*comparison
 	writtenStatuses map[string]catalogue.ReleaseStatus
 	pendingStatuses map[string]pendingStatus
-	statusPauses    map[string]statusPause
 	// awaited has the attempts under way at services with a running rollout.
 	awaited map[*request.Call]awaited
 }
@@ -206,8 +202,8 @@
 	cache := &archive.Cache{}
 	in.timedStore = &timedSource{Source: in.Store, clock: in.Clock}
 	in.peerSource = &membership.PeerSource{
-		Clock: in.Clock, Log: in.Log.WithName("membership"), Self: in.self, Network: in.network, Store: in.timedStore, Cache: cache,
-		Drain: in.Settings.Bounds.Drain, Members: func() []catalogue.Member { return in.control.Snapshot().Members }, AwaitMembers: in.awaitMembers,
+		Clock: in.Clock, Network: in.network, Store: in.timedStore, Cache: cache, Drain: in.Settings.Bounds.Drain,
+		OlderInstances: in.olderMembers, AwaitMembers: in.awaitMembers,
 	}
 	in.loads = &membership.Loads{
 		Clock: in.Clock, Self: in.self.Name, Zone: in.self.Zone, Network: in.network, OwnLoad: in.ownLoads,
@@ -224,7 +220,7 @@
 		Upstreams: func(service string) []*catalogue.Upstream { return in.control.Snapshot().Pools[service] },
 	}
 	return errors.CombineErrors(errors.CombineErrors(
-		in.network.Register(membership.ReaderName, &membership.Reader{Clock: in.Clock, Cache: cache, StandIn: in.peerSource.StandIn}),
+		in.network.Register(membership.ReaderName, &membership.Reader{Clock: in.Clock, Cache: cache}),
 		in.network.Register(membership.LoadsName, in.loads),
 	), in.network.Register(membership.RumorsName, in.rumors))
 }
--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -14,6 +14,9 @@
 )
 
 const (
+	// membersReadDelay is the time between the registration of this instance and the first read of the members: instances that
+	// start together then appear in one read instead of one each.
+	membersReadDelay clock.Millis = 350
 	// membersTimeout is how long reads of the other topics wait for the members, and the first read of the members for the
 	// registration; it is shorter than a read may take.
 	membersTimeout clock.Millis = 1000
@@ -131,6 +134,26 @@
 	}
 }
 
+// olderMembers returns the members of this instance's zone that started before it, oldest first, and the number of members in the
+// zone.
+func (in *Instance) olderMembers() (names []string, zone int) {
+	var older []catalogue.Member
+	for _, m := range in.control.Snapshot().Members {
+		if m.Zone != in.self.Zone {
+			continue
+		}
+		zone++
+		if m.Name != in.self.Name && compareAge(m, in.self) < 0 {
+			older = append(older, m)
+		}
+	}
+	slices.SortFunc(older, compareAge)
+	for _, m := range older {
+		names = append(names, m.Name)
+	}
+	return names, zone
+}
+
 // zoneLeaders returns the longest running member of each zone, by zone.
 func (in *Instance) zoneLeaders() map[string]string {
 	leaders := map[string]catalogue.Member{}
@@ -176,6 +199,7 @@
 	defer stop()
 	select {
 	case <-in.registered:
+		_ = clock.Sleep(ctx, in.Clock, membersReadDelay)
 	case <-timeout:
 	case <-ctx.Done():
 	}
--- a/pkg/gateway/rollout.go
+++ b/pkg/gateway/rollout.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"math"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
-	"carawayknot.example/carawayknot/pkg/membership"
 	"carawayknot.example/carawayknot/pkg/rating"
 	"carawayknot.example/carawayknot/pkg/request"
 )
@@ -168,20 +166,11 @@
 	return min(at, end-clock.Millis(min((storeAnswers+1-spread)*float64(store), maxStoreTime*exposureShare*float64(rollout.Span))))
 }
 
-// spread returns the place of this instance, from 0 to 1, among those that may write the same status. The first places are far apart, so that
-// the others see what the first one has written, and the last ones close together, for when the first ones don't reach the store.
+// spread returns the place of this instance, from 0 to 1, among those that may write the same status.
 func (in *Instance) spread(rollout *catalogue.ReleaseRollout) float64 {
-	members := in.control.Snapshot().Members
-	rank, found := membership.RankOf("spread "+rollout.Service+rollout.Target, in.Settings.Name, members)
-	if !found {
-		return request.HashFraction("spread "+rollout.Service+rollout.Target, in.Settings.Name)
-	}
-	return spreadOf(rank, len(members))
+	return request.HashFraction("spread "+rollout.Service+rollout.Target, in.Settings.Name)
 }
 
-// spreadOf returns the place of the instance with a rank, from 0, among n.
-func spreadOf(rank, n int) float64 { return math.Log2(float64(rank+1)) / math.Log2(float64(n+1)) }
-
 // writeDelay returns how long this instance waits before it writes a status that other instances may write as well.
 func (in *Instance) writeDelay(rollout *catalogue.ReleaseRollout) clock.Millis {
 	return clock.Millis(in.spread(rollout) * writeDelayFraction * float64(rollout.Span))
@@ -202,12 +191,7 @@
 	ctx, cancel := clock.WithTimeout(ctx, in.Clock, statusWriteTimeout)
 	defer cancel()
 	st := catalogue.ReleaseStatus{Service: rollout.Service, Target: rollout.Target, State: state, Started: true, StartedAt: rollout.StartedAt}
-	if !in.statusesRead.Load() || !in.mayWriteStatus(rollout) {
-		return false
-	}
-	err := in.Status.PutStatus(ctx, st)
-	in.noteStatusWrite(rollout, err)
-	if err != nil {
+	if err := in.Status.PutStatus(ctx, st); err != nil {
 		in.Log.Info("rollout status not written", "service", rollout.Service, "target", rollout.Target, "state", state, "error", err.Error())
 		return false
 	}
--- a/pkg/gateway/status.go
+++ b/pkg/gateway/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 
 	"carawayknot.example/carawayknot/pkg/archive"
 	"carawayknot.example/carawayknot/pkg/catalogue"
@@ -47,7 +46,6 @@
 			in.recordStatus(st)
 		}
 	}
-	in.statusesRead.Store(true)
 }
 
 // queueLostStatuses queues the statuses that were in the store and that its newest records lack.
@@ -122,40 +120,3 @@
 		}
 	}
 }
-
-const (
-	// minStatusPause is the pause of the writes of a service's status after one that failed, before jitter and in milliseconds; it doubles up
-	// to maxStatusPause, and to statusPauseFraction of the time that is left of the rollout.
-	minStatusPause      = clock.Second / 2
-	maxStatusPause      = 8 * clock.Second
-	statusPauseFraction = 0.1
-)
-
-// statusPause is the time in which this instance leaves the status of a service to others after a write that failed.
-type statusPause struct{ length, until clock.Millis }
-
-// mayWriteStatus reports whether this instance may write the status of a rollout now.
-func (in *Instance) mayWriteStatus(rollout *catalogue.ReleaseRollout) bool {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	return in.Clock.Now() >= in.statusPauses[rollout.Service].until
-}
-
-// noteStatusWrite begins a pause after a write that failed, and ends it after one that didn't.
-func (in *Instance) noteStatusWrite(rollout *catalogue.ReleaseRollout, err error) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	if err == nil {
-		delete(in.statusPauses, rollout.Service)
-		return
-	}
-	p := in.statusPauses[rollout.Service]
-	p.length = min(max(2*p.length, minStatusPause), maxStatusPause)
-	now := in.Clock.Now()
-	length := max(minStatusPause, min(p.length, clock.Millis(statusPauseFraction*float64(rollout.Left(now)))))
-	p.until = now + length/2 + rand.N(length/2+1)
-	if in.statusPauses == nil {
-		in.statusPauses = map[string]statusPause{}
-	}
-	in.statusPauses[rollout.Service] = p
-}
--- a/pkg/membership/peer_era_test.go
+++ b/pkg/membership/peer_era_test.go
@@ -24,12 +24,10 @@
 		whole            bool
 		storeReads       int
 		trimmed          bool
-		// refused is true when the records must not be used, and none of the store are needed yet.
-		refused bool
 	}{
 		{name: "the same era", peer: 4, own: 4},
-		{name: "the older instance is behind", peer: 3, own: 4, refused: true},
-		{name: "the older instance doesn't know eras", peer: 0, own: 4, refused: true},
+		{name: "the older instance is behind", peer: 3, own: 4, storeReads: 1},
+		{name: "the older instance doesn't know eras", peer: 0, own: 4, storeReads: 1},
 		{name: "the older instance is ahead", peer: 5, own: 4, trimmed: true},
 		{name: "neither knows eras", peer: 0, own: 0},
 		{name: "newest records of the same era", peer: 4, other: 4, whole: true},
@@ -50,17 +48,19 @@
 			var err error
 			if c.whole && c.storeReads > 0 {
 				// The wait of the older instance for a later era ends on its manual clock.
-				go advanceUntil(p.clock, p.stopClock)
+				done := make(chan struct{})
+				defer close(done)
+				go advanceUntil(p.clock, done)
 			}
 			if c.whole {
 				b, err = p.source.Newest(context.Background(), topic)
 			} else {
 				b, err = p.source.Read(context.Background(), topic, 4, 0)
 			}
-			if errors.Is(err, archive.ErrTrimmed) != c.trimmed || (err != nil && !c.trimmed) != c.refused || p.store.reads != c.storeReads {
+			if errors.Is(err, archive.ErrTrimmed) != c.trimmed || err != nil && !c.trimmed || p.store.reads != c.storeReads {
 				t.Fatalf("got %+v and error %v after %d reads of the store, want %d reads, trimmed %t", b, err, p.store.reads, c.storeReads, c.trimmed)
 			}
-			if c.storeReads == 0 && !c.trimmed && !c.refused && b.Era != c.peer {
+			if c.storeReads == 0 && !c.trimmed && b.Era != c.peer {
 				t.Errorf("got era %d from the older instance, want %d", b.Era, c.peer)
 			}
 		})
@@ -121,7 +121,7 @@
 // older copy doesn't end the reads that wait.
 func TestWaitEndsWhenAnotherTopicShowsALaterEra(t *testing.T) {
 	p := newPeerPair(t)
-	p.makeSmall()
+	p.zone = 1
 	store := &waitingStore{countingStore: countingStore{clock: p.clock}, waiting: make(chan struct{})}
 	p.source.Store = store
 	p.source.Cache.Update(archive.TopicMembers, archive.Batch[archive.Record]{Whole: true, Next: 4, Era: 4})
--- a/pkg/membership/peer_source_test.go
+++ b/pkg/membership/peer_source_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"testing"
 
@@ -43,29 +42,22 @@
 	return b, nil
 }
 
-// peerPair is an instance that serves its cache, and a source of one that comes after it in the feed order.
+// peerPair is an instance that serves its cache, and a source of a younger one that reads from it.
 type peerPair struct {
 	clock  *clock.Manual
 	cache  *archive.Cache
 	store  *countingStore
 	source *PeerSource
-	// zone has the members of the zone in feed order.
-	zone []catalogue.Member
-	// stopClock is closed once no call is pending any more.
-	stopClock chan struct{}
+	zone   int
 }
 
 func newPeerPair(t *testing.T) *peerPair {
 	t.Helper()
-	p := &peerPair{clock: clock.NewManual(10_000), cache: &archive.Cache{}, stopClock: make(chan struct{})}
-	for i := range minZoneSize {
-		p.zone = append(p.zone, catalogue.Member{Name: fmt.Sprint("edge-", i), Zone: "a", Incarnation: 1})
-	}
-	p.zone = Rank("feed a", p.zone)
+	p := &peerPair{clock: clock.NewManual(10_000), cache: &archive.Cache{}, zone: minZoneSize}
 	p.store = &countingStore{clock: p.clock, next: 5}
 	common := settings.Common{Log: logr.Discard(), Clock: p.clock}
-	firstNetwork := &Network{Common: common, Self: p.zone[0]}
-	if err := firstNetwork.Register(ReaderName, &Reader{Clock: p.clock, Cache: p.cache}); err != nil {
+	oldNetwork := &Network{Common: common, Self: catalogue.Member{Name: "old"}}
+	if err := oldNetwork.Register(ReaderName, &Reader{Clock: p.clock, Cache: p.cache}); err != nil {
 		t.Fatal(err)
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -74,26 +66,21 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
-	go func() { done <- firstNetwork.Serve(ctx, l) }()
-	p.zone[0].PeerAddress = l.Addr().String()
-	network := &Network{Common: common, Self: p.zone[1]}
-	network.SetMembers(p.zone)
+	go func() { done <- oldNetwork.Serve(ctx, l) }()
+	youngNetwork := &Network{Common: common, Self: catalogue.Member{Name: "young"}}
+	youngNetwork.SetMembers([]catalogue.Member{{Name: "old", PeerAddress: l.Addr().String()}})
 	t.Cleanup(func() {
-		network.SetMembers(nil)
+		youngNetwork.SetMembers(nil)
 		cancel()
 		<-done
-		close(p.stopClock)
 	})
 	p.source = &PeerSource{
-		Clock: p.clock, Log: logr.Discard(), Self: p.zone[1], Network: network, Store: p.store, Cache: &archive.Cache{}, Drain: 3000,
-		Members: func() []catalogue.Member { return p.zone }, AwaitMembers: func(context.Context) {},
+		Clock: p.clock, Network: youngNetwork, Store: p.store, Cache: &archive.Cache{}, Drain: 3000,
+		OlderInstances: func() ([]string, int) { return []string{"old"}, p.zone }, AwaitMembers: func(context.Context) {},
 	}
 	return p
 }
 
-// makeSmall leaves a zone in which instances don't read from each other.
-func (p *peerPair) makeSmall() { p.zone = p.zone[:minZoneSize-1] }
-
 // Pattern: the store misses a record that is appended when a read arrives and returns it only to the next read, which has to follow
 // before a leaving upstream may get no more work.
 func TestReadsOfTheStoreEndBeforeALeavingUpstreamMustBeKnown(t *testing.T) {
@@ -110,9 +97,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := newPeerPair(t)
-			p.zone = p.zone[:c.zone]
-			p.source.Self = p.zone[0]
-			p.source.Cache.Update(c.topic, archive.Batch[archive.Record]{Whole: true, Next: 5, AsOf: p.clock.Now()})
+			p.zone = c.zone
+			p.source.OlderInstances = func() ([]string, int) { return nil, c.zone }
 			if _, err := p.source.Read(context.Background(), c.topic, 5, 4000); err != nil {
 				t.Fatal(err)
 			}
@@ -141,60 +127,29 @@
 }
 
 func TestPeerSourceFallsBackToStore(t *testing.T) {
-	for _, c := range []struct {
-		name string
-		set  func(p *peerPair)
-		// reads is the number of reads until the store is read.
-		reads int
-	}{
-		{"the first of the zone is unreachable", func(p *peerPair) { p.source.Network.(*Network).SetMembers(nil) }, 2},
-		{"the zone is small", func(p *peerPair) {
-			p.cache.Update(archive.TopicOperations, archive.Batch[archive.Record]{Whole: true, Next: 5, AsOf: 10_000})
-			p.makeSmall()
-		}, 1},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			p := newPeerPair(t)
-			p.source.Cache.Update(archive.TopicOperations, archive.Batch[archive.Record]{Whole: true, Next: 4, AsOf: 9_500})
-			c.set(p)
-			var b archive.Batch[archive.Record]
-			var err error
-			for range c.reads {
-				b, err = p.source.Read(context.Background(), archive.TopicOperations, 4, 0)
-			}
-			if err != nil || b.Next != 5 || b.AsOf != 10_000 || p.store.reads != 1 {
-				t.Errorf("got %+v and %v with %d reads of the store, want Next 5, AsOf 10000 and one read", b, err, p.store.reads)
-			}
-		})
-	}
-}
-
-// Failure: an instance whose view was old made all of its zone call the store.
-func TestInstancesBehindAnOldViewLeaveTheStoreAlone(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		set  func(p *peerPair)
 	}{
-		{"the one before has read nothing", func(*peerPair) {}},
-		{"its last read is older", func(p *peerPair) {
+		{"the older peer has read nothing", func(*peerPair) {}},
+		{"the older peer's last read is too old", func(p *peerPair) {
 			p.cache.Update(archive.TopicOperations, archive.Batch[archive.Record]{Whole: true, Next: 4, AsOf: 10_000 - 1951})
 		}},
-		{"it has read less", func(p *peerPair) {
+		{"the older peer has read less", func(p *peerPair) {
 			p.cache.Update(archive.TopicOperations, archive.Batch[archive.Record]{Whole: true, Next: 3, AsOf: 10_000})
 		}},
+		{"the older peer is unreachable", func(p *peerPair) { p.source.Network.SetMembers(nil) }},
+		{"the zone is small", func(p *peerPair) {
+			p.cache.Update(archive.TopicOperations, archive.Batch[archive.Record]{Whole: true, Next: 5, AsOf: 10_000})
+			p.zone = minZoneSize - 1
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := newPeerPair(t)
-			p.source.Cache.Update(archive.TopicOperations, archive.Batch[archive.Record]{Whole: true, Next: 4, AsOf: 9_000})
 			c.set(p)
-			// The waits of the other instance end on its manual clock, of which few seconds pass meanwhile.
-			p.source.Drain = 1000 * clock.Second
-			go advanceUntil(p.clock, p.stopClock)
-			if b, err := p.source.Read(context.Background(), archive.TopicOperations, 4, 0); err == nil {
-				t.Errorf("got %+v, want an error", b)
-			}
-			if p.store.reads != 0 {
-				t.Errorf("%d reads of the store, want none", p.store.reads)
+			b, err := p.source.Read(context.Background(), archive.TopicOperations, 4, 0)
+			if err != nil || b.Next != 5 || b.AsOf != 10_000 || p.store.reads != 1 {
+				t.Errorf("got %+v and %v with %d reads of the store, want Next 5, AsOf 10000 and one read", b, err, p.store.reads)
 			}
 		})
 	}
@@ -209,53 +164,40 @@
 }
 
 // TestPeerSourceStoreOutage reproduces the load of many instances on a store that fails for all of them for 8 s, each retrying four
-// topics every 300 ms. The first of a zone calls it less and less, the others hardly ever.
+// topics every 300 ms. An instance with an older peer reads from that one in between and backs off from the store.
 func TestPeerSourceStoreOutage(t *testing.T) {
 	topics := []archive.TopicName{archive.TopicOperations, archive.TopicListings, archive.TopicStatuses, archive.TopicMembers}
 	for _, c := range []struct {
 		name               string
-		first, small       bool
+		zone               int
 		err                error
 		minReads, maxReads int
 	}{
-		{"unreachable", true, false, errors.New("connection refused"), 5, 16},
-		{"refusing", true, false, errors.Mark(errors.New("503"), archive.ErrRefused), 20, 48},
-		{"unreachable, not the first", false, false, errors.New("connection refused"), 0, 16},
-		{"in a small zone every read is tried", true, true, errors.New("connection refused"), 100, 108},
+		{"unreachable", minZoneSize, errors.New("connection refused"), 5, 16},
+		{"refusing", minZoneSize, errors.Mark(errors.New("503"), archive.ErrRefused), 20, 48},
+		{"without older peers every read is tried", minZoneSize - 1, errors.New("connection refused"), 100, 108},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := newPeerPair(t)
-			p.store.err = c.err
-			if c.first {
-				p.source.Self = p.zone[0]
-			}
-			if c.small {
-				p.makeSmall()
-			}
-			for _, topic := range topics {
-				p.source.Cache.Update(topic, archive.Batch[archive.Record]{Whole: true, Next: 4, AsOf: p.clock.Now()})
-				p.cache.Update(topic, archive.Batch[archive.Record]{Whole: true, Next: 4, AsOf: p.clock.Now()})
-			}
+			p.zone, p.store.err = c.zone, c.err
 			for end := p.clock.Now() + 8000; p.clock.Now() < end; p.clock.Advance(300) {
 				for _, topic := range topics {
-					b, err := p.source.Read(context.Background(), topic, 4, 0)
-					if err == nil && (isTimeCritical(topic) || c.first) {
-						t.Fatalf("read of %s gave %+v while the store fails, want an error", topic, b)
+					if _, err := p.source.Read(context.Background(), topic, 4, 0); err == nil {
+						t.Fatal("read succeeded while the store fails, want an error")
 					}
 				}
 			}
 			if p.store.reads < c.minReads || p.store.reads > c.maxReads {
 				t.Errorf("%d reads of the store in 8 s, want %d to %d", p.store.reads, c.minReads, c.maxReads)
 			}
-			// Once the instance before has read again, a read must not wait for the backoff.
+			// Once the older peer has read again, a read must not wait for the backoff.
 			p.store.err = nil
-			p.clock.Advance(maxStorePause)
+			p.clock.Advance(topicCooldown)
 			for _, topic := range topics {
 				p.cache.Update(topic, archive.Batch[archive.Record]{Whole: true, Next: 5, AsOf: p.clock.Now()})
 			}
-			b, err := p.source.Read(context.Background(), archive.TopicOperations, 5, 0)
-			if err != nil || b.AsOf != p.clock.Now() {
-				t.Errorf("read after the store recovered: %+v and %v, want AsOf at the current time", b, err)
+			if b, err := p.source.Read(context.Background(), archive.TopicOperations, 5, 0); err != nil || b.AsOf != p.clock.Now() {
+				t.Errorf("read after the older peer recovered: %+v and %v, want AsOf at the current time", b, err)
 			}
 		})
 	}
--- a/pkg/membership/reader.go
+++ b/pkg/membership/reader.go
@@ -1,8 +1,6 @@
 package membership
 
 import (
-	"context"
-
 	"github.com/cockroachdb/errors"
 
 	"carawayknot.example/carawayknot/pkg/archive"
@@ -26,11 +24,6 @@
 	// Era is that of From, or for Whole the newest one that the sender has seen; 0 when unknown.
 	Era  int64
 	Wait clock.Millis
-	// Age is how old the newest read of the sender is, in milliseconds; newer ones are worth a reply even without records. 0 means that only
-	// records are.
-	Age clock.Millis
-	// StandIn asks the receiver to read the store for the sender, which can't.
-	StandIn bool
 }
 
 // ReadReply has the records that were read and their age; times are in milliseconds.
@@ -50,19 +43,12 @@
 type Reader struct {
 	Clock clock.Clock
 	Cache *archive.Cache
-	// StandIn reads a topic from the store for another instance, now and in the time that follows.
-	StandIn func(ctx context.Context, topic archive.TopicName) error
 }
 
 // Read replies with records and their age, after a wait of up to args.Wait for new ones.
 func (r *Reader) Read(args ReadArgs, reply *ReadReply) error {
 	start := r.Clock.Now()
-	if args.StandIn {
-		if err := r.StandIn(context.Background(), args.Topic); err != nil {
-			return err
-		}
-	}
-	b, err := r.read(args, start)
+	b, err := r.read(args)
 	if errors.Is(err, archive.ErrTrimmed) {
 		reply.Trimmed = true
 		return nil
@@ -76,27 +62,24 @@
 	return nil
 }
 
-func (r *Reader) read(args ReadArgs, start clock.Millis) (archive.Batch[archive.Record], error) {
+func (r *Reader) read(args ReadArgs) (archive.Batch[archive.Record], error) {
 	if args.Whole {
 		return r.waitWhole(args)
 	}
+	b, changed, err := r.Cache.ReadFrom(args.Topic, args.Era, args.From)
+	// An instance that has read less than the requester waits to catch up.
+	mayWait := err == nil && len(b.Items) == 0 || errors.Is(err, archive.ErrBehind) && changed != nil
+	if !mayWait || args.Wait <= 0 {
+		return b, err
+	}
 	expired, stop := r.Clock.Timer(min(args.Wait, maxPeerWait))
 	defer stop()
-	for {
-		advanced := r.Cache.Advanced(args.Topic)
-		b, changed, err := r.Cache.ReadFrom(args.Topic, args.Era, args.From)
-		isNews := err == nil && (len(b.Items) > 0 || args.Age > 0 && b.AsOf >= start-args.Age+minAdvance)
-		// An instance that has read less than the requester waits to catch up.
-		if mayWait := err == nil && !isNews || errors.Is(err, archive.ErrBehind) && changed != nil; !mayWait || args.Wait <= 0 {
-			return b, err
-		}
-		select {
-		case <-advanced:
-		case <-expired:
-			b, _, err = r.Cache.ReadFrom(args.Topic, args.Era, args.From)
-			return b, err
-		}
+	select {
+	case <-changed:
+	case <-expired:
 	}
+	b, _, err = r.Cache.ReadFrom(args.Topic, args.Era, args.From)
+	return b, err
 }
 
 // waitWhole returns the newest records of a topic; an instance that has just started, or that has not noticed yet
--- a/pkg/membership/storebackoff.go
+++ b/pkg/membership/storebackoff.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"math/rand/v2"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -11,11 +10,10 @@
 )
 
 const (
-	// initialStorePause is how long the store is not called after a failure, before jitter and in milliseconds; it doubles up to
-	// maxStorePause. What the store confirms after its return must be known within 3 s.
-	initialStorePause clock.Millis = 250
+	// initialStorePause is how long the store is not called after the second failure in a row, in milliseconds; it doubles up to
+	// maxStorePause. A follower pauses 300 ms by itself, and what the store confirms after its return must be known within 3 s.
+	initialStorePause clock.Millis = 500
 	maxStorePause     clock.Millis = 1200
-	recoveryFactor                 = 5
 )
 
 // storeBackoff spaces the calls to a failing store. All topics share one pause, but a topic that the store refuses gets a pause of
@@ -25,10 +23,11 @@
 	pauses map[archive.TopicName]storePause
 }
 
-// storePause is the pause between calls.
+// storePause is the pause between calls; it is zero after the first failure.
 type storePause struct {
-	pause clock.Millis
-	until clock.Millis
+	failed bool
+	pause  clock.Millis
+	until  clock.Millis
 }
 
 // allTopics is the key of the pause that all topics share.
@@ -41,26 +40,6 @@
 	return max(0, b.pauses[allTopics].until-now, b.pauses[topic].until-now)
 }
 
-// mayCall reports whether the store may be called for a topic; patient callers leave it alone recoveryFactor times as long.
-func (b *storeBackoff) mayCall(topic archive.TopicName, now clock.Millis, patient bool) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, key := range []archive.TopicName{allTopics, topic} {
-		p := b.pauses[key]
-		if now < p.until || patient && now < p.until+(recoveryFactor-1)*p.pause {
-			return false
-		}
-	}
-	return true
-}
-
-// failing reports whether the last call for a topic has failed, or one for all topics.
-func (b *storeBackoff) failing(topic archive.TopicName) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.pauses[allTopics].pause > 0 || b.pauses[topic].pause > 0
-}
-
 // record updates the pauses by the outcome of a call.
 func (b *storeBackoff) record(topic archive.TopicName, err error, now clock.Millis) {
 	b.mu.Lock()
@@ -74,13 +53,17 @@
 		topic = allTopics
 	}
 	p := b.pauses[topic]
-	p.pause = min(max(2*p.pause, initialStorePause), maxStorePause)
-	p.until = now + jitter(p.pause)
+	switch {
+	case !p.failed:
+		p.failed = true
+	case p.pause == 0:
+		p.pause = initialStorePause
+	default:
+		p.pause = min(2*p.pause, maxStorePause)
+	}
+	p.until = now + p.pause
 	if b.pauses == nil {
 		b.pauses = map[archive.TopicName]storePause{}
 	}
 	b.pauses[topic] = p
 }
-
-// jitter returns a random time from a half of d to d, so that instances that failed together don't return together.
-func jitter(d clock.Millis) clock.Millis { return d/2 + rand.N(d/2+1) }
