Occupancy: instances hold parts of the slots of upstreams that bear few rejections

Callers of a service whose upstreams fail when they reject too many requests within a second got hardly an answer once more was asked for than fits (LIMIT): each instance sent to whatever upstream it liked, asked the next one after a rejection, and knocked over the one that came back.

Cause: nobody read how few rejections an upstream bears, and room at an upstream was found out by trying.

Now each instance holds a part of the slots; the parts add up to them whatever the load. Waiting requests and rejections show where there is less room. A call whose instance has no slot left goes through one that has, and one that can't be served is refused at once with a time to come back.

--- a/pkg/delivery/relay.go
+++ b/pkg/delivery/relay.go
@@ -31,6 +31,8 @@
 	Head(c *request.Call, resp *http.Response) (request.Head, error)
 	// Limit decodes the limit that a response names.
 	Limit(resp *http.Response) request.NamedLimit
+	// Room decodes what a response says of the room at its upstream.
+	Room(resp *http.Response) request.Room
 	// Notice decodes what a response says of its upstream; now is the time of day.
 	Notice(resp *http.Response, now clock.Millis) request.Notice
 }
@@ -86,6 +88,9 @@
 	// OnLimit receives what the head of each response of the call's upstream says of its limit, with the time at which the request was
 	// sent; it is optional.
 	OnLimit func(upstream string, limit request.NamedLimit, sentAt clock.Millis)
+	// OnRoom receives what the head of each response of the call's upstream says of the room there, with the time at which the request was
+	// sent; it is optional.
+	OnRoom func(u *catalogue.Upstream, room request.Room, sentAt clock.Millis)
 	// OnNotice receives what the head of each response of the call's upstream says of it; it is optional.
 	OnNotice func(u *catalogue.Upstream, notice request.Notice)
 	// OnProgress receives a sample of a stream when its first event has arrived, and another with its pace once that is known; it is
@@ -119,6 +124,8 @@
 	startedAt clock.Millis
 	firstByte clock.Millis
 	load      *request.LoadReport
+	// full is true if the upstream had no room for the request.
+	full bool
 	// mayAbort reserves a retry and reports whether the attempt may be aborted for it. The timers of an attempt may fire when the call is
 	// already at the next one, so that they must not read the call.
 	mayAbort func() bool
@@ -157,6 +164,8 @@
 	}
 	refusal := a.refusal(err, outcome, denied)
 	refusal.Unreached = outcome == request.NotRun && !a.ex.connected.Load() && refusal.Reason != request.ReasonCallerGone
+	refusal.Full = a.full
+	refusal.GivenUp = outcome == request.MayHaveRun && context.Cause(a.ctx) != nil
 	refusal.UpstreamDown = outcome == request.MayHaveRun && a.upstreamDown(err)
 	return refusal
 }
@@ -197,7 +206,7 @@
 	return a.forwardBuffered(resp, head)
 }
 
-// reportHead reports the limit that a response names and what it says of its upstream; err is that of its head. Only responses of the upstream
+// reportHead reports the limit that a response names, the room at its upstream and what else it says of it; err is that of its head. Only responses of the upstream
 // that was meant count.
 func (a *relayAttempt) reportHead(resp *http.Response, err error) {
 	var declined *DeclinedError
@@ -208,8 +217,16 @@
 	if a.OnLimit != nil {
 		a.OnLimit(a.call.Upstream.Name, a.Wire.Limit(resp), a.startedAt)
 	}
+	notice := a.Wire.Notice(resp, a.Clock.Wall())
+	// An upstream that names a time to come back turns this instance away, whether it has room or not.
+	a.full = declined != nil && declined.Status == http.StatusServiceUnavailable && notice.PauseFor == 0
+	if a.OnRoom != nil {
+		room := a.Wire.Room(resp)
+		room.Rejected = a.full
+		a.OnRoom(a.call.Upstream, room, a.startedAt)
+	}
 	if a.OnNotice != nil {
-		a.OnNotice(a.call.Upstream, a.Wire.Notice(resp, a.Clock.Wall()))
+		a.OnNotice(a.call.Upstream, notice)
 	}
 }
 
--- a/pkg/delivery/relay_test.go
+++ b/pkg/delivery/relay_test.go
@@ -28,6 +28,8 @@
 
 func (plainWire) Limit(*http.Response) request.NamedLimit { return request.NamedLimit{} }
 
+func (plainWire) Room(*http.Response) request.Room { return request.Room{} }
+
 func (plainWire) Notice(*http.Response, clock.Millis) request.Notice { return request.Notice{} }
 
 func (plainWire) Head(_ *request.Call, resp *http.Response) (request.Head, error) {
--- a/pkg/delivery/upstream_down_test.go
+++ b/pkg/delivery/upstream_down_test.go
@@ -84,6 +84,8 @@
 
 func (w decliningWire) Limit(*http.Response) request.NamedLimit { return request.NamedLimit{} }
 
+func (w decliningWire) Room(*http.Response) request.Room { return request.Room{} }
+
 func (decliningWire) Notice(*http.Response, clock.Millis) request.Notice { return request.Notice{} }
 
 func (w decliningWire) Head(c *request.Call, resp *http.Response) (request.Head, error) {
--- a/pkg/detour/detours.go
+++ b/pkg/detour/detours.go
@@ -140,6 +140,16 @@
 	return &catalogue.Upstream{Name: best.Name, Address: best.CallerAddress, Service: service, Zone: best.Zone}
 }
 
+// Via returns an instance by its name, in the form of an upstream, or nil if calls can't go through it.
+func (d *Detours) Via(service, instance string) *catalogue.Upstream {
+	for _, m := range d.Members() {
+		if m.Name == instance && m.CallerAddress != "" && !m.Leaving {
+			return &catalogue.Upstream{Name: m.Name, Address: m.CallerAddress, Service: service, Zone: m.Zone}
+		}
+	}
+	return nil
+}
+
 // CountSent counts an attempt through another instance.
 func (d *Detours) CountSent() { d.sent.Add(1) }
 
--- a/pkg/dispatch/choose_upstream.go
+++ b/pkg/dispatch/choose_upstream.go
@@ -40,11 +40,14 @@
 	if len(open) == 0 && len(candidates) > 0 {
 		open = f.Limits.Open(withoutExcluded(f.otherUpstreams(s, listed, candidates), c.Excluded), now)
 	}
-	u, warm := f.chooseOpen(s, c, open, now)
-	if u == nil && len(open) == 0 && len(candidates) > 0 {
+	u, warm := f.chooseOpen(s, c, f.Slots.Open(open, now), now)
+	switch {
+	case u != nil:
+	case len(open) == 0 && len(candidates) > 0:
 		return nil, f.Limits.Refuse(c, service, candidates, now)
-	}
-	if u == nil {
+	case len(open) > 0 && len(f.Slots.Open(open, now)) == 0:
+		return nil, request.Refuse(request.ReasonOverloaded, f.Slots.RetryAfter(service, open, now), "the slots of all upstreams of %s are taken", service)
+	default:
 		return nil, request.Refuse(request.ReasonNoUpstream, jitter(c.Request.ID, clock.Second/2), "no upstream of %s may get new work", service)
 	}
 	c.FirstByteTimeout, c.TokensAhead = 0, tokensAhead(pool, c.Model, f.Loads.Work(u.Name))
@@ -54,7 +57,7 @@
 	return u, nil
 }
 
-// chooseOpen selects one of the upstreams that are below their limits, and counts the request toward its limit; it also returns the number of
+// chooseOpen selects one of the upstreams that have room and are below their limits, and counts the request toward both; it also returns the number of
 // warm ones.
 func (f *Dispatch) chooseOpen(s *catalogue.Snapshot, c *request.Call, open []*catalogue.Upstream, now clock.Millis) (u *catalogue.Upstream, warmCount int) {
 	selector := &Selector{Now: now, Zone: f.Zone, Loads: f.Loads, Outliers: f.Outliers, TieBreakKey: c.Request.ID + strconv.Itoa(c.Attempts)}
@@ -69,10 +72,10 @@
 		} else if relief := f.chooseCold(s, c.Pool, selector.soonerThan(u, cold), now); relief != nil {
 			u = relief
 		}
-		if u == nil || f.Limits.TryTake(u.Name, now) {
+		if u == nil || f.Limits.TryTake(u.Name, now) && f.Slots.TryEnter(u, now) {
 			return u, len(warm)
 		}
-		// Another call has taken what the limit allows.
+		// Another call has taken what the limit or the room allows.
 		open = slices.DeleteFunc(slices.Clone(open), func(other *catalogue.Upstream) bool { return other == u })
 	}
 }
@@ -80,7 +83,7 @@
 // open returns the upstreams to which this instance may send a request now, by what they said of themselves.
 func (f *Dispatch) open(upstreams []*catalogue.Upstream, now clock.Millis) []*catalogue.Upstream {
 	listed, _ := f.Notices.Open(upstreams, now)
-	return f.Limits.Open(listed, now)
+	return f.Slots.Open(f.Limits.Open(listed, now), now)
 }
 
 // otherUpstreams returns those of the listed upstreams that have the old release if the candidates are those of the new one in a running rollout; there are none
--- a/pkg/dispatch/detour.go
+++ b/pkg/dispatch/detour.go
@@ -22,6 +22,7 @@
 	Cut(service string) bool
 	Next(service, requestID string, tried []string) *catalogue.Upstream
 	Avoid(service, instance string)
+	Via(service, instance string) *catalogue.Upstream
 }
 
 // InstanceSender sends a call to the instance in c.Upstream once; it doesn't call next.
@@ -48,14 +49,34 @@
 		return nil, nil
 	}
 	if via = f.Detours.Next(service, c.Request.ID, p.declinedBy); via != nil {
-		c.Pool, c.TokensAhead, c.FirstByteTimeout = pool, 0, 0
-		if !c.HeadWritten && c.Runs+1 < c.Route.MaxAttempts {
-			c.FirstByteTimeout = f.firstByteTimeout(c)
-		}
+		f.prepareDetour(c, pool)
 	}
 	return via, nil
 }
 
+func (f *Dispatch) prepareDetour(c *request.Call, pool *catalogue.Pool) {
+	c.Pool, c.TokensAhead, c.FirstByteTimeout = pool, 0, 0
+	if !c.HeadWritten && c.Runs+1 < c.Route.MaxAttempts {
+		c.FirstByteTimeout = f.firstByteTimeout(c)
+	}
+}
+
+// holder returns an instance that holds slots for a call that was refused because those of this instance are taken, or nil if there is none.
+func (f *Dispatch) holder(c *request.Call, p *callProgress, refusal *request.Refusal) *catalogue.Upstream {
+	if f.Detours == nil || refusal == nil || refusal.Reason != request.ReasonOverloaded || c.Request.HandedOver || len(p.declinedBy) >= maxDetours {
+		return nil
+	}
+	name := f.Slots.Holder(f.Snapshot().Pools[c.Pool.Name], c.Request.ID, p.declinedBy, f.Clock.Now())
+	if name == "" {
+		return nil
+	}
+	via := f.Detours.Via(c.Pool.Name, name)
+	if via != nil {
+		f.prepareDetour(c, c.Pool)
+	}
+	return via
+}
+
 // sendThrough sends the call through another instance; the outcome tells nothing of upstreams.
 func (f *Dispatch) sendThrough(ctx context.Context, c *request.Call, a *attempt) error {
 	c.OnFirstEvent = a.FirstEvent
@@ -91,8 +112,13 @@
 		return false
 	}
 	if via {
-		f.Detours.Avoid(c.Upstream.Service, c.Upstream.Name)
 		p.declinedBy = append(p.declinedBy, c.Upstream.Name)
+		switch {
+		case !p.crowded:
+			f.Detours.Avoid(c.Upstream.Service, c.Upstream.Name)
+		case len(p.declinedBy) == maxDetours:
+			f.Slots.HoldersBusy(c.Upstream.Service, f.Clock.Now())
+		}
 		f.Log.Info("another instance didn't take the request", "request", c.Request.ID, "route", c.Route.Name, "instance", c.Upstream.Name,
 			"reason", r.Reason, "error", r.Error())
 		return true
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/occupancy"
 	"carawayknot.example/carawayknot/pkg/request"
 )
 
@@ -36,6 +37,8 @@
 	Latency *LatencyTracker
 	// Limits keeps the limits that upstreams named; nil keeps none.
 	Limits *NamedLimits
+	// Slots bounds the requests in flight at upstreams that bear few rejections; nil bounds none.
+	Slots *occupancy.Slots
 	// Notices keeps which upstreams want no requests; nil keeps none.
 	Notices *Notices
 	// Suspects quarantines requests, and parts of prompts, under which upstreams crash; nil quarantines none.
@@ -60,6 +63,8 @@
 	// unreached counts the attempts that didn't connect to their upstream, and declinedBy has the instances that didn't take the call.
 	unreached  int
 	declinedBy []string
+	// crowded is true while the call goes through another instance because the slots of this one are taken.
+	crowded bool
 	// runsBefore is the number of runs before the first attempt.
 	runsBefore int
 	persist    persistence
@@ -86,8 +91,12 @@
 	}
 	u, refusal := f.detour(c, p)
 	via := u != nil
+	p.crowded = false
 	if u == nil && refusal == nil {
 		u, refusal = f.choose(c)
+		if holder := f.holder(c, p, refusal); holder != nil {
+			u, refusal, via, p.crowded = holder, nil, true, true
+		}
 	}
 	if refusal != nil {
 		a.End(nil, false)
@@ -108,6 +117,7 @@
 	} else {
 		startedAt := f.Clock.Now()
 		err = f.send(ctx, c, a, next)
+		f.Slots.Leave(u, endOf(err), startedAt, f.Clock.Now())
 		f.observeReach(c, p, err, startedAt)
 	}
 	if a.end(err) {
@@ -211,6 +221,20 @@
 		"outcome", r.Outcome, "error", r.Error(), "stopReason", noRetry, "runs", runs)
 }
 
+// endOf returns what the error of an attempt tells of its slot.
+func endOf(err error) occupancy.End {
+	var r *request.Refusal
+	switch {
+	case !errors.As(err, &r):
+		return occupancy.Answered
+	case r.Full:
+		return occupancy.Rejected
+	case r.GivenUp:
+		return occupancy.Abandoned
+	}
+	return occupancy.Answered
+}
+
 func (f *Dispatch) send(ctx context.Context, c *request.Call, a *attempt, next request.Handler) error {
 	a.upstream, a.work = c.Upstream, promptWork(c)
 	f.Loads.StartRequest(a.upstream.Name, a.work)
--- a/pkg/gateway/admin.go
+++ b/pkg/gateway/admin.go
@@ -8,6 +8,7 @@
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/dispatch"
+	"carawayknot.example/carawayknot/pkg/occupancy"
 )
 
 // Dump is the state of an instance for operators; times are monotonic milliseconds of the instance, and no API key is in it.
@@ -36,6 +37,8 @@
 	InstanceReads map[archive.TopicName]int64
 	// Limits has the limits that upstreams named.
 	Limits map[string]dispatch.LimitState
+	// FragileUpstreams has the upstreams that bear few rejections.
+	FragileUpstreams map[string]occupancy.State
 	// Crashes counts crashes under requests and the work of the quarantine.
 	Crashes dispatch.CrashStats
 	// Detours has the services that this instance doesn't reach, whose calls go through other instances.
@@ -50,6 +53,7 @@
 		Detours: in.detours.Services(),
 	}
 	d.Limits, _ = in.limits.States()
+	d.FragileUpstreams = in.slots.States()
 	d.StoreReads, d.InstanceReads = in.peerSource.Reads()
 	d.Models, d.ConfidenceNoise = in.latencies.Models(), map[string]float64{}
 	if err := in.ready(); err != nil {
@@ -123,6 +127,19 @@
 	})
 }
 
+// registerSlotMetrics registers the metrics of rejections and of fragile upstreams.
+func (in *Instance) registerSlotMetrics() {
+	in.metrics.RegisterGauge("carawayknot_fragile_upstreams", "Upstreams that bear few rejections.", func() float64 {
+		return float64(len(in.slots.States()))
+	})
+	in.metrics.RegisterCounter("carawayknot_upstream_rejections_total", "Requests that upstreams rejected for want of room.", func() float64 {
+		return float64(in.slots.Counts().Rejected)
+	})
+	in.metrics.RegisterCounter("carawayknot_slot_refusals_total", "Calls refused because the slots of fragile upstreams were taken.", func() float64 {
+		return float64(in.slots.Counts().Refused)
+	})
+}
+
 // adminHandler serves the metrics and the state dump.
 func (in *Instance) adminHandler() http.Handler {
 	in.metrics.RegisterGauge("carawayknot_in_flight", "Requests being served.", func() float64 { return float64(in.inFlight.Count()) })
@@ -131,6 +148,7 @@
 	})
 	in.registerCrashMetrics()
 	in.registerLimitMetrics()
+	in.registerSlotMetrics()
 	in.registerDetourMetrics()
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", in.metrics)
--- a/pkg/gateway/chain_test.go
+++ b/pkg/gateway/chain_test.go
@@ -37,6 +37,8 @@
 
 func (scriptedWire) Limit(*http.Response) request.NamedLimit { return request.NamedLimit{} }
 
+func (scriptedWire) Room(*http.Response) request.Room { return request.Room{} }
+
 func (scriptedWire) Notice(*http.Response, clock.Millis) request.Notice { return request.Notice{} }
 
 func (scriptedWire) Head(_ *request.Call, resp *http.Response) (request.Head, error) {
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -43,6 +43,9 @@
 		OnLimit: func(upstream string, limit request.NamedLimit, sentAt clock.Millis) {
 			in.limits.Observe(upstream, limit, sentAt, in.Clock.Now())
 		},
+		OnRoom: func(u *catalogue.Upstream, room request.Room, sentAt clock.Millis) {
+			in.slots.Observe(u, room, sentAt, in.Clock.Now())
+		},
 		OnNotice: func(u *catalogue.Upstream, notice request.Notice) { in.notices.Observe(u, notice, in.Clock.Now()) },
 	}
 	in.relay.Open()
@@ -65,6 +68,7 @@
 		Latency:  in.latencies,
 		Suspects: in.suspects,
 		Limits:   in.limits,
+		Slots:    in.slots,
 		Notices:  in.notices,
 		Detours:  in.detours,
 		Through:  in.through,
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"carawayknot.example/carawayknot/pkg/detour"
 	"carawayknot.example/carawayknot/pkg/dispatch"
 	"carawayknot.example/carawayknot/pkg/membership"
+	"carawayknot.example/carawayknot/pkg/occupancy"
 	"carawayknot.example/carawayknot/pkg/pricing"
 	"carawayknot.example/carawayknot/pkg/request"
 	"carawayknot.example/carawayknot/pkg/settings"
@@ -92,6 +93,7 @@
 	releases    *dispatch.Releases
 	suspects    *dispatch.CrashSuspects
 	limits      *dispatch.NamedLimits
+	slots       *occupancy.Slots
 	notices     *dispatch.Notices
 	rumors      *membership.Rumors
 	inFlight    *desk.InFlight
@@ -209,14 +211,13 @@
 		Clock: in.Clock, Self: in.self.Name, Zone: in.self.Zone, Network: in.network, OwnLoad: in.ownLoads,
 		SetPeerLoads: in.applyPeerLoads, ZoneLeaders: in.zoneLeaders,
 	}
-	in.limits = &dispatch.NamedLimits{
-		Log: in.Log.WithName("dispatch"), Self: in.self.Name, Members: func() []catalogue.Member { return in.control.Snapshot().Members },
-	}
+	members := func() []catalogue.Member { return in.control.Snapshot().Members }
+	in.limits = &dispatch.NamedLimits{Log: in.Log.WithName("dispatch"), Self: in.self.Name, Members: members}
+	in.slots = &occupancy.Slots{Log: in.Log.WithName("occupancy"), Self: in.self.Name, Members: members}
 	in.notices = &dispatch.Notices{Log: in.Log.WithName("dispatch")}
 	in.buildSuspects()
 	in.detours = &detour.Detours{
-		Clock: in.Clock, Log: in.Log.WithName("detour"), Self: in.self.Name, Dial: in.Dial,
-		Members:   func() []catalogue.Member { return in.control.Snapshot().Members },
+		Clock: in.Clock, Log: in.Log.WithName("detour"), Self: in.self.Name, Dial: in.Dial, Members: members,
 		Upstreams: func(service string) []*catalogue.Upstream { return in.control.Snapshot().Pools[service] },
 	}
 	return errors.CombineErrors(errors.CombineErrors(
--- a/pkg/request/outcome.go
+++ b/pkg/request/outcome.go
@@ -74,6 +74,8 @@
 	Cause      error
 	// UpstreamDown is true if the upstream ended before it began to answer.
 	UpstreamDown bool
+	// Full is true if the upstream had no room for the request, and GivenUp if the attempt was ended here while the upstream was at work.
+	Full, GivenUp bool
 	// Unreached is true if no connection to the upstream could be made.
 	Unreached bool
 }
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -31,7 +31,7 @@
 # platform_names checks that only platform/ contains protocol names of the users' platform.
 platform_names() {
 	local files
-	files=$(grep -rlE 'Response-Seal|Server-Leaving|Server-Limit|Expect-Replica|Prefix-Hash|Not-Executed|Attempt-Id|Replica-Load|Token-Count|Store-Era|log-append|log-read|log-newest|keyed\.|warmupLeftMs|routeType|trafficSplit' --include='*.go' pkg cmd test)
+	files=$(grep -rlE 'Response-Seal|Server-Leaving|Server-Limit|Server-Brittle|Expect-Replica|Prefix-Hash|Not-Executed|Attempt-Id|Replica-Load|Token-Count|Store-Era|log-append|log-read|log-newest|keyed\.|warmupLeftMs|routeType|trafficSplit' --include='*.go' pkg cmd test)
 	[ -z "$files" ] || { echo "platform protocol names outside platform/: $files"; return 1; }
 }
 
