Occupancy: rejections that were under way together count once, and a request leaves the lifetime that it entered

Free slots now end its bound only after a time that doubles with each rejection, and the room of an upstream is the most that ran there lately instead of what a single late report shows. A request that entered under an entry without a start, or an older one, was never counted out; it now holds the count that it entered.

--- a/pkg/dispatch/choose_upstream.go
+++ b/pkg/dispatch/choose_upstream.go
@@ -7,6 +7,7 @@
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/occupancy"
 	"carawayknot.example/carawayknot/pkg/request"
 )
 
@@ -22,44 +23,44 @@
 	callFirstByteShare   = 0.55
 )
 
-// choose selects the service, the release and the upstream of the next attempt.
-func (f *Dispatch) choose(c *request.Call) (*catalogue.Upstream, *request.Refusal) {
+// choose selects the service, the release and the upstream of the next attempt, and enters the request there.
+func (f *Dispatch) choose(c *request.Call) (u *catalogue.Upstream, stay *occupancy.Stay, refusal *request.Refusal) {
 	s, now := f.Snapshot(), f.Clock.Now()
 	service := chooseService(c)
 	pool := s.Routes.Pools[service]
 	if pool == nil {
-		return nil, request.Refuse(request.ReasonNoUpstream, jitter(c.Request.ID, clock.Second), "the service %s is not known", service)
+		return nil, nil, request.Refuse(request.ReasonNoUpstream, jitter(c.Request.ID, clock.Second), "the service %s is not known", service)
 	}
 	c.Pool = pool
 	listed, soonest := f.Notices.Open(s.Pools[service], now)
 	if len(listed) == 0 && len(s.Pools[service]) > 0 {
-		return nil, f.Notices.refuse(c, service, soonest)
+		return nil, nil, f.Notices.refuse(c, service, soonest)
 	}
 	candidates := f.filterByRelease(s, c, listed, now)
 	open := f.Limits.Open(withoutExcluded(candidates, c.Excluded), now)
 	if len(open) == 0 && len(candidates) > 0 {
 		open = f.Limits.Open(withoutExcluded(f.otherUpstreams(s, listed, candidates), c.Excluded), now)
 	}
-	u, warm := f.chooseOpen(s, c, f.Slots.Open(open, now), now)
+	u, stay, warm := f.chooseOpen(s, c, f.Slots.Open(open, now), now)
 	switch {
 	case u != nil:
 	case len(open) == 0 && len(candidates) > 0:
-		return nil, f.Limits.Refuse(c, service, candidates, now)
+		return nil, nil, f.Limits.Refuse(c, service, candidates, now)
 	case len(open) > 0 && len(f.Slots.Open(open, now)) == 0:
-		return nil, request.Refuse(request.ReasonOverloaded, f.Slots.RetryAfter(service, open, now), "the slots of all upstreams of %s are taken", service)
+		return nil, nil, request.Refuse(request.ReasonOverloaded, f.Slots.RetryAfter(service, open, now), "the slots of all upstreams of %s are taken", service)
 	default:
-		return nil, request.Refuse(request.ReasonNoUpstream, jitter(c.Request.ID, clock.Second/2), "no upstream of %s may get new work", service)
+		return nil, nil, request.Refuse(request.ReasonNoUpstream, jitter(c.Request.ID, clock.Second/2), "no upstream of %s may get new work", service)
 	}
 	c.FirstByteTimeout, c.TokensAhead = 0, tokensAhead(pool, c.Model, f.Loads.Work(u.Name))
 	if warm > 1 && !c.Request.HandedOver && !c.HeadWritten && c.Runs+1 < c.Route.MaxAttempts {
 		c.FirstByteTimeout = f.firstByteTimeout(c)
 	}
-	return u, nil
+	return u, stay, nil
 }
 
 // chooseOpen selects one of the upstreams that have room and are below their limits, and counts the request toward both; it also returns the number of
 // warm ones.
-func (f *Dispatch) chooseOpen(s *catalogue.Snapshot, c *request.Call, open []*catalogue.Upstream, now clock.Millis) (u *catalogue.Upstream, warmCount int) {
+func (f *Dispatch) chooseOpen(s *catalogue.Snapshot, c *request.Call, open []*catalogue.Upstream, now clock.Millis) (u *catalogue.Upstream, stay *occupancy.Stay, warmCount int) {
 	selector := &Selector{Now: now, Zone: f.Zone, Loads: f.Loads, Outliers: f.Outliers, TieBreakKey: c.Request.ID + strconv.Itoa(c.Attempts)}
 	if c.Route.Affinity {
 		selector.Key, selector.PromptWork = PromptAffinityKey(c), promptWork(c)
@@ -72,8 +73,13 @@
 		} else if relief := f.chooseCold(s, c.Pool, selector.soonerThan(u, cold), now); relief != nil {
 			u = relief
 		}
-		if u == nil || f.Limits.TryTake(u.Name, now) && f.Slots.TryEnter(u, now) {
-			return u, len(warm)
+		if u == nil {
+			return nil, nil, len(warm)
+		}
+		if f.Limits.TryTake(u.Name, now) {
+			if stay, ok := f.Slots.TryEnter(u, now); ok {
+				return u, stay, len(warm)
+			}
 		}
 		// Another call has taken what the limit or the room allows.
 		open = slices.DeleteFunc(slices.Clone(open), func(other *catalogue.Upstream) bool { return other == u })
--- a/pkg/dispatch/crash_watch.go
+++ b/pkg/dispatch/crash_watch.go
@@ -7,6 +7,7 @@
 	"syscall"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/occupancy"
 	"carawayknot.example/carawayknot/pkg/request"
 )
 
@@ -18,8 +19,10 @@
 	SuspectWatch
 	loads    *LoadTracker
 	upstream *catalogue.Upstream
-	work     float64
-	once     sync.Once
+	// stay is the request in the count of those at the upstream.
+	stay *occupancy.Stay
+	work float64
+	once sync.Once
 }
 
 // begin records that the answer has begun.
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -93,7 +93,7 @@
 	via := u != nil
 	p.crowded = false
 	if u == nil && refusal == nil {
-		u, refusal = f.choose(c)
+		u, a.stay, refusal = f.choose(c)
 		if holder := f.holder(c, p, refusal); holder != nil {
 			u, refusal, via, p.crowded = holder, nil, true, true
 		}
@@ -117,7 +117,7 @@
 	} else {
 		startedAt := f.Clock.Now()
 		err = f.send(ctx, c, a, next)
-		f.Slots.Leave(u, endOf(err), startedAt, f.Clock.Now())
+		f.Slots.Leave(a.stay, endOf(err), f.Clock.Now())
 		f.observeReach(c, p, err, startedAt)
 	}
 	if a.end(err) {
--- a/pkg/occupancy/part.go
+++ b/pkg/occupancy/part.go
@@ -77,6 +77,9 @@
 	if room.Load == nil {
 		return
 	}
+	if room.Load.Running >= k.peak || now-k.peakAt > peakTime {
+		k.peak, k.peakAt = room.Load.Running, now
+	}
 	if room.Load.Waiting == 0 && !room.Rejected {
 		if now < k.fullUntil {
 			k.fullAt, k.fullUntil, k.rampAt = 0, now, now
@@ -90,13 +93,13 @@
 	k.freeAt = 0
 	k.fullAt = now
 	k.setFull(now, k.service.fullTime())
-	k.running = max(1, room.Load.Running)
+	k.running = max(1, k.peak)
 	k.learnRoom(u, float64(k.running), now)
 }
 
 // liftBound lets the requests rise to this instance's part again, because slots are free.
 func (k *upstream) liftBound(now clock.Millis) {
-	if k.hasBound {
+	if k.hasBound && now >= k.rejectedAt+k.liftAfter {
 		k.hasBound, k.rampAt, k.rampBase = false, now, k.count(now)
 	}
 }
--- a/pkg/occupancy/simulation_test.go
+++ b/pkg/occupancy/simulation_test.go
@@ -208,7 +208,12 @@
 			u = other
 		}
 	}
-	if u == nil || !m.blind && !s.TryEnter(u, m.now) {
+	var stay *Stay
+	entered := u != nil
+	if u != nil && !m.blind {
+		stay, entered = s.TryEnter(u, m.now)
+	}
+	if !entered {
 		if over || len(tried) == simTries {
 			done(false)
 			return
@@ -244,9 +249,7 @@
 			if !up.down {
 				s.Observe(u, room, sentAt, m.now)
 			}
-			if !m.blind {
-				s.Leave(u, end, sentAt, m.now)
-			}
+			s.Leave(stay, end, m.now)
 			if end == Rejected && attempts < 2 {
 				m.call(i, id, attempts+1, tried, over, done)
 				return
--- a/pkg/occupancy/slots.go
+++ b/pkg/occupancy/slots.go
@@ -21,8 +21,15 @@
 	minFullTime  clock.Millis = 100
 	maxFullTime               = clock.Second
 	fullRequests              = 2
+	// peakTime is how long the largest number of running requests counts.
+	peakTime = 3 * clock.Second
 	// freeShare is the share of the usable slots up to which running requests show that others are free.
 	freeShare = 0.75
+	// minLiftAfter and maxLiftAfter bound how long the bound of an instance that was rejected holds although slots are free; it doubles with each
+	// rejection within rejectionMemory of the one before, since the parts of the instances don't add up then.
+	minLiftAfter    clock.Millis = 500
+	maxLiftAfter                 = 16 * clock.Second
+	rejectionMemory              = 20 * clock.Second
 	// probeShare is the share of the rejections that an upstream bears which all instances together may cause by trying whether there is room
 	// again.
 	probeShare = 0.5
@@ -64,6 +71,8 @@
 	bound    float64
 	boundAt  clock.Millis
 	hasBound bool
+	// rejectedAt is when this instance was last rejected, and liftAfter how long free slots don't end the bound after that.
+	rejectedAt, liftAfter clock.Millis
 	// room is the number of requests that there was room for as of roomAt, if that is less than the slots; it rises with time. It is 0 while
 	// the slots are the limit.
 	room   float64
@@ -72,9 +81,11 @@
 	rampAt   clock.Millis
 	rampBase int
 	// fullAt is when an answer to this instance last reported that the upstream is full, and fullUntil the time until which it gets no request.
-	// running is the number of requests that ran there at fullAt.
+	// peak is the largest number of running requests reported in the last peakTime, at peakAt, and running what it was at fullAt. A single report
+	// may be made when some of the requests that took the room have ended.
 	fullAt, fullUntil clock.Millis
-	running           int
+	running, peak     int
+	peakAt            clock.Millis
 	// freeAt is when an answer to this instance last reported free slots, or 0 if none did since the upstream was full.
 	freeAt clock.Millis
 }
@@ -146,18 +157,26 @@
 	return upstreams
 }
 
+// Stay is a request that counts as being at its upstream.
+type Stay struct {
+	upstream  *upstream
+	listed    *catalogue.Upstream
+	enteredAt clock.Millis
+}
+
 // TryEnter counts a request that is about to be sent, and reports whether there is room for it.
-func (s *Slots) TryEnter(u *catalogue.Upstream, now clock.Millis) bool {
+func (s *Slots) TryEnter(u *catalogue.Upstream, now clock.Millis) (stay *Stay, ok bool) {
 	if s == nil {
-		return true
+		return nil, true
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.hasRoom(u, now) {
-		return false
+		return nil, false
 	}
-	s.upstream(u, now).inFlight++
-	return true
+	k := s.upstream(u, now)
+	k.inFlight++
+	return &Stay{upstream: k, listed: u, enteredAt: now}, true
 }
 
 // End tells how a request has ended.
@@ -172,31 +191,25 @@
 	Abandoned
 )
 
-// Leave counts the end of a request that TryEnter counted at enteredAt.
-func (s *Slots) Leave(u *catalogue.Upstream, end End, enteredAt, now clock.Millis) {
-	if s == nil {
+// Leave counts the end of a request that TryEnter counted.
+func (s *Slots) Leave(stay *Stay, end End, now clock.Millis) {
+	if s == nil || stay == nil {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	k := s.upstreams[u.Name]
-	if end == Rejected {
-		s.counts.Rejected++
-	}
-	if k == nil || k.incarnation != u.Incarnation || k.inFlight == 0 {
-		// The request was at an earlier incarnation.
-		return
-	}
+	k := stay.upstream
 	k.inFlight--
 	switch end {
 	case Rejected:
-		// There is less room than this instance's part.
-		k.bound = max(0, min(s.allowance(u, k, now), float64(k.count(now))))
-		k.boundAt, k.hasBound = now, true
+		s.counts.Rejected++
+		if s.judge(stay.listed, k, now) == fragile {
+			s.bind(stay.listed, k, stay.enteredAt, now)
+		}
 	case Abandoned:
 		k.abandoned = append(k.abandoned, now+abandonedHold)
 	case Answered:
-		k.service.sampleTime(now - enteredAt)
+		k.service.sampleTime(now - stay.enteredAt)
 	}
 }
 
@@ -207,6 +220,20 @@
 	}
 }
 
+// bind bounds this instance after the rejection of a request that was sent at sentAt: there is less room than its part. Requests that were under
+// way at the last rejection count as one with it. The caller must hold mu.
+func (s *Slots) bind(u *catalogue.Upstream, k *upstream, sentAt, now clock.Millis) {
+	k.bound = min(s.allowance(u, k, now), float64(k.count(now)))
+	k.boundAt, k.hasBound = now, true
+	switch {
+	case k.rejectedAt == 0 || now-k.rejectedAt > rejectionMemory:
+		k.liftAfter = minLiftAfter
+	case sentAt > k.rejectedAt:
+		k.liftAfter = min(2*k.liftAfter, maxLiftAfter)
+	}
+	k.rejectedAt = now
+}
+
 // count returns the requests that count as being at the upstream.
 func (k *upstream) count(now clock.Millis) int {
 	for len(k.abandoned) > 0 && k.abandoned[0] <= now {
--- a/pkg/occupancy/slots_test.go
+++ b/pkg/occupancy/slots_test.go
@@ -29,6 +29,15 @@
 	return &catalogue.Upstream{Name: name, Service: "desk", Slots: slots, Incarnation: 1}
 }
 
+// enterAll sends requests while there is room, and returns how many.
+func enterAll(s *Slots, u *catalogue.Upstream, now clock.Millis) int {
+	for n := 0; ; n++ {
+		if _, ok := s.TryEnter(u, now); !ok {
+			return n
+		}
+	}
+}
+
 // Guards against the instances together sending more than an upstream has slots for.
 func TestPartsAddUpToTheSlots(t *testing.T) {
 	for _, c := range []struct{ instances, slots, want int }{
@@ -86,14 +95,12 @@
 	s.Observe(other, fragileRoom, 3, 4)
 	back := *u
 	back.Incarnation = 2
-	entered := 0
-	for s.TryEnter(&back, 1000) {
-		entered++
-	}
+	stay, _ := s.TryEnter(u, 5)
+	entered := enterAll(s, &back, 1000)
 	if entered != 1 {
 		t.Errorf("%d requests were sent at once to an upstream that has just started, want 1", entered)
 	}
-	s.Leave(u, Answered, 1, 1001)
+	s.Leave(stay, Answered, 1001)
 	if got := s.upstreams["u"].inFlight; got != 1 {
 		t.Errorf("%d requests in flight after one at the earlier incarnation has ended, want 1", got)
 	}
@@ -104,13 +111,13 @@
 	s, u := newSlots("instance-0", 1), newUpstream("u", 2)
 	s.Observe(u, fragileRoom, 1, 2)
 	const now = 5 * clock.Second
-	for s.TryEnter(u, now) {
-	}
-	s.Leave(u, Abandoned, now, now)
-	if s.TryEnter(u, now+abandonedHold-1) {
+	stay, _ := s.TryEnter(u, now)
+	enterAll(s, u, now)
+	s.Leave(stay, Abandoned, now)
+	if enterAll(s, u, now+abandonedHold-1) > 0 {
 		t.Error("a request was sent while the one that was given up still counts")
 	}
-	if !s.TryEnter(u, now+abandonedHold) {
+	if enterAll(s, u, now+abandonedHold) != 1 {
 		t.Error("no request may be sent after that")
 	}
 }
