Notices: what an upstream said outlives an entry that lapses

Upstreams that had asked an instance for rest got requests from it at once when their entry was removed and came back, or was told once without the upstream's start (BUDGET; leaving upstreams, DRAIN, the same): what is known of an upstream was dropped with its entry, and an entry without its start was taken for another lifetime. An answer of an earlier lifetime that came late dropped what the present one had said.

Cause: an entry of the list was taken for the lifetime of its upstream. Outliers, loads and named limits went with it as well.

--- a/pkg/dispatch/notices.go
+++ b/pkg/dispatch/notices.go
@@ -32,6 +32,11 @@
 	until clock.Millis
 }
 
+// appliesTo reports whether what was said is of the upstream's present lifetime. An entry may come without its start; it isn't another one then.
+func (n noticed) appliesTo(u *catalogue.Upstream) bool {
+	return n.incarnation == u.Incarnation || n.incarnation == 0 || u.Incarnation == 0
+}
+
 // Observe takes what an answer of an upstream says of it.
 func (n *Notices) Observe(u *catalogue.Upstream, notice request.Notice, now clock.Millis) {
 	if n == nil || notice == (request.Notice{}) {
@@ -40,9 +45,14 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	old := n.upstreams[u.Name]
-	if old.incarnation != u.Incarnation {
-		old = noticed{incarnation: u.Incarnation}
+	if !old.appliesTo(u) {
+		if u.Incarnation < old.incarnation {
+			// It was said by an earlier lifetime.
+			return
+		}
+		old = noticed{}
 	}
+	old.incarnation = max(old.incarnation, u.Incarnation)
 	// An answer that overtook another one takes nothing back.
 	next := old
 	next.leaving = old.leaving || notice.Leaving
@@ -75,7 +85,7 @@
 	for _, u := range upstreams {
 		known, ok := n.upstreams[u.Name]
 		switch {
-		case !ok || known.incarnation != u.Incarnation || !known.leaving && now >= known.until:
+		case !ok || !known.appliesTo(u) || !known.leaving && now >= known.until:
 			open = append(open, u)
 		case !known.leaving && (soonest == 0 || known.until-now < soonest):
 			soonest = known.until - now
@@ -84,11 +94,15 @@
 	return open, soonest
 }
 
-// Forget drops what a removed upstream has said.
-func (n *Notices) Forget(upstream string) {
+// Forget drops what an upstream has said that has been gone for long, unless the time that it named is yet to come.
+func (n *Notices) Forget(upstream string, now clock.Millis) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	delete(n.upstreams, upstream)
+	for name, known := range n.upstreams {
+		if name == upstream && now >= known.until || !known.leaving && now >= known.until {
+			delete(n.upstreams, name)
+		}
+	}
 }
 
 // refuse returns the refusal of a call whose upstreams want no requests before soonest, in milliseconds.
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -17,8 +17,6 @@
 type Control struct {
 	Clock clock.Clock
 	Log   logr.Logger
-	// OnUpstreamRemoved is called with the name of each upstream that was removed.
-	OnUpstreamRemoved func(upstream string)
 	// OnMembersChanged is called with all entry instances when they change.
 	OnMembersChanged func(members []catalogue.Member)
 
@@ -109,9 +107,7 @@
 			c.Log.Info("the store lacks operations, keeping them for a while", "orders", len(c.view.unconfirmed.orders), "zones", len(c.view.unconfirmed.zones))
 		}
 	case archive.Batch[catalogue.Listing]:
-		for _, name := range c.view.ApplyListings(m, now) {
-			c.OnUpstreamRemoved(name)
-		}
+		c.view.ApplyListings(m, now)
 		c.listReadAt.Store(int64(m.AsOf))
 		if len(m.Items) > 0 || m.Whole {
 			c.publish()
@@ -142,7 +138,6 @@
 		removed, membersChanged := c.view.Expire(now)
 		for _, name := range removed {
 			c.Log.Info("upstream removed, it did not register again", "upstream", name)
-			c.OnUpstreamRemoved(name)
 		}
 		if !confirmed && c.view.tableConfirmed {
 			c.Log.Info("the active configuration was not written again and holds without the store", "version", c.view.table.Version)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -95,6 +95,7 @@
 	limits      *dispatch.NamedLimits
 	slots       *occupancy.Slots
 	notices     *dispatch.Notices
+	lifetimes   lifetimes
 	rumors      *membership.Rumors
 	inFlight    *desk.InFlight
 	draining    atomic.Bool
@@ -185,12 +186,7 @@
 	in.writtenStatuses = map[string]catalogue.ReleaseStatus{}
 	in.pendingStatuses = map[string]pendingStatus{}
 	in.awaited = map[*request.Call]awaited{}
-	in.control = &Control{Clock: in.Clock, Log: in.Log.WithName("control"), OnUpstreamRemoved: func(upstream string) {
-		in.loadTracker.Forget(upstream)
-		in.outliers.Forget(upstream)
-		in.limits.Forget(upstream)
-		in.notices.Forget(upstream)
-	}}
+	in.control = &Control{Clock: in.Clock, Log: in.Log.WithName("control")}
 	in.self = catalogue.Member{
 		Name: in.Settings.Name, PeerAddress: in.Settings.PeerAddress, CallerAddress: in.Settings.CallerAddress, Zone: in.Settings.Zone,
 		Incarnation: int64(in.Clock.Wall()),
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -173,6 +173,7 @@
 
 // applyPeerLoads replaces the pending work and the counts of the other instances.
 func (in *Instance) applyPeerLoads(work, counts map[string]float32) {
+	in.forgetEnded(in.Clock.Now())
 	in.loadTracker.SetPeerWork(work)
 	in.calibration.SetPeers(counts)
 	in.suspects.ApplyPeers(counts)
--- a/pkg/occupancy/slots.go
+++ b/pkg/occupancy/slots.go
@@ -60,9 +60,7 @@
 type upstream struct {
 	service     *service
 	incarnation int64
-	// learnedAt is when this instance first saw this incarnation, and listedAt when it was last listed.
-	learnedAt, listedAt clock.Millis
-	inFlight            int
+	inFlight    int
 	// abandoned has the times until which requests that were given up count, in order.
 	abandoned []clock.Millis
 	statement statement
@@ -256,11 +254,18 @@
 		v = &service{}
 		s.services[u.Service] = v
 	}
-	k = &upstream{service: v, incarnation: u.Incarnation, learnedAt: now, rampAt: now}
+	k = &upstream{service: v, incarnation: u.Incarnation, rampAt: now}
 	s.upstreams[u.Name] = k
 	return k
 }
 
+// Forget drops what is known of an upstream that has been gone for long.
+func (s *Slots) Forget(upstream string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.upstreams, upstream)
+}
+
 // hasRoom reports whether one more request may be sent to the upstream. The caller must hold mu.
 func (s *Slots) hasRoom(u *catalogue.Upstream, now clock.Millis) bool {
 	k := s.upstream(u, now)
--- a/pkg/occupancy/statement.go
+++ b/pkg/occupancy/statement.go
@@ -110,7 +110,6 @@
 func (s *Slots) SetPeers(listed []*catalogue.Upstream, now clock.Millis, items map[string]float32) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.prune(listed, now)
 	if items == nil || !s.concerned(items) {
 		return
 	}
@@ -140,23 +139,6 @@
 	}
 }
 
-// keepUnlisted is how long what is known of an upstream is kept after it was last listed: an entry that lapses may come back.
-const keepUnlisted = 60 * clock.Second
-
-// prune drops what is known of upstreams that haven't been listed for long. The caller must hold mu.
-func (s *Slots) prune(listed []*catalogue.Upstream, now clock.Millis) {
-	for _, u := range listed {
-		if k := s.upstreams[u.Name]; k != nil {
-			k.listedAt = now
-		}
-	}
-	for name, k := range s.upstreams {
-		if k.inFlight == 0 && now-max(k.learnedAt, k.listedAt) > keepUnlisted {
-			delete(s.upstreams, name)
-		}
-	}
-}
-
 // concerned reports whether the items or this instance know of a fragile upstream. The caller must hold mu.
 func (s *Slots) concerned(items map[string]float32) bool {
 	for key := range items {
