Notices: a request that was chosen before an answer isn't sent after it; answers under an entry without a start

The choice of an upstream asked whether it wants requests, the moment before the first byte did not, and connecting may take a second in between (TestRecheckRefusesWhatTheViewNoLongerAllows, two rows, failed before).

--- a/pkg/dispatch/notices.go
+++ b/pkg/dispatch/notices.go
@@ -26,6 +26,7 @@
 }
 
 type noticed struct {
+	// incarnation is 0 if the upstream's entry had no start when it was said.
 	incarnation int64
 	leaving     bool
 	// until is the monotonic time at which the upstream takes requests again, in milliseconds.
@@ -44,22 +45,27 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	old := n.upstreams[u.Name]
-	if !old.appliesTo(u) {
-		if u.Incarnation < old.incarnation {
-			// It was said by an earlier lifetime.
-			return
-		}
-		old = noticed{}
+	stored, known := n.upstreams[u.Name]
+	old := stored
+	switch {
+	case !known, !old.leaving && now >= old.until:
+		old = noticed{incarnation: u.Incarnation}
+	case old.appliesTo(u):
+		// What was said without a start may be of any lifetime.
+		old.incarnation = min(old.incarnation, u.Incarnation)
+	case u.Incarnation < old.incarnation:
+		// It was said by an earlier lifetime.
+		return
+	default:
+		old = noticed{incarnation: u.Incarnation}
 	}
-	old.incarnation = max(old.incarnation, u.Incarnation)
 	// An answer that overtook another one takes nothing back.
 	next := old
 	next.leaving = old.leaving || notice.Leaving
 	if notice.PauseFor > 0 {
 		next.until = max(old.until, now+notice.PauseFor)
 	}
-	if next == old {
+	if next == stored {
 		return
 	}
 	if n.upstreams == nil {
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -120,17 +120,23 @@
 // maxKeyAge returns the age of the view up to which its API keys are trusted.
 func (in *Instance) maxKeyAge() clock.Millis { return in.Settings.Bounds.Revocation - keyAgeMargin }
 
-// recheck checks the key and the upstream of a call against the latest view, right before its first byte is sent.
+// recheck checks the key and the upstream of a call against the latest view, and what the upstream has said meanwhile, right before its first byte
+// is sent.
 func (in *Instance) recheck(c *request.Call) error {
 	s, now := in.control.Snapshot(), in.Clock.Now()
 	if r := desk.KeyRefusal(s, c, in.control.Age(now), in.maxKeyAge()); r != nil {
 		return r
 	}
+	rule := "the upstream is draining or was removed"
 	for _, u := range s.Pools[c.Upstream.Service] {
-		if u.Name == c.Upstream.Name && u.Incarnation == c.Upstream.Incarnation {
+		if u.Name != c.Upstream.Name || u.Incarnation != c.Upstream.Incarnation {
+			continue
+		}
+		if in.notices.Takes(u, now) {
 			return nil
 		}
+		rule = "the upstream leaves or wants no requests for now"
 	}
 	return &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonUpstreamRefused, Detail: "the upstream may get no new work",
-		Cause: &catalogue.ForbiddenError{Rule: "the upstream is draining or was removed"}}
+		Cause: &catalogue.ForbiddenError{Rule: rule}}
 }
--- a/pkg/gateway/recheck_test.go
+++ b/pkg/gateway/recheck_test.go
@@ -9,6 +9,7 @@
 	"carawayknot.example/carawayknot/pkg/archive"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/dispatch"
 	"carawayknot.example/carawayknot/pkg/request"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
@@ -19,25 +20,29 @@
 	for _, c := range []struct {
 		name   string
 		change func(v *View)
+		notice request.Notice
 		age    clock.Millis
 		want   request.Reason
 	}{
-		{"nothing changes", nil, 0, ""},
-		{"upstream started again", func(v *View) { v.ApplyListings(listing(2, false), 0) }, 0, request.ReasonUpstreamRefused},
-		{"upstream is leaving", func(v *View) { v.ApplyListings(listing(1, true), 0) }, 0, request.ReasonUpstreamRefused},
-		{"upstream is gone", func(v *View) { v.ApplyListings(removedListing(), 0) }, 0, request.ReasonUpstreamRefused},
+		{"nothing changes", nil, request.Notice{}, 0, ""},
+		{"upstream started again", func(v *View) { v.ApplyListings(listing(2, false), 0) }, request.Notice{}, 0, request.ReasonUpstreamRefused},
+		{"upstream is leaving", func(v *View) { v.ApplyListings(listing(1, true), 0) }, request.Notice{}, 0, request.ReasonUpstreamRefused},
+		{"upstream is gone", func(v *View) { v.ApplyListings(removedListing(), 0) }, request.Notice{}, 0, request.ReasonUpstreamRefused},
 		{"zone is out", func(v *View) {
 			v.ApplyOperations(operations(false, catalogue.Operation{Kind: catalogue.OperationZoneOut, Zone: "z"}), 0)
-		}, 0, request.ReasonUpstreamRefused},
-		{"key is revoked", func(v *View) { v.ApplyOperations(keyTable(2), 0) }, 0, request.ReasonUnauthorized},
-		{"view is nearly too old for the key", nil, bound - keyAgeMargin, ""},
-		{"view is too old for the key", nil, bound - keyAgeMargin + 1, request.ReasonStaleView},
+		}, request.Notice{}, 0, request.ReasonUpstreamRefused},
+		{"upstream says that it leaves", nil, request.Notice{Leaving: true}, 0, request.ReasonUpstreamRefused},
+		{"upstream names a time to come back", nil, request.Notice{PauseFor: 3000}, 2999, request.ReasonUpstreamRefused},
+		{"that time has passed", nil, request.Notice{PauseFor: 3000}, 3000, ""},
+		{"key is revoked", func(v *View) { v.ApplyOperations(keyTable(2), 0) }, request.Notice{}, 0, request.ReasonUnauthorized},
+		{"view is nearly too old for the key", nil, request.Notice{}, bound - keyAgeMargin, ""},
+		{"view is too old for the key", nil, request.Notice{}, bound - keyAgeMargin + 1, request.ReasonStaleView},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			m, e := clock.NewManual(100_000), settings.DefaultEntry()
 			e.Bounds.Revocation = bound
 			control := &Control{Clock: m, Log: logr.Discard(), loaded: make(chan struct{})}
-			in := &Instance{Settings: &e, Clock: m, control: control}
+			in := &Instance{Settings: &e, Clock: m, control: control, notices: &dispatch.Notices{Log: logr.Discard()}}
 			control.view.ApplyOperations(operations(true), 0)
 			control.view.ApplyOperations(keyTable(1, "key"), 0)
 			control.view.ApplyListings(listing(1, false), 0)
@@ -50,6 +55,7 @@
 				c.change(&control.view)
 				control.publish()
 			}
+			in.notices.Observe(call.Upstream, c.notice, m.Now())
 			m.Advance(c.age)
 			got := request.Reason("")
 			var r *request.Refusal
