--- a/pkg/dispatch/choose_upstream.go
+++ b/pkg/dispatch/choose_upstream.go
@@ -47,7 +47,7 @@
 	case len(open) == 0 && len(candidates) > 0:
 		return nil, nil, f.Limits.Refuse(c, service, candidates, now)
 	case len(open) > 0 && len(f.Slots.Open(open, now)) == 0:
-		return nil, nil, request.Refuse(request.ReasonOverloaded, f.Slots.RetryAfter(service, open, now), "the slots of all upstreams of %s are taken", service)
+		return nil, nil, request.Refuse(request.ReasonOverloaded, f.Slots.RetryAfter(service, open, c.Request.Deadline, now), "the slots of all upstreams of %s are taken", service)
 	default:
 		return nil, nil, request.Refuse(request.ReasonNoUpstream, jitter(c.Request.ID, clock.Second/2), "no upstream of %s may get new work", service)
 	}
--- a/pkg/dispatch/detour.go
+++ b/pkg/dispatch/detour.go
@@ -119,7 +119,12 @@
 		case len(p.declinedBy) == maxDetours:
 			f.Slots.HoldersBusy(c.Upstream.Service, f.Clock.Now())
 		}
-		f.Log.Info("another instance didn't take the request", "request", c.Request.ID, "route", c.Route.Name, "instance", c.Upstream.Name,
+		log := f.Log
+		if p.crowded {
+			// Refusals of calls that find no slot anywhere say as much.
+			log = log.V(1)
+		}
+		log.Info("another instance didn't take the request", "request", c.Request.ID, "route", c.Route.Name, "instance", c.Upstream.Name,
 			"reason", r.Reason, "error", r.Error())
 		return true
 	}
--- a/pkg/occupancy/part.go
+++ b/pkg/occupancy/part.go
@@ -192,8 +192,8 @@
 )
 
 // RetryAfter counts a refused call and returns when it may come back. Calls that are refused one after the other are told to come back one after
-// the other, as the slots become free.
-func (s *Slots) RetryAfter(service string, upstreams []*catalogue.Upstream, now clock.Millis) clock.Millis {
+// the other, as the slots become free; one whose deadline comes before its turn takes no turn.
+func (s *Slots) RetryAfter(service string, upstreams []*catalogue.Upstream, deadline, now clock.Millis) clock.Millis {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Refused++
@@ -210,6 +210,8 @@
 		took = float64(unknownTime)
 	}
 	at := min(max(now+minRetryAfter, v.bookedUntil), now+maxRetryAfter)
-	v.bookedUntil = at + clock.Millis(took/max(1, allowed))
+	if deadline == 0 || at < deadline {
+		v.bookedUntil = at + clock.Millis(took/max(1, allowed))
+	}
 	return at - now
 }
--- a/pkg/occupancy/slots_test.go
+++ b/pkg/occupancy/slots_test.go
@@ -146,3 +146,33 @@
 		t.Error("the upstream counts as fragile although no instance says so any more")
 	}
 }
+
+// Guards against calls being told to come back all at once, or ever later because of calls that won't come back.
+func TestRetryAfterBooksSlotsInTurn(t *testing.T) {
+	const now = 5 * clock.Second
+	for _, c := range []struct {
+		name     string
+		deadline clock.Millis
+		least    clock.Millis
+		most     clock.Millis
+	}{
+		{"calls that can come back", now + 60*clock.Second, 5 * minRetryAfter, maxRetryAfter},
+		{"calls whose time is over before", now + minRetryAfter, minRetryAfter, minRetryAfter},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, u := newSlots("instance-0", 1), newUpstream("u", 2)
+			s.Observe(u, fragileRoom, 1, 2)
+			var last clock.Millis
+			for range 10 {
+				got := s.RetryAfter("desk", []*catalogue.Upstream{u}, c.deadline, now)
+				if got < last {
+					t.Errorf("a call is told to come back after %d ms, the one before after %d ms", got, last)
+				}
+				last = got
+			}
+			if last < c.least || last > c.most {
+				t.Errorf("the tenth call is told to come back after %d ms, want %d to %d", last, c.least, c.most)
+			}
+		})
+	}
+}
