--- a/pkg/gateway/admin.go
+++ b/pkg/gateway/admin.go
@@ -53,7 +53,7 @@
 		Detours: in.detours.Services(),
 	}
 	d.Limits, _ = in.limits.States()
-	d.FragileUpstreams = in.slots.States()
+	d.FragileUpstreams = in.slots.States(now)
 	d.StoreReads, d.InstanceReads = in.peerSource.Reads()
 	d.Models, d.ConfidenceNoise = in.latencies.Models(), map[string]float64{}
 	if err := in.ready(); err != nil {
@@ -130,7 +130,7 @@
 // registerSlotMetrics registers the metrics of rejections and of fragile upstreams.
 func (in *Instance) registerSlotMetrics() {
 	in.metrics.RegisterGauge("carawayknot_fragile_upstreams", "Upstreams that bear few rejections.", func() float64 {
-		return float64(len(in.slots.States()))
+		return float64(len(in.slots.States(in.Clock.Now())))
 	})
 	in.metrics.RegisterCounter("carawayknot_upstream_rejections_total", "Requests that upstreams rejected for want of room.", func() float64 {
 		return float64(in.slots.Counts().Rejected)
--- a/pkg/occupancy/slots.go
+++ b/pkg/occupancy/slots.go
@@ -102,6 +102,11 @@
 	askAt clock.Millis
 }
 
+// isSound reports whether no upstream of the service can be fragile; it is false for a service of which nothing is known.
+func (v *service) isSound(now clock.Millis) bool {
+	return v != nil && v.answered && (v.fragileAt == 0 || now-v.fragileAt > statementTTL)
+}
+
 // Observe takes what an answer of an upstream to a request that was sent at sentAt says of its room.
 func (s *Slots) Observe(u *catalogue.Upstream, room request.Room, sentAt, now clock.Millis) {
 	if s == nil {
@@ -133,13 +138,16 @@
 	s.Log.Info("upstream bears rejections again", "upstream", name)
 }
 
-// Open returns the upstreams at which this instance may have one more request now.
+// Open returns those of the upstreams of one service at which this instance may have one more request now.
 func (s *Slots) Open(upstreams []*catalogue.Upstream, now clock.Millis) []*catalogue.Upstream {
-	if s == nil {
+	if s == nil || len(upstreams) == 0 {
 		return upstreams
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.services[upstreams[0].Service].isSound(now) {
+		return upstreams
+	}
 	for i, u := range upstreams {
 		if s.hasRoom(u, now) {
 			continue
--- a/pkg/occupancy/state.go
+++ b/pkg/occupancy/state.go
@@ -13,12 +13,12 @@
 }
 
 // States returns the fragile upstreams by name.
-func (s *Slots) States() map[string]State {
+func (s *Slots) States(now clock.Millis) map[string]State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	states := map[string]State{}
 	for name, k := range s.upstreams {
-		if !k.statement.fragile {
+		if !k.statement.fragile || k.statement.expired(now) {
 			continue
 		}
 		state := State{
