Occupancy: more room is tried only once the requests have risen to the room that was learned

All fell within a second: the room that was learned went on rising while the requests rose to it, so that they passed the real room faster than the news of the first rejections travels. The instances that hold slots also changed with each one's estimate of the room.

The room rises only after that time now, and the holders follow the slots.

--- a/pkg/occupancy/part.go
+++ b/pkg/occupancy/part.go
@@ -32,7 +32,7 @@
 func (s *Slots) part(u *catalogue.Upstream, k *upstream, now clock.Millis) (own, holders int) {
 	r := s.ranking(u, k)
 	slots := k.usable(u, now)
-	holders = holderCount(slots, len(r.ordered))
+	holders = holderCount(withoutReserve(slotsOf(u)), len(r.ordered))
 	if r.rank >= holders {
 		return 0, holders
 	}
@@ -60,17 +60,22 @@
 func (k *upstream) usable(u *catalogue.Upstream, now clock.Millis) int {
 	slots := slotsOf(u)
 	if k.room > 0 {
-		k.room += probeShare * k.maxRejections() * (now - k.roomAt).Seconds()
-		k.roomAt = now
+		// More is tried only once the requests have risen to what there was room for.
+		if from := max(k.roomAt, k.rampAt+rampTime); now > from {
+			k.room += probeShare * k.maxRejections() * (now - from).Seconds()
+			k.roomAt = now
+		}
 		if k.room < float64(slots) {
 			slots = int(k.room)
 		} else {
 			k.room = 0
 		}
 	}
-	return max(1, slots-slots/reserveDivisor)
+	return max(1, withoutReserve(slots))
 }
 
+func withoutReserve(slots int) int { return slots - slots/reserveDivisor }
+
 // observeLoad learns how much room there is from a load report, which is late: requests that wait, or one that was rejected, show that the
 // running ones take all of it.
 func (k *upstream) observeLoad(u *catalogue.Upstream, room request.Room, now clock.Millis) {
--- a/pkg/occupancy/simulation_test.go
+++ b/pkg/occupancy/simulation_test.go
@@ -404,6 +404,8 @@
 		{"7 instances start again in turn, engines", with(engines, func(l *load) { l.restarts = restarts }), 0.85},
 		{"67 instances, fewer slots", manyDesks, 0.85},
 		{"67 instances, engines", manyEngines, 0.85},
+		{"67 instances, engines short of memory", with(manyEngines, func(l *load) { l.room = 0.6 }), 0.85},
+		{"67 instances, engines short of memory, few requests may wait", with(manyEngines, func(l *load) { l.room, l.queue = 0.6, 4 }), 0.85},
 		{"330 instances", most, 0.85},
 	} {
 		t.Run(c.name, func(t *testing.T) {
