--- a/pkg/catalogue/snapshot.go
+++ b/pkg/catalogue/snapshot.go
@@ -83,6 +83,11 @@
 	Leaving       bool
 }
 
+// SameMembers reports whether two slices are the same, as those of one snapshot are.
+func SameMembers(a, b []Member) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // Health has the rating and latency statistics of a version for a task.
 type Health struct {
 	Version VersionID
--- a/pkg/dispatch/named_limits.go
+++ b/pkg/dispatch/named_limits.go
@@ -188,17 +188,12 @@
 func (l *NamedLimits) rate(upstream string, n *namedLimit) float64 {
 	members := l.Members()
 	h := &n.holding
-	if !h.known || h.perSecond != n.perSecond || !sameSlice(h.members, members) {
+	if !h.known || h.perSecond != n.perSecond || !catalogue.SameMembers(h.members, members) {
 		*h = holding{members: members, perSecond: n.perSecond, rate: l.part(upstream, n, members), known: true}
 	}
 	return h.rate
 }
 
-// sameSlice reports whether two slices are the same, as those of one snapshot are.
-func sameSlice(a, b []catalogue.Member) bool {
-	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
-}
-
 // part returns what rate caches.
 func (l *NamedLimits) part(upstream string, n *namedLimit, members []catalogue.Member) float64 {
 	holders := min(max(1, len(members)), max(1, int((burstPerLimit*n.perSecond+burstSlack)/holderBurst)))
