--- a/pkg/detour/detours.go
+++ b/pkg/detour/detours.go
@@ -127,7 +127,7 @@
 	members := d.Members()
 	for i := range members {
 		m := &members[i]
-		if m.Name == d.Self || m.CallerAddress == "" || m.Leaving || slices.Contains(tried, m.Name) || now < d.avoided[avoidance{service, m.Name}] {
+		if m.Name == d.Self || !takesCalls(m) || slices.Contains(tried, m.Name) || now < d.avoided[avoidance{service, m.Name}] {
 			continue
 		}
 		if best == nil || request.CompareRendezvous(requestID, m.Name, best.Name) < 0 {
@@ -137,14 +137,23 @@
 	if best == nil {
 		return nil
 	}
-	return &catalogue.Upstream{Name: best.Name, Address: best.CallerAddress, Service: service, Zone: best.Zone}
+	return asUpstream(service, best)
+}
+
+// takesCalls reports whether calls of other instances can go through the instance.
+func takesCalls(m *catalogue.Member) bool { return m.CallerAddress != "" && !m.Leaving }
+
+// asUpstream returns an instance in the form of an upstream of the service.
+func asUpstream(service string, m *catalogue.Member) *catalogue.Upstream {
+	return &catalogue.Upstream{Name: m.Name, Address: m.CallerAddress, Service: service, Zone: m.Zone}
 }
 
 // Via returns an instance by its name, in the form of an upstream, or nil if calls can't go through it.
 func (d *Detours) Via(service, instance string) *catalogue.Upstream {
-	for _, m := range d.Members() {
-		if m.Name == instance && m.CallerAddress != "" && !m.Leaving {
-			return &catalogue.Upstream{Name: m.Name, Address: m.CallerAddress, Service: service, Zone: m.Zone}
+	members := d.Members()
+	for i := range members {
+		if m := &members[i]; m.Name == instance && takesCalls(m) {
+			return asUpstream(service, m)
 		}
 	}
 	return nil
--- a/pkg/dispatch/choose_upstream.go
+++ b/pkg/dispatch/choose_upstream.go
@@ -58,8 +58,8 @@
 	return u, stay, nil
 }
 
-// chooseOpen selects one of the upstreams that have room and are below their limits, and counts the request toward both; it also returns the number of
-// warm ones.
+// chooseOpen selects one of the upstreams that have room and are below their limits, and counts the request toward both; it also returns the
+// number of warm ones.
 func (f *Dispatch) chooseOpen(s *catalogue.Snapshot, c *request.Call, open []*catalogue.Upstream, now clock.Millis) (u *catalogue.Upstream, stay *occupancy.Stay, warmCount int) {
 	selector := &Selector{Now: now, Zone: f.Zone, Loads: f.Loads, Outliers: f.Outliers, TieBreakKey: c.Request.ID + strconv.Itoa(c.Attempts)}
 	if c.Route.Affinity {
