Review: the quarantine of a crashing request ends when all instances restart

A request that crashes each replica that runs it is quarantined by all instances after a few crashes. Once all processes were killed at the same time, it reaches replicas in four more retries, each of which crashes one with the bookings that it runs.

Code at fault, as far as known: pkg/dispatch/crash_suspects.go keeps the evidence in memory and exchanges it between running instances only; nothing is kept in the store.

--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -20,6 +20,7 @@
 
 var scenarios = map[string]scenario{
 	"memory":     runMemory,
+	"quarantine": runQuarantine,
 	"revocation": runRevocation,
 }
 
