Review: an upstream's 503 without Not-Executed is passed on for a call that ran

A replica that runs a booking and answers 503 without Not-Executed has its status passed on. 503 promises that the booking has not run; the caller sends it again, and it is made twice.

Code at fault, as far as known: finalError in pkg/dispatch/dispatch.go forwards the failed response of a call that may not be repeated with its own status.

--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -21,6 +21,7 @@
 var scenarios = map[string]scenario{
 	"memory":     runMemory,
 	"quarantine": runQuarantine,
+	"refusal":    runRefusal,
 	"revocation": runRevocation,
 }
 
