--- a/review/driver/memory.go
+++ b/review/driver/memory.go
@@ -130,6 +130,7 @@
 			switch {
 			case a.status == http.StatusOK && a.err == nil:
 				answered++
+				c.rec.printf("%s: %v, has run", id, a)
 			case a.err != nil && received(id):
 				ended++
 				c.rec.printf("%s reached a replica, its kept connection ended: %v", id, a.err)
