Admission: repeats at larger models give way by urgency

Change: pkg/admission has the urgency of a call among all that compete for its service, from the configuration, and when a repeat gives way: the most urgent as before, the others by busier upstreams and by the shortest target of those that they hold up. With one priority at a service nothing changes.

--- a/pkg/dispatch/choose_upstream.go
+++ b/pkg/dispatch/choose_upstream.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"slices"
 	"strconv"
 
@@ -199,9 +198,9 @@
 	return warm, cold
 }
 
-// ExpectedWait predicts how long the prompt of a call waits at the idlest upstream before the model reads it, in milliseconds; it is 0 while
-// nothing is known of the model.
-func (f *Dispatch) ExpectedWait(c *request.Call, model string) clock.Millis {
+// ExpectedWait predicts how long the prompt of a call waits before the model reads it, in milliseconds, at the upstream that is busier than
+// this share of the warm ones; it is 0 while nothing is known of the model.
+func (f *Dispatch) ExpectedWait(c *request.Call, model string, share float64) clock.Millis {
 	if c.Pool == nil || c.Request.Prompt == nil {
 		return 0
 	}
@@ -210,12 +209,14 @@
 	if len(warm) == 0 {
 		return 0
 	}
-	least := math.Inf(1)
-	for _, u := range warm {
-		least = min(least, f.Loads.Work(u.Name))
+	works := make([]float64, len(warm))
+	for i, u := range warm {
+		works[i] = f.Loads.Work(u.Name)
 	}
+	slices.Sort(works)
+	work := works[min(int(share*float64(len(works))), len(works)-1)]
 	tokens := c.Request.Prompt.Tokens
-	behindOthers, _ := f.Latency.ExpectedFirstToken(model, tokens+tokensAhead(c.Pool, model, least))
+	behindOthers, _ := f.Latency.ExpectedFirstToken(model, tokens+tokensAhead(c.Pool, model, work))
 	alone, _ := f.Latency.ExpectedFirstToken(model, tokens)
 	return behindOthers - alone
 }
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -367,14 +367,14 @@
 	r := newDispatchHarness(newUpstream("u1"), newUpstream("u2"))
 	call := &request.Call{Model: "small", Pool: r.snapshot.Routes.Pools["lm"], Request: &request.Request{Prompt: &request.Prompt{Tokens: 5000}}, Route: &catalogue.Route{}}
 	r.Loads.SetPeerWork(map[string]float32{"u1": 40_000, "u2": 60_000})
-	if got := r.ExpectedWait(call, "large"); got != 0 {
+	if got := r.ExpectedWait(call, "large", 0); got != 0 {
 		t.Errorf("ExpectedWait() before any answer = %d ms, want 0", got)
 	}
 	for i := range 60 {
 		ahead := 20_000 * (i % 3)
 		r.Latency.RecordFirstToken("large", 5000+ahead, clock.Millis(millisPerToken*float64(fixedCostTokens+5000+ahead)))
 	}
-	if got, want := r.ExpectedWait(call, "large"), clock.Millis(millisPerToken*40_000); got < want-20 || got > want+20 {
+	if got, want := r.ExpectedWait(call, "large", 0), clock.Millis(millisPerToken*40_000); got < want-20 || got > want+20 {
 		t.Errorf("ExpectedWait() = %d ms, want about %d ms for the work of the idlest upstream", got, want)
 	}
 	// The small model costs a twentieth, so that the same work is twenty times as many of its tokens.
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"carawayknot.example/carawayknot/pkg/admission"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/delivery"
@@ -76,12 +77,20 @@
 	return in.withMetrics(request.Chain(
 		delivery.FinalOutcome{},
 		&desk.ResolveRoute{Snapshot: in.control.Snapshot, Clock: in.Clock, Age: in.control.Age, MaxDenialAge: in.Settings.Bounds.ConfigApply, MaxKeyAge: in.maxKeyAge()},
-		&pricing.ConfidenceCascade{Log: in.Log.WithName("pricing"), Clock: in.Clock, LeastSuccess: &in.leastSuccess, Calibration: in.calibration, ExpectedWait: d.ExpectedWait, Budgets: budgets},
+		&pricing.ConfidenceCascade{
+			Log: in.Log.WithName("pricing"), Clock: in.Clock, LeastSuccess: &in.leastSuccess, Calibration: in.calibration,
+			ExpectedWait: d.ExpectedWait, Urgency: in.urgency, Budgets: budgets,
+		},
 		d,
 		in.relay,
 	))
 }
 
+// urgency returns the urgency of a call by the latest configuration.
+func (in *Instance) urgency(c *request.Call) admission.Urgency {
+	return in.urgencies.Of(in.control.Snapshot().Routes, c.Pool.Name, c.Priority)
+}
+
 // retryBudgets returns the budgets of the services, which keep within the bounds of the settings over all instances.
 func (in *Instance) retryBudgets() *dispatch.RetryBudgets {
 	b := &in.Settings.Bounds
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"carawayknot.example/carawayknot/pkg/admission"
 	"carawayknot.example/carawayknot/pkg/archive"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
@@ -90,6 +91,7 @@
 	outliers    *dispatch.OutlierDetector
 	latencies   *dispatch.LatencyTracker
 	calibration *pricing.Calibration
+	urgencies   admission.Urgencies
 	releases    *dispatch.Releases
 	suspects    *dispatch.CrashSuspects
 	limits      *dispatch.NamedLimits
--- a/pkg/pricing/confidence.go
+++ b/pkg/pricing/confidence.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-logr/logr"
 
+	"carawayknot.example/carawayknot/pkg/admission"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/dispatch"
 	"carawayknot.example/carawayknot/pkg/request"
@@ -22,18 +23,17 @@
 	LeastSuccess *atomic.Int32
 	// Calibration learns what confidences mean.
 	Calibration *Calibration
-	// ExpectedWait predicts how long a prompt waits at the idlest upstream before the model reads it, in milliseconds; it may be nil.
-	ExpectedWait func(c *request.Call, model string) clock.Millis
+	// ExpectedWait predicts how long a prompt waits before the model reads it, in milliseconds, at the upstream that is busier than this
+	// share of them; it may be nil.
+	ExpectedWait func(c *request.Call, model string, share float64) clock.Millis
+	// Urgency returns the urgency of a call; nil means that all are equally urgent.
+	Urgency func(c *request.Call) admission.Urgency
 	// Budgets limits the attempts beyond the first.
 	Budgets *dispatch.RetryBudgets
 
 	waysBack waysBack
 }
 
-// maxWaitShare is the fraction of the route's target latency from which a wait for a larger model is too long to drop any answer for;
-// the rest is for reading the prompt.
-const maxWaitShare = 0.5
-
 // minTimeShare is the fraction of the route's target latency that must be left before the deadline to drop an answer.
 const minTimeShare = 0.5
 
@@ -119,15 +119,20 @@
 }
 
 // leastSuccess returns the probability of success from which an answer is kept. It falls with the time that a larger model's answer
-// would wait: engines that are behind with their work first lose the answers that gain least by it, and an answer that would be late
-// isn't worth that much.
+// would wait: engines that are behind with their work first lose the answers that gain least by it and those to less urgent calls, and an
+// answer that would be late isn't worth that much.
 func (f *ConfidenceCascade) leastSuccess(c *request.Call) float64 {
 	least := float64(f.LeastSuccess.Load()) / 100
 	if f.ExpectedWait == nil || c.Route.Target <= 0 {
 		return least
 	}
-	wait := f.ExpectedWait(c, c.Route.Sizes[len(c.Route.Sizes)-1])
-	return least * max(0, 1-float64(wait)/(maxWaitShare*float64(c.Route.Target)))
+	var urgency admission.Urgency
+	if f.Urgency != nil {
+		urgency = f.Urgency(c)
+	}
+	repeat := admission.RepeatOf(urgency, c.Route.Target)
+	wait := f.ExpectedWait(c, c.Route.Sizes[len(c.Route.Sizes)-1], repeat.Share)
+	return least * repeat.Worth(wait)
 }
 
 // cheapestSize returns the index of the larger model with the least expected cost: its own, and that of the largest one if it is not
--- a/pkg/pricing/confidence_test.go
+++ b/pkg/pricing/confidence_test.go
@@ -44,7 +44,7 @@
 			leastSuccess.Store(75)
 			f := &ConfidenceCascade{
 				Log: logr.Discard(), Clock: clock.NewManual(0), LeastSuccess: leastSuccess, Calibration: &Calibration{}, Budgets: &dispatch.RetryBudgets{Share: 1, Slack: 6},
-				ExpectedWait: func(*request.Call, string) clock.Millis { return c.wait },
+				ExpectedWait: func(*request.Call, string, float64) clock.Millis { return c.wait },
 			}
 			call := &request.Call{
 				Request: &request.Request{ID: "r", Prompt: &request.Prompt{}, Deadline: 12_000}, Writer: &headRecorder{}, Pool: &catalogue.Pool{Name: "lm"},
