--- a/pkg/archive/errors.go
+++ b/pkg/archive/errors.go
@@ -39,6 +39,16 @@
 	return fmt.Sprintf("the records are of era %d of the store, the current one is %d", e.Era, e.Current)
 }
 
+// ConditionError means that a conditional append was refused because the topic ends at another offset.
+type ConditionError struct {
+	End int64
+}
+
+// Error states the offset at the end of the topic.
+func (e *ConditionError) Error() string {
+	return fmt.Sprintf("conditional append refused: the topic ends at offset %d", e.End)
+}
+
 // UnknownOutcomeError means that a change may or may not take effect; it is safe to retry it with the same id.
 type UnknownOutcomeError struct {
 	ID    string
