Rollouts: the first end that the store has stands

Cause: an instance that the store turned away while others completed a rollout found the release bad later and wrote "reverted" over "completed". After a restart of all instances the old upstreams, which had stopped, were the only ones left.

Change: a status is appended only where the topic ends as far as it was read (a 412 costs one read); what has ended is not written over, and the instance takes the end that the store has over a revert of its own. A pending status whose order was replaced is dropped. An instance whose member record a late write of an earlier start removed or replaced registers again.

TestEndedRolloutIsNotWrittenOver fails without the check of the end (3 scenarios), TestRegistrationIsWrittenAgain without that of single records (2).

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -110,11 +110,13 @@
 	// registrationLost receives a value when the members' topic lacks this instance although it was registered.
 	registrationLost chan struct{}
 
-	// mu guards the fields below; the keys of the first three are services, and writtenStatuses has the statuses that the store has or had.
+	// mu guards the fields below; the keys of the first three are services, and writtenStatuses has the statuses that the store has or had,
+	// also those that it has lost.
 	mu              sync.Mutex
 	comparisons     map[string]*comparison
 	writtenStatuses map[string]catalogue.ReleaseStatus
 	pendingStatuses map[string]pendingStatus
+	statusTopic     statusTopic
 	// awaited has the attempts under way at services with a running rollout.
 	awaited map[*request.Call]awaited
 }
@@ -183,6 +185,7 @@
 	in.registered, in.membersRead = make(chan struct{}), make(chan struct{})
 	in.registrationLost = make(chan struct{}, 1)
 	in.comparisons = map[string]*comparison{}
+	in.statusTopic = statusTopic{newest: map[string]catalogue.ReleaseStatus{}}
 	in.writtenStatuses = map[string]catalogue.ReleaseStatus{}
 	in.pendingStatuses = map[string]pendingStatus{}
 	in.awaited = map[*request.Call]awaited{}
--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -102,17 +102,22 @@
 	}
 }
 
-// checkRegistration wakes register when the members' topic was read as a whole and lacks this instance although it was registered.
+// checkRegistration wakes register when the members' topic lacks this instance although it was registered: a store back from an older copy,
+// or a late write of an earlier start under the same name, has taken it out.
 func (in *Instance) checkRegistration(b archive.Batch[MemberRecord]) {
 	select {
 	case <-in.registered:
 	default:
 		return
 	}
-	listed := slices.ContainsFunc(b.Items, func(m MemberRecord) bool {
-		return m.Member.Name == in.self.Name && m.Member.Incarnation == in.self.Incarnation
-	})
-	if !b.Whole || listed {
+	listed := !b.Whole
+	for _, m := range b.Items {
+		if m.Member.Name == in.self.Name {
+			sameStart := m.Member.Incarnation == in.self.Incarnation
+			listed = !m.Removed && (sameStart || !b.Whole && m.Member.Incarnation > in.self.Incarnation)
+		}
+	}
+	if listed {
 		return
 	}
 	select {
--- a/pkg/gateway/members_test.go
+++ b/pkg/gateway/members_test.go
@@ -11,6 +11,7 @@
 func TestRegistrationIsWrittenAgainWhenTheStoreLacksIt(t *testing.T) {
 	own := MemberRecord{Member: catalogue.Member{Name: "edge-1", Incarnation: 5}}
 	earlier := MemberRecord{Member: catalogue.Member{Name: "edge-1", Incarnation: 4}}
+	removal := MemberRecord{Member: catalogue.Member{Name: "edge-1"}, Removed: true}
 	for _, c := range []struct {
 		name       string
 		registered bool
@@ -22,6 +23,9 @@
 		{"an earlier start is listed", true, archive.Batch[MemberRecord]{Whole: true, Items: []MemberRecord{earlier}}, true},
 		{"not registered yet", false, archive.Batch[MemberRecord]{Whole: true}, false},
 		{"changes of others", true, archive.Batch[MemberRecord]{}, false},
+		{"removed by an earlier start", true, archive.Batch[MemberRecord]{Items: []MemberRecord{own, removal}}, true},
+		{"replaced by an earlier start", true, archive.Batch[MemberRecord]{Items: []MemberRecord{own, earlier}}, true},
+		{"removed by an earlier start before it registered", true, archive.Batch[MemberRecord]{Items: []MemberRecord{removal, own}}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			in := &Instance{self: own.Member, registered: make(chan struct{}), registrationLost: make(chan struct{}, 1)}
--- a/pkg/gateway/rollout.go
+++ b/pkg/gateway/rollout.go
@@ -36,11 +36,13 @@
 
 // StatusWriter writes the state of release rollouts for operators.
 type StatusWriter interface {
-	PutStatus(ctx context.Context, st catalogue.ReleaseStatus) error
+	// PutStatus appends a status if the topic ends at the given offset, and returns its new end; otherwise the error is an
+	// *archive.ConditionError.
+	PutStatus(ctx context.Context, st catalogue.ReleaseStatus, at int64) (end int64, err error)
 }
 
-// RolloutController judges release rollouts, shifts them, and completes or reverts them; all instances do so independently, and a
-// status that two of them write does no harm.
+// RolloutController judges release rollouts, shifts them, and completes or reverts them; all instances do so independently, and the
+// first end of a rollout that the store has stands.
 type RolloutController struct {
 	Instance *Instance
 }
@@ -184,18 +186,3 @@
 	}
 	return false
 }
-
-// putStatus writes the state of a rollout and reports whether that succeeded.
-func (c *RolloutController) putStatus(ctx context.Context, rollout *catalogue.ReleaseRollout, state catalogue.ReleaseState) bool {
-	in := c.Instance
-	ctx, cancel := clock.WithTimeout(ctx, in.Clock, statusWriteTimeout)
-	defer cancel()
-	st := catalogue.ReleaseStatus{Service: rollout.Service, Target: rollout.Target, State: state, Started: true, StartedAt: rollout.StartedAt}
-	if err := in.Status.PutStatus(ctx, st); err != nil {
-		in.Log.Info("rollout status not written", "service", rollout.Service, "target", rollout.Target, "state", state, "error", err.Error())
-		return false
-	}
-	in.Log.Info("rollout status written", "service", rollout.Service, "target", rollout.Target, "state", state)
-	in.recordStatus(st)
-	return true
-}
--- a/pkg/gateway/status.go
+++ b/pkg/gateway/status.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/cockroachdb/errors"
+
 	"carawayknot.example/carawayknot/pkg/archive"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
@@ -15,9 +17,41 @@
 	notBefore clock.Millis
 }
 
-// isMetBy reports whether the store needs no write when it has a status.
-func (p *pendingStatus) isMetBy(st catalogue.ReleaseStatus) bool {
-	return st.Target == p.rollout.Target && (st.State == p.state || p.state == catalogue.ReleaseRunning)
+// statusTopic is what the store has of the rollout statuses.
+type statusTopic struct {
+	read bool
+	// end is the offset up to which newest has the topic.
+	end    int64
+	newest map[string]catalogue.ReleaseStatus
+}
+
+// apply adds a batch of the topic; one that ends before what is known adds nothing.
+func (t *statusTopic) apply(b archive.Batch[catalogue.ReleaseStatus]) {
+	switch {
+	case b.Whole:
+		t.read, t.newest = true, map[string]catalogue.ReleaseStatus{}
+	case !t.read || b.Next <= t.end:
+		return
+	}
+	t.end = b.Next
+	for _, st := range b.Items {
+		if st.Removed {
+			delete(t.newest, st.Service)
+		} else {
+			t.newest[st.Service] = st
+		}
+	}
+}
+
+// isEnd reports whether a status is the end of its rollout.
+func isEnd(st catalogue.ReleaseStatus) bool {
+	return st.State == catalogue.ReleaseCompleted || st.State == catalogue.ReleaseReverted
+}
+
+// settles reports whether a status that the store has leaves nothing to write for a state of a rollout: it is the same, or the end, which
+// is never written over.
+func settles(st catalogue.ReleaseStatus, target string, state catalogue.ReleaseState) bool {
+	return st.Target == target && (st.State == state || isEnd(st))
 }
 
 func (in *Instance) statusWritten(service, target string) bool {
@@ -31,7 +65,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.writtenStatuses[st.Service] = st
-	if p, found := in.pendingStatuses[st.Service]; found && p.isMetBy(st) {
+	if p, found := in.pendingStatuses[st.Service]; found && settles(st, p.rollout.Target, p.state) {
 		delete(in.pendingStatuses, st.Service)
 	}
 }
@@ -46,6 +80,9 @@
 			in.recordStatus(st)
 		}
 	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.statusTopic.apply(b)
 }
 
 // queueLostStatuses queues the statuses that were in the store and that its newest records lack.
@@ -95,12 +132,17 @@
 	in.pendingStatuses[rollout.Service] = pendingStatus{rollout: rollout, state: state, notBefore: now + delay}
 }
 
-// dueStatuses returns the pending statuses that may be written now.
+// dueStatuses returns the pending statuses that may be written now, and drops those of rollouts that another order has replaced.
 func (in *Instance) dueStatuses() []pendingStatus {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	rollouts := in.control.Snapshot().Moves
 	var due []pendingStatus
-	for _, p := range in.pendingStatuses {
+	for service, p := range in.pendingStatuses {
+		if rollout := rollouts[service]; rollout != nil && rollout.Target != p.rollout.Target {
+			delete(in.pendingStatuses, service)
+			continue
+		}
 		if in.Clock.Now() >= p.notBefore {
 			due = append(due, p)
 		}
@@ -120,3 +162,77 @@
 		}
 	}
 }
+
+// statusTries is how often a status is written when the topic has changed since it was read.
+const statusTries = 2
+
+// putStatus writes the state of a rollout and reports whether the store has it. What the store has of a rollout that has ended stays.
+func (c *RolloutController) putStatus(ctx context.Context, rollout *catalogue.ReleaseRollout, state catalogue.ReleaseState) bool {
+	in := c.Instance
+	ctx, cancel := clock.WithTimeout(ctx, in.Clock, statusWriteTimeout)
+	defer cancel()
+	st := catalogue.ReleaseStatus{Service: rollout.Service, Target: rollout.Target, State: state, Started: true, StartedAt: rollout.StartedAt}
+	var err error
+	for range statusTries {
+		stored, at, known := in.storedStatus(st.Service)
+		if !known {
+			if err = in.readStatuses(ctx); err != nil {
+				break
+			}
+			stored, at, _ = in.storedStatus(st.Service)
+		}
+		if settles(stored, st.Target, state) {
+			return in.adoptStatus(stored, state)
+		}
+		var end int64
+		if end, err = in.Status.PutStatus(ctx, st, at); err == nil {
+			in.recordStatuses(archive.Batch[catalogue.ReleaseStatus]{Items: []catalogue.ReleaseStatus{st}, Next: end})
+			in.Log.Info("rollout status written", "service", st.Service, "target", st.Target, "state", state)
+			return true
+		}
+		var condition *archive.ConditionError
+		if !errors.As(err, &condition) {
+			break
+		}
+		in.forgetStatusEnd()
+	}
+	in.Log.Info("rollout status not written", "service", st.Service, "target", st.Target, "state", state, "error", err.Error())
+	return false
+}
+
+// storedStatus returns the status that the store has for a service and the end of the topic, or false if that isn't known.
+func (in *Instance) storedStatus(service string) (st catalogue.ReleaseStatus, end int64, known bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.statusTopic.newest[service], in.statusTopic.end, in.statusTopic.read
+}
+
+// forgetStatusEnd makes the next write of a status read the topic first.
+func (in *Instance) forgetStatusEnd() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.statusTopic.read = false
+}
+
+// readStatuses reads the statuses from the store itself.
+func (in *Instance) readStatuses(ctx context.Context) error {
+	topic := &archive.DecodedTopic[catalogue.ReleaseStatus]{
+		Source: in.Store, Log: in.Log.WithName("store"), Name: archive.TopicStatuses, Decode: in.Decoders.Status,
+	}
+	b, err := topic.Newest(ctx)
+	if err != nil {
+		return err
+	}
+	in.recordStatuses(b)
+	return nil
+}
+
+// adoptStatus takes over what the store has of a rollout, and reports whether that is the state that was to be written.
+func (in *Instance) adoptStatus(st catalogue.ReleaseStatus, state catalogue.ReleaseState) bool {
+	in.recordStatus(st)
+	in.control.Send(archive.Batch[catalogue.ReleaseStatus]{Items: []catalogue.ReleaseStatus{st}})
+	if st.State != state {
+		in.Log.Info("the rollout has ended otherwise", "service", st.Service, "target", st.Target, "state", st.State, "unwritten", state)
+	}
+	return st.State == state
+}
--- a/pkg/gateway/status_test.go
+++ b/pkg/gateway/status_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -15,34 +17,77 @@
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
-// statusStore has the statuses that instances write; fail makes the next writes fail.
+// statusStore is a log of statuses; fail makes the next writes fail, and loseAnswers loses the answers of those that succeed.
 type statusStore struct {
-	writes int
-	fail   int
-	status map[string]catalogue.ReleaseStatus
+	archive.Source
+	log           []catalogue.ReleaseStatus
+	writes, reads int
+	fail          int
+	loseAnswers   bool
 }
 
-func (s *statusStore) PutStatus(_ context.Context, st catalogue.ReleaseStatus) error {
+func (s *statusStore) PutStatus(_ context.Context, st catalogue.ReleaseStatus, at int64) (int64, error) {
 	s.writes++
-	if s.fail > 0 {
+	end := int64(len(s.log))
+	switch {
+	case s.fail > 0:
 		s.fail--
-		return errors.New("store is away")
+		return 0, errors.New("store is away")
+	case at != end:
+		return end, &archive.ConditionError{End: end}
 	}
-	s.status[st.Service] = st
-	return nil
+	s.log = append(s.log, st)
+	if s.loseAnswers {
+		return 0, errors.New("answer lost")
+	}
+	return end + 1, nil
+}
+
+func (s *statusStore) Newest(context.Context, archive.TopicName) (archive.Batch[archive.Record], error) {
+	s.reads++
+	b := archive.Batch[archive.Record]{Whole: true, Next: int64(len(s.log))}
+	for _, st := range s.newest() {
+		value, err := json.Marshal(st)
+		if err != nil {
+			return b, err
+		}
+		b.Items = append(b.Items, archive.Record{Key: st.Service, Value: value})
+	}
+	return b, nil
+}
+
+func (s *statusStore) newest() map[string]catalogue.ReleaseStatus {
+	newest := map[string]catalogue.ReleaseStatus{}
+	for _, st := range s.log {
+		newest[st.Service] = st
+	}
+	return newest
+}
+
+// statusDecoders decode the records of a statusStore.
+type statusDecoders struct{ Decoders }
+
+func (statusDecoders) Status(r archive.Record) (st catalogue.ReleaseStatus, err error) {
+	err = json.Unmarshal(r.Value, &st)
+	return st, err
 }
 
 // newStatusInstance returns an instance with one rollout of the service lm to v2.
-func newStatusInstance(m *clock.Manual, name string, store *statusStore, state catalogue.ReleaseState) *Instance {
+func newStatusInstance(t *testing.T, m *clock.Manual, name string, store *statusStore, state catalogue.ReleaseState) *Instance {
+	t.Helper()
 	cfg := settings.DefaultEntry()
 	cfg.Name = name
 	in := &Instance{
-		Settings: &cfg, Clock: m, Log: logr.Discard(), Status: store, control: &Control{},
+		Settings: &cfg, Clock: m, Log: logr.Discard(), Store: store, Status: store, Decoders: statusDecoders{},
+		control:         &Control{Clock: m, Log: logr.Discard()},
 		writtenStatuses: map[string]catalogue.ReleaseStatus{}, pendingStatuses: map[string]pendingStatus{},
 	}
-	in.control.snapshot.Store(&catalogue.Snapshot{Moves: map[string]*catalogue.ReleaseRollout{
-		"lm": {ReleaseOrder: catalogue.ReleaseOrder{Service: "lm", Target: "v2", Span: 20_000}, State: state},
-	}})
+	in.control.view.ApplyOperations(operations(true, catalogue.Operation{
+		Kind: catalogue.OperationRelease, Order: &catalogue.ReleaseOrder{Service: "lm", Target: "v2", Span: 20_000},
+	}), m.Now())
+	in.control.view.SetRolloutState("lm", "v2", state)
+	in.control.Run()
+	t.Cleanup(in.control.Stop)
 	return in
 }
 
@@ -54,8 +99,9 @@
 	}
 }
 
-func statuses(whole bool, items ...catalogue.ReleaseStatus) archive.Batch[catalogue.ReleaseStatus] {
-	return archive.Batch[catalogue.ReleaseStatus]{Whole: whole, Items: items}
+// statuses returns a batch that ends at the end of the store.
+func (s *statusStore) statuses(whole bool, items ...catalogue.ReleaseStatus) archive.Batch[catalogue.ReleaseStatus] {
+	return archive.Batch[catalogue.ReleaseStatus]{Whole: whole, Items: items, Next: int64(len(s.log))}
 }
 
 func lmStatus(target string, state catalogue.ReleaseState) catalogue.ReleaseStatus {
@@ -85,17 +131,24 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			m := clock.NewManual(100_000)
-			store := &statusStore{status: map[string]catalogue.ReleaseStatus{}, fail: 2}
-			in := newStatusInstance(m, "edge-1", store, c.known.State)
-			in.recordStatuses(statuses(false, c.known))
-			in.recordStatuses(statuses(true, c.newest...))
-			in.recordStatuses(statuses(false, c.later...))
+			store := &statusStore{fail: 2, log: []catalogue.ReleaseStatus{c.known}}
+			in := newStatusInstance(t, m, "edge-1", store, c.known.State)
+			in.recordStatuses(store.statuses(false, c.known))
+			store.log = slices.Clone(c.newest)
+			in.recordStatuses(store.statuses(true, c.newest...))
+			store.log = append(store.log, c.later...)
+			in.recordStatuses(store.statuses(false, c.later...))
+			unwritten := len(store.log)
 			for range 100 {
 				m.Advance(rolloutPeriod)
 				in.writeDue()
 			}
-			if got := store.status["lm"].State; got != c.want {
-				t.Errorf("the store has %q, want %q", got, c.want)
+			var got catalogue.ReleaseState
+			if len(store.log) > unwritten {
+				got = store.newest()["lm"].State
+			}
+			if got != c.want {
+				t.Errorf("written %q, want %q", got, c.want)
 			}
 			if want := 3; c.want != "" && store.writes != want {
 				t.Errorf("%d writes, want two failed ones and one more", store.writes)
@@ -107,12 +160,12 @@
 // Guards against each instance writing the same lost status at the same moment.
 func TestLostStatusIsWrittenByFewInstances(t *testing.T) {
 	m := clock.NewManual(100_000)
-	store := &statusStore{status: map[string]catalogue.ReleaseStatus{}}
+	store := &statusStore{}
 	var instances []*Instance
 	for i := range 90 {
-		in := newStatusInstance(m, fmt.Sprintf("edge-%d", i), store, catalogue.ReleaseCompleted)
-		in.recordStatuses(statuses(true, lmStatus("v2", catalogue.ReleaseCompleted)))
-		in.recordStatuses(statuses(true))
+		in := newStatusInstance(t, m, fmt.Sprintf("edge-%d", i), store, catalogue.ReleaseCompleted)
+		in.recordStatuses(store.statuses(true, lmStatus("v2", catalogue.ReleaseCompleted)))
+		in.recordStatuses(store.statuses(true))
 		instances = append(instances, in)
 	}
 	for range 30 {
@@ -124,13 +177,73 @@
 		if store.writes > before {
 			// All read the status within a period.
 			for _, in := range instances {
-				in.recordStatuses(statuses(false, store.status["lm"]))
+				in.recordStatuses(store.statuses(false, store.newest()["lm"]))
 			}
 		}
 	}
 	want := lmStatus("v2", catalogue.ReleaseCompleted)
-	want.Started = true
-	if diff := cmp.Diff(want, store.status["lm"]); diff != "" || store.writes > 10 {
+	want.Started, want.StartedAt = true, 100_000
+	if diff := cmp.Diff(want, store.newest()["lm"]); diff != "" || store.writes > 10 {
 		t.Errorf("%d writes by 90 instances, want 10 at most; status (-want +got):\n%s", store.writes, diff)
 	}
 }
+
+// Guards against the end of a rollout that is written over by an instance that doesn't know of it.
+func TestEndedRolloutIsNotWrittenOver(t *testing.T) {
+	running, completed, reverted := lmStatus("v2", catalogue.ReleaseRunning), lmStatus("v2", catalogue.ReleaseCompleted), lmStatus("v2", catalogue.ReleaseReverted)
+	other := catalogue.ReleaseStatus{Service: "desk", Target: "v7", State: catalogue.ReleaseRunning}
+	type result struct {
+		Log   []catalogue.ReleaseStatus
+		Reads int
+		State catalogue.ReleaseState
+	}
+	for _, c := range []struct {
+		name string
+		log  []catalogue.ReleaseStatus
+		// read is how many records of the log the instance knows; -1 if it has not read the topic.
+		read        int
+		state       catalogue.ReleaseState
+		loseAnswers bool
+		want        result
+	}{
+		{name: "nothing changed", log: []catalogue.ReleaseStatus{running}, read: 1, state: reverted.State,
+			want: result{Log: []catalogue.ReleaseStatus{running, reverted}, State: reverted.State}},
+		{name: "completed meanwhile", log: []catalogue.ReleaseStatus{running, completed}, read: 1, state: reverted.State,
+			want: result{Log: []catalogue.ReleaseStatus{running, completed}, Reads: 1, State: completed.State}},
+		{name: "reverted meanwhile", log: []catalogue.ReleaseStatus{running, reverted}, read: 1, state: completed.State,
+			want: result{Log: []catalogue.ReleaseStatus{running, reverted}, Reads: 1, State: reverted.State}},
+		{name: "completed before the topic is read", log: []catalogue.ReleaseStatus{completed}, read: -1, state: reverted.State,
+			want: result{Log: []catalogue.ReleaseStatus{completed}, Reads: 1, State: completed.State}},
+		{name: "started meanwhile", log: []catalogue.ReleaseStatus{running}, read: 0, state: reverted.State,
+			want: result{Log: []catalogue.ReleaseStatus{running, reverted}, Reads: 1, State: reverted.State}},
+		{name: "another service changed meanwhile", log: []catalogue.ReleaseStatus{running, other}, read: 1, state: reverted.State,
+			want: result{Log: []catalogue.ReleaseStatus{running, other, reverted}, Reads: 1, State: reverted.State}},
+		{name: "the end of another target", log: []catalogue.ReleaseStatus{lmStatus("v1", catalogue.ReleaseCompleted)}, read: 1, state: reverted.State,
+			want: result{Log: []catalogue.ReleaseStatus{lmStatus("v1", catalogue.ReleaseCompleted), reverted}, State: reverted.State}},
+		{name: "the answer to the write is lost", log: []catalogue.ReleaseStatus{running}, read: 1, state: reverted.State, loseAnswers: true,
+			want: result{Log: []catalogue.ReleaseStatus{running, reverted}, Reads: 1, State: reverted.State}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			store := &statusStore{log: slices.Clone(c.log), loseAnswers: c.loseAnswers}
+			in := newStatusInstance(t, clock.NewManual(100_000), "edge-1", store, catalogue.ReleaseRunning)
+			if c.read >= 0 {
+				known := c.log[:c.read]
+				in.recordStatuses(archive.Batch[catalogue.ReleaseStatus]{Whole: true, Items: known, Next: int64(c.read)})
+			}
+			in.control.Send(rolloutEnded{service: "lm", target: "v2", state: catalogue.ReleaseReverted})
+			rollout := in.control.Snapshot().Moves["lm"]
+			controller := &RolloutController{Instance: in}
+			for range 2 {
+				controller.putStatus(context.Background(), rollout, c.state)
+			}
+			_ = in.control.system.Root.PoisonFuture(in.control.pid).Wait()
+			got := result{Log: store.log, Reads: store.reads, State: in.control.Snapshot().Moves["lm"].State}
+			for i := range got.Log {
+				got.Log[i].Started, got.Log[i].StartedAt = false, 0
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -20,6 +20,8 @@
 	zonesOut           map[string]bool
 	orders             map[string]catalogue.ReleaseOrder
 	statuses           map[string]catalogue.ReleaseStatus
+	// ownReverts has by service the target of a rollout that this instance reverted and whose end the store isn't known to have.
+	ownReverts map[string]string
 	// rollouts has the release rollouts by service, also those whose order was removed.
 	rollouts map[string]*catalogue.ReleaseRollout
 	// lostRollouts has the rollouts that ended only because the store lost their order.
@@ -105,6 +107,9 @@
 			delete(v.statuses, st.Service)
 			continue
 		}
+		if known := v.statuses[st.Service]; known.Target == st.Target && isEnd(known) {
+			continue
+		}
 		v.statuses[st.Service] = st
 	}
 	v.updateRollouts(now)
@@ -129,6 +134,13 @@
 			copied.State = st.State
 			rollout = &copied
 		}
+		if known && st.Target == order.Target && isEnd(st) && v.ownReverts[service] == order.Target {
+			// The first end that the store has stands, also where this instance has ended the rollout otherwise.
+			copied := *rollout
+			copied.State = st.State
+			rollout = &copied
+			delete(v.ownReverts, service)
+		}
 		if known && st.Target == order.Target && st.Started && st.StartedAt < rollout.StartedAt {
 			copied := *rollout
 			copied.StartedAt = st.StartedAt
@@ -167,6 +179,12 @@
 	if rollout == nil || rollout.Target != target || rollout.State != catalogue.ReleaseRunning {
 		return
 	}
+	if v.ownReverts == nil {
+		v.ownReverts = map[string]string{}
+	}
+	if state == catalogue.ReleaseReverted {
+		v.ownReverts[service] = target
+	}
 	copied := *rollout
 	copied.State = state
 	v.rollouts = maps.Clone(v.rollouts)
--- a/pkg/gateway/view_test.go
+++ b/pkg/gateway/view_test.go
@@ -45,6 +45,19 @@
 		{"another instance reverted it", func(v *View) { v.ApplyStatuses(status("v2", catalogue.ReleaseReverted), 20) }, catalogue.ReleaseReverted},
 		{"the status of another target is ignored", func(v *View) { v.ApplyStatuses(status("v1", catalogue.ReleaseCompleted), 20) }, catalogue.ReleaseRunning},
 		{"this instance reverted it", func(v *View) { v.SetRolloutState("lm", "v2", catalogue.ReleaseReverted) }, catalogue.ReleaseReverted},
+		{"another instance completed it before this one reverted it", func(v *View) {
+			v.SetRolloutState("lm", "v2", catalogue.ReleaseReverted)
+			v.ApplyStatuses(status("v2", catalogue.ReleaseCompleted), 20)
+		}, catalogue.ReleaseCompleted},
+		{"a revert after the completion is ignored", func(v *View) {
+			v.ApplyStatuses(status("v2", catalogue.ReleaseCompleted), 20)
+			v.ApplyStatuses(status("v2", catalogue.ReleaseReverted), 30)
+		}, catalogue.ReleaseCompleted},
+		{"a completion after the confirmed revert is ignored", func(v *View) {
+			v.SetRolloutState("lm", "v2", catalogue.ReleaseReverted)
+			v.ApplyStatuses(status("v2", catalogue.ReleaseReverted), 20)
+			v.ApplyStatuses(status("v2", catalogue.ReleaseCompleted), 30)
+		}, catalogue.ReleaseReverted},
 		{"a late status does not undo a revert", func(v *View) {
 			v.SetRolloutState("lm", "v2", catalogue.ReleaseReverted)
 			v.ApplyStatuses(status("v2", catalogue.ReleaseRunning), 20)
