Relay: pass on no false promise that a call hasn't run

Cause: an upstream's own 503 without the mark that the call wasn't run was passed on as it came. Callers take 408, 429 and 503 for a promise and sent bookings again that had run. 429 and 408 took another path with the same result.

Change: for a call that may not be repeated such an answer counts as a failure of the upstream and becomes 502 without the seal; calls that may be repeated get it unchanged.

--- a/pkg/delivery/relay.go
+++ b/pkg/delivery/relay.go
@@ -57,7 +57,7 @@
 // Error includes what is invalid about the response.
 func (e *InvalidResponseError) Error() string { return "invalid response: " + e.Detail }
 
-// FailedResponse is a complete 5xx response of the upstream, kept so that it can be forwarded if no other attempt succeeds.
+// FailedResponse is a complete response of the upstream with 5xx or a false refusal, kept so that it can be forwarded if no other attempt succeeds.
 type FailedResponse struct {
 	Head request.Head
 	Body []byte
@@ -192,7 +192,7 @@
 	}
 	a.load = head.Load
 	a.call.Unframed = isUnframed(resp)
-	if head.Status >= http.StatusInternalServerError {
+	if head.Status >= http.StatusInternalServerError || isFalseRefusal(a.call, head) {
 		stopTimer()
 		return a.readFailure(resp, head)
 	}
@@ -207,6 +207,12 @@
 	return a.forwardBuffered(resp, head)
 }
 
+// isFalseRefusal reports whether the caller would take a response for a promise that the call hasn't run, and send it again although it may
+// have run and may not be repeated.
+func isFalseRefusal(c *request.Call, head request.Head) bool {
+	return head.FalselyRefused && !c.Route.MayRepeat()
+}
+
 // reportHead reports the limit that a response names, the room at its upstream and what else it says of it; err is that of its head. Only
 // responses of the upstream that was meant count. It returns whether the upstream had no room for the request.
 func (a *relayAttempt) reportHead(c *request.Call, resp *http.Response, err error) (full bool) {
@@ -410,8 +416,11 @@
 	return request.ResultFailed
 }
 
-// Forward writes the failed response to the caller unchanged.
+// Forward writes the failed response to the caller unchanged. One that would be a false promise is replaced by a *request.Refusal.
 func (e *FailedResponse) Forward(ctx context.Context, c *request.Call) error {
+	if isFalseRefusal(c, e.Head) {
+		return &request.Refusal{Outcome: request.Ran, Reason: request.ReasonUpstreamFailed, Cause: e}
+	}
 	return writeResponse(ctx, c, e.Head, e.Body, func() error { return nil })
 }
 
--- a/pkg/request/response.go
+++ b/pkg/request/response.go
@@ -24,6 +24,9 @@
 	Confidence int
 	// Load is the load of the upstream, or nil if it reports none.
 	Load *LoadReport
+	// FalselyRefused is true if callers take the status for a promise that the request hasn't run and never will, which the upstream doesn't
+	// give.
+	FalselyRefused bool
 }
 
 // LoadReport is the load that an upstream reports with a response, in requests.
