--- a/pkg/proctest/process.go
+++ b/pkg/proctest/process.go
@@ -92,6 +92,9 @@
 // Output returns everything that the process has written so far.
 func (p *Process) Output() string { return p.out.tail(1 << 30) }
 
+// ID returns the process ID.
+func (p *Process) ID() int { return p.cmd.Process.Pid }
+
 // Kill sends SIGKILL, which also ends a frozen process, and waits until the process has exited.
 func (p *Process) Kill() {
 	_ = p.cmd.Process.Kill()
