Account for all memory that is held for clients

Cause: requests were admitted by number, bodies and responses were held whole, and connections, slow bodies and unread responses had no bound. Change: pkg/custody counts connections, heads by their fields, requests, bodies as they grow and responses, and bounds them by Machine.MemoryMegabytes and Machine.Descriptors for each listener. Without room the connection of the slowest client is closed, else the request refused with 503 or the new connection closed. Time limits of the configuration hold for heads, bodies, idle connections and unread responses; maxHeaderBytes is checked. Messages between instances are checked before the decoder allocates them. Requests count as in flight once they are complete.

--- a/pkg/app/entry.go
+++ b/pkg/app/entry.go
@@ -33,9 +33,6 @@
 	Reloads <-chan *settings.Entry
 }
 
-// memoryLimitFraction is the soft memory limit of the garbage collector as a fraction of the memory in the settings.
-const memoryLimitFraction = 0.5
-
 // addEntryCommand adds the command that serves the routes of the platform.
 func addEntryCommand(k *kingpin.Application, stdout io.Writer, server PlatformServer) {
 	cmd := k.Command("entry", "Serve the routes of the platform.")
@@ -61,7 +58,7 @@
 // runEntry serves until SIGTERM or SIGINT; further signals don't shorten the drain.
 func runEntry(path string, e *settings.Entry, stdout io.Writer, server PlatformServer) error {
 	runtime.GOMAXPROCS(e.Machine.Cores)
-	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(e.Machine.MemoryMegabytes<<20)))
+	debug.SetMemoryLimit(e.Machine.CollectorBytes())
 	out, log := settings.NewAsyncLog(stdout, e.Logging)
 	defer out.Close()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/pkg/delivery/response_buffer.go
+++ b/pkg/delivery/response_buffer.go
@@ -13,11 +13,38 @@
 // errBodyTooLong reports a response that must be read whole and is longer than what may be buffered.
 var errBodyTooLong = errors.New("response body exceeds the size limit")
 
+// Memory bounds what is held for all clients of an instance.
+type Memory interface {
+	TryTake(n int64) bool
+	Give(n int64)
+}
+
 // bufferLimit bounds the bytes of responses that all attempts together hold before they are forwarded.
 type bufferLimit struct {
 	// total is the bound in bytes; 0 means none.
 	total int64
 	held  atomic.Int64
+	// memory may be nil.
+	memory Memory
+}
+
+func (l *bufferLimit) tryTake(n int64) bool {
+	if l.held.Add(n) > l.total {
+		l.held.Add(-n)
+		return false
+	}
+	if l.memory != nil && !l.memory.TryTake(n) {
+		l.held.Add(-n)
+		return false
+	}
+	return true
+}
+
+func (l *bufferLimit) give(n int64) {
+	l.held.Add(-n)
+	if l.memory != nil && n > 0 {
+		l.memory.Give(n)
+	}
 }
 
 // responseBuffer holds the bytes of one response that are not forwarded yet.
@@ -37,8 +64,7 @@
 		return false
 	}
 	if more := int64(size) - b.counted; size > freeBufferBytes && b.limit.total > 0 {
-		if b.limit.held.Add(more) > b.limit.total {
-			b.limit.held.Add(-more)
+		if !b.limit.tryTake(more) {
 			return false
 		}
 		b.counted += more
@@ -61,6 +87,6 @@
 
 // release returns what the buffer counts toward the limit.
 func (b *responseBuffer) release() {
-	b.limit.held.Add(-b.counted)
+	b.limit.give(b.counted)
 	b.counted, b.bytes = 0, nil
 }
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -13,12 +13,6 @@
 )
 
 const (
-	// descriptorsPerRequest counts the sockets of a request: to the caller, to the upstream, and one that is closing.
-	descriptorsPerRequest = 3
-	// kilobytesPerRequest is an upper bound on the average memory of a request: body, buffers and stacks.
-	kilobytesPerRequest = 128
-	// memoryFraction is the fraction of the memory available to requests.
-	memoryFraction = 0.5
 	// bufferFraction is the fraction of the memory that responses may hold before they are forwarded.
 	bufferFraction = 0.0625
 	// keyAgeMargin is subtracted from the time for which a revoked key may still be used, to cover the time that a request takes to
@@ -39,6 +33,7 @@
 		Dial:        in.Dial,
 		Observe:     in.observe,
 		BufferBytes: int64(bufferFraction * float64(in.Settings.Machine.MemoryMegabytes<<20)),
+		Memory:      in.accounts.callers,
 		OnProgress:  in.progress,
 		OnLimit: func(upstream string, limit request.NamedLimit, sentAt clock.Millis) {
 			in.limits.Observe(upstream, limit, sentAt, in.Clock.Now())
@@ -54,6 +49,7 @@
 		Permit:      func(*request.Call) error { return nil },
 		Observe:     func(*request.Call, request.Sample) { in.detours.CountSent() },
 		BufferBytes: in.relay.BufferBytes,
+		Memory:      in.accounts.callers,
 	}
 	in.through.Open()
 	d := &dispatch.Dispatch{
@@ -104,15 +100,14 @@
 }
 
 func (in *Instance) handlerConfig() HandlerConfig {
-	m := in.Settings.Machine
-	limit := min(m.Descriptors/descriptorsPerRequest, int(memoryFraction*float64(m.MemoryMegabytes<<10)/kilobytesPerRequest))
 	return HandlerConfig{
 		Log:      in.Log.WithName("desk"),
 		Clock:    in.Clock,
 		Chain:    in.filterChain(),
 		Snapshot: in.control.Snapshot,
 		InFlight: in.inFlight,
-		Limit:    limit,
+		Callers:  in.accounts.callers,
+		Limit:    maxInFlight(&in.Settings.Machine),
 		Closing:  in.draining.Load,
 	}
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"carawayknot.example/carawayknot/pkg/archive"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/custody"
 	"carawayknot.example/carawayknot/pkg/delivery"
 	"carawayknot.example/carawayknot/pkg/desk"
 	"carawayknot.example/carawayknot/pkg/detour"
@@ -37,6 +38,8 @@
 	Chain    request.Handler
 	Snapshot func() *catalogue.Snapshot
 	InFlight *desk.InFlight
+	// Callers accounts for the callers' connections; it may be nil.
+	Callers *custody.Account
 	// Limit is the maximum number of requests in flight.
 	Limit int
 	// Closing reports whether connections are to be closed after the current answer.
@@ -98,6 +101,7 @@
 	lifetimes   lifetimes
 	rumors      *membership.Rumors
 	inFlight    *desk.InFlight
+	accounts    accounts
 	draining    atomic.Bool
 	// cancelRequests cancels the context of the callers' requests in flight.
 	cancelRequests context.CancelFunc
@@ -139,6 +143,7 @@
 			return errors.Wrap(err, "listen")
 		}
 	}
+	peer = &custody.Listener{Listener: peer, Account: in.accounts.peers, Opaque: true}
 	adminServer := desk.NewServer(in.adminHandler())
 	readyServer := desk.NewServer(http.HandlerFunc(in.serveReady))
 	callerServer := desk.NewServer(in.Adapter.Handler(in.handlerConfig()))
@@ -149,8 +154,8 @@
 	backgroundCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	loops, groupCtx := in.startLoops(backgroundCtx, peer)
-	in.serve("admin", adminServer, admin)
-	in.serve("ready", readyServer, ready)
+	in.serve("admin", adminServer, admin, in.accounts.admin)
+	in.serve("ready", readyServer, ready, in.accounts.ready)
 	go in.serveCallers(ctx, callerServer, caller)
 	in.Log.Info("started", "caller", in.Settings.CallerAddress, "store", in.Settings.StoreAddress, "zone", in.Settings.Zone)
 	var err error
@@ -179,6 +184,7 @@
 	in.calibration = &pricing.Calibration{}
 	in.releases = &dispatch.Releases{SessionTimeout: in.Settings.Bounds.Session(), OnSend: in.recordSend}
 	in.inFlight = &desk.InFlight{}
+	in.buildAccounts()
 	in.rolloutOrdered = make(chan struct{}, 1)
 	in.registered, in.membersRead = make(chan struct{}), make(chan struct{})
 	in.registrationLost = make(chan struct{}, 1)
@@ -233,9 +239,10 @@
 	in.suspects.OnNews = in.rumors.Wake
 }
 
-func (in *Instance) serve(name string, s *http.Server, l net.Listener) {
+func (in *Instance) serve(name string, s *http.Server, l net.Listener, a *custody.Account) {
+	custody.Attach(s)
 	go func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(&custody.Listener{Listener: l, Account: a}); !errors.Is(err, http.ErrServerClosed) {
 			in.Log.Error(err, "listener failed", "listener", name)
 		}
 	}()
@@ -254,5 +261,5 @@
 	case <-timeout:
 	case <-ctx.Done():
 	}
-	in.serve("caller", s, l)
+	in.serve("caller", s, l, in.accounts.callers)
 }
--- a/pkg/membership/network.go
+++ b/pkg/membership/network.go
@@ -95,7 +95,9 @@
 		n.Common.Log.WithName("membership").V(1).Info("peer handshake failed", "from", raw.RemoteAddr().String(), "error", err.Error())
 		return
 	}
-	n.server.ServeCodec(newServerCodec(n.meter(raw)))
+	// Connections of a listener that accounts for memory count the messages that they receive.
+	memory, _ := raw.(messageMemory)
+	n.server.ServeCodec(newServerCodec(n.meter(raw), memory))
 }
 
 // SetMembers sets the addresses of the members and closes the connections to all other instances.
--- a/pkg/settings/entry.go
+++ b/pkg/settings/entry.go
@@ -21,14 +21,6 @@
 	Logging      Logging
 }
 
-// Resources are what the instance may use of its host.
-type Resources struct {
-	MemoryMegabytes int
-	// Descriptors bounds the open file descriptors, sockets included.
-	Descriptors int
-	Cores       int
-}
-
 // Bounds are time limits that the platform requires, in milliseconds unless the name has another unit.
 type Bounds struct {
 	// Revocation is how long a key may still be used after its revocation.
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -53,6 +53,7 @@
 step "unit tests" tests ./...
 step "tool tests" tool_tests
 if [ "${1:-}" != unit ] && [ -d test ]; then
+	step "crowd tests" tests -count=1 -tags process -p 1 ./platform/crowd
 	step "process tests" tests -count=1 -tags process -p 1 ./test/... ./platform/soak
 fi
 exit $failed
