--- a/pkg/settings/decode.go
+++ b/pkg/settings/decode.go
@@ -56,6 +56,9 @@
 	if field.Kind() == reflect.Struct {
 		return d.decodeObject(fieldPath, &m.Value, field)
 	}
+	if field.Kind() == reflect.Slice {
+		return d.decodeNames(fieldPath, m, field)
+	}
 	lit, isLiteral := m.Value.Value.(hujson.Literal)
 	if !isLiteral || lit.Kind() == 'n' || decodeLiteral(lit, field) != nil {
 		return d.fieldError(fieldPath, m.Name.StartOffset, typeDescription(field))
@@ -63,6 +66,24 @@
 	return nil
 }
 
+// decodeNames sets a field that is a list of strings.
+func (d *decoder) decodeNames(path string, m *hujson.ObjectMember, field reflect.Value) error {
+	list, isArray := m.Value.Value.(*hujson.Array)
+	if !isArray {
+		return d.fieldError(path, m.Name.StartOffset, typeDescription(field))
+	}
+	names := make([]string, len(list.Elements))
+	for i, e := range list.Elements {
+		lit, isLiteral := e.Value.(hujson.Literal)
+		if !isLiteral || lit.Kind() != '"' {
+			return d.fieldError(path, m.Name.StartOffset, typeDescription(field))
+		}
+		names[i] = lit.String()
+	}
+	field.Set(reflect.ValueOf(names))
+	return nil
+}
+
 // decodeLiteral sets a field; a time is rounded down to whole milliseconds, since it is a bound mostly.
 func decodeLiteral(lit hujson.Literal, field reflect.Value) error {
 	millis, isTime := field.Addr().Interface().(*clock.Millis)
@@ -96,6 +117,10 @@
 	switch {
 	case field.Kind() == reflect.String:
 		return "a string in quotes"
+	case field.Kind() == reflect.Slice:
+		return "a list of strings in quotes"
+	case field.Kind() == reflect.Bool:
+		return "true or false"
 	case field.Kind() == reflect.Float64, field.Type() == reflect.TypeFor[clock.Millis]():
 		return "a number"
 	default:
--- a/pkg/settings/entry.go
+++ b/pkg/settings/entry.go
@@ -17,6 +17,7 @@
 	StoreAddress string
 	Machine      Resources
 	Bounds       Bounds
+	Duties       Duties
 	Policy       Policy
 	Logging      Logging
 }
@@ -88,6 +89,15 @@
 			RetrySlack:         20,
 			RetryWindowSeconds: 10,
 		},
+		Duties: Duties{
+			PerSecond:           10,
+			FencingRequired:     true,
+			Lease:               3 * clock.Second,
+			Thaw:                300,
+			ReportWindowSeconds: 5,
+			UsageDelaySeconds:   10,
+			UsageTolerance:      0.05,
+		},
 		Policy:  Policy{LeastConfidence: 75, RetryShare: 1},
 		Logging: Logging{Format: "json"},
 	}
@@ -110,7 +120,7 @@
 
 func entryChecks(e *Entry) []fieldCheck {
 	m, b, p := &e.Machine, &e.Bounds, &e.Policy
-	return []fieldCheck{
+	return append(dutyChecks(&e.Duties), []fieldCheck{
 		checkName("Name", e.Name),
 		checkName("Zone", e.Zone),
 		checkAddress("CallerAddress", e.CallerAddress),
@@ -135,5 +145,5 @@
 		{"Policy.RetryShare", p.RetryShare >= 0 && p.RetryShare <= 1, "a number from 0 to 1"},
 		{"Logging.Format", e.Logging.Format == "json" || e.Logging.Format == "console", `"json" or "console"`},
 		{"Logging.Verbosity", e.Logging.Verbosity >= 0 && e.Logging.Verbosity <= maxVerbosity, "a whole number from 0 to 9"},
-	}
+	}...)
 }
