Duty: lease in the store, and usage reported under it

Change: pkg/duty keeps a lease with a fencing token in a keyed topic of the store under conditional appends; pkg/usage counts begun requests and lets the holder collect, record and report each window once; platform makes the calls. Without a duty address nothing is built.

--- a/pkg/duty/lease.go
+++ b/pkg/duty/lease.go
@@ -12,3 +12,6 @@
 	// Until is the monotonic time from which the lease may not be used any more.
 	Until clock.Millis
 }
+
+// Era returns the era of the store in which the holder acquired the lease.
+func (l Lease) Era() int64 { return l.Token >> offsetBits }
--- a/pkg/gateway/drain.go
+++ b/pkg/gateway/drain.go
@@ -27,6 +27,16 @@
 	in.control.Send(drainStarted{})
 	in.Log.Info("draining", "inFlight", in.inFlight.Count())
 	go in.deregister()
+	drainCtx, drained := context.WithCancel(context.Background())
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		in.leaveDuties(drainCtx)
+	}()
+	defer func() {
+		drained()
+		<-left
+	}()
 	ctx, cancel := clock.WithTimeout(context.Background(), in.Clock, in.Settings.Bounds.Grace()-exitMargin)
 	defer cancel()
 	_ = clock.Sleep(ctx, in.Clock, loadBalancerNoticeTime)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"carawayknot.example/carawayknot/pkg/desk"
 	"carawayknot.example/carawayknot/pkg/detour"
 	"carawayknot.example/carawayknot/pkg/dispatch"
+	"carawayknot.example/carawayknot/pkg/duty"
 	"carawayknot.example/carawayknot/pkg/membership"
 	"carawayknot.example/carawayknot/pkg/occupancy"
 	"carawayknot.example/carawayknot/pkg/pricing"
@@ -64,6 +65,9 @@
 	// InstanceWire encodes calls for other instances, which take them like those of callers.
 	InstanceWire delivery.Wire
 	Adapter      Adapter
+	// LeaseStore keeps the lease of duties, and DutyCalls makes their calls; both are used only if the settings name duties.
+	LeaseStore duty.Store
+	DutyCalls  duty.Caller
 	// Dial opens connections to upstreams.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Listen opens the listeners for the addresses in the settings.
@@ -97,6 +101,7 @@
 	notices     *dispatch.Notices
 	lifetimes   lifetimes
 	rumors      *membership.Rumors
+	duties      *duties
 	inFlight    *desk.InFlight
 	draining    atomic.Bool
 	// cancelRequests cancels the context of the callers' requests in flight.
@@ -219,7 +224,7 @@
 	return errors.CombineErrors(errors.CombineErrors(
 		in.network.Register(membership.ReaderName, &membership.Reader{Clock: in.Clock, Cache: cache}),
 		in.network.Register(membership.LoadsName, in.loads),
-	), in.network.Register(membership.RumorsName, in.rumors))
+	), errors.CombineErrors(in.network.Register(membership.RumorsName, in.rumors), in.buildDuties()))
 }
 
 // buildSuspects creates the quarantine of requests and prompt parts, and the exchange of its news.
--- a/pkg/gateway/loops.go
+++ b/pkg/gateway/loops.go
@@ -43,6 +43,7 @@
 	g.Go(func() error { return in.rumors.Run(ctx) })
 	g.Go(func() error { return in.detours.Run(ctx) })
 	g.Go(func() error { return in.reload(ctx) })
+	in.startDuties(ctx, g)
 	return g, ctx
 }
 
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -22,6 +22,9 @@
 // observe records an attempt in the metrics, the load tracker, the latency estimates and the comparison of releases.
 func (in *Instance) observe(c *request.Call, s request.Sample) {
 	in.metrics.ObserveAttempt(s)
+	if s.Answered && !c.Route.Streaming {
+		in.countUsage(c.Request.Workspace)
+	}
 	in.loadTracker.Report(s.Upstream, s.Load, s.At)
 	model, tokens := latencyKey(c)
 	latency, slow := s.FirstToken, false
@@ -76,6 +79,9 @@
 // progress records what is known of an attempt before it ends: that its answer has begun, or the pace of its stream. An answer that outlasts a
 // rollout would come too late to judge the release.
 func (in *Instance) progress(c *request.Call, s request.Sample) {
+	if s.Gap == 0 {
+		in.countUsage(c.Request.Workspace)
+	}
 	k, a := in.awaitedOf(c)
 	if a == nil {
 		return
--- /dev/null
+++ b/pkg/usage/reporter.go
@@ -0,0 +1,286 @@
+package usage
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"github.com/go-logr/logr"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/duty"
+)
+
+const (
+	// tick is the period in which the holder looks for something to do, in milliseconds.
+	tick clock.Millis = 250
+	// sendReserve is the part of the delay of a report that is kept for recording and sending it, in milliseconds.
+	sendReserve = 3 * clock.Second
+	// sendRetryDelay is the pause after a report that was not acknowledged, in milliseconds.
+	sendRetryDelay = clock.Second
+	// maxPending bounds the reports that wait for an acknowledgement.
+	maxPending = 24
+	// eraMargin is how far the times of two holders may differ, in milliseconds.
+	eraMargin = clock.Second
+)
+
+// Lease is what the reporter needs of a duty.Keeper.
+type Lease interface {
+	Held(now clock.Millis) (duty.Lease, bool)
+	State(name string) (state json.RawMessage, ok bool)
+	Yield(reason string)
+	Write(ctx context.Context, lease duty.Lease, name string, state json.RawMessage) error
+}
+
+// State is what the holder keeps in the lease for the next one.
+type State struct {
+	// Era is the era of the store in which it was written.
+	Era int64
+	// Next is the next window to record.
+	Next int64
+	// Pending has the reports that were recorded and not acknowledged, oldest first.
+	Pending []duty.UsageReport
+}
+
+// Reporter reports the usage of all instances while this instance holds the lease; its exported fields must be set before Run.
+type Reporter struct {
+	Clock   clock.Clock
+	Log     logr.Logger
+	Self    string
+	Lease   Lease
+	Caller  duty.Caller
+	Network Network
+	// Local answers for this instance.
+	Local   *Service
+	Members func() []catalogue.Member
+	// Length is the length of a window and Delay how long after its end its report is due, in milliseconds.
+	Length clock.Millis
+	Delay  clock.Millis
+	// Tolerance is the share by which a count may be off.
+	Tolerance float64
+
+	// The fields up to mu belong to Run. token is that of the lease for which the fields below are valid.
+	token     int64
+	collector *collector
+	state     State
+	acked     map[int64]bool
+	retryAt   clock.Millis
+	late      map[int64]bool
+
+	mu     sync.Mutex
+	pushed []PushArgs
+	stats  Stats
+}
+
+// Stats counts reports.
+type Stats struct {
+	// Recorded, Sent and Failed count windows that were recorded, reports that were acknowledged, and calls that weren't.
+	Recorded int64
+	Sent     int64
+	Failed   int64
+	// Missed counts windows without a report in time, and Incomplete those that lack the counts of some members beyond the tolerance.
+	Missed     int64
+	Incomplete int64
+	// Next is the next window to report, and Pending the number of recorded reports without an acknowledgement.
+	Next    int64
+	Pending int
+}
+
+// Stats returns what was reported.
+func (r *Reporter) Stats() Stats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stats
+}
+
+func (r *Reporter) count(f func(s *Stats)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(&r.stats)
+}
+
+// Push takes the counts of an instance that ends; it returns false unless this instance holds the lease.
+func (r *Reporter) Push(args PushArgs) bool {
+	if _, held := r.Lease.Held(r.Clock.Now()); !held {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pushed = append(r.pushed, args)
+	return true
+}
+
+// Run reports usage until ctx ends, and returns the error of ctx.
+func (r *Reporter) Run(ctx context.Context) error {
+	for {
+		if err := clock.Sleep(ctx, r.Clock, tick); err != nil {
+			return err
+		}
+		r.step(ctx)
+	}
+}
+
+func (r *Reporter) step(ctx context.Context) {
+	lease, held := r.Lease.Held(r.Clock.Now())
+	if !held {
+		r.reset(0)
+		return
+	}
+	if r.token != lease.Token {
+		r.reset(lease.Token)
+	}
+	r.collect(ctx, lease)
+	offset, known := r.collector.timeOffset()
+	if !known || !r.readState(lease, r.Clock.Now()+offset) {
+		return
+	}
+	r.skipLate(r.Clock.Now() + offset)
+	for r.record(ctx, lease, r.Clock.Now()+offset) {
+	}
+	r.send(ctx, lease)
+	r.countLate(r.Clock.Now() + offset)
+}
+
+func (r *Reporter) reset(token int64) {
+	if r.token == token && token == 0 {
+		return
+	}
+	r.token, r.collector, r.acked, r.late = token, newCollector(r.Length), map[int64]bool{}, map[int64]bool{}
+	r.state, r.retryAt = State{}, 0
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pushed = nil
+}
+
+// windowAt returns the window at a true time.
+func (r *Reporter) windowAt(t clock.Millis) int64 { return int64(t / r.Length) }
+
+// endOf returns the true time at which a window ends.
+func (r *Reporter) endOf(window int64) clock.Millis { return clock.Millis(window+1) * r.Length }
+
+// readState reads the state of the last holder, and returns false while it isn't known.
+func (r *Reporter) readState(lease duty.Lease, now clock.Millis) bool {
+	b, ok := r.Lease.State(duty.Usage)
+	if !ok {
+		return false
+	}
+	next := State{Era: lease.Era(), Next: r.state.Next}
+	if len(b) > 0 {
+		next = State{}
+		if err := json.Unmarshal(b, &next); err != nil {
+			r.Log.Error(err, "the state of usage can't be read; no window is reported")
+			return false
+		}
+	}
+	if next.Next == 0 {
+		next.Next = r.windowAt(now) + 1
+		r.Log.Info("reporting usage", "firstWindow", next.Next, "token", lease.Token)
+	}
+	if next.Era != lease.Era() {
+		// Later windows may have been reported under records that the store has lost.
+		first := max(next.Next, r.windowAt(now+eraMargin), r.state.Next)
+		r.skip(next.Next, first, "the store came back from an older copy")
+		next.Next, next.Era = first, lease.Era()
+	}
+	next.Next = max(next.Next, r.state.Next)
+	r.state = next
+	r.count(func(s *Stats) { s.Next, s.Pending = next.Next, len(next.Pending) })
+	return true
+}
+
+// skip notes windows that are not reported.
+func (r *Reporter) skip(from, to int64, reason string) {
+	if from >= to {
+		return
+	}
+	r.Log.Info("usage windows are not reported", "from", from, "to", to-1, "reason", reason)
+	r.count(func(s *Stats) { s.Missed += to - from })
+}
+
+// skipLate skips the windows whose reports have long been due.
+func (r *Reporter) skipLate(now clock.Millis) {
+	first := r.windowAt(now - r.Delay - r.Length)
+	if first > r.state.Next {
+		r.skip(r.state.Next, first, "their reports are overdue")
+		r.state.Next = first
+	}
+}
+
+// record records the next window in the lease if it has ended and its counts are known or due; it returns whether it did.
+func (r *Reporter) record(ctx context.Context, lease duty.Lease, now clock.Millis) bool {
+	window := r.state.Next
+	end := r.endOf(window)
+	if now < end+settleTime {
+		return false
+	}
+	missing, unreachable, share := r.collector.missing(window)
+	wait := len(missing) > 0 && !(unreachable && share <= r.Tolerance/2)
+	if wait && now < end+max(settleTime, r.Delay-sendReserve) {
+		if unreachable && 2*len(missing) > len(r.collector.members) {
+			r.Lease.Yield("most members don't answer")
+		}
+		return false
+	}
+	if len(missing) > 0 {
+		r.Log.Info("usage window lacks counts of members", "window", window, "members", missing, "share", share)
+	}
+	if share > r.Tolerance {
+		r.count(func(s *Stats) { s.Incomplete++ })
+	}
+	report := duty.UsageReport{Window: window, Counts: r.collector.sum(window)}
+	next := State{Era: lease.Era(), Next: window + 1}
+	for _, p := range r.state.Pending {
+		if !r.acked[p.Window] {
+			next.Pending = append(next.Pending, p)
+		}
+	}
+	next.Pending = append(next.Pending, report)
+	if over := len(next.Pending) - maxPending; over > 0 {
+		next.Pending = next.Pending[over:]
+	}
+	b, err := json.Marshal(next)
+	if err == nil {
+		err = r.Lease.Write(ctx, lease, duty.Usage, b)
+	}
+	if err != nil {
+		r.Log.Info("usage window not recorded", "window", window, "error", err.Error())
+		return false
+	}
+	r.state = next
+	r.count(func(s *Stats) { s.Recorded++; s.Next, s.Pending = next.Next, len(next.Pending) })
+	r.Log.Info("usage window recorded", "window", window, "requests", total(report.Counts), "workspaces", len(report.Counts), "token", lease.Token)
+	r.collector.forget(window - 1)
+	return true
+}
+
+// send sends the recorded reports that aren't acknowledged.
+func (r *Reporter) send(ctx context.Context, lease duty.Lease) {
+	if r.Clock.Now() < r.retryAt {
+		return
+	}
+	for _, p := range r.state.Pending {
+		if r.acked[p.Window] {
+			continue
+		}
+		if err := r.Caller.Usage(ctx, lease, p); err != nil {
+			r.Log.Info("usage report not acknowledged", "window", p.Window, "token", lease.Token, "error", err.Error())
+			r.count(func(s *Stats) { s.Failed++ })
+			r.retryAt = r.Clock.Now() + sendRetryDelay
+			return
+		}
+		r.acked[p.Window] = true
+		r.count(func(s *Stats) { s.Sent++ })
+		r.Log.Info("usage window reported", "window", p.Window, "requests", total(p.Counts), "token", lease.Token)
+	}
+}
+
+// countLate counts the recorded windows whose reports weren't acknowledged in time.
+func (r *Reporter) countLate(now clock.Millis) {
+	for _, p := range r.state.Pending {
+		if !r.acked[p.Window] && !r.late[p.Window] && now > r.endOf(p.Window)+r.Delay {
+			r.late[p.Window] = true
+			r.skip(p.Window, p.Window+1, "the report wasn't acknowledged in time")
+		}
+	}
+}
--- /dev/null
+++ b/pkg/usage/service.go
@@ -0,0 +1,132 @@
+package usage
+
+import (
+	"context"
+	"sync"
+
+	"github.com/go-logr/logr"
+
+	"carawayknot.example/carawayknot/pkg/clock"
+)
+
+// ServiceName is the net/rpc service name of Service.
+const ServiceName = "Usage"
+
+// callTimeout bounds a call to another instance, in milliseconds.
+const callTimeout clock.Millis = 800
+
+// Network calls methods of other members.
+type Network interface {
+	CallWithin(ctx context.Context, timeout clock.Millis, member, method string, args, reply any) error
+}
+
+// CountsArgs asks for the counts of an instance.
+type CountsArgs struct {
+	// Holder is the holder of the lease, and Token its fencing token.
+	Holder string
+	Token  int64
+	// TrueTime is the time at the holder, in Unix milliseconds.
+	TrueTime clock.Millis
+	// Length is the length of a window in milliseconds, and First the first window that is asked for.
+	Length clock.Millis
+	First  int64
+}
+
+// CountsReply has the counts of one process.
+type CountsReply struct {
+	// ID is that of the process.
+	ID string
+	// Now is its monotonic time, and Wall its time of day in Unix milliseconds.
+	Now     clock.Millis
+	Wall    clock.Millis
+	Windows []WindowCounts
+}
+
+// PushArgs has the counts of an instance that ends.
+type PushArgs struct {
+	Member string
+	Counts CountsReply
+}
+
+// PushReply tells whether the receiver holds the lease.
+type PushReply struct{ Held bool }
+
+// Service answers the holder of the lease; it is safe for concurrent use.
+type Service struct {
+	Clock   clock.Clock
+	Log     logr.Logger
+	Self    string
+	ID      string
+	Counter *Counter
+	Network Network
+	// Length is the length of a window in milliseconds.
+	Length clock.Millis
+	// OnPush receives the counts of an instance that ends, and reports whether this instance holds the lease.
+	OnPush func(args PushArgs) bool
+
+	mu sync.Mutex
+	// last is the newest request of a holder, askedAt when it came, and offset the difference of the true time and the monotonic time.
+	last    CountsArgs
+	askedAt clock.Millis
+	offset  clock.Millis
+}
+
+// Counts replies with the counts of this process.
+func (s *Service) Counts(args CountsArgs, reply *CountsReply) error {
+	now := s.Clock.Now()
+	offset := args.TrueTime - now
+	s.mu.Lock()
+	if args.Token >= s.last.Token {
+		s.last, s.askedAt, s.offset = args, now, offset
+	}
+	s.mu.Unlock()
+	*reply = s.reply(now, offset, args.Length, args.First)
+	return nil
+}
+
+func (s *Service) reply(now, offset, length clock.Millis, first int64) CountsReply {
+	return CountsReply{ID: s.ID, Now: now, Wall: s.Clock.Wall(), Windows: s.Counter.Windows(offset, length, first)}
+}
+
+// Push takes the counts of an instance that ends.
+func (s *Service) Push(args PushArgs, reply *PushReply) error {
+	reply.Held = s.OnPush(args)
+	return nil
+}
+
+// AskedAt returns when a holder last asked for counts, 0 if none has.
+func (s *Service) AskedAt() clock.Millis {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.askedAt
+}
+
+// Tell tells the counts of this process to a holder, or to the last one that asked if its name is empty.
+func (s *Service) Tell(ctx context.Context, holder string) {
+	s.mu.Lock()
+	args, offset := s.last, s.offset
+	s.mu.Unlock()
+	if holder == "" || holder == s.Self {
+		holder = args.Holder
+	}
+	if holder == "" || holder == s.Self {
+		return
+	}
+	now := s.Clock.Now()
+	if args.Holder == "" {
+		offset = s.Clock.Wall() - now
+	}
+	push := PushArgs{Member: s.Self, Counts: s.reply(now, offset, s.Length, args.First)}
+	var reply PushReply
+	err := s.Network.CallWithin(ctx, callTimeout, holder, ServiceName+".Push", push, &reply)
+	if err != nil || !reply.Held {
+		s.Log.Info("counts of usage not told", "holder", holder, "held", reply.Held, "error", errorText(err))
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
