--- a/pkg/duty/acquire.go
+++ b/pkg/duty/acquire.go
@@ -83,6 +83,10 @@
 	if err != nil {
 		return err
 	}
+	if r != nil && r.Era > end.Era {
+		// A response without the era of the store can't tell which offsets were given out before.
+		return &EraError{Era: end.Era, Want: r.Era}
+	}
 	if !k.known || end != k.end {
 		k.seenAt = k.Clock.Now()
 	}
--- a/pkg/duty/store.go
+++ b/pkg/duty/store.go
@@ -32,6 +32,14 @@
 	return fmt.Sprintf("the topic doesn't end at offset %d", e.At.Offset)
 }
 
+// EraError means that a response of the store named an earlier era than the record in it.
+type EraError struct{ Era, Want int64 }
+
+// Error states both eras.
+func (e *EraError) Error() string {
+	return fmt.Sprintf("the store names era %d, its record is of era %d", e.Era, e.Want)
+}
+
 // Record is the lease as the store keeps it.
 type Record struct {
 	// Holder is the name of the holder, and ID that of its process.
