--- a/pkg/gateway/duties.go
+++ b/pkg/gateway/duties.go
@@ -12,6 +12,7 @@
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/duty"
 	"carawayknot.example/carawayknot/pkg/membership"
+	"carawayknot.example/carawayknot/pkg/request"
 	"carawayknot.example/carawayknot/pkg/settings"
 	"carawayknot.example/carawayknot/pkg/usage"
 )
@@ -129,11 +130,13 @@
 	return 0, false
 }
 
-// countUsage counts a request that an upstream has begun.
-func (in *Instance) countUsage(workspace string) {
-	if in.duties != nil && in.duties.counter != nil {
-		in.duties.counter.Add(workspace)
+// countUsage counts a call that an upstream has begun, once for all its attempts.
+func (in *Instance) countUsage(c *request.Call) {
+	if in.duties == nil || in.duties.counter == nil || c.Begun {
+		return
 	}
+	c.Begun = true
+	in.duties.counter.Add(c.Request.Workspace)
 }
 
 // leaveDuties releases the lease, and then tells the counts of this instance until ctx ends.
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -23,7 +23,7 @@
 func (in *Instance) observe(c *request.Call, s request.Sample) {
 	in.metrics.ObserveAttempt(s)
 	if s.Answered && !c.Route.Streaming {
-		in.countUsage(c.Request.Workspace)
+		in.countUsage(c)
 	}
 	in.loadTracker.Report(s.Upstream, s.Load, s.At)
 	model, tokens := latencyKey(c)
@@ -80,7 +80,7 @@
 // rollout would come too late to judge the release.
 func (in *Instance) progress(c *request.Call, s request.Sample) {
 	if s.Gap == 0 {
-		in.countUsage(c.Request.Workspace)
+		in.countUsage(c)
 	}
 	k, a := in.awaitedOf(c)
 	if a == nil {
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -138,6 +138,8 @@
 	LastEventID string
 	// Unframed is true if only the end of its connection ends the last response of an upstream.
 	Unframed bool
+	// Begun is true once an upstream has begun to run the call.
+	Begun bool
 	// TableVersion is the version of the routing table that the route comes from.
 	TableVersion int64
 	// Runs counts the attempts that an upstream may have executed.
