--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -178,10 +178,13 @@
 		r.Log.Info("reporting usage", "firstWindow", next.Next, "token", lease.Token)
 	}
 	if next.Era != lease.Era() {
-		// Later windows may have been reported under records that the store has lost.
-		first := max(next.Next, r.windowAt(now+eraMargin), r.state.Next)
-		r.skip(next.Next, first, "the store came back from an older copy")
-		next.Next, next.Era = first, lease.Era()
+		if r.state.Next == 0 {
+			// Later windows may have been reported under records that the store has lost.
+			first := max(next.Next, r.windowAt(now+eraMargin))
+			r.skip(next.Next, first, "the store came back from an older copy")
+			next.Next = first
+		}
+		next.Era = lease.Era()
 	}
 	next.Next = max(next.Next, r.state.Next)
 	r.state = next
