Usage: a holder whose lease lapsed keeps its counts, and asks all members before it records a window

Change: only a new token starts a new collection, and no window is recorded before all members were asked. Candidates read a store that fails less often and log it once. The last counts of a draining instance are told before the cancelled requests are waited for.

--- a/pkg/duty/acquire.go
+++ b/pkg/duty/acquire.go
@@ -21,8 +21,8 @@
 		return k.pollPeriod()
 	}
 	if err := k.load(ctx); err != nil {
-		k.Log.Info("reading the lease failed", "error", err.Error())
-		return retryDelay
+		k.noteFailure(err)
+		return k.pollPeriod()
 	}
 	now = k.Clock.Now()
 	switch {
@@ -47,7 +47,7 @@
 	}
 	if !k.known {
 		if err := k.load(ctx); err != nil {
-			k.Log.Info("reading the lease failed", "error", err.Error())
+			k.noteFailure(err)
 			return retryDelay
 		}
 		if !k.mine() {
@@ -61,12 +61,12 @@
 // tryAppend appends a record and returns the time until the next step.
 func (k *Keeper) tryAppend(ctx context.Context, r *Record) clock.Millis {
 	if err := k.append(ctx, r); err != nil {
-		k.Log.Info("writing the lease failed", "token", r.Token, "error", err.Error())
 		var conflict *ConflictError
-		if !errors.As(err, &conflict) {
-			return retryDelay
+		if errors.As(err, &conflict) {
+			return 1
 		}
-		return 1
+		k.noteFailure(err)
+		return retryDelay
 	}
 	return max(1, k.renewAt-k.Clock.Now())
 }
@@ -91,6 +91,7 @@
 		k.seenAt = k.Clock.Now()
 	}
 	k.known, k.end, k.record = true, end, r
+	k.noteSuccess()
 	k.noteHolder()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -152,6 +153,7 @@
 	}
 	k.known, k.end, k.record, k.seenAt = true, end, r, k.Clock.Now()
 	k.renewAt = sentAt + k.Lease/renewals
+	k.noteSuccess()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if r.Token <= k.refused {
@@ -207,6 +209,21 @@
 	k.stats.Lost++
 }
 
+// noteFailure logs the first of several failures of the store, and noteSuccess their end.
+func (k *Keeper) noteFailure(err error) {
+	if k.storeFailures == 0 {
+		k.Log.Info("the store of the lease fails", "error", err.Error())
+	}
+	k.storeFailures++
+}
+
+func (k *Keeper) noteSuccess() {
+	if k.storeFailures > 0 {
+		k.Log.Info("the store of the lease answers again", "failures", k.storeFailures)
+	}
+	k.storeFailures = 0
+}
+
 func (k *Keeper) noteHolder() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/pkg/duty/keeper.go
+++ b/pkg/duty/keeper.go
@@ -58,8 +58,8 @@
 	leaving    bool
 	renewAt    clock.Millis
 	acquiredAt clock.Millis
-	// holder is the last holder that was logged.
-	holder string
+	// storeFailures counts failed calls to the store in a row.
+	storeFailures int
 
 	mu    sync.Mutex
 	lease Lease
--- a/pkg/gateway/drain.go
+++ b/pkg/gateway/drain.go
@@ -33,14 +33,12 @@
 		defer close(left)
 		in.leaveDuties(drainCtx)
 	}()
-	defer func() {
-		drained()
-		<-left
-	}()
+	defer func() { <-left }()
 	ctx, cancel := clock.WithTimeout(context.Background(), in.Clock, in.Settings.Bounds.Grace()-exitMargin)
 	defer cancel()
 	_ = clock.Sleep(ctx, in.Clock, loadBalancerNoticeTime)
 	err := s.Shutdown(ctx)
+	drained()
 	if err == nil {
 		return nil
 	}
--- a/pkg/usage/collect.go
+++ b/pkg/usage/collect.go
@@ -44,6 +44,7 @@
 		}
 		r.collector.apply(rep)
 	}
+	r.asked = r.asked || args.First != noWindow
 }
 
 // ask calls members and returns their replies; the true time is the monotonic time plus offset.
--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -67,6 +67,8 @@
 	acked     map[int64]bool
 	retryAt   clock.Millis
 	late      map[int64]bool
+	// asked is true once all members were asked for counts.
+	asked bool
 
 	mu     sync.Mutex
 	pushed []PushArgs
@@ -124,7 +126,6 @@
 func (r *Reporter) step(ctx context.Context) {
 	lease, held := r.Lease.Held(r.Clock.Now())
 	if !held {
-		r.reset(0)
 		return
 	}
 	if r.token != lease.Token {
@@ -142,12 +143,10 @@
 	r.countLate(r.Clock.Now() + offset)
 }
 
+// reset prepares for a new token; what is known under the last one stays valid if the lease lapsed and nobody else acquired it.
 func (r *Reporter) reset(token int64) {
-	if r.token == token && token == 0 {
-		return
-	}
 	r.token, r.collector, r.acked, r.late = token, newCollector(r.Length), map[int64]bool{}, map[int64]bool{}
-	r.state, r.retryAt = State{}, 0
+	r.state, r.retryAt, r.asked = State{}, 0, false
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.pushed = nil
@@ -214,7 +213,7 @@
 func (r *Reporter) record(ctx context.Context, lease duty.Lease, now clock.Millis) bool {
 	window := r.state.Next
 	end := r.endOf(window)
-	if now < end+settleTime {
+	if now < end+settleTime || !r.asked {
 		return false
 	}
 	missing, unreachable, share := r.collector.missing(window)
