--- a/pkg/gateway/admin.go
+++ b/pkg/gateway/admin.go
@@ -43,6 +43,8 @@
 	Crashes dispatch.CrashStats
 	// Detours has the services that this instance doesn't reach, whose calls go through other instances.
 	Detours []string
+	// Duties has the lease of duties and what was done under it; it is nil where the platform asks for no duties.
+	Duties *DutyState `json:",omitempty"`
 }
 
 func (in *Instance) dump() Dump {
@@ -50,7 +52,7 @@
 	d := Dump{
 		Self: in.self, Now: now, InFlight: in.inFlight.Count(), ViewAge: in.control.Age(now), Upstreams: s.Upstreams,
 		Moves: s.Moves, Members: s.Members, OwnWork: in.loadTracker.OwnWork(), Crashes: in.suspects.Stats(),
-		Detours: in.detours.Services(),
+		Detours: in.detours.Services(), Duties: in.dutyState(),
 	}
 	d.Limits, _ = in.limits.States()
 	d.FragileUpstreams = in.slots.States(now)
@@ -150,6 +152,7 @@
 	in.registerLimitMetrics()
 	in.registerSlotMetrics()
 	in.registerDetourMetrics()
+	in.registerDutyMetrics()
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", in.metrics)
 	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
