--- a/pkg/usage/collect.go
+++ b/pkg/usage/collect.go
@@ -41,6 +41,8 @@
 	for _, rep := range r.ask(ctx, r.collector.due(now, window), args, offset, window) {
 		if rep.err != nil {
 			r.Log.V(1).Info("counts of usage not received", "member", rep.member, "error", rep.err.Error())
+		} else if len(rep.counts.Windows) > 0 {
+			r.Log.V(1).Info("counts of usage received", "member", rep.member, "process", rep.counts.ID, "windows", rep.counts.Windows)
 		}
 		r.collector.apply(rep)
 	}
