Duty: the holder names the members that stand by

Cause: the first three members by rank watched the lease; where they are replaced for good, nobody does for 20 s. Change: the holder names two members that answer it when it asks for counts; rank decides only where no holder asked lately. Measured: TestStandbysAnswer, tests of pkg/usage and pkg/gateway pass.

--- a/pkg/gateway/duties.go
+++ b/pkg/gateway/duties.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
@@ -75,6 +76,7 @@
 	d.reporter = &usage.Reporter{
 		Clock: in.Clock, Log: log, Self: in.self.Name, Lease: d.keeper, Caller: d.guard, Network: in.network, Local: d.service,
 		Members: func() []catalogue.Member { return in.control.Snapshot().Members },
+		Order:   leaseOrder,
 		Length:  length, Delay: delay, Tolerance: d.settings.UsageTolerance,
 	}
 	d.service.OnPush = d.reporter.Push
@@ -92,25 +94,30 @@
 	}
 }
 
-// isLeaseCandidate reports whether this instance may acquire the lease: it is one of the first members by rank, or no holder has been heard of
-// for long.
+// isLeaseCandidate reports whether this instance may acquire the lease. The holder names the instances that stand by; without one, the first
+// members by rank are candidates, and later ones once no holder has been heard of for long.
 func (in *Instance) isLeaseCandidate(now clock.Millis) bool {
 	if in.draining.Load() {
 		return false
 	}
-	rank, found := leaseRank(in.self.Name, in.control.Snapshot().Members)
-	if !found || rank < leaseCandidates {
-		return found
+	heardAt := in.startedAt
+	if in.duties.service != nil {
+		askedAt, standby := in.duties.service.Asked()
+		if askedAt > 0 && now-askedAt < unaskedTimeout {
+			return standby
+		}
+		heardAt = max(heardAt, askedAt)
 	}
-	if in.duties.service == nil {
+	order := leaseOrder(in.control.Snapshot().Members)
+	rank := slices.IndexFunc(order, func(m catalogue.Member) bool { return m.Name == in.self.Name })
+	if rank < 0 {
 		return false
 	}
-	heardAt := max(in.startedAt, in.duties.service.AskedAt())
-	return now-heardAt >= unaskedTimeout+clock.Millis(rank)*unaskedStep
+	return rank < leaseCandidates || in.duties.service != nil && now-heardAt >= unaskedTimeout+clock.Millis(rank)*unaskedStep
 }
 
-// leaseRank returns the rank of a member among the candidates for the lease: first the first one of each zone, then the others.
-func leaseRank(name string, members []catalogue.Member) (rank int, found bool) {
+// leaseOrder returns members in the order in which they are candidates for the lease: first the first one of each zone by rank, then the others.
+func leaseOrder(members []catalogue.Member) []catalogue.Member {
 	const key = "lease"
 	zones := map[string]bool{}
 	var first, others []catalogue.Member
@@ -122,12 +129,7 @@
 		zones[m.Zone] = true
 		first = append(first, m)
 	}
-	for i, m := range append(first, others...) {
-		if m.Name == name {
-			return i, true
-		}
-	}
-	return 0, false
+	return append(first, others...)
 }
 
 // countUsage counts a call that an upstream has begun, once for all its attempts.
--- a/pkg/gateway/duty_metrics.go
+++ b/pkg/gateway/duty_metrics.go
@@ -13,6 +13,8 @@
 	Usage *usage.Stats `json:",omitempty"`
 	// AskedAt is the monotonic time at which a holder last asked for the counts of this instance.
 	AskedAt clock.Millis `json:",omitempty"`
+	// Standby is true if that holder wants this instance to acquire the lease when it fails.
+	Standby bool `json:",omitempty"`
 	// Uncounted is the number of requests that weren't counted because there were too many.
 	Uncounted int64 `json:",omitempty"`
 }
@@ -25,7 +27,8 @@
 	s := &DutyState{Lease: in.duties.keeper.Stats()}
 	if in.duties.reporter != nil {
 		reported := in.duties.reporter.Stats()
-		s.Usage, s.AskedAt, s.Uncounted = &reported, in.duties.service.AskedAt(), in.duties.counter.Dropped()
+		s.Usage, s.Uncounted = &reported, in.duties.counter.Dropped()
+		s.AskedAt, s.Standby = in.duties.service.Asked()
 	}
 	return s
 }
--- a/pkg/usage/collect.go
+++ b/pkg/usage/collect.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
+	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/duty"
 )
@@ -11,6 +13,8 @@
 const (
 	// maxCalls bounds the calls to other instances at a time.
 	maxCalls = 32
+	// standbys is the number of members that stand by for a holder.
+	standbys = 2
 	// noWindow is a window that is never reached, to ask for the time only.
 	noWindow int64 = 1 << 40
 )
@@ -24,8 +28,8 @@
 	for _, p := range pushed {
 		r.collector.add(p.Member, p.Counts)
 	}
-	r.collector.setMembers(r.Members())
 	now := r.Clock.Now()
+	r.collector.setMembers(r.Members())
 	args := CountsArgs{Holder: r.Self, Token: lease.Token, Length: r.Length, First: noWindow}
 	offset, known := r.collector.timeOffset()
 	window := int64(-1)
@@ -52,13 +56,16 @@
 // ask calls members and returns their replies; the true time is the monotonic time plus offset.
 func (r *Reporter) ask(ctx context.Context, members []string, args CountsArgs, offset clock.Millis, window int64) []reply {
 	replies := make([]reply, len(members))
+	standbys := r.standbys()
 	slots := make(chan struct{}, maxCalls)
 	var wg sync.WaitGroup
 	for i, member := range members {
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			replies[i] = r.askOne(ctx, member, args, offset)
+			own := args
+			own.Standby = member == r.Self || slices.Contains(standbys, member)
+			replies[i] = r.askOne(ctx, member, own, offset)
 			replies[i].window = window
 		})
 	}
@@ -66,6 +73,21 @@
 	return replies
 }
 
+// standbys returns the first members, in the order of candidates, that answer.
+func (r *Reporter) standbys() []string {
+	var answering []catalogue.Member
+	for _, m := range r.Members() {
+		if m.Name != r.Self && r.collector.answers(m.Name) {
+			answering = append(answering, m)
+		}
+	}
+	var names []string
+	for _, m := range r.Order(answering) {
+		names = append(names, m.Name)
+	}
+	return names[:min(standbys, len(names))]
+}
+
 func (r *Reporter) askOne(ctx context.Context, member string, args CountsArgs, offset clock.Millis) reply {
 	rep := reply{member: member, sentAt: r.Clock.Now()}
 	args.TrueTime = rep.sentAt + offset
--- a/pkg/usage/collector.go
+++ b/pkg/usage/collector.go
@@ -85,6 +85,12 @@
 	return names
 }
 
+// answers reports whether a member answered the last call to it.
+func (c *collector) answers(name string) bool {
+	m := c.members[name]
+	return m != nil && m.repliedAt > 0 && m.failures == 0
+}
+
 // retryPeriod returns the time between two calls for the same window.
 func (m *memberCounts) retryPeriod(length clock.Millis) clock.Millis {
 	if m.failures >= maxFailures {
--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -54,6 +54,8 @@
 	// Local answers for this instance.
 	Local   *Service
 	Members func() []catalogue.Member
+	// Order returns members in the order in which they are candidates for the lease.
+	Order func(members []catalogue.Member) []catalogue.Member
 	// Length is the length of a window and Delay how long after its end its report is due, in milliseconds.
 	Length clock.Millis
 	Delay  clock.Millis
--- a/pkg/usage/reporter_test.go
+++ b/pkg/usage/reporter_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -79,10 +81,16 @@
 	c.token++
 	c.reporter = &Reporter{
 		Clock: c.members["m0"].clock, Log: logr.Discard(), Self: "m0", Lease: c, Caller: c, Network: c, Local: c.members["m0"].service,
-		Members: c.list, Length: testLength, Delay: testDelay, Tolerance: 0.05,
+		Members: c.list, Order: byName, Length: testLength, Delay: testDelay, Tolerance: 0.05,
 	}
 }
 
+// byName orders members by name.
+func byName(members []catalogue.Member) []catalogue.Member {
+	slices.SortFunc(members, func(a, b catalogue.Member) int { return strings.Compare(a.Name, b.Name) })
+	return members
+}
+
 func (c *cluster) list() []catalogue.Member {
 	var out []catalogue.Member
 	for name := range c.members {
@@ -294,6 +302,21 @@
 	}
 }
 
+// Failure: all candidates by rank were replaced for good, and nobody watched the lease.
+func TestStandbysAnswer(t *testing.T) {
+	c := newCluster(t, 5)
+	c.members["m1"].silent = true
+	c.run(11)
+	got := map[string]bool{}
+	for name, m := range c.members {
+		_, got[name] = m.service.Asked()
+	}
+	want := map[string]bool{"m0": true, "m1": false, "m2": true, "m3": true, "m4": false}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("standbys (-want +got):\n%s", diff)
+	}
+}
+
 // An entry is counted in the window in which it began, and kept long enough for a late report.
 func TestCounter(t *testing.T) {
 	c := clock.NewManual(testStart)
--- a/pkg/usage/service.go
+++ b/pkg/usage/service.go
@@ -30,6 +30,8 @@
 	// Length is the length of a window in milliseconds, and First the first window that is asked for.
 	Length clock.Millis
 	First  int64
+	// Standby is true if the instance is to acquire the lease when the holder fails.
+	Standby bool
 }
 
 // CountsReply has the counts of one process.
@@ -94,11 +96,11 @@
 	return nil
 }
 
-// AskedAt returns when a holder last asked for counts, 0 if none has.
-func (s *Service) AskedAt() clock.Millis {
+// Asked returns when a holder last asked for counts, 0 if none has, and whether it wants this instance to stand by.
+func (s *Service) Asked() (at clock.Millis, standby bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.askedAt
+	return s.askedAt, s.last.Standby
 }
 
 // Tell tells the counts of this process to a holder, or to the last one that asked if its name is empty.
