Platform: the bounds on the number of a service's upstreams

The platform's configuration says how many upstreams of a service may run in each zone and how long one takes to start.

--- a/pkg/catalogue/route.go
+++ b/pkg/catalogue/route.go
@@ -78,6 +78,28 @@
 	CacheTokens int
 	// ModelCosts has the cost per 1,000 generated tokens of each model.
 	ModelCosts map[string]float64
+	// Scaling bounds the number of upstreams that may be ordered; it is nil if their number is fixed.
+	Scaling *ScaleLimits
+}
+
+// ScaleLimits bounds the number of upstreams of a service that may be ordered in each availability zone.
+type ScaleLimits struct {
+	Min int
+	Max int
+	// StartTime is the time from an order until a new upstream serves, without its cold start, in milliseconds.
+	StartTime clock.Millis
+}
+
+// RelativeCost returns the cost of a model relative to that of the largest; the work of a model per token is proportional to its cost.
+func (p *Pool) RelativeCost(model string) float64 {
+	largest := 0.0
+	for _, cost := range p.ModelCosts {
+		largest = max(largest, cost)
+	}
+	if largest <= 0 {
+		return 1
+	}
+	return p.ModelCosts[model] / largest
 }
 
 // KeyHolder is the workspace that owns an API key.
--- a/pkg/dispatch/prompt_work.go
+++ b/pkg/dispatch/prompt_work.go
@@ -13,27 +13,15 @@
 	if c.Request.Prompt == nil {
 		return 0
 	}
-	return float64(c.Request.Prompt.Tokens) * relativeCost(c.Pool, c.Model)
+	return float64(c.Request.Prompt.Tokens) * c.Pool.RelativeCost(c.Model)
 }
 
 // tokensAhead converts work at an upstream, in tokens of the largest model, to prompt tokens of a model; it is 0 for a model whose cost
 // is unknown.
 func tokensAhead(pool *catalogue.Pool, model string, work float64) int {
-	cost := relativeCost(pool, model)
+	cost := pool.RelativeCost(model)
 	if cost <= 0 || work <= 0 {
 		return 0
 	}
 	return int(min(work/cost, maxTokensAhead))
 }
-
-// relativeCost returns the cost of a model relative to that of the largest; the work of a model per token is proportional to its cost.
-func relativeCost(pool *catalogue.Pool, model string) float64 {
-	largest := 0.0
-	for _, cost := range pool.ModelCosts {
-		largest = max(largest, cost)
-	}
-	if largest <= 0 {
-		return 1
-	}
-	return pool.ModelCosts[model] / largest
-}
