Scaling: the demand of all instances, and the orders of the holder

A plan needs to know what callers ask at all instances, and somebody has to send its orders. A fall now waits for a list that was steady for the time of a start without the cold time: new upstreams count from when they are listed.

--- a/pkg/dispatch/latency.go
+++ b/pkg/dispatch/latency.go
@@ -59,6 +59,13 @@
 	return clock.Millis(perToken * (fixedCostTokens + float64(tokens))), known
 }
 
+// ReadingTime returns the usual time to read this number of prompt tokens in milliseconds, or 0 while there is no sample of the model.
+func (l *LatencyTracker) ReadingTime(model string, tokens int) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.millisPerToken[model] * float64(tokens)
+}
+
 // SlowAfter returns the time to the first token above which an answer is slow, and false while there is no sample of the model.
 func (l *LatencyTracker) SlowAfter(model string, tokens int) (clock.Millis, bool) {
 	expected, known := l.ExpectedFirstToken(model, tokens)
--- a/pkg/scaling/demand.go
+++ b/pkg/scaling/demand.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 )
 
@@ -16,6 +17,8 @@
 	minUtilization = 0.5
 	// bisectionSteps narrows a utilization down to less than 0.001.
 	bisectionSteps = 10
+	// defaultTarget is the target latency of services whose routes name none.
+	defaultTarget = clock.Second
 )
 
 // Demand is what callers ask of a service, summed over all instances and averaged over the last seconds.
@@ -67,3 +70,21 @@
 	}
 	return low
 }
+
+// callerTarget returns the shortest target latency of the routes of a service.
+func callerTarget(t *catalogue.RouteTable, service string) clock.Millis {
+	shortest := clock.Millis(0)
+	for _, routes := range t.Routes {
+		for _, r := range routes {
+			for _, split := range r.Split {
+				if split.Service == service && r.Target > 0 && (shortest == 0 || r.Target < shortest) {
+					shortest = r.Target
+				}
+			}
+		}
+	}
+	if shortest == 0 {
+		return defaultTarget
+	}
+	return shortest
+}
--- a/pkg/scaling/plan.go
+++ b/pkg/scaling/plan.go
@@ -7,6 +7,7 @@
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/duty"
 )
 
 const (
@@ -42,13 +43,6 @@
 	ListAge   clock.Millis
 }
 
-// Order asks for a number of upstreams of a service in an availability zone.
-type Order struct {
-	Service string
-	Zone    string
-	Count   int
-}
-
 // Plan decides on the number of upstreams of one service; its methods must not be called concurrently.
 type Plan struct {
 	samples []sample
@@ -71,7 +65,7 @@
 	wanted  int
 	seenAt  clock.Millis
 	// order is the last order; it counts as what will run until orderUntil.
-	order      Order
+	order      duty.ScaleOrder
 	orderUntil clock.Millis
 	repeats    int
 }
@@ -113,7 +107,7 @@
 			continue
 		}
 		if n > 0 && n == z.order.Count {
-			z.order, z.orderUntil, z.repeats = Order{}, 0, 0
+			z.order, z.orderUntil, z.repeats = duty.ScaleOrder{}, 0, 0
 		}
 		z.wanted = z.expected(s.Now)
 	}
@@ -138,18 +132,18 @@
 }
 
 // Orders returns the orders that are due and records them as sent.
-func (p *Plan) Orders(s State) []Order {
+func (p *Plan) Orders(s State) []duty.ScaleOrder {
 	if !s.known(riseReports) || len(p.samples) == 0 {
 		return nil
 	}
 	p.decide(s)
-	var due []Order
+	var due []duty.ScaleOrder
 	for _, name := range slices.Sorted(maps.Keys(p.zones)) {
 		z := p.zones[name]
 		if z.running == 0 || z.wanted == z.expected(s.Now) {
 			continue
 		}
-		order := Order{Service: s.Pool.Name, Zone: name, Count: z.wanted}
+		order := duty.ScaleOrder{Service: s.Pool.Name, Zone: name, Count: z.wanted}
 		if order == z.order {
 			z.repeats++
 		} else {
@@ -179,7 +173,7 @@
 		case n < p.perZone(s.Pool, past.least):
 			// The upstreams carry the demand, but not the loss of a zone.
 			z.wanted = p.perZone(s.Pool, past.least)
-		case past.sure && s.Now-p.lastChange >= start:
+		case past.sure && s.Now-p.lastChange >= s.Pool.Scaling.StartTime:
 			z.wanted = fall(n, p.perZone(s.Pool, past.most), s.Pool.Scaling)
 		}
 	}
@@ -222,7 +216,7 @@
 }
 
 // Failed records that an order was not accepted, so that it is repeated after a pause.
-func (p *Plan) Failed(o Order, now clock.Millis) {
+func (p *Plan) Failed(o duty.ScaleOrder, now clock.Millis) {
 	if z := p.zones[o.Zone]; z != nil && z.order == o {
 		z.orderUntil = now + min(maxRepeatPause, refusedPause<<min(z.repeats, maxDoublings))
 	}
@@ -231,7 +225,7 @@
 // Forget drops the orders of this instance, which another one may have replaced.
 func (p *Plan) Forget() {
 	for _, z := range p.zones {
-		z.order, z.orderUntil, z.repeats = Order{}, 0, 0
+		z.order, z.orderUntil, z.repeats = duty.ScaleOrder{}, 0, 0
 	}
 }
 
