Scaling: upstreams that are missing for a moment are not ordered anew

The reserve for the loss of a zone was ordered as soon as the list showed fewer upstreams, although others may be replacing them. It now has to lack for the time of a start. Tests: upstreams replaced one after the other, and upstreams lost for good; go test -race ./pkg/scaling passes.

--- a/pkg/scaling/plan.go
+++ b/pkg/scaling/plan.go
@@ -68,6 +68,9 @@
 	order      duty.ScaleOrder
 	orderUntil clock.Millis
 	repeats    int
+	// lacking is true while the zone has less than its reserve, since lackingAt.
+	lacking   bool
+	lackingAt clock.Millis
 }
 
 // Observe records a state; it is to be called every second, also by instances that don't hold the lease.
@@ -166,19 +169,30 @@
 	now := p.samples[len(p.samples)-1].need
 	past := p.remembered(s.Now, start)
 	for _, z := range p.zones {
+		reserve := p.perZone(s.Pool, past.least)
 		switch n := z.wanted; {
 		case int(math.Ceil(now)) > total:
 			z.wanted = max(n, p.perZone(s.Pool, now))
 		case p.inRollout(s) || !past.covered:
-		case n < p.perZone(s.Pool, past.least):
+		case z.lacks(n < reserve, s):
 			// The upstreams carry the demand, but not the loss of a zone.
-			z.wanted = p.perZone(s.Pool, past.least)
+			z.wanted = reserve
 		case past.sure && s.Now-p.lastChange >= s.Pool.Scaling.StartTime:
 			z.wanted = fall(n, p.perZone(s.Pool, past.most), s.Pool.Scaling)
 		}
 	}
 }
 
+// lacks records whether the zone lacks upstreams, and reports whether it has for as long as a start takes: upstreams that others replace
+// are missing for a shorter time.
+func (z *zonePlan) lacks(lacking bool, s State) bool {
+	if lacking && !z.lacking {
+		z.lackingAt = s.Now
+	}
+	z.lacking = lacking
+	return lacking && s.Now-z.lackingAt >= s.Pool.Scaling.StartTime
+}
+
 // past is the need of the last seconds.
 type past struct {
 	// least is the lowest need in the time that a start takes, and most the highest one that is remembered.
