Gateway: upstreams are ordered where the platform asks for it

The parts that decide on the number of upstreams were not wired. Where the settings name the duty, an instance measures the demand right before it sends, exchanges it with the loads and runs the planner under its lease; the dump has a table by service and zone, the metrics what runs, is wanted and ordered. Elsewhere nothing changes.

Measured: go test -race of pkg/scaling and pkg/gateway passes; in ./platform, beside other load, TestEntryQuarantinesCrashingRequest/a_whole_prompt and TestFragileUpstreamsKeepStanding/a_request_each_8ms failed, not traced yet.

--- a/pkg/gateway/admin.go
+++ b/pkg/gateway/admin.go
@@ -9,6 +9,7 @@
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/dispatch"
 	"carawayknot.example/carawayknot/pkg/occupancy"
+	"carawayknot.example/carawayknot/pkg/scaling"
 )
 
 // Dump is the state of an instance for operators; times are monotonic milliseconds of the instance, and no API key is in it.
@@ -43,6 +44,8 @@
 	Crashes dispatch.CrashStats
 	// Detours has the services that this instance doesn't reach, whose calls go through other instances.
 	Detours []string
+	// Scaling has the numbers of upstreams that are ordered, by service and zone.
+	Scaling []scaling.ZoneState
 }
 
 func (in *Instance) dump() Dump {
@@ -53,6 +56,7 @@
 		Detours: in.detours.Services(),
 	}
 	d.Limits, _ = in.limits.States()
+	d.Scaling = in.scalingState()
 	d.FragileUpstreams = in.slots.States(now)
 	d.StoreReads, d.InstanceReads = in.peerSource.Reads()
 	d.Models, d.ConfidenceNoise = in.latencies.Models(), map[string]float64{}
--- a/pkg/gateway/duties.go
+++ b/pkg/gateway/duties.go
@@ -13,6 +13,7 @@
 	"carawayknot.example/carawayknot/pkg/duty"
 	"carawayknot.example/carawayknot/pkg/membership"
 	"carawayknot.example/carawayknot/pkg/request"
+	"carawayknot.example/carawayknot/pkg/scaling"
 	"carawayknot.example/carawayknot/pkg/settings"
 	"carawayknot.example/carawayknot/pkg/usage"
 )
@@ -41,6 +42,9 @@
 	counter  *usage.Counter
 	service  *usage.Service
 	reporter *usage.Reporter
+	// meter and runner are nil unless upstreams are ordered.
+	meter  *scaling.Meter
+	runner *scaling.Runner
 }
 
 // buildDuties creates the duties that the settings ask for.
@@ -59,6 +63,9 @@
 		Lease: d.Lease, FencingRequired: d.FencingRequired, Candidate: in.isLeaseCandidate,
 	}
 	in.duties.guard = &duty.Guard{Keeper: in.duties.keeper, Caller: in.DutyCalls}
+	if d.Enabled(duty.Scaling) {
+		in.buildScaling(in.duties)
+	}
 	if !d.Enabled(duty.Usage) {
 		return nil
 	}
@@ -90,6 +97,9 @@
 	if in.duties.reporter != nil {
 		g.Go(func() error { return in.duties.reporter.Run(ctx) })
 	}
+	if in.duties.runner != nil {
+		g.Go(func() error { return in.duties.runner.Run(ctx) })
+	}
 }
 
 // isLeaseCandidate reports whether this instance may acquire the lease: it is one of the first members by rank, or no holder has been heard of
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -73,13 +73,13 @@
 		Detours:  in.detours,
 		Through:  in.through,
 	}
-	return in.withMetrics(request.Chain(
+	filters := []request.Filter{
 		delivery.FinalOutcome{},
 		&desk.ResolveRoute{Snapshot: in.control.Snapshot, Clock: in.Clock, Age: in.control.Age, MaxDenialAge: in.Settings.Bounds.ConfigApply, MaxKeyAge: in.maxKeyAge()},
 		&pricing.ConfidenceCascade{Log: in.Log.WithName("pricing"), Clock: in.Clock, LeastSuccess: &in.leastSuccess, Calibration: in.calibration, ExpectedWait: d.ExpectedWait, Budgets: budgets},
 		d,
-		in.relay,
-	))
+	}
+	return in.withMetrics(request.Chain(append(in.withMeter(filters), in.relay)...))
 }
 
 // retryBudgets returns the budgets of the services, which keep within the bounds of the settings over all instances.
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -166,6 +166,7 @@
 	in.suspects.AddOwn(counts)
 	in.limits.AddOwn(in.Clock.Now(), counts)
 	in.slots.AddOwn(in.Clock.Now(), counts)
+	in.addOwnDemand(counts)
 	for _, rollout := range in.control.Snapshot().Moves {
 		in.releases.AddOwnSessions(rollout, in.Clock.Now(), counts)
 	}
@@ -185,6 +186,7 @@
 	in.suspects.ApplyPeers(counts)
 	in.limits.SetPeers(in.Clock.Now(), counts)
 	in.slots.SetPeers(in.control.Snapshot().Upstreams, in.Clock.Now(), counts)
+	in.applyPeerDemand(counts)
 	for _, rollout := range in.control.Snapshot().Moves {
 		in.releases.PinPeerSessions(rollout, counts)
 	}
--- a/pkg/scaling/runner.go
+++ b/pkg/scaling/runner.go
@@ -191,7 +191,8 @@
 	var throttled *duty.ThrottledError
 	var fenced *duty.FencedError
 	var expired *duty.ExpiredError
-	return errors.As(err, &throttled) || errors.As(err, &fenced) || errors.As(err, &expired)
+	var notHeld *duty.NotHeldError
+	return errors.As(err, &throttled) || errors.As(err, &fenced) || errors.As(err, &expired) || errors.As(err, &notHeld)
 }
 
 func (r *Runner) failed(o duty.ScaleOrder) {
