--- a/pkg/gateway/admin.go
+++ b/pkg/gateway/admin.go
@@ -9,6 +9,7 @@
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/dispatch"
 	"carawayknot.example/carawayknot/pkg/occupancy"
+	"carawayknot.example/carawayknot/pkg/scaling"
 )
 
 // Dump is the state of an instance for operators; times are monotonic milliseconds of the instance, and no API key is in it.
@@ -45,6 +46,8 @@
 	Detours []string
 	// Duties has the lease of duties and what was done under it; it is nil where the platform asks for no duties.
 	Duties *DutyState `json:",omitempty"`
+	// Scaling has the numbers of upstreams that are ordered, by service and zone.
+	Scaling []scaling.ZoneState
 }
 
 func (in *Instance) dump() Dump {
@@ -55,6 +58,7 @@
 		Detours: in.detours.Services(), Duties: in.dutyState(),
 	}
 	d.Limits, _ = in.limits.States()
+	d.Scaling = in.scalingState()
 	d.FragileUpstreams = in.slots.States(now)
 	d.StoreReads, d.InstanceReads = in.peerSource.Reads()
 	d.Models, d.ConfidenceNoise = in.latencies.Models(), map[string]float64{}
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -70,7 +70,7 @@
 		Detours:  in.detours,
 		Through:  in.through,
 	}
-	return in.withMetrics(request.Chain(
+	filters := []request.Filter{
 		delivery.FinalOutcome{},
 		&desk.ResolveRoute{Snapshot: in.control.Snapshot, Clock: in.Clock, Age: in.control.Age, MaxDenialAge: in.Settings.Bounds.ConfigApply, MaxKeyAge: in.maxKeyAge()},
 		&pricing.ConfidenceCascade{
@@ -78,8 +78,8 @@
 			ExpectedWait: d.ExpectedWait, Urgency: in.urgency, Budgets: budgets,
 		},
 		d,
-		in.relay,
-	))
+	}
+	return in.withMetrics(request.Chain(append(in.withMeter(filters), in.relay)...))
 }
 
 // urgency returns the urgency of a call by the latest configuration.
