Configuration: an instance that starts on an older copy asks the others

Cause: the first configuration that a process read counted as current, also on a store that had come back from a copy without the newest one. A key that had been taken away ran at an instance that started then, while the others refused it. An instance that had been cut off when the key was taken away did the same.

Change: in a later era of the store such an instance asks up to eight others for the version of their configuration (pkg/revision) and refuses with 503 until a settled one or all have answered, 3 s at most. It takes over a newer configuration with its age. When all start at once, none knows more and the copy counts. The first era is as before.

TestOlderCopyIsDoubted fails without the doubt (nine scenarios).

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"carawayknot.example/carawayknot/pkg/occupancy"
 	"carawayknot.example/carawayknot/pkg/pricing"
 	"carawayknot.example/carawayknot/pkg/request"
+	"carawayknot.example/carawayknot/pkg/revision"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
@@ -97,6 +98,7 @@
 	notices     *dispatch.Notices
 	lifetimes   lifetimes
 	rumors      *membership.Rumors
+	revisions   *revision.Checker
 	inFlight    *desk.InFlight
 	draining    atomic.Bool
 	// cancelRequests cancels the context of the callers' requests in flight.
@@ -219,10 +221,21 @@
 		Clock: in.Clock, Log: in.Log.WithName("detour"), Self: in.self.Name, Dial: in.Dial, Members: members,
 		Upstreams: func(service string) []*catalogue.Upstream { return in.control.Snapshot().Pools[service] },
 	}
-	return errors.CombineErrors(errors.CombineErrors(
+	in.buildRevisions()
+	return errors.CombineErrors(in.network.Register(revision.ServiceName, in.revisions), errors.CombineErrors(errors.CombineErrors(
 		in.network.Register(membership.ReaderName, &membership.Reader{Clock: in.Clock, Cache: cache}),
 		in.network.Register(membership.LoadsName, in.loads),
-	), in.network.Register(membership.RumorsName, in.rumors))
+	), in.network.Register(membership.RumorsName, in.rumors)))
+}
+
+// buildRevisions creates the check whether other instances have a newer configuration than a store that came back from an older copy.
+func (in *Instance) buildRevisions() {
+	in.revisions = &revision.Checker{
+		Clock: in.Clock, Log: in.Log.WithName("revision"), Self: in.self, Network: in.network, AwaitMembers: in.awaitMembers,
+		Members: func() []catalogue.Member { return in.control.Snapshot().Members }, Own: in.control.Known,
+		Report: func(f revision.Finding) { in.control.Send(f) },
+	}
+	in.control.OnDoubt, in.control.MaxAge, in.control.DecodeOperation = in.revisions.Wake, in.maxReadyAge(), in.decodeOperation
 }
 
 // buildSuspects creates the quarantine of requests and prompt parts, and the exchange of its news.
