Quarantine: what has crashed three upstreams is kept in the store

Cause: what is quarantined was in the memory of the instances alone. When all were killed at once, a request that crashes upstreams began anew: four retries more reached upstreams later than 3 s after the third crash, where three may.

Change: pkg/quarantine keeps one record in a keyed topic of our own with the evidence on at most 32 subjects under which three upstreams or more have crashed. Who met the crash, or the answer that clears a subject, writes it, conditionally; each instance reads it once at its start. Without such subjects nothing is written.

TestQuarantineOutlivesAllInstances fails with nothing kept (both scenarios).

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"carawayknot.example/carawayknot/pkg/membership"
 	"carawayknot.example/carawayknot/pkg/occupancy"
 	"carawayknot.example/carawayknot/pkg/pricing"
+	"carawayknot.example/carawayknot/pkg/quarantine"
 	"carawayknot.example/carawayknot/pkg/request"
 	"carawayknot.example/carawayknot/pkg/revision"
 	"carawayknot.example/carawayknot/pkg/settings"
@@ -99,6 +100,7 @@
 	lifetimes   lifetimes
 	rumors      *membership.Rumors
 	revisions   *revision.Checker
+	quarantine  *quarantine.Keeper
 	inFlight    *desk.InFlight
 	draining    atomic.Bool
 	// cancelRequests cancels the context of the callers' requests in flight.
@@ -246,7 +248,17 @@
 		Clock: in.Clock, Log: in.Log.WithName("membership"), Self: in.self, Network: in.network, Members: members, News: in.suspects.News,
 		Hear: in.suspects.Hear,
 	}
-	in.suspects.OnNews = in.rumors.Wake
+	in.quarantine = &quarantine.Keeper{
+		Clock: in.Clock, Log: in.Log.WithName("quarantine"), Store: quarantineStore{in.Store, in.Records}, Suspects: in.suspects,
+		Members: func() int { return len(members()) },
+	}
+	in.suspects.OnNews, in.suspects.OnOwnNews = in.rumors.Wake, in.quarantine.Wake
+}
+
+// quarantineStore is what quarantine.Keeper needs of the store.
+type quarantineStore struct {
+	archive.Source
+	RecordWriter
 }
 
 func (in *Instance) serve(name string, s *http.Server, l net.Listener) {
