--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -23,7 +23,9 @@
 	"carawayknot.example/carawayknot/pkg/membership"
 	"carawayknot.example/carawayknot/pkg/occupancy"
 	"carawayknot.example/carawayknot/pkg/pricing"
+	"carawayknot.example/carawayknot/pkg/quarantine"
 	"carawayknot.example/carawayknot/pkg/request"
+	"carawayknot.example/carawayknot/pkg/revision"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
@@ -107,6 +109,8 @@
 	lifetimes   lifetimes
 	rumors      *membership.Rumors
 	duties      *duties
+	revisions   *revision.Checker
+	quarantine  *quarantine.Keeper
 	inFlight    *desk.InFlight
 	accounts    accounts
 	draining    atomic.Bool
@@ -232,10 +236,32 @@
 		Clock: in.Clock, Log: in.Log.WithName("detour"), Self: in.self.Name, Dial: in.Dial, Members: members,
 		Upstreams: func(service string) []*catalogue.Upstream { return in.control.Snapshot().Pools[service] },
 	}
-	return errors.CombineErrors(errors.CombineErrors(
-		in.network.Register(membership.ReaderName, &membership.Reader{Clock: in.Clock, Cache: cache}),
-		in.network.Register(membership.LoadsName, in.loads),
-	), errors.CombineErrors(in.network.Register(membership.RumorsName, in.rumors), in.buildDuties()))
+	in.buildRevisions()
+	return errors.CombineErrors(in.registerServices(cache), in.buildDuties())
+}
+
+// registerServices registers what this instance answers to others.
+func (in *Instance) registerServices(cache *archive.Cache) error {
+	var err error
+	for name, service := range map[string]any{
+		membership.ReaderName: &membership.Reader{Clock: in.Clock, Cache: cache},
+		membership.LoadsName:  in.loads,
+		membership.RumorsName: in.rumors,
+		revision.ServiceName:  in.revisions,
+	} {
+		err = errors.CombineErrors(err, in.network.Register(name, service))
+	}
+	return err
+}
+
+// buildRevisions creates the check whether other instances have a newer configuration than a store that came back from an older copy.
+func (in *Instance) buildRevisions() {
+	in.revisions = &revision.Checker{
+		Clock: in.Clock, Log: in.Log.WithName("revision"), Self: in.self, Network: in.network, AwaitMembers: in.awaitMembers,
+		Members: func() []catalogue.Member { return in.control.Snapshot().Members }, Own: in.control.Known,
+		Report: func(f revision.Finding) { in.control.Send(f) },
+	}
+	in.control.OnDoubt, in.control.MaxAge, in.control.DecodeOperation = in.revisions.Wake, in.maxReadyAge(), in.decodeOperation
 }
 
 // buildSuspects creates the quarantine of requests and prompt parts, and the exchange of its news.
@@ -246,7 +272,17 @@
 		Clock: in.Clock, Log: in.Log.WithName("membership"), Self: in.self, Network: in.network, Members: members, News: in.suspects.News,
 		Hear: in.suspects.Hear,
 	}
-	in.suspects.OnNews = in.rumors.Wake
+	in.quarantine = &quarantine.Keeper{
+		Clock: in.Clock, Log: in.Log.WithName("quarantine"), Store: quarantineStore{in.Store, in.Records}, Suspects: in.suspects,
+		Members: func() int { return len(members()) },
+	}
+	in.suspects.OnNews, in.suspects.OnOwnNews = in.rumors.Wake, in.quarantine.Wake
+}
+
+// quarantineStore is what quarantine.Keeper needs of the store.
+type quarantineStore struct {
+	archive.Source
+	RecordWriter
 }
 
 func (in *Instance) serve(name string, s *http.Server, l net.Listener, a *custody.Account) {
