Read the time for accounts without system calls; bound the log lines of early refusals

Cause: the clock that counts suspensions takes two system calls a reading, and each read and write of a connection read it; refused requests wrote a line each and weren't counted. Change: clock.Awake for the accounts, one loop that checks the time limits of all of them, bodies read by custody.Conn, counts and bounded log lines for requests that are refused before they become calls.

--- a/pkg/clock/real.go
+++ b/pkg/clock/real.go
@@ -34,3 +34,12 @@
 	t := time.AfterFunc(d.Duration(), func() { close(done) })
 	return done, func() { t.Stop() }
 }
+
+// Awake is the Clock of the host without the time for which it was suspended; reading it takes no system call.
+type Awake struct{ Real }
+
+// NewAwake returns a clock whose monotonic time starts at one second.
+func NewAwake() *Awake { return &Awake{Real: *NewReal()} }
+
+// Now returns the monotonic time in milliseconds.
+func (a *Awake) Now() Millis { return FromDuration(time.Since(a.start)) }
--- a/pkg/custody/account.go
+++ b/pkg/custody/account.go
@@ -66,6 +66,8 @@
 	stats     Stats
 	// noneSlowUntil is the time until which no slow connection is looked for again.
 	noneSlowUntil clock.Millis
+	// logged has the counts of the last log line; only Run uses it.
+	logged Stats
 }
 
 // usage is what the connections of one client address, or the requests with one key, hold.
--- a/pkg/custody/conn.go
+++ b/pkg/custody/conn.go
@@ -79,24 +79,29 @@
 
 // Write writes p in parts, each of which shows that the client reads.
 func (c *Conn) Write(p []byte) (written int, err error) {
-	c.setWriting(true)
-	defer c.setWriting(false)
+	defer c.endWrite()
 	for {
+		c.beginWrite()
 		part := p[written:min(len(p), written+writeBytes)]
 		n, err := c.Conn.Write(part)
 		written += n
 		if err != nil || written == len(p) {
 			return written, err
 		}
-		c.setWriting(true)
 	}
 }
 
-func (c *Conn) setWriting(writing bool) {
+func (c *Conn) beginWrite() {
 	now := c.account.Clock.Now()
 	c.account.mu.Lock()
 	defer c.account.mu.Unlock()
-	c.writing, c.movedAt = writing, now
+	c.writing, c.movedAt = true, now
+}
+
+func (c *Conn) endWrite() {
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	c.writing = false
 }
 
 // Close closes the connection and gives back what it holds.
@@ -130,16 +135,16 @@
 	c.account.add(c, -n)
 }
 
-// BeginRequest takes what a request with a head of that cost counts, and reports whether there was room. Its body must end before deadline. An
-// empty key is none.
-func (c *Conn) BeginRequest(headCost int64, key string, deadline clock.Millis) bool {
+// BeginRequest takes what a request with a head of that cost counts, and reports whether there was room. Its body must end in bodyTime, in
+// milliseconds. An empty key is none.
+func (c *Conn) BeginRequest(headCost int64, key string, bodyTime clock.Millis) bool {
 	if c == nil {
 		return true
 	}
 	a := c.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	c.deadline = deadline
+	c.deadline = c.since + bodyTime
 	if _, found := a.conns[c]; found && key != "" {
 		a.joinKey(c, key)
 	}
--- a/pkg/custody/custody_test.go
+++ b/pkg/custody/custody_test.go
@@ -60,7 +60,7 @@
 		return false
 	}
 	s.conns[i].setState(http.StateActive)
-	return s.conns[i].BeginRequest(0, "", s.clock.Now()+30000)
+	return s.conns[i].BeginRequest(0, "", 30000)
 }
 
 // alive returns which connections are still open.
@@ -113,7 +113,7 @@
 			s := newScene(ample, 1, "10.0.0.1")
 			s.begin(0)
 			s.conns[0].EndBody()
-			s.conns[0].setWriting(true)
+			s.conns[0].beginWrite()
 			s.clock.Advance(2000)
 			s.open("10.0.0.2")
 			return s
@@ -159,7 +159,7 @@
 			s.begin(1)
 			s.begin(2)
 			s.conns[2].EndBody()
-			s.conns[2].setWriting(true)
+			s.conns[2].beginWrite()
 			s.begin(3)
 			s.conns[3].EndBody()
 			s.clock.Advance(31000)
--- a/pkg/custody/evict.go
+++ b/pkg/custody/evict.go
@@ -109,20 +109,23 @@
 	}
 }
 
-// Run closes connections that exceed the time limits until ctx ends.
-func (a *Account) Run(ctx context.Context) error {
-	last, logged := a.Clock.Now(), Stats{}
+// Run closes connections of the accounts that exceed their time limits, until ctx ends.
+func Run(ctx context.Context, c clock.Clock, accounts ...*Account) error {
+	last := c.Now()
 	for {
-		if err := clock.Sleep(ctx, a.Clock, sweepPeriod); err != nil {
+		if err := clock.Sleep(ctx, c, sweepPeriod); err != nil {
 			return err
 		}
-		now := a.Clock.Now()
-		// After a suspension the requests that arrived meanwhile are read first.
-		if now-last < 2*sweepPeriod {
-			a.sweep(now)
-		}
+		now := c.Now()
+		// After a pause of the process the requests that arrived meanwhile are read first.
+		paused := now-last >= 2*sweepPeriod
 		last = now
-		logged = a.logChanges(logged)
+		for _, a := range accounts {
+			if !paused {
+				a.sweep(now)
+			}
+			a.logChanges()
+		}
 	}
 }
 
@@ -157,15 +160,15 @@
 	return a.Limits()
 }
 
-// logChanges logs what was refused since the last line, and returns the counts of this one.
-func (a *Account) logChanges(logged Stats) Stats {
-	s := a.Stats()
-	if s.Refused == logged.Refused && s.Evicted == logged.Evicted && s.TimedOut == logged.TimedOut && s.Denied == logged.Denied {
-		return logged
+// logChanges logs what was refused since the last line.
+func (a *Account) logChanges() {
+	s, old := a.Stats(), a.logged
+	if s.Refused == old.Refused && s.Evicted == old.Evicted && s.TimedOut == old.TimedOut && s.Denied == old.Denied {
+		return
 	}
-	a.Log.Info("clients were refused or cut off", "connections", s.Conns, "heldBytes", s.HeldBytes, "refused", s.Refused-logged.Refused,
-		"evicted", s.Evicted-logged.Evicted, "timedOut", s.TimedOut-logged.TimedOut, "denied", s.Denied-logged.Denied)
-	return s
+	a.logged = s
+	a.Log.Info("clients were refused or cut off", "connections", s.Conns, "heldBytes", s.HeldBytes, "refused", s.Refused-old.Refused,
+		"evicted", s.Evicted-old.Evicted, "timedOut", s.TimedOut-old.TimedOut, "denied", s.Denied-old.Denied)
 }
 
 func countLines(p []byte) int64 { return int64(bytes.Count(p, []byte{'\n'})) }
--- a/pkg/desk/metrics.go
+++ b/pkg/desk/metrics.go
@@ -101,6 +101,9 @@
 	m.recordCall(c, err, latency)
 }
 
+// ObserveRefusal counts a request of an unknown workspace that was refused before it became a call.
+func (m *Metrics) ObserveRefusal(r *request.Refusal) { m.countRefusal("", r) }
+
 func (m *Metrics) recordCall(c *request.Call, err error, latency clock.Millis) {
 	if m == nil {
 		return
--- a/pkg/gateway/accounts.go
+++ b/pkg/gateway/accounts.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"golang.org/x/sync/errgroup"
-
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/custody"
 	"carawayknot.example/carawayknot/pkg/settings"
@@ -53,20 +51,21 @@
 func (in *Instance) buildAccounts() {
 	m := &in.Settings.Machine
 	d := float64(m.Descriptors)
+	c := clock.NewAwake()
 	files := min(maxFileDescriptors, int(fileDescriptorFraction*d))
 	peers := int(peerDescriptorFraction * d)
 	callers := m.Descriptors - files - peers - 2*controlConns - int(upstreamConnsPerRequest*float64(maxInFlight(m)))
 	in.accounts = accounts{
-		callers: in.newAccount("caller", callers, m.HeldBytes(), in.callerLimits),
-		ready:   in.newAccount("ready", controlConns, readyBytes, controlLimits),
-		admin:   in.newAccount("admin", controlConns, adminBytes, controlLimits),
-		peers:   in.newAccount("peer", peers, int64(peers)*custody.ConnBytes+int64(peerMemoryFraction*float64(m.MemoryMegabytes<<20)), nil),
+		callers: in.newAccount(c, "caller", callers, m.HeldBytes(), in.callerLimits),
+		ready:   in.newAccount(c, "ready", controlConns, readyBytes, controlLimits),
+		admin:   in.newAccount(c, "admin", controlConns, adminBytes, controlLimits),
+		peers:   in.newAccount(c, "peer", peers, int64(peers)*custody.ConnBytes+int64(peerMemoryFraction*float64(m.MemoryMegabytes<<20)), nil),
 	}
 }
 
-func (in *Instance) newAccount(name string, conns int, bytes int64, limits func() custody.Limits) *custody.Account {
+func (in *Instance) newAccount(c clock.Clock, name string, conns int, bytes int64, limits func() custody.Limits) *custody.Account {
 	a := &custody.Account{
-		Clock: in.Clock, Log: in.Log.WithName("custody").WithValues("listener", name), Conns: max(1, conns), Bytes: bytes, Limits: limits,
+		Clock: c, Log: in.Log.WithName("custody").WithValues("listener", name), Conns: max(1, conns), Bytes: bytes, Limits: limits,
 	}
 	in.registerAccount(name, a)
 	return a
@@ -109,9 +108,6 @@
 
 // runAccounts enforces the time limits of the clients.
 func (in *Instance) runAccounts(ctx context.Context) error {
-	g, ctx := errgroup.WithContext(ctx)
-	for _, a := range []*custody.Account{in.accounts.callers, in.accounts.ready, in.accounts.admin, in.accounts.peers} {
-		g.Go(func() error { return a.Run(ctx) })
-	}
-	return g.Wait()
+	a := &in.accounts
+	return custody.Run(ctx, a.callers.Clock, a.callers, a.ready, a.admin, a.peers)
 }
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -110,14 +110,15 @@
 
 func (in *Instance) handlerConfig() HandlerConfig {
 	return HandlerConfig{
-		Log:      in.Log.WithName("desk"),
-		Clock:    in.Clock,
-		Chain:    in.filterChain(),
-		Snapshot: in.control.Snapshot,
-		InFlight: in.inFlight,
-		Callers:  in.accounts.callers,
-		Limit:    maxInFlight(&in.Settings.Machine),
-		Closing:  in.draining.Load,
+		Log:       in.Log.WithName("desk"),
+		Clock:     in.Clock,
+		Chain:     in.filterChain(),
+		Snapshot:  in.control.Snapshot,
+		InFlight:  in.inFlight,
+		Callers:   in.accounts.callers,
+		OnRefused: func(r *request.Refusal) { in.metrics.ObserveRefusal(r) },
+		Limit:     maxInFlight(&in.Settings.Machine),
+		Closing:   in.draining.Load,
 	}
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -42,6 +42,8 @@
 	InFlight *desk.InFlight
 	// Callers accounts for the callers' connections; it may be nil.
 	Callers *custody.Account
+	// OnRefused counts a request that was refused before it reached the chain; it may be nil.
+	OnRefused func(r *request.Refusal)
 	// Limit is the maximum number of requests in flight.
 	Limit int
 	// Closing reports whether connections are to be closed after the current answer.
