--- a/pkg/gateway/duties.go
+++ b/pkg/gateway/duties.go
@@ -78,7 +78,8 @@
 	length, delay := d.settings.ReportWindow(), d.settings.UsageDelay()
 	d.counter = &usage.Counter{Clock: in.Clock, Keep: delay + 2*length + countsKept}
 	d.service = &usage.Service{
-		Clock: in.Clock, Log: log, Self: in.self.Name, ID: d.keeper.ID, Counter: d.counter, Network: in.network, Length: length,
+		Clock: in.Clock, Log: log, Self: in.self.Name, ID: d.keeper.ID, Counter: d.counter, Network: in.network, Since: in.startedAt,
+		Length: length,
 	}
 	d.reporter = &usage.Reporter{
 		Clock: in.Clock, Log: log, Self: in.self.Name, Lease: d.keeper, Caller: d.guard, Network: in.network, Local: d.service,
--- a/pkg/usage/collector.go
+++ b/pkg/usage/collector.go
@@ -32,7 +32,9 @@
 type processKey struct{ member, id string }
 
 type processCounts struct {
-	now     clock.Millis
+	now clock.Millis
+	// since is the time from which on the process counts, as a monotonic time of this instance; 0 if only the process told its counts.
+	since   clock.Millis
 	windows map[int64]map[string]int64
 }
 
@@ -122,7 +124,7 @@
 		return
 	}
 	m.failures = 0
-	c.add(r.member, r.counts)
+	c.add(r.member, r.counts).since = r.at - (r.counts.Now - r.counts.Since)
 	c.wallOffsets[r.member] = r.counts.Wall - (r.sentAt+r.at)/2
 	m.repliedAt = r.at
 	if r.at-r.sentAt <= c.length/roundTripDivisor {
@@ -134,7 +136,7 @@
 }
 
 // add takes the counts of a process unless later ones are known.
-func (c *collector) add(member string, counts CountsReply) {
+func (c *collector) add(member string, counts CountsReply) *processCounts {
 	key := processKey{member, counts.ID}
 	p := c.processes[key]
 	if p == nil {
@@ -142,12 +144,33 @@
 		c.processes[key] = p
 	}
 	if counts.Now < p.now {
-		return
+		return p
 	}
 	p.now = counts.Now
 	for _, w := range counts.Windows {
 		p.windows[w.Window] = w.Counts
 	}
+	return p
+}
+
+// startedAfter returns the share of the members of which only processes are known that began to count after a monotonic time.
+func (c *collector) startedAfter(t clock.Millis) float64 {
+	counted := map[string]bool{}
+	started := map[string]bool{}
+	for key, p := range c.processes {
+		if c.members[key.member] == nil {
+			continue
+		}
+		counted[key.member] = counted[key.member] || p.since <= t
+		started[key.member] = true
+	}
+	late := 0
+	for name := range started {
+		if !counted[name] {
+			late++
+		}
+	}
+	return float64(late) / float64(max(1, len(started)))
 }
 
 func (c *collector) windowOf(member string, window int64) map[string]int64 {
--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -15,12 +15,8 @@
 const (
 	// tick is the period in which the holder looks for something to do, in milliseconds.
 	tick clock.Millis = 250
-	// sendReserve is the part of the delay of a report that is kept for recording and sending it, in milliseconds.
-	sendReserve = 3 * clock.Second
 	// sendRetryDelay is the pause after a report that was not acknowledged, in milliseconds.
 	sendRetryDelay = clock.Second
-	// maxPending bounds the reports that wait for an acknowledgement.
-	maxPending = 24
 	// eraMargin is how far the times of two holders may differ, in milliseconds.
 	eraMargin = clock.Second
 )
@@ -211,53 +207,6 @@
 	}
 }
 
-// record records the next window in the lease if it has ended and its counts are known or due; it returns whether it did.
-func (r *Reporter) record(ctx context.Context, lease duty.Lease, now clock.Millis) bool {
-	window := r.state.Next
-	end := r.endOf(window)
-	if now < end+settleTime || !r.asked {
-		return false
-	}
-	missing, unreachable, share := r.collector.missing(window)
-	wait := len(missing) > 0 && !(unreachable && share <= r.Tolerance/2)
-	if wait && now < end+max(settleTime, r.Delay-sendReserve) {
-		if unreachable && 2*len(missing) > len(r.collector.members) {
-			r.Lease.Yield("most members don't answer")
-		}
-		return false
-	}
-	if len(missing) > 0 {
-		r.Log.Info("usage window lacks counts of members", "window", window, "members", missing, "share", share)
-	}
-	if share > r.Tolerance {
-		r.count(func(s *Stats) { s.Incomplete++ })
-	}
-	report := duty.UsageReport{Window: window, Counts: r.collector.sum(window)}
-	next := State{Era: lease.Era(), Next: window + 1}
-	for _, p := range r.state.Pending {
-		if !r.acked[p.Window] {
-			next.Pending = append(next.Pending, p)
-		}
-	}
-	next.Pending = append(next.Pending, report)
-	if over := len(next.Pending) - maxPending; over > 0 {
-		next.Pending = next.Pending[over:]
-	}
-	b, err := json.Marshal(next)
-	if err == nil {
-		err = r.Lease.Write(ctx, lease, duty.Usage, b)
-	}
-	if err != nil {
-		r.Log.Info("usage window not recorded", "window", window, "error", err.Error())
-		return false
-	}
-	r.state = next
-	r.count(func(s *Stats) { s.Recorded++; s.Next, s.Pending = next.Next, len(next.Pending) })
-	r.Log.Info("usage window recorded", "window", window, "requests", total(report.Counts), "workspaces", len(report.Counts), "token", lease.Token)
-	r.collector.forget(window - 1)
-	return true
-}
-
 // send sends the recorded reports that aren't acknowledged.
 func (r *Reporter) send(ctx context.Context, lease duty.Lease) {
 	if r.Clock.Now() < r.retryAt {
--- a/pkg/usage/service.go
+++ b/pkg/usage/service.go
@@ -38,8 +38,9 @@
 type CountsReply struct {
 	// ID is that of the process.
 	ID string
-	// Now is its monotonic time, and Wall its time of day in Unix milliseconds.
+	// Now is its monotonic time, Since the one from which on it counts, and Wall its time of day in Unix milliseconds.
 	Now     clock.Millis
+	Since   clock.Millis
 	Wall    clock.Millis
 	Windows []WindowCounts
 }
@@ -61,7 +62,8 @@
 	ID      string
 	Counter *Counter
 	Network Network
-	// Length is the length of a window in milliseconds.
+	// Since is the monotonic time from which on this process counts, and Length the length of a window, in milliseconds.
+	Since  clock.Millis
 	Length clock.Millis
 	// OnPush receives the counts of an instance that ends, and reports whether this instance holds the lease.
 	OnPush func(args PushArgs) bool
@@ -87,7 +89,7 @@
 }
 
 func (s *Service) reply(now, offset, length clock.Millis, first int64) CountsReply {
-	return CountsReply{ID: s.ID, Now: now, Wall: s.Clock.Wall(), Windows: s.Counter.Windows(offset, length, first)}
+	return CountsReply{ID: s.ID, Now: now, Since: s.Since, Wall: s.Clock.Wall(), Windows: s.Counter.Windows(offset, length, first)}
 }
 
 // Push takes the counts of an instance that ends.
