--- a/pkg/duty/acquire.go
+++ b/pkg/duty/acquire.go
@@ -188,7 +188,7 @@
 	return k.Store.Append(ctx, k.end, value)
 }
 
-func (k *Keeper) storeTimeout() clock.Millis { return min(maxStoreTimeout, k.Lease/2) }
+func (k *Keeper) storeTimeout() clock.Millis { return k.Lease / storeTries }
 
 // pollPeriod returns the time between two reads of the lease by a candidate.
 func (k *Keeper) pollPeriod() clock.Millis { return 2 * k.Lease / renewals }
--- a/pkg/duty/keeper.go
+++ b/pkg/duty/keeper.go
@@ -20,8 +20,8 @@
 	unfencedDelay = 6 * clock.Second
 	// retryDelay is the pause after a failed call to the store, in milliseconds.
 	retryDelay clock.Millis = 250
-	// maxStoreTimeout bounds one call to the store, in milliseconds.
-	maxStoreTimeout clock.Millis = 1500
+	// storeTries is the number of unanswered calls to the store that fit into a lease.
+	storeTries = 4
 	// renewals is the number of renewals in the time of a lease.
 	renewals = 3
 	// maxFailures is the number of failed calls in a row, over at least the time of a lease, after which a holder releases the lease for
