--- a/pkg/app/tool.go
+++ b/pkg/app/tool.go
@@ -38,6 +38,7 @@
 	t.versionCommands(k)
 	t.upstreamCommands(k)
 	t.stateCommand(k)
+	t.dutyCommand(k)
 	t.billCommand(k)
 	t.requestCommand(k)
 	t.replayCommand(k)
