Scaling: overload doesn't make the need look larger than it is

A rise was ordered 3 s after a burst began, and the maximum 2 s later: the averages reached over 2 s, and requests that wait count as load. Averages now reach over one second, retries of a call are no further demand, and the times of requests are bounded by their usual ones, learned at a steady rate. While all slots are taken, a quarter more than run is needed whatever is usual.

--- a/pkg/scaling/average.go
+++ b/pkg/scaling/average.go
@@ -7,7 +7,7 @@
 )
 
 // averagingTime is the time constant of the averages.
-const averagingTime = 2 * clock.Second
+const averagingTime = clock.Second
 
 // decayingRate is an exponentially decaying sum of amounts, as an amount per second.
 type decayingRate struct {
--- a/pkg/scaling/meter.go
+++ b/pkg/scaling/meter.go
@@ -80,9 +80,12 @@
 func (m *Meter) start(service string, c *request.Call) {
 	now, reading := m.Clock.Now(), m.ReadingTime(c)
 	m.update(service, func(d *ownDemand) {
-		d.requests.add(now, 1)
-		d.reading.add(now, reading/float64(clock.Second))
 		d.underWay.add(now, 1)
+		// A retry is no further demand; in overload most of them are of requests that were declined.
+		if len(c.Excluded) == 0 {
+			d.requests.add(now, 1)
+			d.reading.add(now, reading/float64(clock.Second))
+		}
 	})
 }
 
--- a/pkg/scaling/plan.go
+++ b/pkg/scaling/plan.go
@@ -47,6 +47,7 @@
 type Plan struct {
 	samples []sample
 	zones   map[string]*zonePlan
+	usual   usualTimes
 	// rolloutAt is when a release rollout was last seen running, and lastChange when the running upstreams last changed.
 	rolloutAt, lastChange clock.Millis
 	rolledOut             bool
@@ -85,9 +86,17 @@
 	if s.ListAge <= maxListAge {
 		p.observeRunning(s, memory)
 	}
-	need := sample{at: s.Now, need: s.Demand.Need(s.Pool.Slots, s.Target)}
-	need.sure = s.known(fallReports) && s.Demand.Late <= lateShare*s.Demand.Requests
-	p.samples = append(p.samples, need)
+	running := 0
+	for _, z := range p.zones {
+		running += z.running
+	}
+	demand := p.usual.bound(s.Demand, s.overloaded(running))
+	need := demand.Need(s.Pool.Slots, s.Target)
+	if s.Now-p.lastChange >= s.Pool.ColdTime {
+		// New upstreams shorten the queues only after their cold start.
+		need = max(need, s.leastNeed(running))
+	}
+	p.samples = append(p.samples, sample{at: s.Now, need: need, sure: s.known(fallReports) && !s.late()})
 	p.samples = slices.DeleteFunc(p.samples, func(old sample) bool { return s.Now-old.at > memory })
 }
 
@@ -134,6 +143,14 @@
 	return p.rolledOut && s.Now-p.rolloutAt <= startTime(s.Pool)
 }
 
+// Need returns the latest need, as a number of upstreams over all zones.
+func (p *Plan) Need() float64 {
+	if len(p.samples) == 0 {
+		return 0
+	}
+	return p.samples[len(p.samples)-1].need
+}
+
 // Orders returns the orders that are due and records them as sent.
 func (p *Plan) Orders(s State) []duty.ScaleOrder {
 	if !s.known(riseReports) || len(p.samples) == 0 {
@@ -166,7 +183,7 @@
 		total += z.wanted
 	}
 	start := startTime(s.Pool)
-	now := p.samples[len(p.samples)-1].need
+	now := p.Need()
 	past := p.remembered(s.Now, start)
 	for _, z := range p.zones {
 		reserve := p.perZone(s.Pool, past.least)
--- a/pkg/scaling/plan_test.go
+++ b/pkg/scaling/plan_test.go
@@ -220,6 +220,30 @@
 				{33, "a", 12, nil}, {33, "b", 12, nil}, {33, "c", 12, nil}, {Running: []int{4, 4, 4}},
 			},
 		},
+		{
+			name: "requests that wait in overload", initial: 4, seconds: 50,
+			load: func(second int) float64 {
+				if second < 20 {
+					return 50
+				}
+				return 150
+			},
+			change: func(second int, s *State, _ *fleet) {
+				if second >= 20 && second < 30 {
+					s.Demand.UnderWay *= 4
+				}
+			},
+			want: []testEvent{{20, "a", 14, nil}, {20, "b", 14, nil}, {20, "c", 14, nil}, {Running: []int{14, 14, 14}}},
+		},
+		{
+			name: "requests become longer for good", initial: 4, seconds: 50, load: steady,
+			change: func(second int, s *State, _ *fleet) {
+				if second >= 20 {
+					s.Demand.UnderWay *= 4
+				}
+			},
+			want: []testEvent{{20, "a", 8, nil}, {20, "b", 8, nil}, {20, "c", 8, nil}, {30, "a", 13, nil}, {30, "b", 13, nil}, {30, "c", 13, nil}, {Running: []int{13, 13, 13}}},
+		},
 		{
 			name: "more than the limits", initial: 4, seconds: 20, load: func(int) float64 { return 2000 },
 			want: []testEvent{{0, "a", 30, nil}, {0, "b", 30, nil}, {0, "c", 30, nil}, {Running: []int{30, 30, 30}}},
--- a/pkg/scaling/runner.go
+++ b/pkg/scaling/runner.go
@@ -104,7 +104,7 @@
 			p.Forget()
 			continue
 		}
-		due = append(due, r.logged(s, p.Orders(s))...)
+		due = append(due, r.logged(s, p.Need(), p.Orders(s))...)
 	}
 	added := r.addZones()
 	r.mu.Unlock()
@@ -150,14 +150,14 @@
 }
 
 // logged logs the orders with the figures behind them and returns them.
-func (r *Runner) logged(s State, orders []duty.ScaleOrder) []duty.ScaleOrder {
+func (r *Runner) logged(s State, need float64, orders []duty.ScaleOrder) []duty.ScaleOrder {
 	for _, o := range orders {
 		running := 0
 		for _, n := range s.Running[o.Zone] {
 			running += n
 		}
 		r.Log.Info("ordering upstreams", "service", o.Service, "zone", o.Zone, "count", o.Count, "running", running,
-			"need", s.Demand.Need(s.Pool.Slots, s.Target), "requestsPerSecond", s.Demand.Requests, "atUpstreams", s.Demand.UnderWay,
+			"need", need, "requestsPerSecond", s.Demand.Requests, "atUpstreams", s.Demand.UnderWay,
 			"reading", s.Demand.Reading, "latePerSecond", s.Demand.Late, "targetMs", s.Target, "reporting", s.Reporting,
 			"listAgeMs", s.ListAge, "rollout", s.Rollout)
 	}
