Placement: the interface of forecasts and a first choice by predicted first token

Cause: upstreams of one service differ in pace, and the choice counted work in tokens, the same for all of them. Change: load reports may have a fourth figure, the pace of the machine. Services whose upstreams report it are placed by pkg/placement: time to the first token by a regression for each model, pace by upstream, work that waits at the upstreams by what instances exchange, and the shared parts of prompts that are expected to be kept. The cascade asks for the chance that a larger model answers in time.

--- a/pkg/dispatch/choose_upstream.go
+++ b/pkg/dispatch/choose_upstream.go
@@ -8,6 +8,7 @@
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/occupancy"
+	"carawayknot.example/carawayknot/pkg/placement"
 	"carawayknot.example/carawayknot/pkg/request"
 )
 
@@ -24,61 +25,65 @@
 )
 
 // choose selects the service, the release and the upstream of the next attempt, and enters the request there.
-func (f *Dispatch) choose(c *request.Call) (u *catalogue.Upstream, stay *occupancy.Stay, refusal *request.Refusal) {
+func (f *Dispatch) choose(c *request.Call) (choice placement.Choice, stay *occupancy.Stay, refusal *request.Refusal) {
 	s, now := f.Snapshot(), f.Clock.Now()
 	service := chooseService(c)
 	pool := s.Routes.Pools[service]
 	if pool == nil {
-		return nil, nil, request.Refuse(request.ReasonNoUpstream, jitter(c.Request.ID, clock.Second), "the service %s is not known", service)
+		return placement.Choice{}, nil, request.Refuse(request.ReasonNoUpstream, jitter(c.Request.ID, clock.Second), "the service %s is not known", service)
 	}
 	c.Pool = pool
 	listed, soonest := f.Notices.Open(s.Pools[service], now)
 	if len(listed) == 0 && len(s.Pools[service]) > 0 {
-		return nil, nil, f.Notices.refuse(c, service, soonest)
+		return placement.Choice{}, nil, f.Notices.refuse(c, service, soonest)
 	}
 	candidates := f.filterByRelease(s, c, listed, now)
 	open := f.Limits.Open(withoutExcluded(candidates, c.Excluded), now)
 	if len(open) == 0 && len(candidates) > 0 {
 		open = f.Limits.Open(withoutExcluded(f.otherUpstreams(s, listed, candidates), c.Excluded), now)
 	}
-	u, stay, warm := f.chooseOpen(s, c, f.Slots.Open(open, now), now)
+	choice, stay, warm := f.chooseOpen(s, c, f.Slots.Open(open, now), now)
 	switch {
-	case u != nil:
+	case choice.Upstream != nil:
 	case len(open) == 0 && len(candidates) > 0:
-		return nil, nil, f.Limits.Refuse(c, service, candidates, now)
+		return placement.Choice{}, nil, f.Limits.Refuse(c, service, candidates, now)
 	case len(open) > 0 && len(f.Slots.Open(open, now)) == 0:
-		return nil, nil, request.Refuse(request.ReasonOverloaded, f.Slots.RetryAfter(service, open, c.Request.Deadline, now), "the slots of all upstreams of %s are taken", service)
+		return placement.Choice{}, nil, request.Refuse(request.ReasonOverloaded, f.Slots.RetryAfter(service, open, c.Request.Deadline, now), "the slots of all upstreams of %s are taken", service)
 	default:
-		return nil, nil, request.Refuse(request.ReasonNoUpstream, jitter(c.Request.ID, clock.Second/2), "no upstream of %s may get new work", service)
+		return placement.Choice{}, nil, request.Refuse(request.ReasonNoUpstream, jitter(c.Request.ID, clock.Second/2), "no upstream of %s may get new work", service)
 	}
-	c.FirstByteTimeout, c.TokensAhead = 0, tokensAhead(pool, c.Model, f.Loads.Work(u.Name))
+	c.FirstByteTimeout, c.TokensAhead = 0, tokensAhead(pool, c.Model, f.Loads.Work(choice.Upstream.Name))
 	if warm > 1 && !c.Request.HandedOver && !c.HeadWritten && c.Runs+1 < c.Route.MaxAttempts {
-		c.FirstByteTimeout = f.firstByteTimeout(c)
+		c.FirstByteTimeout = f.firstByteTimeout(c, choice.Forecast)
 	}
-	return u, stay, nil
+	return choice, stay, nil
 }
 
 // chooseOpen selects one of the upstreams that have room and are below their limits, and counts the request toward both; it also returns the
 // number of warm ones.
-func (f *Dispatch) chooseOpen(s *catalogue.Snapshot, c *request.Call, open []*catalogue.Upstream, now clock.Millis) (u *catalogue.Upstream, stay *occupancy.Stay, warmCount int) {
+func (f *Dispatch) chooseOpen(s *catalogue.Snapshot, c *request.Call, open []*catalogue.Upstream, now clock.Millis) (choice placement.Choice, stay *occupancy.Stay, warmCount int) {
 	selector := &Selector{Now: now, Zone: f.Zone, Loads: f.Loads, Outliers: f.Outliers, TieBreakKey: c.Request.ID + strconv.Itoa(c.Attempts)}
 	if c.Route.Affinity {
 		selector.Key, selector.PromptWork = PromptAffinityKey(c), promptWork(c)
 	}
 	for {
 		warm, cold := splitCold(open, now)
-		u = selector.Select(warm)
+		choice = f.selectWarm(c, selector, warm)
+		u := choice.Upstream
 		if u == nil {
 			u = f.chooseCold(s, c.Pool, cold, now)
 		} else if relief := f.chooseCold(s, c.Pool, selector.soonerThan(u, cold), now); relief != nil {
 			u = relief
 		}
 		if u == nil {
-			return nil, nil, len(warm)
+			return placement.Choice{}, nil, len(warm)
+		}
+		if u != choice.Upstream {
+			choice = placement.Choice{Upstream: u}
 		}
 		if f.Limits.TryTake(u.Name, now) {
 			if stay, ok := f.Slots.TryEnter(u, now); ok {
-				return u, stay, len(warm)
+				return choice, stay, len(warm)
 			}
 		}
 		// Another call has taken what the limit or the room allows.
@@ -104,10 +109,13 @@
 }
 
 // firstByteTimeout returns the time without a first byte after which the attempt is retried at another upstream.
-func (f *Dispatch) firstByteTimeout(c *request.Call) clock.Millis {
+func (f *Dispatch) firstByteTimeout(c *request.Call, predicted placement.Forecast) clock.Millis {
 	if c.Request.Prompt == nil {
 		return clock.Millis(callFirstByteShare * float64(c.Route.Target))
 	}
+	if predicted.FirstToken > 0 {
+		return max(clock.Millis(streamFirstByteShare*float64(c.Route.Target)), firstByteTimeoutFactor*predicted.FirstToken)
+	}
 	return f.Latency.FirstByteTimeout(c.Model, c.Request.Prompt.Tokens, c.TokensAhead, clock.Millis(streamFirstByteShare*float64(c.Route.Target)))
 }
 
--- a/pkg/dispatch/crash_watch.go
+++ b/pkg/dispatch/crash_watch.go
@@ -7,7 +7,9 @@
 	"syscall"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/occupancy"
+	"carawayknot.example/carawayknot/pkg/placement"
 	"carawayknot.example/carawayknot/pkg/request"
 )
 
@@ -21,13 +23,18 @@
 	upstream *catalogue.Upstream
 	// stay is the request in the count of those at the upstream.
 	stay *occupancy.Stay
-	work float64
-	once sync.Once
+	// choice is what was predicted of the upstream, and placed the request in the predictions for it.
+	choice placement.Choice
+	placed *placement.Stay
+	clock  clock.Clock
+	work   float64
+	once   sync.Once
 }
 
 // begin records that the answer has begun.
 func (a *attempt) begin() {
 	a.subtractWork()
+	a.placed.Begin(a.clock.Now())
 	a.FirstEvent()
 }
 
--- a/pkg/dispatch/detour.go
+++ b/pkg/dispatch/detour.go
@@ -6,6 +6,7 @@
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/placement"
 	"carawayknot.example/carawayknot/pkg/request"
 )
 
@@ -57,7 +58,7 @@
 func (f *Dispatch) prepareDetour(c *request.Call, pool *catalogue.Pool) {
 	c.Pool, c.TokensAhead, c.FirstByteTimeout = pool, 0, 0
 	if !c.HeadWritten && c.Runs+1 < c.Route.MaxAttempts {
-		c.FirstByteTimeout = f.firstByteTimeout(c)
+		c.FirstByteTimeout = f.firstByteTimeout(c, placement.Forecast{})
 	}
 }
 
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -43,6 +43,8 @@
 	Notices *Notices
 	// Suspects quarantines requests, and parts of prompts, under which upstreams crash; nil quarantines none.
 	Suspects *CrashSuspects
+	// Placement places calls by predictions; nil places none.
+	Placement Placement
 	// Detours finds other instances for calls of services that aren't reached from here, and Through sends a call to one of them; without
 	// Detours, all calls use the links of this instance.
 	Detours Detours
@@ -85,7 +87,7 @@
 
 // tryUpstream sends the call to one upstream, and reports whether it may be tried again.
 func (f *Dispatch) tryUpstream(ctx context.Context, c *request.Call, p *callProgress, next request.Handler) (again bool, err error) {
-	a := &attempt{loads: f.Loads}
+	a := &attempt{loads: f.Loads, clock: f.Clock}
 	if refusal := f.Suspects.Admit(&a.SuspectWatch, c); refusal != nil {
 		return false, refusal
 	}
@@ -93,7 +95,8 @@
 	via := u != nil
 	p.crowded = false
 	if u == nil && refusal == nil {
-		u, a.stay, refusal = f.choose(c)
+		a.choice, a.stay, refusal = f.choose(c)
+		u = a.choice.Upstream
 		if holder := f.holder(c, p, refusal); holder != nil {
 			u, refusal, via, p.crowded = holder, nil, true, true
 		}
@@ -236,13 +239,15 @@
 }
 
 func (f *Dispatch) send(ctx context.Context, c *request.Call, a *attempt, next request.Handler) error {
-	a.upstream, a.work = c.Upstream, promptWork(c)
+	a.upstream, a.work, a.placed = c.Upstream, promptWork(c), f.startPlaced(c, a.choice)
 	f.Loads.StartRequest(a.upstream.Name, a.work)
 	defer f.Releases.RecordSend(c, f.Snapshot().Moves[a.upstream.Service])()
 	defer f.Loads.EndRequest(a.upstream.Name)
 	c.OnFirstEvent = a.begin
 	defer a.subtractWork()
-	return next.Handle(ctx, c)
+	err := next.Handle(ctx, c)
+	a.placed.End(err == nil, f.Clock.Now())
+	return err
 }
 
 // recordAttempt records the outcome of an attempt for session affinity and outlier detection.
--- a/pkg/dispatch/selector.go
+++ b/pkg/dispatch/selector.go
@@ -38,6 +38,18 @@
 
 // Select returns the upstream of the attempt, or nil if upstreams is empty.
 func (s *Selector) Select(upstreams []*catalogue.Upstream) *catalogue.Upstream {
+	healthy := s.healthy(upstreams)
+	if len(healthy) == 0 {
+		return nil
+	}
+	if s.Key == "" {
+		return s.leastLoaded(healthy)
+	}
+	return s.affinityUpstream(healthy)
+}
+
+// healthy returns the upstreams that are no outliers, or all of them if each one is.
+func (s *Selector) healthy(upstreams []*catalogue.Upstream) []*catalogue.Upstream {
 	healthy := make([]*catalogue.Upstream, 0, len(upstreams))
 	for _, u := range upstreams {
 		if !s.Outliers.ShouldAvoid(u.Name, s.Now) {
@@ -45,15 +57,9 @@
 		}
 	}
 	if len(healthy) == 0 {
-		healthy = upstreams
-	}
-	if len(healthy) == 0 {
-		return nil
+		return upstreams
 	}
-	if s.Key == "" {
-		return s.leastLoaded(healthy)
-	}
-	return s.affinityUpstream(healthy)
+	return healthy
 }
 
 // leastWork returns the upstream with the least pending work.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"carawayknot.example/carawayknot/pkg/dispatch"
 	"carawayknot.example/carawayknot/pkg/membership"
 	"carawayknot.example/carawayknot/pkg/occupancy"
+	"carawayknot.example/carawayknot/pkg/placement"
 	"carawayknot.example/carawayknot/pkg/pricing"
 	"carawayknot.example/carawayknot/pkg/request"
 	"carawayknot.example/carawayknot/pkg/settings"
@@ -94,6 +95,7 @@
 	suspects    *dispatch.CrashSuspects
 	limits      *dispatch.NamedLimits
 	slots       *occupancy.Slots
+	planner     *placement.Planner
 	notices     *dispatch.Notices
 	lifetimes   lifetimes
 	rumors      *membership.Rumors
@@ -206,10 +208,12 @@
 	in.loads = &membership.Loads{
 		Clock: in.Clock, Self: in.self.Name, Zone: in.self.Zone, Network: in.network, OwnLoad: in.ownLoads,
 		SetPeerLoads: in.applyPeerLoads, ZoneLeaders: in.zoneLeaders,
+		OwnFigures: in.ownFigures, SetPeerFigures: in.applyPeerFigures,
 	}
 	members := func() []catalogue.Member { return in.control.Snapshot().Members }
 	in.limits = &dispatch.NamedLimits{Log: in.Log.WithName("dispatch"), Self: in.self.Name, Members: members}
 	in.slots = &occupancy.Slots{Log: in.Log.WithName("occupancy"), Self: in.self.Name, Members: members}
+	in.planner = &placement.Planner{Clock: in.Clock, Zone: in.self.Zone, Members: func() int { return len(members()) }}
 	in.notices = &dispatch.Notices{Log: in.Log.WithName("dispatch")}
 	in.buildSuspects()
 	in.detours = &detour.Detours{
--- a/pkg/gateway/lifetimes.go
+++ b/pkg/gateway/lifetimes.go
@@ -52,5 +52,6 @@
 	for _, name := range gone {
 		in.notices.Forget(name, now)
 		in.slots.Forget(name)
+		in.planner.Forget(name)
 	}
 }
--- a/pkg/membership/loads.go
+++ b/pkg/membership/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"carawayknot.example/carawayknot/pkg/clock"
@@ -25,12 +26,15 @@
 	Work map[string]float32
 	// Seen has counters since the start; the packages that count define their keys.
 	Seen map[string]float32
+	// Figures has more of such sums, by hashes; the packages that use them define both.
+	Figures map[uint32][]float32
 }
 
 // LoadReply has the work in progress of the other instances, by upstream, and their counters.
 type LoadReply struct {
-	Work map[string]float32
-	Seen map[string]float32
+	Work    map[string]float32
+	Seen    map[string]float32
+	Figures map[uint32][]float32
 }
 
 // Loads shares the work in progress at upstreams, and counters about new releases, among all instances: each reports to the leader
@@ -45,6 +49,10 @@
 	OwnLoad func() (work, seen map[string]float32)
 	// SetPeerLoads receives the work and the counters of all other instances; both are nil when the zone leader can't be reached.
 	SetPeerLoads func(work, seen map[string]float32)
+	// OwnFigures returns the figures of this instance, and SetPeerFigures receives the sums of those of all others, which are nil when the zone
+	// leader can't be reached; both are optional.
+	OwnFigures     func() map[uint32][]float32
+	SetPeerFigures func(figures map[uint32][]float32)
 	// ZoneLeaders returns the leader of each zone, by zone name.
 	ZoneLeaders func() map[string]string
 
@@ -55,9 +63,49 @@
 }
 
 type loadReport struct {
-	work map[string]float32
-	seen map[string]float32
-	at   clock.Millis
+	loadSums
+	at clock.Millis
+}
+
+// loadSums are sums over instances.
+type loadSums struct {
+	work, seen map[string]float32
+	figures    map[uint32][]float32
+}
+
+func newLoadSums() loadSums {
+	return loadSums{work: map[string]float32{}, seen: map[string]float32{}, figures: map[uint32][]float32{}}
+}
+
+func (s *loadSums) add(more loadSums) {
+	addAll(s.work, more.work)
+	addAll(s.seen, more.seen)
+	for key, figures := range more.figures {
+		sum := s.figures[key]
+		if len(sum) != len(figures) {
+			s.figures[key] = slices.Clone(figures)
+			continue
+		}
+		for i, n := range figures {
+			sum[i] += n
+		}
+	}
+}
+
+// own returns the loads of this instance.
+func (l *Loads) own() (s loadSums) {
+	s.work, s.seen = l.OwnLoad()
+	if l.OwnFigures != nil {
+		s.figures = l.OwnFigures()
+	}
+	return s
+}
+
+func (l *Loads) setPeers(s loadSums) {
+	l.SetPeerLoads(s.work, s.seen)
+	if l.SetPeerFigures != nil {
+		l.SetPeerFigures(s.figures)
+	}
 }
 
 // Run exchanges load reports until ctx ends, and returns the error of ctx.
@@ -74,12 +122,12 @@
 	leaders := l.ZoneLeaders()
 	if leader := leaders[l.Zone]; leader != l.Self && leader != "" {
 		var reply LoadReply
-		args := LoadArgs{From: l.Self, Zone: l.Zone}
-		args.Work, args.Seen = l.OwnLoad()
+		own := l.own()
+		args := LoadArgs{From: l.Self, Zone: l.Zone, Work: own.work, Seen: own.seen, Figures: own.figures}
 		if err := l.Network.CallWithin(ctx, loadReportPeriod, leader, LoadsName+".Tell", args, &reply); err == nil {
-			l.SetPeerLoads(reply.Work, reply.Seen)
+			l.setPeers(loadSums{work: reply.Work, seen: reply.Seen, figures: reply.Figures})
 		} else {
-			l.SetPeerLoads(nil, nil)
+			l.setPeers(loadSums{})
 		}
 		return
 	}
@@ -90,15 +138,14 @@
 		}
 	}
 	wg.Wait()
-	work, seen := l.sum(l.Self, true)
-	l.SetPeerLoads(work, seen)
+	l.setPeers(l.sum(l.Self, true))
 }
 
 // exchangeWithZone sends the sum of this zone to the leader of another one and records the sum that it returns.
 func (l *Loads) exchangeWithZone(ctx context.Context, zone, leader string) {
-	args := LoadArgs{From: l.Self, Zone: l.Zone}
-	args.Work, args.Seen = l.sum("", false)
-	l.addOwnLoad(args.Work, args.Seen)
+	sums := l.sum("", false)
+	sums.add(l.own())
+	args := LoadArgs{From: l.Self, Zone: l.Zone, Work: sums.work, Seen: sums.seen, Figures: sums.figures}
 	var reply LoadReply
 	if err := l.Network.CallWithin(ctx, loadReportPeriod, leader, LoadsName+".Tell", args, &reply); err != nil {
 		return
@@ -108,13 +155,13 @@
 	if l.otherZoneReports == nil {
 		l.otherZoneReports = map[string]loadReport{}
 	}
-	l.otherZoneReports[zone] = loadReport{work: reply.Work, seen: reply.Seen, at: l.Clock.Now()}
+	l.otherZoneReports[zone] = loadReport{loadSums{reply.Work, reply.Seen, reply.Figures}, l.Clock.Now()}
 }
 
 // Tell records the report of an instance of this zone, or the sum of another zone, and replies with the work that the sender lacks.
 func (l *Loads) Tell(args LoadArgs, reply *LoadReply) error {
 	l.mu.Lock()
-	report := loadReport{work: args.Work, seen: args.Seen, at: l.Clock.Now()}
+	report := loadReport{loadSums{args.Work, args.Seen, args.Figures}, l.Clock.Now()}
 	sameZone := args.Zone == l.Zone
 	if sameZone {
 		if l.zoneReports == nil {
@@ -128,45 +175,38 @@
 		l.otherZoneReports[args.Zone] = report
 	}
 	l.mu.Unlock()
-	reply.Work, reply.Seen = l.sum(args.From, sameZone)
-	l.addOwnLoad(reply.Work, reply.Seen)
+	sums := l.sum(args.From, sameZone)
+	sums.add(l.own())
+	reply.Work, reply.Seen, reply.Figures = sums.work, sums.seen, sums.figures
 	return nil
 }
 
-func (l *Loads) addOwnLoad(work, seen map[string]float32) {
-	ownWork, ownSeen := l.OwnLoad()
-	addAll(work, ownWork)
-	addAll(seen, ownSeen)
-}
-
 // sum adds up the reports of this zone except that of the excluded instance, and the sums of other zones if withOtherZones is set.
-func (l *Loads) sum(excluded string, withOtherZones bool) (work, seen map[string]float32) {
+func (l *Loads) sum(excluded string, withOtherZones bool) loadSums {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Clock.Now()
-	work, seen = map[string]float32{}, map[string]float32{}
+	sums := newLoadSums()
 	for name, report := range l.zoneReports {
 		if now-report.at > loadReportTTL {
 			delete(l.zoneReports, name)
 			continue
 		}
 		if name != excluded {
-			addAll(work, report.work)
-			addAll(seen, report.seen)
+			sums.add(report.loadSums)
 		}
 	}
 	if !withOtherZones {
-		return work, seen
+		return sums
 	}
 	for zone, report := range l.otherZoneReports {
 		if now-report.at > loadReportTTL {
 			delete(l.otherZoneReports, zone)
 			continue
 		}
-		addAll(work, report.work)
-		addAll(seen, report.seen)
+		sums.add(report.loadSums)
 	}
-	return work, seen
+	return sums
 }
 
 func addAll(sum, more map[string]float32) {
--- /dev/null
+++ b/pkg/placement/kept.go
@@ -0,0 +1,138 @@
+package placement
+
+import (
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/request"
+)
+
+const (
+	// defaultKeepTime is how long a part is assumed to be kept while the memory of the engines or what is read there isn't known, and
+	// maxKeepTime bounds it otherwise.
+	defaultKeepTime = 20_000.0
+	maxKeepTime     = 120_000.0
+	// homeChance is the chance that the home of a prompt keeps its shared parts, and sentChance that an upstream keeps parts that were just
+	// sent there.
+	homeChance, sentChance = 0.85, 0.97
+	// maxHomes bounds the upstreams that keep the same parts at a time.
+	maxHomes = 4
+	// homeShare is the share of an upstream's time that prompts with the same parts may take before they get another home.
+	homeShare = 0.25
+)
+
+// part is a part of a prompt that other prompts share, with its length in tokens.
+type part struct {
+	hash   uint64
+	tokens float64
+}
+
+// sharedParts returns the parts of a prompt that others share, each hashed with the model, which has a cache of its own.
+func sharedParts(prompt *request.Prompt, model string) []part {
+	if len(prompt.Parts) == 0 {
+		return nil
+	}
+	parts := prompt.Parts[:max(1, len(prompt.Parts)-1)]
+	chain := make([]part, len(parts))
+	for i, listed := range parts {
+		chain[i] = part{hash: xxhash.Sum64String(listed.ID + " " + model), tokens: float64(listed.Tokens)}
+	}
+	return chain
+}
+
+// keep notes that parts were sent to the upstream.
+func (k *upstream) keep(chain []part, now clock.Millis) {
+	if k.kept == nil || len(k.kept) >= maxKeptParts {
+		k.kept = map[uint64]clock.Millis{}
+	}
+	for _, part := range chain {
+		k.kept[part.hash] = now
+	}
+}
+
+// maxKeptParts is the number of parts after which those of an upstream are dropped.
+const maxKeptParts = 512
+
+// keptTokens returns the number of tokens of the prompt that the upstream is expected to keep: a part is kept only if all before it are.
+func (q *query) keptTokens(k *upstream, atHome bool) float64 {
+	kept, chance := 0.0, 1.0
+	for _, part := range q.chain {
+		chance = min(chance, q.keptChance(k, part, atHome))
+		kept += chance * part.tokens
+	}
+	return min(kept, q.total)
+}
+
+// keptChance returns the chance that the upstream keeps a part. Parts that most prompts share are kept everywhere.
+func (q *query) keptChance(k *upstream, part part, atHome bool) float64 {
+	perUpstream := q.service.parts.rate(part.hash, q.now) * q.planner.members() * q.service.parts.awayShare() / float64(max(1, q.upstreams))
+	chance := 1 - math.Exp(-perUpstream*q.keepTime)
+	if atHome {
+		chance = max(chance, homeChance)
+	}
+	if at, sent := k.kept[part.hash]; sent {
+		chance = max(chance, sentChance*math.Exp(-float64(q.now-at)/q.keepTime))
+	}
+	return chance
+}
+
+// keepTime returns how long an upstream keeps a part after its last use: the time in which new prompts fill its memory.
+func (p *Planner) keepTime(s *service, pool *catalogue.Pool, upstreams int, now clock.Millis) float64 {
+	perUpstream := s.tokens.per(now) * p.members() / float64(upstreams)
+	if pool == nil || pool.CacheTokens <= 0 || perUpstream <= 0 {
+		return defaultKeepTime
+	}
+	return min(float64(pool.CacheTokens)/perUpstream, maxKeepTime)
+}
+
+// findHomes returns the upstreams at which the shared parts of the prompt are expected, by rendezvous hashing, in which all instances agree. The
+// first is that of the best pace among the highest ranked ones.
+func (q *query) findHomes(upstreams []*catalogue.Upstream) []*catalogue.Upstream {
+	if len(q.chain) == 0 {
+		return nil
+	}
+	key := q.chain[len(q.chain)-1].hash
+	var ranked [maxHomes]*catalogue.Upstream
+	var weights [maxHomes]uint64
+	for _, u := range upstreams {
+		w := mix(key ^ xxhash.Sum64String(u.Name))
+		if w <= weights[maxHomes-1] && ranked[maxHomes-1] != nil {
+			continue
+		}
+		i := maxHomes - 1
+		for ; i > 0 && (ranked[i-1] == nil || w > weights[i-1]); i-- {
+			ranked[i], weights[i] = ranked[i-1], weights[i-1]
+		}
+		ranked[i], weights[i] = u, w
+	}
+	homes := ranked[:min(maxHomes, len(upstreams))]
+	slices.SortStableFunc(homes, func(a, b *catalogue.Upstream) int { return q.paceStep(a) - q.paceStep(b) })
+	return homes[:min(len(homes), q.homeCount(key))]
+}
+
+// paceStep returns the learned pace of an upstream in coarse steps, so that instances whose estimates differ a little agree.
+func (q *query) paceStep(u *catalogue.Upstream) int {
+	k := q.planner.upstream(u)
+	return int(math.Round(paceSteps * math.Log2(k.ownPace(q.planner.peers[k.key], q.now))))
+}
+
+// paceSteps is the number of steps for a doubled pace.
+const paceSteps = 1.5
+
+// homeCount returns the number of homes of a prompt by the time that those with the same parts take.
+func (q *query) homeCount(key uint64) int {
+	perMilli := q.service.parts.rate(key, q.now) * q.planner.members()
+	work := q.model.read(promptFeatures(q.total, q.total))
+	return 1 + int(min(perMilli*work/homeShare, maxHomes-1))
+}
+
+// mix spreads the bits of a hash (the finalizer of SplitMix64).
+func mix(h uint64) uint64 {
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
+}
--- /dev/null
+++ b/pkg/placement/learn.go
@@ -0,0 +1,57 @@
+package placement
+
+import (
+	"math"
+
+	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/request"
+)
+
+const (
+	// maxAheadShare is the part of a time to the first token that may be due to work ahead of the prompt for it to tell of the model.
+	maxAheadShare = 0.5
+	// gapWeight is the weight of the gaps of a stream as a sample of its upstream's pace, and firstTokenWeight that of a first token.
+	gapWeight, firstTokenWeight = 1.0, 0.5
+)
+
+// Report takes the load report of an answer; the first one with a pace switches the service on.
+func (p *Planner) Report(c *request.Call, r *request.LoadReport, now clock.Millis) {
+	if p == nil || r == nil || r.Pace <= 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.service(c.Upstream.Service).paced = true
+	p.upstream(c.Upstream).report(r.Pace, now)
+}
+
+// Gap takes the usual gap between the events of an answer.
+func (p *Planner) Gap(c *request.Call, gap, now clock.Millis) {
+	if p == nil || gap <= 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k, m := p.upstream(c.Upstream), p.service(c.Upstream.Service).model(modelOf(c))
+	seen := math.Log(float64(gap))
+	if m.gapKnown {
+		k.sample(math.Exp(seen-m.gap), gapWeight, now)
+	}
+	m.addGap(seen)
+}
+
+// learn takes the time to the first token of an attempt. The caller must hold mu.
+func (p *Planner) learn(st *Stay, took float64, now clock.Millis) {
+	k, m := st.upstream, st.model
+	peers := p.peers[k.key]
+	machine := k.machinePace(peers, now-p.peersAt, now)
+	if m.known {
+		usual := machine * (st.ahead + m.read(st.features))
+		own := machine * m.read(st.features)
+		k.sample((took+minTime)/(usual+minTime), firstTokenWeight*own/(usual+minTime), now)
+	}
+	pace := max(minPace, machine*k.ownPace(peers, now))
+	if ahead := pace * st.ahead; ahead <= maxAheadShare*took {
+		m.add(st.features, max(0, (took-ahead)/pace), now)
+	}
+}
--- /dev/null
+++ b/pkg/placement/model.go
@@ -0,0 +1,173 @@
+package placement
+
+import "carawayknot.example/carawayknot/pkg/clock"
+
+// featureCount is the number of features by which the time to read a prompt is estimated.
+const featureCount = 3
+
+// features describe a prompt: 1, its tokens that are not kept, and those times the length of the whole prompt, both in thousands.
+type features [featureCount]float64
+
+func promptFeatures(unread, total float64) features {
+	return features{1, unread / 1000, unread * total / 1e6}
+}
+
+// sums are those of a weighted linear regression of the time to the first token, at the usual pace, and the gaps between events.
+type sums struct {
+	xx [featureCount][featureCount]float64
+	xy features
+	// weight is the number of first tokens, and gaps and logGap the number and the sum of the logarithms of gaps.
+	weight, gaps, logGap float64
+}
+
+// modelFigures is the number of figures of a model: one half of xx, xy, weight, gaps and logGap.
+const modelFigures = featureCount*(featureCount+1)/2 + featureCount + 3
+
+func (s *sums) add(x features, y, weight float64) {
+	for i := range featureCount {
+		for j := range featureCount {
+			s.xx[i][j] += weight * x[i] * x[j]
+		}
+		s.xy[i] += weight * x[i] * y
+	}
+	s.weight++
+}
+
+// fadeBy multiplies all sums by f.
+func (s *sums) fadeBy(f float64) {
+	for i := range featureCount {
+		for j := range featureCount {
+			s.xx[i][j] *= f
+		}
+		s.xy[i] *= f
+	}
+	s.weight, s.gaps, s.logGap = s.weight*f, s.gaps*f, s.logGap*f
+}
+
+// figures returns the sums as they are exchanged.
+func (s *sums) figures() []float32 {
+	f := make([]float32, 0, modelFigures)
+	for i := range featureCount {
+		for j := range i + 1 {
+			f = append(f, float32(s.xx[i][j]))
+		}
+	}
+	for _, v := range s.xy {
+		f = append(f, float32(v))
+	}
+	return append(f, float32(s.weight), float32(s.gaps), float32(s.logGap))
+}
+
+// plus returns the sums with the figures of other instances.
+func (s *sums) plus(figures []float32) sums {
+	t := *s
+	if len(figures) != modelFigures {
+		return t
+	}
+	n := 0
+	next := func() float64 { n++; return float64(figures[n-1]) }
+	for i := range featureCount {
+		for j := range i + 1 {
+			v := next()
+			t.xx[i][j] += v
+			if i != j {
+				t.xx[j][i] += v
+			}
+		}
+	}
+	for i := range t.xy {
+		t.xy[i] += next()
+	}
+	t.weight += next()
+	t.gaps += next()
+	t.logGap += next()
+	return t
+}
+
+// model is what was learned of one model of a service.
+type model struct {
+	key uint32
+	own sums
+	// all has the sums of all instances as of the last exchange and the own ones since.
+	all     sums
+	fadedAt clock.Millis
+	// costs are the milliseconds of each feature at the usual pace; they are not known before enough samples.
+	costs features
+	known bool
+	// gap is the logarithm of the usual gap between events.
+	gap      float64
+	gapKnown bool
+}
+
+const (
+	// minSamples is the number of first tokens from which a model is known.
+	minSamples = 4
+	// learnTime is the time after which a sample has a third of its weight.
+	learnTime = 90 * clock.Second
+)
+
+// read returns the time to read a prompt with these features, at the usual pace and without a wait.
+func (m *model) read(x features) float64 {
+	t := 0.0
+	for i, v := range x {
+		t += m.costs[i] * v
+	}
+	return t
+}
+
+// base returns the part of the time to the first token that no prompt can avoid, which doesn't delay others.
+func (m *model) base() float64 { return m.costs[0] }
+
+// add takes the time to the first token of a prompt, at the usual pace and without its wait.
+func (m *model) add(x features, y float64, now clock.Millis) {
+	// Errors count in proportion to the usual time.
+	usual := y
+	if m.known {
+		usual = m.read(x)
+		y = min(y, maxRatio*usual)
+	}
+	weight := 1 / ((usual + minTime) * (usual + minTime))
+	f := fade(now-m.fadedAt, learnTime)
+	m.own.fadeBy(f)
+	m.all.fadeBy(f)
+	m.fadedAt = now
+	m.own.add(x, y, weight)
+	m.all.add(x, y, weight)
+	if !m.known {
+		m.solveAll()
+	}
+}
+
+const (
+	// maxRatio bounds a sample of the time to the first token by what is usual.
+	maxRatio = 4.0
+	// minTime is added to times before they are compared, in milliseconds.
+	minTime = 10.0
+)
+
+// addGap takes the logarithm of a gap between events at the usual pace.
+func (m *model) addGap(logGap float64) {
+	m.own.gaps++
+	m.own.logGap += logGap
+	m.all.gaps++
+	m.all.logGap += logGap
+	m.gap, m.gapKnown = m.all.logGap/m.all.gaps, m.all.gaps >= minSamples
+}
+
+// solve estimates the costs from the own sums and the figures of other instances.
+func (m *model) solve(peers []float32) {
+	m.all = m.own.plus(peers)
+	m.solveAll()
+}
+
+func (m *model) solveAll() {
+	if m.all.gaps >= minSamples {
+		m.gap, m.gapKnown = m.all.logGap/m.all.gaps, true
+	}
+	if m.all.weight < minSamples {
+		return
+	}
+	if costs, ok := fit(&m.all); ok {
+		m.costs, m.known = costs, true
+	}
+}
--- /dev/null
+++ b/pkg/placement/upstream.go
@@ -0,0 +1,93 @@
+package placement
+
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
+	"carawayknot.example/carawayknot/pkg/clock"
+)
+
+const (
+	// usualPace is the pace that a machine reports while work takes as long as usual.
+	usualPace = 100
+	// reportTime is the time after which a reported pace has a third of its weight: other work on the machine comes and goes.
+	reportTime clock.Millis = 400
+	// meanReportWeight is the weight of the usual pace against that of a report which was made just now.
+	meanReportWeight = 0.5
+	// paceTime is the same as reportTime for the samples of the pace of an upstream itself.
+	paceTime = 60 * clock.Second
+	// kindWeight is the number of samples at which an upstream's own pace counts as much as that of its kind.
+	kindWeight = 3.0
+	// maxLogPace bounds the logarithm of a single sample of a pace.
+	maxLogPace = 1.5
+)
+
+// upstream is what is known of one lifetime of an upstream.
+type upstream struct {
+	name        string
+	service     string
+	incarnation int64
+	// key identifies the lifetime in what instances exchange.
+	key uint32
+	// seed is the hash by which the upstream is ranked for prompts.
+	seed uint64
+	// inFlight counts the attempts of this instance, and waiting has those whose answer hasn't begun.
+	inFlight int
+	waiting  []*Stay
+	// reports and reported are the number and the sum of the paces that the machine reported to this instance, both faded to reportedAt.
+	reports, reported float64
+	reportedAt        clock.Millis
+	// samples and logPace are the weight and the weighted sum of the logarithms of the upstream's own pace, both faded to sampledAt.
+	samples, logPace float64
+	sampledAt        clock.Millis
+	kept             map[uint64]clock.Millis
+}
+
+func newUpstream(u *catalogue.Upstream) *upstream {
+	return &upstream{
+		name: u.Name, service: u.Service, incarnation: u.Incarnation, key: lifetimeKey(u), seed: xxhash.Sum64String(u.Name),
+	}
+}
+
+// report takes the pace that the machine reports, where usualPace is the usual one.
+func (k *upstream) report(pace int, now clock.Millis) {
+	f := fade(now-k.reportedAt, reportTime)
+	k.reports, k.reported = k.reports*f+1, k.reported*f+float64(pace)/usualPace
+	k.reportedAt = now
+}
+
+// sample takes how much longer than expected the upstream took for some work.
+func (k *upstream) sample(ratio, weight float64, now clock.Millis) {
+	if !(ratio > 0) || !(weight > 0) {
+		return
+	}
+	f := fade(now-k.sampledAt, paceTime)
+	k.samples = k.samples*f + weight
+	k.logPace = k.logPace*f + weight*min(max(math.Log(ratio), -maxLogPace), maxLogPace)
+	k.sampledAt = now
+}
+
+// machinePace returns how much longer than usual work takes on the machine now, by the reports to all instances.
+func (k *upstream) machinePace(peers []float32, peersAge clock.Millis, now clock.Millis) float64 {
+	f := fade(now-k.reportedAt, reportTime)
+	n, sum := k.reports*f, k.reported*f
+	if len(peers) == figureCount {
+		f = fade(peersAge, reportTime)
+		n += float64(peers[figureReports]) * f
+		sum += float64(peers[figureReported]) * f
+	}
+	return (sum + meanReportWeight) / (n + meanReportWeight)
+}
+
+// ownPace returns how much longer than its kind the upstream takes, by the answers to all instances. Few samples are pulled toward the kind.
+func (k *upstream) ownPace(peers []float32, now clock.Millis) float64 {
+	f := fade(now-k.sampledAt, paceTime)
+	n, sum := k.samples*f, k.logPace*f
+	if len(peers) == figureCount {
+		n += float64(peers[figureSamples])
+		sum += float64(peers[figureLogPace])
+	}
+	return math.Exp(sum / (n + kindWeight))
+}
--- a/pkg/pricing/confidence.go
+++ b/pkg/pricing/confidence.go
@@ -24,6 +24,9 @@
 	Calibration *Calibration
 	// ExpectedWait predicts how long a prompt waits at the idlest upstream before the model reads it, in milliseconds; it may be nil.
 	ExpectedWait func(c *request.Call, model string) clock.Millis
+	// InTime predicts the chance that the answer of a model begins within the target latency, and takes the place of ExpectedWait where it
+	// reports that anything is known; it may be nil.
+	InTime func(c *request.Call, model string) (chance float64, ok bool)
 	// Budgets limits the attempts beyond the first.
 	Budgets *dispatch.RetryBudgets
 
@@ -123,10 +126,16 @@
 // isn't worth that much.
 func (f *ConfidenceCascade) leastSuccess(c *request.Call) float64 {
 	least := float64(f.LeastSuccess.Load()) / 100
+	largest := c.Route.Sizes[len(c.Route.Sizes)-1]
+	if f.InTime != nil {
+		if chance, ok := f.InTime(c, largest); ok {
+			return least * chance
+		}
+	}
 	if f.ExpectedWait == nil || c.Route.Target <= 0 {
 		return least
 	}
-	wait := f.ExpectedWait(c, c.Route.Sizes[len(c.Route.Sizes)-1])
+	wait := f.ExpectedWait(c, largest)
 	return least * max(0, 1-float64(wait)/(maxWaitShare*float64(c.Route.Target)))
 }
 
--- a/pkg/request/response.go
+++ b/pkg/request/response.go
@@ -31,6 +31,8 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes on the upstream's machine at the moment, in percent of the usual time; 0 if it isn't reported.
+	Pace int
 }
 
 // End marks a response as complete; token counts are 0 for a plain service.
