Placement: the pace apart from what no machine changes, requests in flight, homes that keep what prompts share

Cause: the time to the first token has a part that is the same on all machines and grows with the requests in flight; scaled by the pace it crowded the fast machines (2.0 times the mean) and took prompts away from where their shared parts are kept. Change: four features (base, unread tokens and pairs at the pace of the machine, requests in flight); what a machine reports at most times counts once a report is old; reports are taken with the head of an answer; work counts for others the same on each machine; draws from the own zone first; a sampled log line and a metric of predicted against seen. An answer that would be late isn't worth nothing to the cascade.

--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -44,7 +44,9 @@
 			in.limits.Observe(upstream, limit, sentAt, in.Clock.Now())
 		},
 		OnRoom: func(u *catalogue.Upstream, room request.Room, sentAt clock.Millis) {
-			in.slots.Observe(u, room, sentAt, in.Clock.Now())
+			now := in.Clock.Now()
+			in.slots.Observe(u, room, sentAt, now)
+			in.planner.Report(u, room.Load, now)
 		},
 		OnNotice: func(u *catalogue.Upstream, notice request.Notice) { in.notices.Observe(u, notice, in.Clock.Now()) },
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -96,11 +96,13 @@
 	limits      *dispatch.NamedLimits
 	slots       *occupancy.Slots
 	planner     *placement.Planner
-	notices     *dispatch.Notices
-	lifetimes   lifetimes
-	rumors      *membership.Rumors
-	inFlight    *desk.InFlight
-	draining    atomic.Bool
+	// placed counts the answers that were placed by predictions.
+	placed    atomic.Int64
+	notices   *dispatch.Notices
+	lifetimes lifetimes
+	rumors    *membership.Rumors
+	inFlight  *desk.InFlight
+	draining  atomic.Bool
 	// cancelRequests cancels the context of the callers' requests in flight.
 	cancelRequests context.CancelFunc
 	// rolloutOrdered receives a value once a release rollout is ordered.
@@ -213,7 +215,7 @@
 	members := func() []catalogue.Member { return in.control.Snapshot().Members }
 	in.limits = &dispatch.NamedLimits{Log: in.Log.WithName("dispatch"), Self: in.self.Name, Members: members}
 	in.slots = &occupancy.Slots{Log: in.Log.WithName("occupancy"), Self: in.self.Name, Members: members}
-	in.planner = &placement.Planner{Clock: in.Clock, Zone: in.self.Zone, Members: func() int { return len(members()) }}
+	in.planner = &placement.Planner{Clock: in.Clock, Zone: in.self.Zone, Members: func() int { return len(members()) }, OnFirstToken: in.observePlacement}
 	in.notices = &dispatch.Notices{Log: in.Log.WithName("dispatch")}
 	in.buildSuspects()
 	in.detours = &detour.Detours{
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -23,7 +23,7 @@
 func (in *Instance) observe(c *request.Call, s request.Sample) {
 	in.metrics.ObserveAttempt(s)
 	in.loadTracker.Report(s.Upstream, s.Load, s.At)
-	in.observePlaced(c, s)
+	in.planner.Gap(c, s.Gap, s.At)
 	model, tokens := latencyKey(c)
 	latency, slow := s.FirstToken, false
 	if latency > 0 {
--- a/pkg/gateway/placement.go
+++ b/pkg/gateway/placement.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
-	"carawayknot.example/carawayknot/pkg/request"
+	"math"
+
+	"carawayknot.example/carawayknot/pkg/placement"
 )
 
 // ownFigures returns the figures by which other instances predict what upstreams would give their calls.
@@ -11,8 +13,16 @@
 	in.planner.SetPeers(figures, in.Clock.Now())
 }
 
-// observePlaced records what an attempt tells of its upstream's pace.
-func (in *Instance) observePlaced(c *request.Call, s request.Sample) {
-	in.planner.Report(c, s.Load, s.At)
-	in.planner.Gap(c, s.Gap, s.At)
+// placedPerLog is the number of placed attempts of which one is logged.
+const placedPerLog = 256
+
+// observePlacement records what was predicted of an answer that has begun, and logs some of them.
+func (in *Instance) observePlacement(p placement.Placed) {
+	in.metrics.ObserveForecast(p.Service, p.Predicted, p.Seen)
+	if in.placed.Add(1)%placedPerLog != 1 {
+		return
+	}
+	in.Log.Info("placed attempt", "service", p.Service, "upstream", p.Upstream, "model", p.Model, "predictedMs", math.Round(p.Predicted),
+		"seenMs", p.Seen, "waitMs", math.Round(p.Wait), "workMs", math.Round(p.Work), "pace", p.Pace, "inFlight", p.InFlight, "tokens", p.Tokens,
+		"keptTokens", math.Round(p.Kept), "atHome", p.AtHome, "newsAgeMs", p.NewsAge)
 }
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -52,13 +52,39 @@
 		}
 	} else {
 		seed := request.HashKey("placement", c.Request.ID) + uint64(c.Attempts)
+		near := q.near(upstreams)
 		for i := range n {
-			consider(upstreams[mix(seed+uint64(i)*drawStep)%uint64(len(upstreams))])
+			from := near
+			if i%farDraws == farDraws-1 {
+				from = upstreams
+			}
+			consider(from[mix(seed+uint64(i)*drawStep)%uint64(len(from))])
 		}
 	}
 	return Choice{Upstream: best.listed, Forecast: q.forecast(best), option: best}, true
 }
 
+// near returns the upstreams in the zone of this instance, or all of them if there are too few to take what comes from here.
+func (q *query) near(upstreams []*catalogue.Upstream) []*catalogue.Upstream {
+	near := make([]*catalogue.Upstream, 0, len(upstreams))
+	for _, u := range upstreams {
+		if u.Zone == q.planner.Zone {
+			near = append(near, u)
+		}
+	}
+	if nearFactor*len(near) < len(upstreams) {
+		return upstreams
+	}
+	return near
+}
+
+const (
+	// farDraws is the number of draws of which one is from all zones.
+	farDraws = 2
+	// nearFactor is the factor by which all upstreams may outnumber those of one zone for draws from the zone alone.
+	nearFactor = 4
+)
+
 // drawStep separates the seeds of successive draws (the golden ratio, as in SplitMix64).
 const drawStep = 0x9e3779b97f4a7c15
 
@@ -69,7 +95,7 @@
 		return upstreams
 	}
 	work := q.planner.members() * q.service.arrivals.per(q.now) * newsTime
-	own := q.model.read(promptFeatures(q.total, q.total)) - q.model.base()
+	own := q.model.read(promptFeatures(q.total, q.total))
 	if work <= 0 || own <= 0 {
 		return minCompared
 	}
--- a/pkg/placement/exchange.go
+++ b/pkg/placement/exchange.go
@@ -21,6 +21,9 @@
 	// figureReports and figureReported are the number and the sum of the paces that the machine reported.
 	figureReports
 	figureReported
+	// figureUsualReports and figureUsualLogPace are the number of these paces and the sum of their logarithms over a longer time.
+	figureUsualReports
+	figureUsualLogPace
 	// figureSamples and figureLogPace are the weight and the sum of the logarithms of the upstream's own pace.
 	figureSamples
 	figureLogPace
@@ -61,6 +64,7 @@
 		report, pace := fade(now-k.reportedAt, reportTime), fade(now-k.sampledAt, paceTime)
 		f := []float32{
 			shorten(k.ownWork(now)), float32(k.inFlight), shorten(k.reports * report), shorten(k.reported * report),
+			shorten(k.usualReports), shorten(k.usualLogPace),
 			shorten(k.samples * pace), shorten(k.logPace * pace),
 		}
 		if !isZero(f) {
--- a/pkg/placement/kept.go
+++ b/pkg/placement/kept.go
@@ -89,8 +89,8 @@
 	return min(float64(pool.CacheTokens)/perUpstream, maxKeepTime)
 }
 
-// findHomes returns the upstreams at which the shared parts of the prompt are expected, by rendezvous hashing, in which all instances agree. The
-// first is that of the best pace among the highest ranked ones.
+// findHomes returns the upstreams at which the shared parts of the prompt are expected, by rendezvous hashing, in which all instances agree. Heavy
+// prompts have the one of the best pace among the highest ranked ones first.
 func (q *query) findHomes(upstreams []*catalogue.Upstream) []*catalogue.Upstream {
 	if len(q.chain) == 0 {
 		return nil
@@ -110,10 +110,25 @@
 		ranked[i], weights[i] = u, w
 	}
 	homes := ranked[:min(maxHomes, len(upstreams))]
-	slices.SortStableFunc(homes, func(a, b *catalogue.Upstream) int { return q.paceStep(a) - q.paceStep(b) })
+	if q.isHeavy() {
+		slices.SortStableFunc(homes, func(a, b *catalogue.Upstream) int { return q.paceStep(a) - q.paceStep(b) })
+	}
 	return homes[:min(len(homes), q.homeCount(key))]
 }
 
+// isHeavy reports whether the shared parts alone take so long to read that the pace of the machine matters. It depends on nothing else of the
+// prompt, so that prompts with the same parts have the same homes.
+func (q *query) isHeavy() bool {
+	shared := 0.0
+	for _, part := range q.chain {
+		shared += part.tokens
+	}
+	return q.model.read(promptFeatures(shared, shared)) > heavyShare*float64(q.call.Route.Target)
+}
+
+// heavyShare is the part of the target latency from which reading the shared parts makes a prompt a heavy one.
+const heavyShare = 0.03
+
 // paceStep returns the learned pace of an upstream in coarse steps, so that instances whose estimates differ a little agree.
 func (q *query) paceStep(u *catalogue.Upstream) int {
 	k := q.planner.upstream(u)
--- a/pkg/placement/learn.go
+++ b/pkg/placement/learn.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/request"
 )
@@ -15,14 +16,14 @@
 )
 
 // Report takes the load report of an answer; the first one with a pace switches the service on.
-func (p *Planner) Report(c *request.Call, r *request.LoadReport, now clock.Millis) {
+func (p *Planner) Report(u *catalogue.Upstream, r *request.LoadReport, now clock.Millis) {
 	if p == nil || r == nil || r.Pace <= 0 {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.service(c.Upstream.Service).paced = true
-	p.upstream(c.Upstream).report(r.Pace, now)
+	p.service(u.Service).paced = true
+	p.upstream(u).report(r.Pace, now)
 }
 
 // Gap takes the usual gap between the events of an answer.
@@ -42,16 +43,17 @@
 
 // learn takes the time to the first token of an attempt. The caller must hold mu.
 func (p *Planner) learn(st *Stay, took float64, now clock.Millis) {
-	k, m := st.upstream, st.model
+	k, m, o := st.upstream, st.model, &st.option
 	peers := p.peers[k.key]
 	machine := k.machinePace(peers, now-p.peersAt, now)
 	if m.known {
-		usual := machine * (st.ahead + m.read(st.features))
-		own := machine * m.read(st.features)
-		k.sample((took+minTime)/(usual+minTime), firstTokenWeight*own/(usual+minTime), now)
+		// What doesn't depend on the prompt says nothing of the machine.
+		start, read := m.start(o.inFlight), machine*m.read(o.features)
+		usual := machine*o.ahead + read
+		k.sample((max(0, took-start)+minTime)/(usual+minTime), firstTokenWeight*read/(start+usual+minTime), now)
 	}
 	pace := max(minPace, machine*k.ownPace(peers, now))
-	if ahead := pace * st.ahead; ahead <= maxAheadShare*took {
-		m.add(st.features, max(0, (took-ahead)/pace), now)
+	if ahead := pace * o.ahead; ahead <= maxAheadShare*took {
+		m.add(o.features.at(pace, o.inFlight), max(0, took-ahead), now)
 	}
 }
--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -2,17 +2,30 @@
 
 import "carawayknot.example/carawayknot/pkg/clock"
 
-// featureCount is the number of features by which the time to read a prompt is estimated.
-const featureCount = 3
+// The features by which the time to the first token is estimated: 1, the tokens that are not kept, those times the length of the whole prompt,
+// both in thousands and at the pace of the machine, and the requests that are there, of which some are read at the same time.
+const (
+	featureBase = iota
+	featureUnread
+	featurePairs
+	featureInFlight
+	featureCount
+)
 
-// features describe a prompt: 1, its tokens that are not kept, and those times the length of the whole prompt, both in thousands.
+// features describe a prompt and, once it is placed, the upstream where it is read.
 type features [featureCount]float64
 
+// promptFeatures returns the features of a prompt alone.
 func promptFeatures(unread, total float64) features {
-	return features{1, unread / 1000, unread * total / 1e6}
+	return features{featureUnread: unread / 1000, featurePairs: unread * total / 1e6}
+}
+
+// at returns the features of the prompt at an upstream of this pace with so many requests.
+func (x features) at(pace, inFlight float64) features {
+	return features{1, pace * x[featureUnread], pace * x[featurePairs], inFlight}
 }
 
-// sums are those of a weighted linear regression of the time to the first token, at the usual pace, and the gaps between events.
+// sums are those of a weighted linear regression of the time to the first token, and of the gaps between events.
 type sums struct {
 	xx [featureCount][featureCount]float64
 	xy features
@@ -106,24 +119,25 @@
 	learnTime = 90 * clock.Second
 )
 
-// read returns the time to read a prompt with these features, at the usual pace and without a wait.
+// read returns the time to read a prompt at the usual pace, from the features of the prompt alone.
 func (m *model) read(x features) float64 {
-	t := 0.0
-	for i, v := range x {
-		t += m.costs[i] * v
-	}
-	return t
+	return m.costs[featureUnread]*x[featureUnread] + m.costs[featurePairs]*x[featurePairs]
 }
 
-// base returns the part of the time to the first token that no prompt can avoid, which doesn't delay others.
-func (m *model) base() float64 { return m.costs[0] }
+// start returns the part of the time to the first token that doesn't depend on the prompt.
+func (m *model) start(inFlight float64) float64 {
+	return m.costs[featureBase] + m.costs[featureInFlight]*inFlight
+}
 
-// add takes the time to the first token of a prompt, at the usual pace and without its wait.
+// add takes the time to the first token, without its wait, with the features of the prompt at its upstream.
 func (m *model) add(x features, y float64, now clock.Millis) {
 	// Errors count in proportion to the usual time.
 	usual := y
 	if m.known {
-		usual = m.read(x)
+		usual = 0
+		for i, v := range x {
+			usual += m.costs[i] * v
+		}
 		y = min(y, maxRatio*usual)
 	}
 	weight := 1 / ((usual + minTime) * (usual + minTime))
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -17,8 +17,8 @@
 	Zone string
 	// Members returns the number of instances, including this one.
 	Members func() int
-	// OnFirstToken receives the predicted and the seen time to the first token of each answer; it is optional.
-	OnFirstToken func(service string, predicted, seen clock.Millis)
+	// OnFirstToken is called when an answer begins, with what was predicted of it; it is optional and must not call the planner.
+	OnFirstToken func(placed Placed)
 
 	mu        sync.Mutex
 	services  map[string]*service
--- a/pkg/placement/query.go
+++ b/pkg/placement/query.go
@@ -14,7 +14,7 @@
 	minPace = 0.05
 	// defaultSlots is the assumed number of concurrent requests of an upstream that reports none.
 	defaultSlots = 8
-	// crowdShare is the weight of the time that a prompt takes from others at its upstream against that of its own caller.
+	// crowdShare is the weight of the work of a prompt, which others at its upstream wait for, against the time of its own caller.
 	crowdShare = 1.0
 	// otherZone is the time that a call to another availability zone takes longer.
 	otherZone = 2.0
@@ -44,11 +44,15 @@
 	listed     *catalogue.Upstream
 	firstToken float64
 	wait, pace float64
+	// inFlight is the number of requests that are known to be there.
+	inFlight float64
 	// work is the work of reading what isn't kept of the prompt, ahead the work before it, and saved the tokens that are expected to be kept.
 	work, ahead, saved float64
-	features           features
-	score              float64
-	atHome             bool
+	// tokens is the length of the whole prompt.
+	tokens   float64
+	features features
+	score    float64
+	atHome   bool
 }
 
 // query returns the query of a call, or nil while too little is known of its service. The caller must hold mu.
@@ -80,41 +84,44 @@
 func (q *query) score(u *catalogue.Upstream) option {
 	p, k := q.planner, q.planner.upstream(u)
 	peers := p.peers[k.key]
-	o := option{listed: u, atHome: slices.Contains(q.homes, u)}
+	o := option{listed: u, tokens: q.total, atHome: slices.Contains(q.homes, u)}
 	o.pace = max(minPace, k.machinePace(peers, q.now-p.peersAt, q.now)*k.ownPace(peers, q.now))
 	o.ahead = k.ownWork(q.now) + p.peerWork(peers, o.pace, q.now)
 	o.saved = q.keptTokens(k, o.atHome)
 	o.features = promptFeatures(q.total-o.saved, q.total)
-	read := q.model.read(o.features)
-	o.work = max(0, read-q.model.base())
-	if q.call.Request.Prompt == nil {
-		o.work = 0
-	}
-	o.wait = o.pace*o.ahead + q.slotWait(k, u, peers, o.pace)
-	o.firstToken = o.wait + o.pace*read
+	o.work = q.model.read(o.features)
+	o.inFlight = k.known(peers)
+	o.wait = o.pace*o.ahead + q.slotWait(u, o.inFlight, o.pace)
+	o.firstToken = o.wait + q.model.start(o.inFlight) + o.pace*o.work
 	if u.Zone != p.Zone {
 		o.firstToken += otherZone
 	}
-	o.score = q.callerCost(o.firstToken) + crowdShare*o.pace*o.work
+	o.score = q.callerCost(o.firstToken) + crowdShare*o.work
 	return o
 }
 
-// slotWait returns how long a call waits for a slot at the upstream.
-func (q *query) slotWait(k *upstream, u *catalogue.Upstream, peers []float32, pace float64) float64 {
-	n := float64(k.inFlight)
-	if len(peers) == figureCount {
-		n += float64(peers[figureInFlight])
-	}
+// slotWait returns how long a call waits for a slot at the upstream, where so many are in flight.
+func (q *query) slotWait(u *catalogue.Upstream, inFlight, pace float64) float64 {
 	slots := float64(u.Slots)
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	if n < slots {
+	// The number is not known exactly, which makes some calls wait that find a slot by this count, and the other way round.
+	over := inFlight + 1 - slots
+	waiting := (over + math.Sqrt(over*over+unseen*unseen)) / 2
+	if waiting < minWaiting {
 		return 0
 	}
-	return (n - slots + 1) / slots * q.service.hold.value * pace
+	return waiting / slots * q.service.hold.value * pace
 }
 
+const (
+	// unseen is the number of requests by which the known number at an upstream is usually off.
+	unseen = 1.5
+	// minWaiting is the number of waiting requests below which none is expected to wait.
+	minWaiting = 0.1
+)
+
 // callerCost returns what a time to the first token costs the caller: little while it is far below the target, and more and more with it.
 func (q *query) callerCost(firstToken float64) float64 {
 	target := max(q.target, 1)
--- a/pkg/placement/stay.go
+++ b/pkg/placement/stay.go
@@ -11,17 +11,33 @@
 	upstream *upstream
 	service  *service
 	model    *model
-	// work is the work of its prompt, in milliseconds of an upstream of the usual pace, and begins the time at which the upstream is expected to
-	// begin with it.
-	work   float64
+	// modelName is empty for a plain call.
+	modelName string
+	sentAt    clock.Millis
+	// begins is when the upstream is expected to begin with the prompt.
 	begins clock.Millis
-	pace   float64
-	sentAt clock.Millis
-	// expected is the forecast of its first token, ahead the work before its own, and features the prompt as the model sees it.
-	expected float64
-	ahead    float64
-	features features
-	begun    bool
+	// option has what was predicted, and news the age of the news of other instances behind it.
+	option option
+	news   clock.Millis
+	begun  bool
+}
+
+// Placed is an attempt whose answer has begun, with the figures by which it was placed; times are in milliseconds.
+type Placed struct {
+	Service, Upstream, Model string
+	// Predicted and Seen are the times to the first token.
+	Predicted, Seen float64
+	// Wait is the part of Predicted before the upstream begins with the prompt, Pace how much longer than usual it takes, and Work the time to
+	// read the prompt at the usual pace.
+	Wait, Pace, Work float64
+	// InFlight is the number of requests that were known to be at the upstream.
+	InFlight float64
+	// Tokens is the length of the prompt, and Kept the part of it that the upstream was expected to keep.
+	Tokens, Kept float64
+	// AtHome is true if the upstream is one at which the shared parts of the prompt are expected.
+	AtHome bool
+	// NewsAge is the age of the news of other instances.
+	NewsAge clock.Millis
 }
 
 // minWorkLeft is the fraction of its work that a prompt counts for until its answer begins, however long that takes.
@@ -29,8 +45,8 @@
 
 // left returns the work that is left of the prompt.
 func (st *Stay) left(now clock.Millis) float64 {
-	done := float64(max(0, now-st.begins)) / st.pace
-	return max(st.work-done, minWorkLeft*st.work)
+	done := float64(max(0, now-st.begins)) / st.option.pace
+	return max(st.option.work-done, minWorkLeft*st.option.work)
 }
 
 // ownWork returns the work of this instance that waits at the upstream.
@@ -58,8 +74,8 @@
 		o = p.newQuery(c, s, name, now).score(c.Upstream)
 	}
 	st := &Stay{
-		planner: p, upstream: k, service: s, model: s.model(name), work: o.work, begins: now + clock.Millis(o.wait), pace: o.pace,
-		sentAt: now, expected: o.firstToken, ahead: o.ahead, features: o.features,
+		planner: p, upstream: k, service: s, model: s.model(name), modelName: name, begins: now + clock.Millis(o.wait), sentAt: now, option: o,
+		news: now - p.peersAt,
 	}
 	k.inFlight++
 	k.waiting = append(k.waiting, st)
@@ -84,8 +100,11 @@
 	defer p.mu.Unlock()
 	st.leaveQueue()
 	p.learn(st, float64(now-st.sentAt), now)
-	if p.OnFirstToken != nil && st.expected > 0 {
-		p.OnFirstToken(st.service.name, clock.Millis(st.expected), now-st.sentAt)
+	if o := &st.option; p.OnFirstToken != nil && o.firstToken > 0 {
+		p.OnFirstToken(Placed{
+			Service: st.service.name, Upstream: st.upstream.name, Model: st.modelName, Predicted: o.firstToken, Seen: float64(now - st.sentAt),
+			Wait: o.wait, Pace: o.pace, Work: o.work, InFlight: o.inFlight, Tokens: o.tokens, Kept: o.saved, AtHome: o.atHome, NewsAge: st.news,
+		})
 	}
 }
 
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -14,7 +14,7 @@
 	usualPace = 100
 	// reportTime is the time after which a reported pace has a third of its weight: other work on the machine comes and goes.
 	reportTime clock.Millis = 400
-	// meanReportWeight is the weight of the usual pace against that of a report which was made just now.
+	// meanReportWeight is the weight of what a machine reports at most times against that of a report which was made just now.
 	meanReportWeight = 0.5
 	// paceTime is the same as reportTime for the samples of the pace of an upstream itself.
 	paceTime = 60 * clock.Second
@@ -39,6 +39,8 @@
 	// reports and reported are the number and the sum of the paces that the machine reported to this instance, both faded to reportedAt.
 	reports, reported float64
 	reportedAt        clock.Millis
+	// usualReports and usualLogPace are the number of these paces and the sum of their logarithms, both faded over paceTime.
+	usualReports, usualLogPace float64
 	// samples and logPace are the weight and the weighted sum of the logarithms of the upstream's own pace, both faded to sampledAt.
 	samples, logPace float64
 	sampledAt        clock.Millis
@@ -54,7 +56,10 @@
 // report takes the pace that the machine reports, where usualPace is the usual one.
 func (k *upstream) report(pace int, now clock.Millis) {
 	f := fade(now-k.reportedAt, reportTime)
-	k.reports, k.reported = k.reports*f+1, k.reported*f+float64(pace)/usualPace
+	ratio := float64(pace) / usualPace
+	k.reports, k.reported = k.reports*f+1, k.reported*f+ratio
+	f = fade(now-k.reportedAt, paceTime)
+	k.usualReports, k.usualLogPace = k.usualReports*f+1, k.usualLogPace*f+math.Log(ratio)
 	k.reportedAt = now
 }
 
@@ -69,16 +74,24 @@
 	k.sampledAt = now
 }
 
-// machinePace returns how much longer than usual work takes on the machine now, by the reports to all instances.
+// machinePace returns how much longer than usual work takes on the machine now, by the reports to all instances; the older they are, the more
+// it is what the machine reports at most times.
 func (k *upstream) machinePace(peers []float32, peersAge clock.Millis, now clock.Millis) float64 {
 	f := fade(now-k.reportedAt, reportTime)
 	n, sum := k.reports*f, k.reported*f
+	usual, usualSum := k.usualReports, k.usualLogPace
 	if len(peers) == figureCount {
 		f = fade(peersAge, reportTime)
 		n += float64(peers[figureReports]) * f
 		sum += float64(peers[figureReported]) * f
+		usual += float64(peers[figureUsualReports])
+		usualSum += float64(peers[figureUsualLogPace])
 	}
-	return (sum + meanReportWeight) / (n + meanReportWeight)
+	most := 1.0
+	if usual > 0 {
+		most = math.Exp(usualSum / (usual + minFigure))
+	}
+	return (sum + meanReportWeight*most) / (n + meanReportWeight)
 }
 
 // ownPace returns how much longer than its kind the upstream takes, by the answers to all instances. Few samples are pulled toward the kind.
@@ -91,3 +104,12 @@
 	}
 	return math.Exp(sum / (n + kindWeight))
 }
+
+// known returns the number of requests that all instances together have at the upstream, as far as they have told.
+func (k *upstream) known(peers []float32) float64 {
+	n := float64(k.inFlight)
+	if len(peers) == figureCount {
+		n += float64(peers[figureInFlight])
+	}
+	return n
+}
--- a/pkg/pricing/confidence.go
+++ b/pkg/pricing/confidence.go
@@ -37,6 +37,9 @@
 // the rest is for reading the prompt.
 const maxWaitShare = 0.5
 
+// lateWorth is what an answer that begins after the target latency is taken to be worth against one in time.
+const lateWorth = 0.33
+
 // minTimeShare is the fraction of the route's target latency that must be left before the deadline to drop an answer.
 const minTimeShare = 0.5
 
@@ -129,7 +132,7 @@
 	largest := c.Route.Sizes[len(c.Route.Sizes)-1]
 	if f.InTime != nil {
 		if chance, ok := f.InTime(c, largest); ok {
-			return least * chance
+			return least * (lateWorth + (1-lateWorth)*chance)
 		}
 	}
 	if f.ExpectedWait == nil || c.Route.Target <= 0 {
