--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -244,10 +244,9 @@
 	defer f.Releases.RecordSend(c, f.Snapshot().Moves[a.upstream.Service])()
 	defer f.Loads.EndRequest(a.upstream.Name)
 	c.OnFirstEvent = a.begin
+	defer a.placed.End()
 	defer a.subtractWork()
-	err := next.Handle(ctx, c)
-	a.placed.End(err == nil, f.Clock.Now())
-	return err
+	return next.Handle(ctx, c)
 }
 
 // recordAttempt records the outcome of an attempt for session affinity and outlier detection.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -215,7 +215,7 @@
 	members := func() []catalogue.Member { return in.control.Snapshot().Members }
 	in.limits = &dispatch.NamedLimits{Log: in.Log.WithName("dispatch"), Self: in.self.Name, Members: members}
 	in.slots = &occupancy.Slots{Log: in.Log.WithName("occupancy"), Self: in.self.Name, Members: members}
-	in.planner = &placement.Planner{Clock: in.Clock, Zone: in.self.Zone, Members: func() int { return len(members()) }, OnFirstToken: in.observePlacement}
+	in.planner = &placement.Planner{Zone: in.self.Zone, Members: func() int { return len(members()) }, OnFirstToken: in.observePlacement}
 	in.notices = &dispatch.Notices{Log: in.Log.WithName("dispatch")}
 	in.buildSuspects()
 	in.detours = &detour.Detours{
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -33,7 +33,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	q := p.query(c, modelOf(c), upstreams, now)
-	if q == nil {
+	if q == nil || !q.service.paced {
 		return Choice{}, false
 	}
 	var best option
@@ -45,23 +45,28 @@
 	for _, u := range q.homes {
 		consider(u)
 	}
+	q.draw(upstreams, consider)
+	return Choice{Upstream: best.listed, Forecast: q.forecast(best), option: best}, true
+}
+
+// draw considers as many of the upstreams as the call compares.
+func (q *query) draw(upstreams []*catalogue.Upstream, consider func(u *catalogue.Upstream)) {
 	n := q.compared(len(upstreams))
 	if n >= len(upstreams) {
 		for _, u := range upstreams {
 			consider(u)
 		}
-	} else {
-		seed := request.HashKey("placement", c.Request.ID) + uint64(c.Attempts)
-		near := q.near(upstreams)
-		for i := range n {
-			from := near
-			if i%farDraws == farDraws-1 {
-				from = upstreams
-			}
-			consider(from[mix(seed+uint64(i)*drawStep)%uint64(len(from))])
+		return
+	}
+	seed := request.HashKey("placement", q.call.Request.ID) + uint64(q.call.Attempts)
+	near := q.near(upstreams)
+	for i := range n {
+		from := near
+		if i%farDraws == farDraws-1 {
+			from = upstreams
 		}
+		consider(from[mix(seed+uint64(i)*drawStep)%uint64(len(from))])
 	}
-	return Choice{Upstream: best.listed, Forecast: q.forecast(best), option: best}, true
 }
 
 // near returns the upstreams in the zone of this instance, or all of them if there are too few to take what comes from here.
--- a/pkg/placement/exchange.go
+++ b/pkg/placement/exchange.go
@@ -58,7 +58,7 @@
 	defer p.mu.Unlock()
 	own := Figures{}
 	for _, k := range p.upstreams {
-		if s := p.services[k.service]; s == nil || !s.paced {
+		if s := p.services[k.service]; s == nil || !p.isForecast(s) {
 			continue
 		}
 		report, pace := fade(now-k.reportedAt, reportTime), fade(now-k.sampledAt, paceTime)
@@ -72,7 +72,7 @@
 		}
 	}
 	for _, s := range p.services {
-		if !s.paced {
+		if !p.isForecast(s) {
 			continue
 		}
 		for _, m := range s.models {
--- a/pkg/placement/learn.go
+++ b/pkg/placement/learn.go
@@ -48,12 +48,12 @@
 	machine := k.machinePace(peers, now-p.peersAt, now)
 	if m.known {
 		// What doesn't depend on the prompt says nothing of the machine.
-		start, read := m.start(o.inFlight), machine*m.read(o.features)
+		start, read := m.start(o.inFlight, o.waiting), machine*m.read(o.features)
 		usual := machine*o.ahead + read
 		k.sample((max(0, took-start)+minTime)/(usual+minTime), firstTokenWeight*read/(start+usual+minTime), now)
 	}
 	pace := max(minPace, machine*k.ownPace(peers, now))
 	if ahead := pace * o.ahead; ahead <= maxAheadShare*took {
-		m.add(o.features.at(pace, o.inFlight), max(0, took-ahead), now)
+		m.add(o.features.at(pace, o.inFlight, o.waiting), max(0, took-ahead), now)
 	}
 }
--- a/pkg/placement/model.go
+++ b/pkg/placement/model.go
@@ -3,12 +3,14 @@
 import "carawayknot.example/carawayknot/pkg/clock"
 
 // The features by which the time to the first token is estimated: 1, the tokens that are not kept, those times the length of the whole prompt,
-// both in thousands and at the pace of the machine, and the requests that are there, of which some are read at the same time.
+// both in thousands and at the pace of the machine, the requests that are there, of which some are read at the same time, and those that wait for
+// a slot, for each slot.
 const (
 	featureBase = iota
 	featureUnread
 	featurePairs
 	featureInFlight
+	featureWaiting
 	featureCount
 )
 
@@ -20,9 +22,9 @@
 	return features{featureUnread: unread / 1000, featurePairs: unread * total / 1e6}
 }
 
-// at returns the features of the prompt at an upstream of this pace with so many requests.
-func (x features) at(pace, inFlight float64) features {
-	return features{1, pace * x[featureUnread], pace * x[featurePairs], inFlight}
+// at returns the features of the prompt at an upstream of this pace with so many requests, and so many for each slot that wait.
+func (x features) at(pace, inFlight, waiting float64) features {
+	return features{1, pace * x[featureUnread], pace * x[featurePairs], inFlight, waiting}
 }
 
 // sums are those of a weighted linear regression of the time to the first token, and of the gaps between events.
@@ -125,8 +127,8 @@
 }
 
 // start returns the part of the time to the first token that doesn't depend on the prompt.
-func (m *model) start(inFlight float64) float64 {
-	return m.costs[featureBase] + m.costs[featureInFlight]*inFlight
+func (m *model) start(inFlight, waiting float64) float64 {
+	return m.costs[featureBase] + m.costs[featureInFlight]*inFlight + m.costs[featureWaiting]*waiting
 }
 
 // add takes the time to the first token, without its wait, with the features of the prompt at its upstream.
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -12,11 +12,12 @@
 // Planner predicts first tokens and places calls for the services whose upstreams report the pace of their machines. It is safe for
 // concurrent use, and its exported fields must be set before its first use; a nil Planner places nothing.
 type Planner struct {
-	Clock clock.Clock
 	// Zone is the availability zone of this instance.
 	Zone string
 	// Members returns the number of instances, including this one.
 	Members func() int
+	// Forecasts reports whether the calls of a service are forecast although its upstreams report no pace; nil means that none are.
+	Forecasts func(service string) bool
 	// OnFirstToken is called when an answer begins, with what was predicted of it; it is optional and must not call the planner.
 	OnFirstToken func(placed Placed)
 
@@ -45,22 +46,14 @@
 	paced bool
 	// models has what was learned of each model; plain calls are of the model "".
 	models map[string]*model
-	// hold is the time for which an attempt takes a slot.
-	hold mean
 	// arrivals has the work that this instance sends, and tokens the prompt tokens.
 	arrivals, tokens rate
 	parts            partTable
 }
 
-// On reports whether the calls of a service are placed by predictions.
-func (p *Planner) On(name string) bool {
-	if p == nil {
-		return false
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.services[name]
-	return s != nil && s.paced
+// isForecast reports whether first tokens of a service are predicted.
+func (p *Planner) isForecast(s *service) bool {
+	return s.paced || p.Forecasts != nil && p.Forecasts(s.name)
 }
 
 // Best returns the earliest first token that any of the upstreams would give the call now, and false while nothing is known of them. A call
--- a/pkg/placement/query.go
+++ b/pkg/placement/query.go
@@ -44,8 +44,8 @@
 	listed     *catalogue.Upstream
 	firstToken float64
 	wait, pace float64
-	// inFlight is the number of requests that are known to be there.
-	inFlight float64
+	// inFlight is the number of requests that are known to be there, and waiting those of them that wait for a slot, for each slot.
+	inFlight, waiting float64
 	// work is the work of reading what isn't kept of the prompt, ahead the work before it, and saved the tokens that are expected to be kept.
 	work, ahead, saved float64
 	// tokens is the length of the whole prompt.
@@ -58,7 +58,7 @@
 // query returns the query of a call, or nil while too little is known of its service. The caller must hold mu.
 func (p *Planner) query(c *request.Call, model string, upstreams []*catalogue.Upstream, now clock.Millis) *query {
 	s := p.services[upstreams[0].Service]
-	if s == nil || !s.paced || !s.model(model).known {
+	if s == nil || !p.isForecast(s) || !s.model(model).known {
 		return nil
 	}
 	q := p.newQuery(c, s, model, now)
@@ -91,8 +91,9 @@
 	o.features = promptFeatures(q.total-o.saved, q.total)
 	o.work = q.model.read(o.features)
 	o.inFlight = k.known(peers)
-	o.wait = o.pace*o.ahead + q.slotWait(u, o.inFlight, o.pace)
-	o.firstToken = o.wait + q.model.start(o.inFlight) + o.pace*o.work
+	o.waiting = waitingPerSlot(u, o.inFlight)
+	o.wait = o.pace*o.ahead + q.model.start(o.inFlight, o.waiting)
+	o.firstToken = o.wait + o.pace*o.work
 	if u.Zone != p.Zone {
 		o.firstToken += otherZone
 	}
@@ -100,8 +101,8 @@
 	return o
 }
 
-// slotWait returns how long a call waits for a slot at the upstream, where so many are in flight.
-func (q *query) slotWait(u *catalogue.Upstream, inFlight, pace float64) float64 {
+// waitingPerSlot returns how many requests wait for each slot of an upstream where so many are in flight.
+func waitingPerSlot(u *catalogue.Upstream, inFlight float64) float64 {
 	slots := float64(u.Slots)
 	if slots <= 0 {
 		slots = defaultSlots
@@ -112,7 +113,7 @@
 	if waiting < minWaiting {
 		return 0
 	}
-	return waiting / slots * q.service.hold.value * pace
+	return waiting / slots
 }
 
 const (
--- a/pkg/placement/stay.go
+++ b/pkg/placement/stay.go
@@ -66,7 +66,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.services[c.Upstream.Service]
-	if s == nil || !s.paced {
+	if s == nil && p.Forecasts != nil && p.Forecasts(c.Upstream.Service) {
+		s = p.service(c.Upstream.Service)
+	}
+	if s == nil || !p.isForecast(s) {
 		return nil
 	}
 	k, name, o := p.upstream(c.Upstream), modelOf(c), choice.option
@@ -108,8 +111,8 @@
 	}
 }
 
-// End records the end of the attempt; complete is true if the upstream answered in full.
-func (st *Stay) End(complete bool, now clock.Millis) {
+// End records the end of the attempt.
+func (st *Stay) End() {
 	if st == nil {
 		return
 	}
@@ -118,9 +121,6 @@
 	defer p.mu.Unlock()
 	st.leaveQueue()
 	st.upstream.inFlight--
-	if complete {
-		st.service.hold.add(float64(now - st.sentAt))
-	}
 }
 
 // leaveQueue removes the attempt from those whose answer hasn't begun.
