Placement: calls that don't find room at the home of their prompt follow its order

Cause: prompts that were not placed at a home went to upstreams drawn by the request, where nothing of them was kept. Change: the upstreams that are compared are the first in the rendezvous order of the shared parts; the chance that they keep these falls with the place in it. No two prompts have the same order, so that choosers of the same news still spread.

--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -42,10 +42,12 @@
 			best = o
 		}
 	}
-	for _, u := range q.homes {
+	for _, u := range q.ranked {
 		consider(u)
 	}
-	q.draw(upstreams, consider)
+	if len(q.ranked) == 0 {
+		q.draw(upstreams, consider)
+	}
 	return Choice{Upstream: best.listed, Forecast: q.forecast(best), option: best}, true
 }
 
@@ -101,7 +103,7 @@
 	}
 	work := q.planner.members() * q.service.arrivals.per(q.now) * newsTime
 	own := q.model.read(promptFeatures(q.total, q.total))
-	if work <= 0 || own <= 0 {
+	if own <= 0 {
 		return minCompared
 	}
 	// At most that many calls bring as much work (Markov's inequality).
--- a/pkg/placement/kept.go
+++ b/pkg/placement/kept.go
@@ -21,6 +21,8 @@
 	homeChance, sentChance = 0.85, 0.97
 	// maxHomes bounds the upstreams that keep the same parts at a time.
 	maxHomes = 4
+	// maxRanked bounds the upstreams that are compared by the order of a prompt.
+	maxRanked = 24
 	// homeShare is the share of an upstream's time that prompts with the same parts may take before they get another home.
 	homeShare = 0.25
 )
@@ -57,22 +59,27 @@
 // maxKeptParts is the number of parts after which those of an upstream are dropped.
 const maxKeptParts = 512
 
-// keptTokens returns the number of tokens of the prompt that the upstream is expected to keep: a part is kept only if all before it are.
-func (q *query) keptTokens(k *upstream, atHome bool) float64 {
+// keptTokens returns the number of tokens of the prompt that the upstream at a place of its order is expected to keep: a part is kept only if
+// all before it are.
+func (q *query) keptTokens(k *upstream, place int) float64 {
 	kept, chance := 0.0, 1.0
 	for _, part := range q.chain {
-		chance = min(chance, q.keptChance(k, part, atHome))
+		chance = min(chance, q.keptChance(k, part, place))
 		kept += chance * part.tokens
 	}
 	return min(kept, q.total)
 }
 
 // keptChance returns the chance that the upstream keeps a part. Parts that most prompts share are kept everywhere.
-func (q *query) keptChance(k *upstream, part part, atHome bool) float64 {
+func (q *query) keptChance(k *upstream, part part, place int) float64 {
 	perUpstream := q.service.parts.rate(part.hash, q.now) * q.planner.members() * q.service.parts.awayShare() / float64(max(1, q.upstreams))
 	chance := 1 - math.Exp(-perUpstream*q.keepTime)
-	if atHome {
+	switch {
+	case place < 0:
+	case place < q.homes:
 		chance = max(chance, homeChance)
+	default:
+		chance = max(chance, homeChance*math.Exp2(-float64(place-q.homes+1)))
 	}
 	if at, sent := k.kept[part.hash]; sent {
 		chance = max(chance, sentChance*math.Exp(-float64(q.now-at)/q.keepTime))
@@ -89,31 +96,34 @@
 	return min(float64(pool.CacheTokens)/perUpstream, maxKeepTime)
 }
 
-// findHomes returns the upstreams at which the shared parts of the prompt are expected, by rendezvous hashing, in which all instances agree. Heavy
-// prompts have the one of the best pace among the highest ranked ones first.
-func (q *query) findHomes(upstreams []*catalogue.Upstream) []*catalogue.Upstream {
+// rank returns the first upstreams in the rendezvous order of the shared parts of the prompt, in which all instances agree: its homes, and as
+// many more as are compared, which prompts with the same parts go to next. Heavy prompts have the upstream of the best pace among the first few
+// as their first home.
+func (q *query) rank(upstreams []*catalogue.Upstream) (ranked []*catalogue.Upstream, homes int) {
 	if len(q.chain) == 0 {
-		return nil
+		return nil, 0
 	}
 	key := q.chain[len(q.chain)-1].hash
-	var ranked [maxHomes]*catalogue.Upstream
-	var weights [maxHomes]uint64
+	homes = q.homeCount(key)
+	n := min(max(maxHomes, homes+q.compared(len(upstreams))), len(upstreams), maxRanked)
+	var top [maxRanked]*catalogue.Upstream
+	var weights [maxRanked]uint64
 	for _, u := range upstreams {
 		w := mix(key ^ xxhash.Sum64String(u.Name))
-		if w <= weights[maxHomes-1] && ranked[maxHomes-1] != nil {
+		if top[n-1] != nil && w <= weights[n-1] {
 			continue
 		}
-		i := maxHomes - 1
-		for ; i > 0 && (ranked[i-1] == nil || w > weights[i-1]); i-- {
-			ranked[i], weights[i] = ranked[i-1], weights[i-1]
+		i := n - 1
+		for ; i > 0 && (top[i-1] == nil || w > weights[i-1]); i-- {
+			top[i], weights[i] = top[i-1], weights[i-1]
 		}
-		ranked[i], weights[i] = u, w
+		top[i], weights[i] = u, w
 	}
-	homes := ranked[:min(maxHomes, len(upstreams))]
+	ranked = top[:n]
 	if q.isHeavy() {
-		slices.SortStableFunc(homes, func(a, b *catalogue.Upstream) int { return q.paceStep(a) - q.paceStep(b) })
+		slices.SortStableFunc(ranked[:min(maxHomes, n)], func(a, b *catalogue.Upstream) int { return q.paceStep(a) - q.paceStep(b) })
 	}
-	return homes[:min(len(homes), q.homeCount(key))]
+	return ranked, min(homes, n)
 }
 
 // isHeavy reports whether the shared parts alone take so long to read that the pace of the machine matters. It depends on nothing else of the
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -205,7 +205,7 @@
 	upstreams := newUpstreams(40)
 	p := newPlanner(members, upstreams)
 	homes := func(now clock.Millis) int {
-		return len(p.query(newCall("q", "hot", 5000, 500, now), "large", upstreams, now).homes)
+		return p.query(newCall("q", "hot", 5000, 500, now), "large", upstreams, now).homes
 	}
 	got := []int{homes(start)}
 	now := start
--- a/pkg/placement/query.go
+++ b/pkg/placement/query.go
@@ -32,9 +32,11 @@
 	// chain has the parts of the prompt that others share, in order; total is the number of tokens of the whole prompt.
 	chain []part
 	total float64
-	// upstreams is the number of upstreams that are compared, and homes those at which the shared parts are expected.
+	// upstreams is the number of upstreams of the service, ranked has the first of them in the order of the prompt, and homes is the number of
+	// those at which its shared parts are expected.
 	upstreams int
-	homes     []*catalogue.Upstream
+	ranked    []*catalogue.Upstream
+	homes     int
 	// keepTime is how long a part is kept after its last use.
 	keepTime float64
 }
@@ -64,7 +66,7 @@
 	q := p.newQuery(c, s, model, now)
 	q.upstreams = len(upstreams)
 	q.keepTime = p.keepTime(s, c.Pool, len(upstreams), now)
-	q.homes = q.findHomes(upstreams)
+	q.ranked, q.homes = q.rank(upstreams)
 	return q
 }
 
@@ -84,10 +86,11 @@
 func (q *query) score(u *catalogue.Upstream) option {
 	p, k := q.planner, q.planner.upstream(u)
 	peers := p.peers[k.key]
-	o := option{listed: u, tokens: q.total, atHome: slices.Contains(q.homes, u)}
+	place := slices.Index(q.ranked, u)
+	o := option{listed: u, tokens: q.total, atHome: place >= 0 && place < q.homes}
 	o.pace = max(minPace, k.machinePace(peers, q.now-p.peersAt, q.now)*k.ownPace(peers, q.now))
 	o.ahead = k.ownWork(q.now) + p.peerWork(peers, o.pace, q.now)
-	o.saved = q.keptTokens(k, o.atHome)
+	o.saved = q.keptTokens(k, place)
 	o.features = promptFeatures(q.total-o.saved, q.total)
 	o.work = q.model.read(o.features)
 	o.inFlight = k.known(peers)
