--- a/pkg/gateway/admin.go
+++ b/pkg/gateway/admin.go
@@ -9,6 +9,7 @@
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/dispatch"
 	"carawayknot.example/carawayknot/pkg/occupancy"
+	"carawayknot.example/carawayknot/pkg/placement"
 )
 
 // Dump is the state of an instance for operators; times are monotonic milliseconds of the instance, and no API key is in it.
@@ -39,6 +40,8 @@
 	Limits map[string]dispatch.LimitState
 	// FragileUpstreams has the upstreams that bear few rejections.
 	FragileUpstreams map[string]occupancy.State
+	// PlacedUpstreams has the upstreams for which first tokens are predicted.
+	PlacedUpstreams map[string]placement.UpstreamState
 	// Crashes counts crashes under requests and the work of the quarantine.
 	Crashes dispatch.CrashStats
 	// Detours has the services that this instance doesn't reach, whose calls go through other instances.
@@ -54,6 +57,7 @@
 	}
 	d.Limits, _ = in.limits.States()
 	d.FragileUpstreams = in.slots.States(now)
+	d.PlacedUpstreams = in.planner.States(now)
 	d.StoreReads, d.InstanceReads = in.peerSource.Reads()
 	d.Models, d.ConfidenceNoise = in.latencies.Models(), map[string]float64{}
 	if err := in.ready(); err != nil {
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -245,6 +245,37 @@
 	}
 }
 
+// Failure: an upstream that reports a pace which makes no sense, and then none.
+func TestSenselessReportsFade(t *testing.T) {
+	k := newUpstream(newUpstreams(1)[0])
+	for i := range 60 {
+		k.report(usualPace, start+clock.Millis(i)*clock.Second)
+	}
+	now := start + 60*clock.Second
+	k.report(1<<30, now)
+	got := []bool{k.machinePace(nil, 0, now) > maxReportedPace, k.machinePace(nil, 0, now+5*clock.Second) > 1.1}
+	if diff := cmp.Diff([]bool{false, false}, got); diff != "" {
+		t.Errorf("pace beyond the bound at once, and still five seconds later (-want +got):\n%s", diff)
+	}
+}
+
+// Failure: this instance is cut off from all others.
+func TestNewsOfPeersFade(t *testing.T) {
+	upstreams := newUpstreams(1)
+	p := newPlanner(3, upstreams)
+	p.SetPeers(Figures{lifetimeKey(upstreams[0]): {400, 9, 0, 0, 0, 0, 0, 0}}, start)
+	got := []UpstreamState{}
+	for _, at := range []clock.Millis{start, start + 20*clock.Second} {
+		p.SetPeers(nil, at)
+		s := p.States(at)[upstreams[0].Name]
+		got = append(got, UpstreamState{InFlight: s.InFlight, WorkAhead: s.WorkAhead, NewsAge: s.NewsAge})
+	}
+	want := []UpstreamState{{InFlight: 9, WorkAhead: 400}, {NewsAge: 20 * clock.Second}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("upstream at once and 20 s after the last news (-want +got):\n%s", diff)
+	}
+}
+
 func TestPeersTellOfPaceAndWork(t *testing.T) {
 	upstreams := newUpstreams(2)
 	a, b := newPlanner(2, upstreams), newPlanner(2, upstreams)
--- a/pkg/placement/query.go
+++ b/pkg/placement/query.go
@@ -93,7 +93,7 @@
 	o.saved = q.keptTokens(k, place)
 	o.features = promptFeatures(q.total-o.saved, q.total)
 	o.work = q.model.read(o.features)
-	o.inFlight = k.known(peers)
+	o.inFlight = k.known(peers, q.now-p.peersAt)
 	o.waiting = waitingPerSlot(u, o.inFlight)
 	o.wait = o.pace*o.ahead + q.model.start(o.inFlight, o.waiting)
 	o.firstToken = o.wait + o.pace*o.work
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -16,6 +16,10 @@
 	reportTime clock.Millis = 400
 	// meanReportWeight is the weight of what a machine reports at most times against that of a report which was made just now.
 	meanReportWeight = 0.5
+	// maxReportedPace bounds a reported pace, and its inverse, as a multiple of the usual one.
+	maxReportedPace = 10.0
+	// newsTTL is the age from which the requests that other instances told of count for less.
+	newsTTL clock.Millis = 1500
 	// paceTime is the same as reportTime for the samples of the pace of an upstream itself.
 	paceTime = 60 * clock.Second
 	// kindWeight is the number of samples at which an upstream's own pace counts as much as that of its kind.
@@ -56,7 +60,7 @@
 // report takes the pace that the machine reports, where usualPace is the usual one.
 func (k *upstream) report(pace int, now clock.Millis) {
 	f := fade(now-k.reportedAt, reportTime)
-	ratio := float64(pace) / usualPace
+	ratio := min(max(float64(pace)/usualPace, 1/maxReportedPace), maxReportedPace)
 	k.reports, k.reported = k.reports*f+1, k.reported*f+ratio
 	f = fade(now-k.reportedAt, paceTime)
 	k.usualReports, k.usualLogPace = k.usualReports*f+1, k.usualLogPace*f+math.Log(ratio)
@@ -106,10 +110,10 @@
 }
 
 // known returns the number of requests that all instances together have at the upstream, as far as they have told.
-func (k *upstream) known(peers []float32) float64 {
+func (k *upstream) known(peers []float32, peersAge clock.Millis) float64 {
 	n := float64(k.inFlight)
 	if len(peers) == figureCount {
-		n += float64(peers[figureInFlight])
+		n += float64(peers[figureInFlight]) * fade(peersAge-newsTTL, newsTTL)
 	}
 	return n
 }
