--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -40,7 +40,9 @@
 			in.limits.Observe(upstream, limit, sentAt, in.Clock.Now())
 		},
 		OnRoom: func(u *catalogue.Upstream, room request.Room, sentAt clock.Millis) {
-			in.slots.Observe(u, room, sentAt, in.Clock.Now())
+			now := in.Clock.Now()
+			in.slots.Observe(u, room, sentAt, now)
+			in.planner.Report(u, room.Load, now)
 		},
 		OnNotice: func(u *catalogue.Upstream, notice request.Notice) { in.notices.Observe(u, notice, in.Clock.Now()) },
 	}
@@ -54,28 +56,29 @@
 	}
 	in.through.Open()
 	d := &dispatch.Dispatch{
-		Clock:    in.Clock,
-		Log:      in.Log.WithName("dispatch"),
-		Zone:     in.Settings.Zone,
-		Snapshot: in.control.Snapshot,
-		Loads:    in.loadTracker,
-		Outliers: in.outliers,
-		Releases: in.releases,
-		Budgets:  budgets,
-		Latency:  in.latencies,
-		Suspects: in.suspects,
-		Limits:   in.limits,
-		Slots:    in.slots,
-		Notices:  in.notices,
-		Detours:  in.detours,
-		Through:  in.through,
+		Clock:     in.Clock,
+		Log:       in.Log.WithName("dispatch"),
+		Zone:      in.Settings.Zone,
+		Snapshot:  in.control.Snapshot,
+		Loads:     in.loadTracker,
+		Outliers:  in.outliers,
+		Releases:  in.releases,
+		Budgets:   budgets,
+		Latency:   in.latencies,
+		Suspects:  in.suspects,
+		Limits:    in.limits,
+		Slots:     in.slots,
+		Notices:   in.notices,
+		Placement: in.planner,
+		Detours:   in.detours,
+		Through:   in.through,
 	}
 	filters := []request.Filter{
 		delivery.FinalOutcome{},
 		&desk.ResolveRoute{Snapshot: in.control.Snapshot, Clock: in.Clock, Age: in.control.Age, MaxDenialAge: in.Settings.Bounds.ConfigApply, MaxKeyAge: in.maxKeyAge()},
 		&pricing.ConfidenceCascade{
 			Log: in.Log.WithName("pricing"), Clock: in.Clock, LeastSuccess: &in.leastSuccess, Calibration: in.calibration,
-			ExpectedWait: d.ExpectedWait, Urgency: in.urgency, Budgets: budgets,
+			ExpectedWait: d.ExpectedWait, Urgency: in.urgency, InTime: d.InTime, Budgets: budgets,
 		},
 		d,
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"carawayknot.example/carawayknot/pkg/duty"
 	"carawayknot.example/carawayknot/pkg/membership"
 	"carawayknot.example/carawayknot/pkg/occupancy"
+	"carawayknot.example/carawayknot/pkg/placement"
 	"carawayknot.example/carawayknot/pkg/pricing"
 	"carawayknot.example/carawayknot/pkg/quarantine"
 	"carawayknot.example/carawayknot/pkg/request"
@@ -116,6 +117,9 @@
 	inFlight    *desk.InFlight
 	accounts    accounts
 	draining    atomic.Bool
+	planner     *placement.Planner
+	// placed counts the answers that were placed by predictions.
+	placed atomic.Int64
 	// cancelRequests cancels the context of the callers' requests in flight.
 	cancelRequests context.CancelFunc
 	// rolloutOrdered receives a value once a release rollout is ordered.
@@ -228,10 +232,12 @@
 	in.loads = &membership.Loads{
 		Clock: in.Clock, Self: in.self.Name, Zone: in.self.Zone, Network: in.network, OwnLoad: in.ownLoads,
 		SetPeerLoads: in.applyPeerLoads, ZoneLeaders: in.zoneLeaders,
+		OwnFigures: in.ownFigures, SetPeerFigures: in.applyPeerFigures,
 	}
 	members := func() []catalogue.Member { return in.control.Snapshot().Members }
 	in.limits = &dispatch.NamedLimits{Log: in.Log.WithName("dispatch"), Self: in.self.Name, Members: members}
 	in.slots = &occupancy.Slots{Log: in.Log.WithName("occupancy"), Self: in.self.Name, Members: members}
+	in.planner = &placement.Planner{Zone: in.self.Zone, Members: func() int { return len(members()) }, OnFirstToken: in.observePlacement}
 	in.notices = &dispatch.Notices{Log: in.Log.WithName("dispatch")}
 	in.buildSuspects()
 	in.detours = &detour.Detours{
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -26,6 +26,7 @@
 		in.countUsage(c)
 	}
 	in.loadTracker.Report(s.Upstream, s.Load, s.At)
+	in.planner.Gap(c, s.Gap, s.At)
 	model, tokens := latencyKey(c)
 	latency, slow := s.FirstToken, false
 	if latency > 0 {
--- a/pkg/pricing/confidence.go
+++ b/pkg/pricing/confidence.go
@@ -28,12 +28,18 @@
 	ExpectedWait func(c *request.Call, model string, share float64) clock.Millis
 	// Urgency returns the urgency of a call; nil means that all are equally urgent.
 	Urgency func(c *request.Call) admission.Urgency
+	// InTime predicts the chance that the answer of a model begins within the target latency, and takes the place of ExpectedWait where it
+	// reports that anything is known; it may be nil.
+	InTime func(c *request.Call, model string) (chance float64, ok bool)
 	// Budgets limits the attempts beyond the first.
 	Budgets *dispatch.RetryBudgets
 
 	waysBack waysBack
 }
 
+// lateWorth is what an answer that begins after the target latency is taken to be worth against one in time.
+const lateWorth = 0.33
+
 // minTimeShare is the fraction of the route's target latency that must be left before the deadline to drop an answer.
 const minTimeShare = 0.5
 
@@ -123,6 +129,12 @@
 // answer that would be late isn't worth that much.
 func (f *ConfidenceCascade) leastSuccess(c *request.Call) float64 {
 	least := float64(f.LeastSuccess.Load()) / 100
+	largest := c.Route.Sizes[len(c.Route.Sizes)-1]
+	if f.InTime != nil {
+		if chance, ok := f.InTime(c, largest); ok {
+			return least * (lateWorth + (1-lateWorth)*chance)
+		}
+	}
 	if f.ExpectedWait == nil || c.Route.Target <= 0 {
 		return least
 	}
@@ -131,8 +143,7 @@
 		urgency = f.Urgency(c)
 	}
 	repeat := admission.RepeatOf(urgency, c.Route.Target)
-	wait := f.ExpectedWait(c, c.Route.Sizes[len(c.Route.Sizes)-1], repeat.Share)
-	return least * repeat.Worth(wait)
+	return least * repeat.Worth(f.ExpectedWait(c, largest, repeat.Share))
 }
 
 // cheapestSize returns the index of the larger model with the least expected cost: its own, and that of the largest one if it is not
