Configuration: an instance that starts on an older copy asks the others

Cause: the first configuration that a process read counted as current, also on a store that had come back from a copy without the newest one. A key that had been taken away ran at an instance that started then, while the others refused it. An instance that had been cut off when the key was taken away did the same.

When all start at once, none knows more and the copy counts. The first era is as before.

--- a/pkg/catalogue/operation.go
+++ b/pkg/catalogue/operation.go
@@ -8,8 +8,9 @@
 	Key     string
 	Kind    OperationKind
 	Removed bool
-	// Table is a new configuration of routes.
+	// Table is a new configuration of routes, and Value its encoded record, for other instances.
 	Table *RouteTable
+	Value []byte
 	// Order requests the rollout of a release at a service.
 	Order *ReleaseOrder
 	// Zone is the availability zone to exclude from new work.
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"sync"
 	"sync/atomic"
 
@@ -11,12 +12,19 @@
 	"carawayknot.example/carawayknot/pkg/archive"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/revision"
 )
 
 // Control owns the control state of an instance; a single actor changes it and publishes snapshots to the request path.
 type Control struct {
 	Clock clock.Clock
 	Log   logr.Logger
+	// OnDoubt is called when a store that came back from an older copy, and the view, may lack a newer configuration that other instances
+	// have; it is nil if there are none. That needs a view older than MaxAge, since a younger one saw what was confirmed some time before.
+	OnDoubt func()
+	MaxAge  clock.Millis
+	// DecodeOperation decodes the configurations of other instances.
+	DecodeOperation func(r archive.Record) (catalogue.Operation, error)
 	// OnMembersChanged is called with all entry instances when they change.
 	OnMembersChanged func(members []catalogue.Member)
 
@@ -28,8 +36,12 @@
 	system   *actor.ActorSystem
 	pid      *actor.PID
 	snapshot atomic.Pointer[catalogue.Snapshot]
-	// currentAt is the monotonic time up to which the view has all of the operators' confirmed changes, or -1 before the first read.
+	// currentAt is the monotonic time up to which the view has all of the operators' confirmed changes, or neverCurrent before the first read.
 	currentAt atomic.Int64
+	// asOf is the monotonic time of the last read of the operators' changes.
+	asOf clock.Millis
+	// known is what this instance tells others of its configuration.
+	known atomic.Pointer[revision.Reply]
 	// listReadAt is the monotonic time of the last read of the upstream list.
 	listReadAt atomic.Int64
 	// loaded is closed once the configuration and the upstream list were read.
@@ -51,7 +63,8 @@
 
 // Run starts the actor and must be called before all other methods.
 func (c *Control) Run() {
-	c.currentAt.Store(-1)
+	c.currentAt.Store(neverCurrent)
+	c.known.Store(&revision.Reply{})
 	c.loaded, c.stopped = make(chan struct{}), make(chan struct{})
 	c.snapshot.Store(c.view.Snapshot(false))
 	logger := slog.New(logr.ToSlogHandler(c.Log.V(1)))
@@ -79,12 +92,15 @@
 // the first read it exceeds all bounds.
 func (c *Control) Age(now clock.Millis) clock.Millis {
 	at := c.currentAt.Load()
-	if at < 0 {
+	if at == neverCurrent {
 		return unknownAge
 	}
 	return now - clock.Millis(at)
 }
 
+// neverCurrent is Control.currentAt before the view was current.
+const neverCurrent = math.MinInt64
+
 // unknownAge is larger than all bounds on the age of the view.
 const unknownAge clock.Millis = 1 << 40
 
@@ -94,13 +110,10 @@
 	switch m := ctx.Message().(type) {
 	case archive.Batch[catalogue.Operation]:
 		before, confirmed := c.view.table, c.view.tableConfirmed
-		c.view.ApplyOperations(m, now)
+		c.applyOperations(m, now)
 		if len(m.Items) > 0 || m.Whole {
 			c.publish()
 		}
-		if c.view.tableConfirmed {
-			c.currentAt.Store(int64(m.AsOf))
-		}
 		c.logOperations(m, before, now)
 		c.logConfirmation(confirmed)
 		if m.Whole && c.view.hasUnconfirmed() {
@@ -125,6 +138,8 @@
 		if len(m.Items) > 0 || m.Whole {
 			c.publish()
 		}
+	case revision.Finding:
+		c.applyFinding(m, now)
 	case rolloutEnded:
 		c.view.SetRolloutState(m.service, m.target, m.state)
 		c.publish()
@@ -134,11 +149,15 @@
 		c.publish()
 	case expiryDue:
 		c.expiry = 0
-		unconfirmed, confirmed := c.view.unconfirmed, c.view.tableConfirmed
+		unconfirmed, confirmed, doubted := c.view.unconfirmed, c.view.tableConfirmed, c.view.doubted
 		removed, membersChanged := c.view.Expire(now)
+		c.renew()
 		for _, name := range removed {
 			c.Log.Info("upstream removed, it did not register again", "upstream", name)
 		}
+		if doubted && !c.view.doubted {
+			c.Log.Info("no other instance told of its configuration, the store counts as current")
+		}
 		if !confirmed && c.view.tableConfirmed {
 			c.Log.Info("the active configuration was not written again and holds without the store", "version", c.view.table.Version)
 		}
--- a/pkg/gateway/control_test.go
+++ b/pkg/gateway/control_test.go
@@ -20,13 +20,16 @@
 	members chan []catalogue.Member
 }
 
-func newTestControl(t *testing.T) *testControl {
+func newTestControl(t *testing.T, set ...func(c *Control)) *testControl {
 	t.Helper()
 	c := &testControl{clock: clock.NewManual(1000), members: make(chan []catalogue.Member, 10)}
 	c.Control = &Control{
 		Clock: c.clock, Log: logr.Discard(),
 		OnMembersChanged: func(members []catalogue.Member) { c.members <- members },
 	}
+	for _, f := range set {
+		f(c.Control)
+	}
 	c.Run()
 	t.Cleanup(c.Stop)
 	return c
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"carawayknot.example/carawayknot/pkg/occupancy"
 	"carawayknot.example/carawayknot/pkg/pricing"
 	"carawayknot.example/carawayknot/pkg/request"
+	"carawayknot.example/carawayknot/pkg/revision"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
 
@@ -107,6 +108,7 @@
 	lifetimes   lifetimes
 	rumors      *membership.Rumors
 	duties      *duties
+	revisions   *revision.Checker
 	inFlight    *desk.InFlight
 	accounts    accounts
 	draining    atomic.Bool
@@ -232,10 +234,10 @@
 		Clock: in.Clock, Log: in.Log.WithName("detour"), Self: in.self.Name, Dial: in.Dial, Members: members,
 		Upstreams: func(service string) []*catalogue.Upstream { return in.control.Snapshot().Pools[service] },
 	}
-	return errors.CombineErrors(errors.CombineErrors(
+	return errors.CombineErrors(in.buildRevisions(), errors.CombineErrors(errors.CombineErrors(
 		in.network.Register(membership.ReaderName, &membership.Reader{Clock: in.Clock, Cache: cache}),
 		in.network.Register(membership.LoadsName, in.loads),
-	), errors.CombineErrors(in.network.Register(membership.RumorsName, in.rumors), in.buildDuties()))
+	), errors.CombineErrors(in.network.Register(membership.RumorsName, in.rumors), in.buildDuties())))
 }
 
 // buildSuspects creates the quarantine of requests and prompt parts, and the exchange of its news.
--- a/pkg/gateway/loops.go
+++ b/pkg/gateway/loops.go
@@ -31,7 +31,7 @@
 func (in *Instance) startLoops(ctx context.Context, peer net.Listener) (*errgroup.Group, context.Context) {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
-		return followTopic(ctx, in, archive.TopicOperations, operationsWait(in.Settings.Bounds.Revocation), in.Decoders.Operation, in.signalRollout)
+		return followTopic(ctx, in, archive.TopicOperations, operationsWait(in.Settings.Bounds.Revocation), in.decodeOperation, in.signalRollout)
 	})
 	g.Go(func() error { return followTopic(ctx, in, archive.TopicListings, listWait, in.Decoders.Listing, nil) })
 	g.Go(func() error { return in.followMembers(ctx) })
@@ -41,6 +41,7 @@
 	g.Go(func() error { return in.logStatus(ctx) })
 	g.Go(func() error { return in.loads.Run(ctx) })
 	g.Go(func() error { return in.rumors.Run(ctx) })
+	g.Go(func() error { return in.revisions.Run(ctx) })
 	g.Go(func() error { return in.detours.Run(ctx) })
 	g.Go(func() error { return in.reload(ctx) })
 	g.Go(func() error { return in.runAccounts(ctx) })
@@ -53,6 +54,15 @@
 	return min(maxOperationsWait, clock.Millis(operationsWaitFraction*float64(revocation)))
 }
 
+// decodeOperation decodes an operation, and keeps the record of a configuration.
+func (in *Instance) decodeOperation(r archive.Record) (catalogue.Operation, error) {
+	op, err := in.Decoders.Operation(r)
+	if op.Table != nil {
+		op.Key, op.Value = r.Key, r.Value
+	}
+	return op, err
+}
+
 // followTopic reads a topic continuously and passes each batch to the control actor, and then to onBatch unless that is nil.
 func followTopic[T any](ctx context.Context, in *Instance, name archive.TopicName, wait clock.Millis,
 	decode func(archive.Record) (T, error), onBatch func(archive.Batch[T])) error {
--- a/pkg/gateway/ready.go
+++ b/pkg/gateway/ready.go
@@ -25,12 +25,17 @@
 		return errors.New("no list yet")
 	}
 	age := in.control.Age(in.Clock.Now())
-	if limit := clock.Millis(readyFraction * float64(in.Settings.Bounds.Revocation)); age > limit {
+	if limit := in.maxReadyAge(); age > limit {
 		return &catalogue.StaleError{Age: age, Horizon: limit}
 	}
 	return nil
 }
 
+// maxReadyAge returns the age of the view from which on this instance is not ready.
+func (in *Instance) maxReadyAge() clock.Millis {
+	return clock.Millis(readyFraction * float64(in.Settings.Bounds.Revocation))
+}
+
 func (in *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if err := in.ready(); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
--- a/pkg/gateway/restored.go
+++ b/pkg/gateway/restored.go
@@ -4,6 +4,7 @@
 	"carawayknot.example/carawayknot/pkg/archive"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/revision"
 )
 
 // restoreGrace is how long operators and instances have to write again what a store that came back from an older copy lacks; what
@@ -14,6 +15,10 @@
 // configuration again by then, nobody will: it was never acknowledged, and refusing for its sake would have no end.
 const confirmGrace = 2 * restoreGrace
 
+// doubtGrace is how long an instance whose configuration may be older than that of others waits for one of them to tell. Without any, the store
+// is all there is.
+const doubtGrace = revision.MaxWait + membersTimeout
+
 // topicEra is the era of what was read of a topic, and the position behind it.
 type topicEra struct {
 	era  int64
@@ -106,6 +111,22 @@
 // hasUnconfirmed reports whether any order or zone out is unconfirmed.
 func (v *View) hasUnconfirmed() bool { return len(v.unconfirmed.orders)+len(v.unconfirmed.zones) > 0 }
 
+// doubt makes the store count as current only once other instances were asked for a newer configuration, or after doubtGrace.
+func (v *View) doubt(now clock.Millis) { v.doubted, v.doubtedUntil = true, now+doubtGrace }
+
+// AdoptTable takes over a configuration of another instance, which the store lacks, and reports whether it is newer than the active one.
+func (v *View) AdoptTable(op catalogue.Operation, now clock.Millis) bool {
+	if op.Table == nil || v.table != nil && op.Table.Version <= v.table.Version {
+		return false
+	}
+	v.table, v.tableRecord = op.Table, archive.Record{Key: op.Key, Value: op.Value}
+	v.tableConfirmed, v.tableConfirmedFrom = false, now+confirmGrace
+	return true
+}
+
+// isCurrent reports whether the store, as read last, has all changes of the configuration that were confirmed before.
+func (v *View) isCurrent() bool { return v.tableConfirmed && !v.doubted }
+
 // NextExpiry returns the time of the next change by Expire, and false if there is none.
 func (v *View) NextExpiry() (clock.Millis, bool) {
 	var next clock.Millis
@@ -116,6 +137,7 @@
 	}{
 		{v.hasUnconfirmed(), v.unconfirmed.until},
 		{v.table != nil && !v.tableConfirmed, v.tableConfirmedFrom},
+		{v.doubted, v.doubtedUntil},
 		{len(v.missingUpstreams) > 0, v.missingUntil},
 		{len(v.doubtfulListings) > 0, v.doubtfulUntil},
 		{len(v.missingMembers) > 0, v.missingMembersUntil},
@@ -136,5 +158,6 @@
 	if v.table != nil && now >= v.tableConfirmedFrom {
 		v.tableConfirmed = true
 	}
+	v.doubted = v.doubted && now < v.doubtedUntil
 	return v.expireListings(now), v.expireMembers(now)
 }
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -17,9 +17,14 @@
 	tableConfirmed bool
 	// tableConfirmedFrom is the time from which such a store counts as current all the same.
 	tableConfirmedFrom clock.Millis
-	zonesOut           map[string]bool
-	orders             map[string]catalogue.ReleaseOrder
-	statuses           map[string]catalogue.ReleaseStatus
+	// tableRecord is the record of the table.
+	tableRecord archive.Record
+	// doubted is true while other instances, but not the store, may have a newer configuration, at most until doubtedUntil.
+	doubted      bool
+	doubtedUntil clock.Millis
+	zonesOut     map[string]bool
+	orders       map[string]catalogue.ReleaseOrder
+	statuses     map[string]catalogue.ReleaseStatus
 	// ownReverts has by service the target of a rollout that this instance reverted and whose end the store isn't known to have.
 	ownReverts map[string]string
 	// rollouts has the release rollouts by service, also those whose order was removed.
@@ -63,7 +68,7 @@
 		switch op.Kind {
 		case catalogue.OperationTable:
 			if v.table == nil || op.Table.Version > v.table.Version {
-				v.table = op.Table
+				v.table, v.tableRecord = op.Table, archive.Record{Key: op.Key, Value: op.Value}
 			}
 			if op.Table.Version == v.table.Version {
 				v.tableConfirmed = true
