Scripts: the README's commands run as they are written

Cause: scripts/try.sh and scripts/trial.sh had no run bit, so that the README's first command failed. platform/try.sh failed by itself in some runs, too: it denies a key and a path at a moment that isn't chosen, and an instance whose view is more than 2 s old answers 503 instead.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -45,8 +45,18 @@
 
 tool_tests() { (cd tools && go vet ./... && go test ./...); }
 
+# readme_commands checks that the scripts that README.md names can be run as they are written there.
+readme_commands() {
+	local script failed=0
+	for script in $(grep -oE '^    (scripts|platform)/[a-z]+\.sh' README.md | sort -u) scripts/trial.sh platform/try.sh; do
+		[ "$(git ls-files --stage "$script" | cut -c1-6)" = 100755 ] && [ -x "$script" ] || { echo "$script has no run bit"; failed=1; }
+	done
+	return $failed
+}
+
 step build go build -o bin/ ./cmd/...
 step format format
+step "README commands" readme_commands
 step "platform names" platform_names
 step vet go vet -tags process ./...
 step lint lint
@@ -55,5 +65,6 @@
 if [ "${1:-}" != unit ] && [ -d test ]; then
 	step "crowd tests" tests -count=1 -tags process -p 1 ./platform/crowd
 	step "process tests" tests -count=1 -tags process -p 1 ./test/... ./platform/soak
+	step "README try" scripts/try.sh
 fi
 exit $failed
--- a/scripts/try.sh
+++ b/scripts/try.sh
@@ -184,4 +184,4 @@
 fi
 conclude
 # The processes above run until the end of this script, so that the next ones need other ports.
-BASE_PORT=$((base + 200)) bash platform/try.sh
+BASE_PORT=$((base + 200)) platform/try.sh
