Quarantine: what has crashed three upstreams is kept in the store

Cause: what is quarantined was in the memory of the instances alone. When all were killed at once, a request that crashes upstreams began anew: four retries more reached upstreams later than 3 s after the third crash, where three may.

Change: pkg/quarantine keeps one record in a keyed topic of our own with the evidence on at most 32 subjects under which three upstreams or more have crashed. Who met the crash, or the answer that clears a subject, writes it, conditionally; each instance reads it once at its start. Without such subjects nothing is written.

TestQuarantineOutlivesAllInstances fails with nothing kept (both scenarios).

--- a/pkg/archive/source.go
+++ b/pkg/archive/source.go
@@ -18,6 +18,7 @@
 	TopicListings   TopicName = "Listings"
 	TopicStatuses   TopicName = "Statuses"
 	TopicMembers    TopicName = "Members"
+	TopicQuarantine TopicName = "Quarantine"
 )
 
 // Record is a stored record of a topic; an empty value deletes the key.
--- a/pkg/dispatch/crash_exchange.go
+++ b/pkg/dispatch/crash_exchange.go
@@ -1,7 +1,5 @@
 package dispatch
 
-import ()
-
 func keys(evidence []CrashEvidence) []string {
 	out := make([]string, len(evidence))
 	for i, e := range evidence {
@@ -98,3 +96,19 @@
 		s.OnNews()
 	}
 }
+
+func (s *CrashSuspects) notifyOwn(news bool) {
+	s.notify(news)
+	if news && s.OnOwnNews != nil {
+		s.OnOwnNews()
+	}
+}
+
+// Kept returns the evidence that has to outlive all instances: on subjects that have gone on crashing upstreams since they were suspect.
+func (s *CrashSuspects) Kept() []string {
+	now := s.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropExpired(now)
+	return keys(firstSubjects(s.byPriority(func(p *crashSubject) bool { return p.suspect() && p.Crashes >= keptCrashes }), maxKeptSubjects))
+}
--- a/pkg/dispatch/crash_suspects.go
+++ b/pkg/dispatch/crash_suspects.go
@@ -52,6 +52,9 @@
 	// maxReportedSubjects bounds the subjects in one load report, maxRumorSubjects those in one rumor.
 	maxReportedSubjects = 5
 	maxRumorSubjects    = 16
+	// keptCrashes is the number of crashes from which on the evidence on a subject is kept in the store, and maxKeptSubjects bounds those.
+	keptCrashes     = 3
+	maxKeptSubjects = 32
 	// reportClearedFor is how long load reports carry a cleared subject, in milliseconds.
 	reportClearedFor = 10 * clock.Second
 	// maxLoggedID bounds the part IDs in logs and refusals, in bytes.
@@ -70,8 +73,8 @@
 	// Self is the name of this instance, and Members returns all instances, which probe in turn; Members may be nil.
 	Self    string
 	Members func() []catalogue.Member
-	// OnNews, if set, is called when News has something to tell.
-	OnNews func()
+	// OnNews, if set, is called when News has something to tell, and OnOwnNews when this instance has met it itself.
+	OnNews, OnOwnNews func()
 
 	crashes, probes, refused, cleared atomic.Int64
 	// known is the number of subjects, and counted that of subjects with crashes, so that requests take no lock while there are none.
--- a/pkg/dispatch/suspect_watch.go
+++ b/pkg/dispatch/suspect_watch.go
@@ -67,7 +67,7 @@
 		s.set(p, CrashEvidence{Subject: key, Generation: p.Generation + 1}, now)
 	}
 	s.mu.Unlock()
-	s.notify(news)
+	s.notifyOwn(news)
 }
 
 // End ends the watch; crashed is true if the connection to the upstream ended although the request was sent.
@@ -89,7 +89,7 @@
 	}
 	news := crashed && s.recordCrash(w, upstream, now)
 	s.mu.Unlock()
-	s.notify(news)
+	s.notifyOwn(news)
 }
 
 // recordCrash counts a crash for the request and for the parts of its prompt, and reports whether there is news; s.mu must be held.
--- a/pkg/gateway/drain_test.go
+++ b/pkg/gateway/drain_test.go
@@ -55,6 +55,10 @@
 
 func (noRecords) Put(context.Context, archive.TopicName, string, []byte) error { return nil }
 
+func (noRecords) PutIf(context.Context, archive.TopicName, string, []byte, int64) (int64, error) {
+	return 0, nil
+}
+
 // The load balancer goes on sending callers for a while: an instance that closes at once refuses them.
 func TestDrainServesUntilTheLoadBalancerHasNoticed(t *testing.T) {
 	for _, c := range []struct {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"carawayknot.example/carawayknot/pkg/membership"
 	"carawayknot.example/carawayknot/pkg/occupancy"
 	"carawayknot.example/carawayknot/pkg/pricing"
+	"carawayknot.example/carawayknot/pkg/quarantine"
 	"carawayknot.example/carawayknot/pkg/request"
 	"carawayknot.example/carawayknot/pkg/revision"
 	"carawayknot.example/carawayknot/pkg/settings"
@@ -109,6 +110,7 @@
 	rumors      *membership.Rumors
 	duties      *duties
 	revisions   *revision.Checker
+	quarantine  *quarantine.Keeper
 	inFlight    *desk.InFlight
 	accounts    accounts
 	draining    atomic.Bool
@@ -248,7 +250,17 @@
 		Clock: in.Clock, Log: in.Log.WithName("membership"), Self: in.self, Network: in.network, Members: members, News: in.suspects.News,
 		Hear: in.suspects.Hear,
 	}
-	in.suspects.OnNews = in.rumors.Wake
+	in.quarantine = &quarantine.Keeper{
+		Clock: in.Clock, Log: in.Log.WithName("quarantine"), Store: quarantineStore{in.Store, in.Records}, Suspects: in.suspects,
+		Members: func() int { return len(members()) },
+	}
+	in.suspects.OnNews, in.suspects.OnOwnNews = in.rumors.Wake, in.quarantine.Wake
+}
+
+// quarantineStore is what quarantine.Keeper needs of the store.
+type quarantineStore struct {
+	archive.Source
+	RecordWriter
 }
 
 func (in *Instance) serve(name string, s *http.Server, l net.Listener, a *custody.Account) {
--- a/pkg/gateway/loops.go
+++ b/pkg/gateway/loops.go
@@ -42,6 +42,7 @@
 	g.Go(func() error { return in.loads.Run(ctx) })
 	g.Go(func() error { return in.rumors.Run(ctx) })
 	g.Go(func() error { return in.revisions.Run(ctx) })
+	g.Go(func() error { return in.quarantine.Run(ctx) })
 	g.Go(func() error { return in.detours.Run(ctx) })
 	g.Go(func() error { return in.reload(ctx) })
 	g.Go(func() error { return in.runAccounts(ctx) })
--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -37,6 +37,8 @@
 // RecordWriter appends records to topics; an empty value removes the key.
 type RecordWriter interface {
 	Put(ctx context.Context, topic archive.TopicName, key string, value []byte) error
+	// PutIf appends a record to a topic that ends at the given offset; otherwise the error is an *archive.ConditionError.
+	PutIf(ctx context.Context, topic archive.TopicName, key string, value []byte, at int64) (end int64, err error)
 }
 
 // decodeMember decodes a record of the members' topic, whose format this project defines, unlike those of the other topics.
