--- a/pkg/gateway/doubt.go
+++ b/pkg/gateway/doubt.go
@@ -60,3 +60,14 @@
 	c.asOf = b.AsOf
 	c.renew()
 }
+
+// buildRevisions creates the check whether other instances have a newer configuration than a store that came back from an older copy.
+func (in *Instance) buildRevisions() error {
+	in.revisions = &revision.Checker{
+		Clock: in.Clock, Log: in.Log.WithName("revision"), Self: in.self, Network: in.network, AwaitMembers: in.awaitMembers,
+		Members: func() []catalogue.Member { return in.control.Snapshot().Members }, Own: in.control.Known,
+		Report: func(f revision.Finding) { in.control.Send(f) },
+	}
+	in.control.OnDoubt, in.control.MaxAge, in.control.DecodeOperation = in.revisions.Wake, in.maxReadyAge(), in.decodeOperation
+	return in.network.Register(revision.ServiceName, in.revisions)
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -244,32 +244,15 @@
 		Clock: in.Clock, Log: in.Log.WithName("detour"), Self: in.self.Name, Dial: in.Dial, Members: members,
 		Upstreams: func(service string) []*catalogue.Upstream { return in.control.Snapshot().Pools[service] },
 	}
-	in.buildRevisions()
-	return errors.CombineErrors(in.registerServices(cache), in.buildDuties())
+	return errors.CombineErrors(in.registerServices(cache), errors.CombineErrors(in.buildRevisions(), in.buildDuties()))
 }
 
 // registerServices registers what this instance answers to others.
 func (in *Instance) registerServices(cache *archive.Cache) error {
-	var err error
-	for name, service := range map[string]any{
-		membership.ReaderName: &membership.Reader{Clock: in.Clock, Cache: cache},
-		membership.LoadsName:  in.loads,
-		membership.RumorsName: in.rumors,
-		revision.ServiceName:  in.revisions,
-	} {
-		err = errors.CombineErrors(err, in.network.Register(name, service))
-	}
-	return err
-}
-
-// buildRevisions creates the check whether other instances have a newer configuration than a store that came back from an older copy.
-func (in *Instance) buildRevisions() {
-	in.revisions = &revision.Checker{
-		Clock: in.Clock, Log: in.Log.WithName("revision"), Self: in.self, Network: in.network, AwaitMembers: in.awaitMembers,
-		Members: func() []catalogue.Member { return in.control.Snapshot().Members }, Own: in.control.Known,
-		Report: func(f revision.Finding) { in.control.Send(f) },
-	}
-	in.control.OnDoubt, in.control.MaxAge, in.control.DecodeOperation = in.revisions.Wake, in.maxReadyAge(), in.decodeOperation
+	return errors.CombineErrors(errors.CombineErrors(
+		in.network.Register(membership.ReaderName, &membership.Reader{Clock: in.Clock, Cache: cache}),
+		in.network.Register(membership.LoadsName, in.loads),
+	), in.network.Register(membership.RumorsName, in.rumors))
 }
 
 // buildSuspects creates the quarantine of requests and prompt parts, and the exchange of its news.
