Admission: prompts without room are refused at once, the less urgent first

Cause: nobody was refused in a burst; calls waited at the upstreams until their callers gave up. Change: a gate before the cascade refuses a prompt that would wait at the idlest upstream until after its deadline, and a rising share of the less urgent ones, at most 0.6 so that none starves, once the most urgent would be late everywhere. Nothing is refused while an upstream has room, nor for what isn't known.

--- a/pkg/dispatch/choose_upstream.go
+++ b/pkg/dispatch/choose_upstream.go
@@ -26,7 +26,7 @@
 // choose selects the service, the release and the upstream of the next attempt, and enters the request there.
 func (f *Dispatch) choose(c *request.Call) (choice placement.Choice, stay *occupancy.Stay, refusal *request.Refusal) {
 	s, now := f.Snapshot(), f.Clock.Now()
-	service := chooseService(c)
+	service := Service(c)
 	pool := s.Routes.Pools[service]
 	if pool == nil {
 		return placement.Choice{}, nil, request.Refuse(request.ReasonNoUpstream, jitter(c.Request.ID, clock.Second), "the service %s is not known", service)
@@ -160,8 +160,8 @@
 	return target
 }
 
-// chooseService returns the service of the call by the weights of the route's split; all attempts of a call get the same one.
-func chooseService(c *request.Call) string {
+// Service returns the service of the call by the weights of the route's split; all attempts of a call get the same one.
+func Service(c *request.Call) string {
 	split := c.Route.Split
 	total := 0.0
 	for _, s := range split {
@@ -217,14 +217,22 @@
 	if len(warm) == 0 {
 		return 0
 	}
-	works := make([]float64, len(warm))
-	for i, u := range warm {
-		works[i] = f.Loads.Work(u.Name)
-	}
-	slices.Sort(works)
-	work := works[min(int(share*float64(len(works))), len(works)-1)]
+	work := f.workAt(warm, share)
 	tokens := c.Request.Prompt.Tokens
 	behindOthers, _ := f.Latency.ExpectedFirstToken(model, tokens+tokensAhead(c.Pool, model, work))
 	alone, _ := f.Latency.ExpectedFirstToken(model, tokens)
 	return behindOthers - alone
 }
+
+// workAt returns the pending work of the upstream that is busier than this share of them.
+func (f *Dispatch) workAt(upstreams []*catalogue.Upstream, share float64) float64 {
+	works := make([]float64, len(upstreams))
+	for i, u := range upstreams {
+		works[i] = f.Loads.Work(u.Name)
+	}
+	if share <= 0 {
+		return slices.Min(works)
+	}
+	slices.Sort(works)
+	return works[min(int(share*float64(len(works))), len(works)-1)]
+}
--- a/pkg/dispatch/detour.go
+++ b/pkg/dispatch/detour.go
@@ -37,7 +37,7 @@
 	if f.Detours == nil {
 		return nil, nil
 	}
-	service := chooseService(c)
+	service := Service(c)
 	cut := f.Detours.Cut(service)
 	if c.Request.HandedOver {
 		if cut {
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -76,6 +76,10 @@
 	filters := []request.Filter{
 		delivery.FinalOutcome{},
 		&desk.ResolveRoute{Snapshot: in.control.Snapshot, Clock: in.Clock, Age: in.control.Age, MaxDenialAge: in.Settings.Bounds.ConfigApply, MaxKeyAge: in.maxKeyAge()},
+		&admission.Gate{
+			Clock: in.Clock, Log: in.Log.WithName("admission"), Pool: in.pool, Urgency: in.urgency, ExpectedWait: d.ExpectedWait,
+			OnRefused: in.metrics.ObserveGaveWay,
+		},
 		&pricing.ConfidenceCascade{
 			Log: in.Log.WithName("pricing"), Clock: in.Clock, LeastSuccess: &in.leastSuccess, Calibration: in.calibration,
 			ExpectedWait: d.ExpectedWait, Urgency: in.urgency, InTime: d.InTime, Budgets: budgets,
@@ -85,6 +89,11 @@
 	return in.withMetrics(request.Chain(append(in.withMeter(filters), in.relay)...))
 }
 
+// pool returns the pool of the service that a call goes to, or nil.
+func (in *Instance) pool(c *request.Call) *catalogue.Pool {
+	return in.control.Snapshot().Routes.Pools[dispatch.Service(c)]
+}
+
 // urgency returns the urgency of a call by the latest configuration.
 func (in *Instance) urgency(c *request.Call) admission.Urgency {
 	return in.urgencies.Of(in.control.Snapshot().Routes, c.Pool.Name, c.Priority)
