Bound idle connections to upstreams; let refused clients read their response

Cause: net/http ends the sending side of a connection with unread bytes before it closes it, which the accounted connection hid, so that a client that still sent could lose its 413 or 503; idle connections to upstreams had no bound over all upstreams.

--- a/pkg/custody/conn.go
+++ b/pkg/custody/conn.go
@@ -112,6 +112,15 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite ends the sending side, so that a client that still sends gets the response before the connection is reset.
+func (c *Conn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return half.CloseWrite()
+}
+
 // TakeBody takes n bytes for a body or a message until it is given back or the response has ended, and reports whether there was room.
 func (c *Conn) TakeBody(n int64) bool {
 	if c == nil {
--- a/pkg/delivery/relay.go
+++ b/pkg/delivery/relay.go
@@ -100,6 +100,8 @@
 	// BufferBytes bounds the bytes of responses that all attempts together hold before they forward them, beyond a small part that each may
 	// hold; 0 means no bound.
 	BufferBytes int64
+	// MaxIdleConns bounds the idle connections to all upstreams together; 0 means no bound.
+	MaxIdleConns int
 	// Memory is what else bounds those bytes; it is optional.
 	Memory Memory
 
@@ -111,7 +113,7 @@
 // Open prepares the relay; it must be called before the first call of Filter.
 func (r *Relay) Open() {
 	r.buffers.total, r.buffers.memory = r.BufferBytes, r.Memory
-	r.transports = newTransports(r.Dial)
+	r.transports = newTransports(r.Dial, r.MaxIdleConns)
 }
 
 // Close closes idle connections; calls in progress continue.
--- a/pkg/delivery/sender.go
+++ b/pkg/delivery/sender.go
@@ -85,7 +85,7 @@
 		d := &net.Dialer{Timeout: s.Settings.Times.Connect.Duration()}
 		dial = d.DialContext
 	}
-	s.transports = newTransports(dial)
+	s.transports = newTransports(dial, 0)
 }
 
 // cancelInBackground stops the engine's work on a request that nobody waits for any more.
--- a/pkg/delivery/transport.go
+++ b/pkg/delivery/transport.go
@@ -28,11 +28,12 @@
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-func newTransports(dial dialFunc) *transports {
-	return &transports{pooled: newTransport(dial, false), singleUse: newTransport(dial, true)}
+// newTransports returns transports that keep at most maxIdle idle connections to all upstreams together; 0 means no bound.
+func newTransports(dial dialFunc, maxIdle int) *transports {
+	return &transports{pooled: newTransport(dial, false, maxIdle), singleUse: newTransport(dial, true, maxIdle)}
 }
 
-func newTransport(dial dialFunc, singleUse bool) *http.Transport {
+func newTransport(dial dialFunc, singleUse bool, maxIdle int) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
@@ -43,6 +44,7 @@
 		},
 		DisableKeepAlives:      singleUse,
 		DisableCompression:     true,
+		MaxIdleConns:           maxIdle,
 		MaxIdleConnsPerHost:    idleConnsPerUpstream,
 		IdleConnTimeout:        idleConnTimeout.Duration(),
 		MaxResponseHeaderBytes: maxHeadBytes,
--- a/pkg/gateway/accounts.go
+++ b/pkg/gateway/accounts.go
@@ -27,8 +27,11 @@
 	adminBytes = 2 << 20
 	// peerMemoryFraction is the part of the memory for messages of other instances.
 	peerMemoryFraction = 0.03125
-	// upstreamConnsPerRequest are the sockets to upstreams, also those that are closing, for each request that may be in flight.
-	upstreamConnsPerRequest = 1.25
+	// idleUpstreamConns and idleInstanceConns are the idle connections to upstreams and to other instances for each request that may be in
+	// flight, and upstreamConnsPerRequest all of them, with the one in use.
+	idleUpstreamConns       = 0.2
+	idleInstanceConns       = 0.05
+	upstreamConnsPerRequest = 1 + idleUpstreamConns + idleInstanceConns
 
 	// defaultHeadTimeout, defaultIdleTimeout and bodyTimeout apply where the configuration has no limit.
 	defaultHeadTimeout = 10 * clock.Second
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -27,15 +27,16 @@
 func (in *Instance) filterChain() request.Handler {
 	budgets := in.retryBudgets()
 	in.relay = &delivery.Relay{
-		Clock:       in.Clock,
-		Log:         in.Log.WithName("delivery"),
-		Wire:        in.Wire,
-		Permit:      in.recheck,
-		Dial:        in.Dial,
-		Observe:     in.observe,
-		BufferBytes: int64(bufferFraction * float64(in.Settings.Machine.MemoryMegabytes<<20)),
-		Memory:      in.accounts.callers,
-		OnProgress:  in.progress,
+		Clock:        in.Clock,
+		Log:          in.Log.WithName("delivery"),
+		Wire:         in.Wire,
+		Permit:       in.recheck,
+		Dial:         in.Dial,
+		Observe:      in.observe,
+		BufferBytes:  int64(bufferFraction * float64(in.Settings.Machine.MemoryMegabytes<<20)),
+		Memory:       in.accounts.callers,
+		MaxIdleConns: int(idleUpstreamConns * float64(maxInFlight(&in.Settings.Machine))),
+		OnProgress:   in.progress,
 		OnLimit: func(upstream string, limit request.NamedLimit, sentAt clock.Millis) {
 			in.limits.Observe(upstream, limit, sentAt, in.Clock.Now())
 		},
@@ -49,10 +50,11 @@
 	in.relay.Open()
 	in.through = &delivery.Relay{
 		Clock: in.Clock, Log: in.Log.WithName("delivery"), Wire: in.InstanceWire, Dial: in.Dial,
-		Permit:      func(*request.Call) error { return nil },
-		Observe:     func(*request.Call, request.Sample) { in.detours.CountSent() },
-		BufferBytes: in.relay.BufferBytes,
-		Memory:      in.accounts.callers,
+		Permit:       func(*request.Call) error { return nil },
+		Observe:      func(*request.Call, request.Sample) { in.detours.CountSent() },
+		BufferBytes:  in.relay.BufferBytes,
+		Memory:       in.accounts.callers,
+		MaxIdleConns: int(idleInstanceConns * float64(maxInFlight(&in.Settings.Machine))),
 	}
 	in.through.Open()
 	d := &dispatch.Dispatch{
