Review driver: render a template with sections

Cause: deploy/settings.json has sections since the duties, which the driver of the review's scripts left as they are, so that no case starts. Change: sections without a value are dropped, like on the platform.

--- a/review/driver/instance.go
+++ b/review/driver/instance.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	text := strings.NewReplacer("{{ip}}", ip, "{{internalPortRange.0}}", ports[2]).Replace(string(b))
+	text := strings.NewReplacer("{{ip}}", ip, "{{internalPortRange.0}}", ports[2]).Replace(dropSections(string(b)))
 	for field, value := range fields {
 		text = strings.ReplaceAll(text, "{{"+field+"|json}}", value)
 	}
@@ -82,6 +82,19 @@
 	return in, err
 }
 
+// dropSections removes the sections of a template, whose values these machines don't have; the platform renders nothing for them either.
+func dropSections(text string) string {
+	for {
+		before, rest, found := strings.Cut(text, "{{#")
+		if !found {
+			return text
+		}
+		name, rest, _ := strings.Cut(rest, "}}")
+		_, after, _ := strings.Cut(rest, "{{/"+name+"}}")
+		text = before + after
+	}
+}
+
 func freePort(ip string) (string, error) {
 	l, err := net.Listen("tcp4", ip+":0")
 	if err != nil {
