Review: the driver fills in a settings template with sections

The template of the deploy file has sections for duties, which the driver of the cases left as they were, so that the instances refused their settings and no case could run. It now leaves out all sections, since the platform of the cases sets none of their values.

--- a/review/driver/instance.go
+++ b/review/driver/instance.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	text := strings.NewReplacer("{{ip}}", ip, "{{internalPortRange.0}}", ports[2]).Replace(string(b))
+	text := strings.NewReplacer("{{ip}}", ip, "{{internalPortRange.0}}", ports[2]).Replace(withoutSections(string(b)))
 	for field, value := range fields {
 		text = strings.ReplaceAll(text, "{{"+field+"|json}}", value)
 	}
@@ -82,6 +82,22 @@
 	return in, err
 }
 
+// withoutSections removes the sections of a template: the platform of the cases sets none of the values on which they depend.
+func withoutSections(text string) string {
+	for {
+		before, rest, found := strings.Cut(text, "{{#")
+		if !found {
+			return text
+		}
+		name, rest, _ := strings.Cut(rest, "}}")
+		_, after, closed := strings.Cut(rest, "{{/"+name+"}}")
+		if !closed {
+			return text
+		}
+		text = before + after
+	}
+}
+
 func freePort(ip string) (string, error) {
 	l, err := net.Listen("tcp4", ip+":0")
 	if err != nil {
