Duty: a holder that drains hands over what it collected, and instances that end find the new holder

The counts of ended processes went with the holder; draining instances told only the last holder that had asked, and a holder that was drained soon after it acquired the lease let it lapse. Change: a draining holder keeps the lease until it has held it for long enough to release it, and tells the next holder all that it collected; an instance that can't tell its counts reads the holder from the store. Measured: go test -race of pkg/usage and pkg/duty pass.

--- a/pkg/duty/keeper.go
+++ b/pkg/duty/keeper.go
@@ -27,7 +27,7 @@
 	// maxFailures is the number of failed calls in a row, over at least the time of a lease, after which a holder releases the lease for
 	// unfitTime, so that an instance with a better connection can take it.
 	maxFailures = 4
-	unfitTime   = 20 * clock.Second
+	unfitTime   = 8 * clock.Second
 )
 
 // Keeper acquires, renews and releases the lease of this instance; its exported fields must be set before Run.
@@ -145,12 +145,26 @@
 	return k.run(ctx, func(ctx context.Context) error { return k.write(ctx, lease, name, state) })
 }
 
-// Release gives the lease up for good, so that another instance can take it at once.
+// Release gives the lease up for good once this instance has held it for long enough, so that another instance can take it at once.
 func (k *Keeper) Release(ctx context.Context) error {
-	return k.run(ctx, func(ctx context.Context) error {
-		k.leaving = true
-		return k.release(ctx)
-	})
+	for {
+		var wait clock.Millis
+		err := k.run(ctx, func(ctx context.Context) error {
+			k.leaving = true
+			now := k.Clock.Now()
+			if _, held := k.Held(now); held && now < k.acquiredAt+k.Lease {
+				wait = k.acquiredAt + k.Lease - now
+				return nil
+			}
+			return k.release(ctx)
+		})
+		if err != nil || wait == 0 {
+			return err
+		}
+		if err := clock.Sleep(ctx, k.Clock, wait); err != nil {
+			return err
+		}
+	}
 }
 
 // Yield releases the lease soon, and keeps this instance from acquiring it for some time, because it can't carry out a duty.
--- a/pkg/gateway/duties.go
+++ b/pkg/gateway/duties.go
@@ -85,9 +85,10 @@
 		Clock: in.Clock, Log: log, Self: in.self.Name, Lease: d.keeper, Caller: d.guard, Network: in.network, Local: d.service,
 		Members: func() []catalogue.Member { return in.control.Snapshot().Members },
 		Order:   leaseOrder,
+		Leaving: in.draining.Load,
 		Length:  length, Delay: delay, Tolerance: d.settings.UsageTolerance,
 	}
-	d.service.OnPush = d.reporter.Push
+	d.service.OnPush, d.service.Collected = d.reporter.Push, d.reporter.Collected
 	return in.network.Register(usage.ServiceName, d.service)
 }
 
@@ -164,18 +165,22 @@
 		return
 	}
 	for clock.Sleep(ctx, in.Clock, tellPeriod) == nil {
-		in.duties.service.Tell(ctx, "")
+		in.tellCounts(ctx)
 	}
-	in.tellLast()
+	lastCtx, cancel := clock.WithTimeout(context.Background(), in.Clock, tellTimeout)
+	defer cancel()
+	in.tellCounts(lastCtx)
 }
 
-// tellLast tells the final counts of this instance to the holder of the lease.
-func (in *Instance) tellLast() {
-	ctx, cancel := clock.WithTimeout(context.Background(), in.Clock, tellTimeout)
-	defer cancel()
+// tellCounts tells the counts of this instance to the last holder that asked for them, or to the one that the store names.
+func (in *Instance) tellCounts(ctx context.Context) {
+	if in.duties.service.Tell(ctx, "") {
+		return
+	}
 	holder, err := in.duties.keeper.Holder(ctx)
 	if err != nil {
 		in.Log.Info("the holder of the lease is unknown", "error", err.Error())
+		return
 	}
 	in.duties.service.Tell(ctx, holder)
 }
--- a/pkg/usage/collect.go
+++ b/pkg/usage/collect.go
@@ -26,10 +26,13 @@
 	r.pushed = nil
 	r.mu.Unlock()
 	for _, p := range pushed {
-		r.collector.add(p.Member, p.Counts)
+		for _, item := range p.Items {
+			r.collector.add(item.Member, item.Counts)
+		}
 	}
 	now := r.Clock.Now()
-	r.collector.setMembers(r.Members())
+	// A holder that drains is no member any more.
+	r.collector.setMembers(append([]catalogue.Member{{Name: r.Self}}, r.Members()...))
 	args := CountsArgs{Holder: r.Self, Token: lease.Token, Length: r.Length, First: noWindow}
 	offset, known := r.collector.timeOffset()
 	window := int64(-1)
--- a/pkg/usage/collector.go
+++ b/pkg/usage/collector.go
@@ -153,6 +153,23 @@
 	return p
 }
 
+// all returns the counts of all processes from a window on.
+func (c *collector) all(first int64) []MemberCounts {
+	var out []MemberCounts
+	for key, p := range c.processes {
+		item := MemberCounts{Member: key.member, Counts: CountsReply{ID: key.id, Now: p.now}}
+		for window, counts := range p.windows {
+			if window >= first {
+				item.Counts.Windows = append(item.Counts.Windows, WindowCounts{Window: window, Counts: counts})
+			}
+		}
+		if len(item.Counts.Windows) > 0 {
+			out = append(out, item)
+		}
+	}
+	return out
+}
+
 // startedAfter returns the share of the members of which only processes are known that began to count after a monotonic time.
 func (c *collector) startedAfter(t clock.Millis) float64 {
 	counted := map[string]bool{}
--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 
 	"github.com/go-logr/logr"
@@ -52,6 +53,8 @@
 	Members func() []catalogue.Member
 	// Order returns members in the order in which they are candidates for the lease.
 	Order func(members []catalogue.Member) []catalogue.Member
+	// Leaving reports whether this instance drains.
+	Leaving func() bool
 	// Length is the length of a window and Delay how long after its end its report is due, in milliseconds.
 	Length clock.Millis
 	Delay  clock.Millis
@@ -70,7 +73,9 @@
 
 	mu     sync.Mutex
 	pushed []PushArgs
-	stats  Stats
+	// collected has the counts for the next holder.
+	collected []MemberCounts
+	stats     Stats
 }
 
 // Stats counts reports.
@@ -139,15 +144,25 @@
 	}
 	r.send(ctx, lease)
 	r.countLate(r.Clock.Now() + offset)
+	if r.Leaving() {
+		collected := r.collector.all(r.state.Next)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.collected = collected
+	}
+}
+
+// Collected returns the counts that this instance collected as the last holder, if it leaves.
+func (r *Reporter) Collected() []MemberCounts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.collected)
 }
 
 // reset prepares for a new token; what is known under the last one stays valid if the lease lapsed and nobody else acquired it.
 func (r *Reporter) reset(token int64) {
 	r.token, r.collector, r.acked, r.late = token, newCollector(r.Length), map[int64]bool{}, map[int64]bool{}
 	r.state, r.retryAt, r.asked = State{}, 0, false
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.pushed = nil
 }
 
 // windowAt returns the window at a true time.
--- a/pkg/usage/service.go
+++ b/pkg/usage/service.go
@@ -45,12 +45,15 @@
 	Windows []WindowCounts
 }
 
-// PushArgs has the counts of an instance that ends.
-type PushArgs struct {
+// MemberCounts has the counts of a process of a member.
+type MemberCounts struct {
 	Member string
 	Counts CountsReply
 }
 
+// PushArgs has the counts of an instance that ends, and those that it collected as a holder.
+type PushArgs struct{ Items []MemberCounts }
+
 // PushReply tells whether the receiver holds the lease.
 type PushReply struct{ Held bool }
 
@@ -65,6 +68,8 @@
 	// Since is the monotonic time from which on this process counts, and Length the length of a window, in milliseconds.
 	Since  clock.Millis
 	Length clock.Millis
+	// Collected returns the counts that this instance collected if it was the last holder.
+	Collected func() []MemberCounts
 	// OnPush receives the counts of an instance that ends, and reports whether this instance holds the lease.
 	OnPush func(args PushArgs) bool
 
@@ -73,6 +78,8 @@
 	last    CountsArgs
 	askedAt clock.Millis
 	offset  clock.Millis
+	// handedOver is true once the collected counts were told.
+	handedOver bool
 }
 
 // Counts replies with the counts of this process.
@@ -105,27 +112,36 @@
 	return s.askedAt, s.last.Standby
 }
 
-// Tell tells the counts of this process to a holder, or to the last one that asked if its name is empty.
-func (s *Service) Tell(ctx context.Context, holder string) {
+// Tell tells the counts of this process to a holder, or to the last one that asked if its name is empty; it returns false unless the receiver
+// holds the lease.
+func (s *Service) Tell(ctx context.Context, holder string) bool {
 	s.mu.Lock()
-	args, offset := s.last, s.offset
+	args, offset, handedOver := s.last, s.offset, s.handedOver
 	s.mu.Unlock()
-	if holder == "" || holder == s.Self {
+	if holder == "" {
 		holder = args.Holder
 	}
 	if holder == "" || holder == s.Self {
-		return
+		return false
 	}
 	now := s.Clock.Now()
 	if args.Holder == "" {
 		offset = s.Clock.Wall() - now
 	}
-	push := PushArgs{Member: s.Self, Counts: s.reply(now, offset, s.Length, args.First)}
+	push := PushArgs{Items: []MemberCounts{{Member: s.Self, Counts: s.reply(now, offset, s.Length, args.First)}}}
+	if !handedOver {
+		push.Items = append(push.Items, s.Collected()...)
+	}
 	var reply PushReply
 	err := s.Network.CallWithin(ctx, callTimeout, holder, ServiceName+".Push", push, &reply)
 	if err != nil || !reply.Held {
 		s.Log.Info("counts of usage not told", "holder", holder, "held", reply.Held, "error", errorText(err))
 	}
+	told := err == nil && reply.Held
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handedOver = s.handedOver || told
+	return told
 }
 
 func errorText(err error) string {
