--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// tick is the period in which the holder looks for something to do, in milliseconds.
-	tick clock.Millis = 250
+	// tick is the period in which the holder looks for something to do, and idleTick that in which others look whether they are the holder,
+	// in milliseconds.
+	tick     clock.Millis = 250
+	idleTick              = clock.Second
 	// sendRetryDelay is the pause after a report that was not acknowledged, in milliseconds.
 	sendRetryDelay = clock.Second
 	// eraMargin is how far the times of two holders may differ, in milliseconds.
@@ -119,7 +121,11 @@
 // Run reports usage until ctx ends, and returns the error of ctx.
 func (r *Reporter) Run(ctx context.Context) error {
 	for {
-		if err := clock.Sleep(ctx, r.Clock, tick); err != nil {
+		period := idleTick
+		if _, held := r.Lease.Held(r.Clock.Now()); held {
+			period = tick
+		}
+		if err := clock.Sleep(ctx, r.Clock, period); err != nil {
 			return err
 		}
 		r.step(ctx)
