--- a/pkg/usage/reporter.go
+++ b/pkg/usage/reporter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 
 	"github.com/go-logr/logr"
@@ -13,8 +14,10 @@
 )
 
 const (
-	// tick is the period in which the holder looks for something to do, in milliseconds.
-	tick clock.Millis = 250
+	// tick is the period in which the holder looks for something to do, and idleTick that in which others look whether they are the holder,
+	// in milliseconds.
+	tick     clock.Millis = 250
+	idleTick              = clock.Second
 	// sendRetryDelay is the pause after a report that was not acknowledged, in milliseconds.
 	sendRetryDelay = clock.Second
 	// eraMargin is how far the times of two holders may differ, in milliseconds.
@@ -52,6 +55,8 @@
 	Members func() []catalogue.Member
 	// Order returns members in the order in which they are candidates for the lease.
 	Order func(members []catalogue.Member) []catalogue.Member
+	// Leaving reports whether this instance drains.
+	Leaving func() bool
 	// Length is the length of a window and Delay how long after its end its report is due, in milliseconds.
 	Length clock.Millis
 	Delay  clock.Millis
@@ -70,7 +75,9 @@
 
 	mu     sync.Mutex
 	pushed []PushArgs
-	stats  Stats
+	// collected has the counts for the next holder.
+	collected []MemberCounts
+	stats     Stats
 }
 
 // Stats counts reports.
@@ -114,7 +121,11 @@
 // Run reports usage until ctx ends, and returns the error of ctx.
 func (r *Reporter) Run(ctx context.Context) error {
 	for {
-		if err := clock.Sleep(ctx, r.Clock, tick); err != nil {
+		period := idleTick
+		if _, held := r.Lease.Held(r.Clock.Now()); held {
+			period = tick
+		}
+		if err := clock.Sleep(ctx, r.Clock, period); err != nil {
 			return err
 		}
 		r.step(ctx)
@@ -139,15 +150,25 @@
 	}
 	r.send(ctx, lease)
 	r.countLate(r.Clock.Now() + offset)
+	if r.Leaving() {
+		collected := r.collector.all(r.state.Next)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.collected = collected
+	}
+}
+
+// Collected returns the counts that this instance collected as the last holder, if it leaves.
+func (r *Reporter) Collected() []MemberCounts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.collected)
 }
 
 // reset prepares for a new token; what is known under the last one stays valid if the lease lapsed and nobody else acquired it.
 func (r *Reporter) reset(token int64) {
 	r.token, r.collector, r.acked, r.late = token, newCollector(r.Length), map[int64]bool{}, map[int64]bool{}
 	r.state, r.retryAt, r.asked = State{}, 0, false
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.pushed = nil
 }
 
 // windowAt returns the window at a true time.
