Scaling: an instance that was suspended watches anew before a fall

The window before a fall was taken for observed when its first observation was old enough, also by an instance that was suspended in between. Now four in five observations must have been made. Test: a suspended instance; go test -race ./pkg/scaling passes.

--- a/pkg/scaling/plan.go
+++ b/pkg/scaling/plan.go
@@ -23,6 +23,8 @@
 	fallReports = 0.9
 	// lateShare is the share of late answers above which nothing is taken away.
 	lateShare = 0.05
+	// minCoverage is the part of the observations that must have been made; an instance that was suspended has none for some time.
+	minCoverage = 0.8
 	// minFall is the smallest reduction that is ordered, as a fraction of the running upstreams, unless it reaches the minimum.
 	minFall = 0.1
 )
@@ -214,20 +216,21 @@
 type past struct {
 	// least is the lowest need in the time that a start takes, and most the highest one that is remembered.
 	least, most float64
-	// covered is true if the plan was observed for that time, and sure if the need was known throughout.
+	// covered is true if the need was observed for that time, and sure if it was known throughout.
 	covered, sure bool
 }
 
 func (p *Plan) remembered(now, start clock.Millis) past {
-	covered := now-p.samples[0].at >= start
-	r := past{least: math.Inf(1), covered: covered, sure: covered}
+	r, seen := past{least: math.Inf(1), sure: true}, clock.Millis(0)
 	for _, n := range p.samples {
 		r.most = max(r.most, n.need)
 		if now-n.at <= start {
 			r.least = min(r.least, n.need)
 			r.sure = r.sure && n.sure
+			seen += period
 		}
 	}
+	r.covered = now-p.samples[0].at >= start && float64(seen) >= minCoverage*float64(start)
 	return r
 }
 
--- a/pkg/scaling/plan_test.go
+++ b/pkg/scaling/plan_test.go
@@ -58,6 +58,8 @@
 		initial int
 		seconds int
 		load    func(second int) float64
+		// suspended has the seconds from and to which the instance doesn't run.
+		suspended [2]int
 		// change changes the state and the fleet before a decision.
 		change func(second int, s *State, f *fleet)
 		// answer returns what becomes of an order; nil carries out all.
@@ -179,6 +181,10 @@
 			change: func(_ int, s *State, _ *fleet) { s.ListAge = 9 * clock.Second },
 			want:   []testEvent{{Running: []int{4, 4, 4}}},
 		},
+		{
+			name: "a suspended instance", initial: 10, seconds: 40, load: steady, suspended: [2]int{5, 20},
+			want: []testEvent{{28, "a", 4, nil}, {28, "b", 4, nil}, {28, "c", 4, nil}, {Running: []int{4, 4, 4}}},
+		},
 		{
 			name: "late answers", initial: 10, seconds: 50, load: steady,
 			change: func(second int, s *State, _ *fleet) {
@@ -259,6 +265,9 @@
 			for second := range c.seconds {
 				now := clock.Millis(second) * clock.Second
 				f.advance(now)
+				if second >= c.suspended[0] && second < c.suspended[1] {
+					continue
+				}
 				s := State{Now: now, Pool: testPool, Target: 2 * clock.Second, Demand: underWay(c.load(second)), Reporting: 1}
 				// The list shows what runs before the change of this second.
 				s.Running = map[string]map[string]int{}
