--- a/pkg/scaling/plan_test.go
+++ b/pkg/scaling/plan_test.go
@@ -75,6 +75,10 @@
 			load: func(second int) float64 { return []float64{80, 95, 110, 120, 125, 120, 110, 95, 80, 70, 70}[second%11] },
 			want: []testEvent{{11, "a", 8, nil}, {11, "b", 8, nil}, {11, "c", 8, nil}, {Running: []int{8, 8, 8}}},
 		},
+		{
+			name: "a need slightly below what runs", initial: 20, seconds: 60, load: func(int) float64 { return 330 },
+			want: []testEvent{{Running: []int{20, 20, 20}}},
+		},
 		{
 			name: "a step up", initial: 4, seconds: 60,
 			load: func(second int) float64 {
@@ -159,8 +163,14 @@
 				}
 				return 200
 			},
-			change: func(second int, s *State, _ *fleet) { s.Rollout = second >= 5 },
-			want:   []testEvent{{20, "a", 12, nil}, {20, "b", 12, nil}, {20, "c", 12, nil}, {Running: []int{12, 12, 12}}},
+			change: func(second int, s *State, _ *fleet) {
+				if s.Rollout = second >= 5; s.Rollout {
+					for _, releases := range s.Running {
+						releases["v2"] = releases["v1"]
+					}
+				}
+			},
+			want: []testEvent{{20, "a", 12, nil}, {20, "b", 12, nil}, {20, "c", 12, nil}, {Running: []int{12, 12, 12}}},
 		},
 		{
 			name: "reports missing", initial: 10, seconds: 50, load: steady,
--- a/pkg/scaling/runner_test.go
+++ b/pkg/scaling/runner_test.go
@@ -31,23 +31,35 @@
 	return f.err
 }
 
-// fakeLease is held or not.
-type fakeLease struct{ held bool }
+// fakeLease is held or not; one that lapses is held only when it is first asked for.
+type fakeLease struct {
+	held, lapses bool
+	mu           sync.Mutex
+}
 
-func (f *fakeLease) Held(clock.Millis) (duty.Lease, bool) { return duty.Lease{Token: 7}, f.held }
+func (f *fakeLease) Held(clock.Millis) (duty.Lease, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	held := f.held
+	f.held = f.held && !f.lapses
+	return duty.Lease{Token: 7}, held
+}
 
 func TestRunner(t *testing.T) {
 	t.Parallel()
 	for _, c := range []struct {
-		name  string
-		held  bool
-		err   error
-		limit *catalogue.ScaleLimits
+		name string
+		held bool
+		// lapses ends the lease between the decision and the send.
+		lapses bool
+		err    error
+		limit  *catalogue.ScaleLimits
 		// want has the orders of a step, and again those of a step three seconds later.
 		want, wantLater []duty.ScaleOrder
 	}{
 		{name: "holder", held: true, limit: testPool.Scaling, want: []duty.ScaleOrder{{Service: "lm", Zone: "a", Count: 9}, {Service: "lm", Zone: "b", Count: 9}}},
 		{name: "not the holder", limit: testPool.Scaling},
+		{name: "the lease ends before the send", held: true, lapses: true, limit: testPool.Scaling},
 		{name: "a service without limits", held: true},
 		{
 			name: "throttled", held: true, limit: testPool.Scaling, err: errors.Wrap(&duty.ThrottledError{}, "scale"),
@@ -71,7 +83,7 @@
 			m.SetPeers(map[string]float32{requestsItem + "lm": 70, underWayItem + "lm": 70})
 			var zones []ZoneKey
 			r := &Runner{
-				Clock: manual, Log: logr.Discard(), Meter: m, Lease: &fakeLease{held: c.held}, Platform: platform,
+				Clock: manual, Log: logr.Discard(), Meter: m, Lease: &fakeLease{held: c.held, lapses: c.lapses}, Platform: platform,
 				Snapshot: func() *catalogue.Snapshot { return snapshot }, ListAge: func() clock.Millis { return 0 },
 				OnZone: func(service, zone string) { zones = append(zones, ZoneKey{Service: service, Zone: zone}) },
 			}
@@ -85,6 +97,10 @@
 				manual.Advance(3 * clock.Second)
 				m.SetPeers(map[string]float32{requestsItem + "lm": 70, underWayItem + "lm": 70})
 			}
+			unordered := []ZoneState{{Service: "lm", Zone: "a", Running: 1, Wanted: 1}, {Service: "lm", Zone: "b", Running: 1, Wanted: 1}}
+			if diff := cmp.Diff(unordered, r.Zones()); !c.held && c.limit != nil && diff != "" {
+				t.Errorf("zones of an instance without the lease (-want +got):\n%s", diff)
+			}
 			if want := 2; c.limit != nil && (len(zones) != want || len(r.Zones()) != want) {
 				t.Errorf("got zones %v and states %v, want %d of each", zones, r.Zones(), want)
 			}
@@ -100,8 +116,8 @@
 	}
 	one, two := newMeter(), newMeter()
 	limited := &catalogue.Pool{Name: "lm", Scaling: &catalogue.ScaleLimits{Min: 1, Max: 2}}
-	send := func(m *Meter, pool *catalogue.Pool, answerAfter clock.Millis) {
-		c := &request.Call{Pool: pool, Route: &catalogue.Route{Target: 1000}, OnFirstEvent: func() {}}
+	send := func(m *Meter, pool *catalogue.Pool, answerAfter clock.Millis, excluded ...string) {
+		c := &request.Call{Pool: pool, Excluded: excluded, Route: &catalogue.Route{Target: 1000}, OnFirstEvent: func() {}}
 		err := m.Filter(t.Context(), c, request.HandlerFunc(func(_ context.Context, c *request.Call) error {
 			manual.Advance(answerAfter)
 			c.OnFirstEvent()
@@ -114,6 +130,7 @@
 	}
 	for range 40 {
 		send(two, &catalogue.Pool{Name: "desk"}, 0)
+		send(one, limited, 0, "i-1")
 		send(one, limited, 0)
 		send(two, limited, 1500)
 	}
@@ -121,7 +138,7 @@
 	two.AddOwn(items)
 	one.SetPeers(items)
 	got := one.Demand("lm")
-	// The calls are at upstreams for the last 3.5 of each 4.5 seconds.
+	// The calls are at upstreams for the last 4.5 of each 5.5 seconds, one of them as a retry.
 	for _, c := range []struct {
 		name             string
 		got, least, most float64
