Placement: upstreams that have crashed are avoided by all instances

Change: instances exchange how many attempts at an upstream failed and were answered lately; the chance of failure counts in the choice.

--- a/pkg/delivery/relay.go
+++ b/pkg/delivery/relay.go
@@ -166,6 +166,8 @@
 	refusal := a.refusal(err, outcome, denied)
 	refusal.Unreached = outcome == request.NotRun && !a.ex.connected.Load() && refusal.Reason != request.ReasonCallerGone
 	refusal.Full = a.full
+	var declined *DeclinedError
+	refusal.WrongUpstream = errors.As(err, &declined) && declined.WrongUpstream
 	refusal.GivenUp = outcome == request.MayHaveRun && context.Cause(a.ctx) != nil
 	refusal.UpstreamDown = outcome == request.MayHaveRun && a.upstreamDown(err)
 	return refusal
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -244,9 +244,10 @@
 	defer f.Releases.RecordSend(c, f.Snapshot().Moves[a.upstream.Service])()
 	defer f.Loads.EndRequest(a.upstream.Name)
 	c.OnFirstEvent = a.begin
-	defer a.placed.End()
 	defer a.subtractWork()
-	return next.Handle(ctx, c)
+	err := next.Handle(ctx, c)
+	a.placed.End(upstreamFailed(err), f.Clock.Now())
+	return err
 }
 
 // recordAttempt records the outcome of an attempt for session affinity and outlier detection.
--- a/pkg/dispatch/placement.go
+++ b/pkg/dispatch/placement.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"errors"
+
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
 	"carawayknot.example/carawayknot/pkg/placement"
@@ -33,6 +35,15 @@
 	return f.Placement.Start(c, choice, f.Clock.Now())
 }
 
+// upstreamFailed reports whether an attempt failed because its upstream is gone, or another one is at its address.
+func upstreamFailed(err error) bool {
+	var r *request.Refusal
+	if !errors.As(err, &r) {
+		return false
+	}
+	return r.Unreached || r.UpstreamDown || r.WrongUpstream
+}
+
 // InTime predicts the chance that a model's answer to the call would begin within the target latency of the route, and reports whether
 // anything is known of it.
 func (f *Dispatch) InTime(c *request.Call, model string) (chance float64, ok bool) {
--- a/pkg/placement/exchange.go
+++ b/pkg/placement/exchange.go
@@ -27,6 +27,9 @@
 	// figureSamples and figureLogPace are the weight and the sum of the logarithms of the upstream's own pace.
 	figureSamples
 	figureLogPace
+	// figureAnswers and figureFailures are the numbers of attempts that were answered lately, and that failed.
+	figureAnswers
+	figureFailures
 	figureCount
 )
 
@@ -61,11 +64,11 @@
 		if s := p.services[k.service]; s == nil || !p.isForecast(s) {
 			continue
 		}
-		report, pace := fade(now-k.reportedAt, reportTime), fade(now-k.sampledAt, paceTime)
+		report, pace, ends := fade(now-k.reportedAt, reportTime), fade(now-k.sampledAt, paceTime), fade(now-k.endedAt, failureTime)
 		f := []float32{
 			shorten(k.ownWork(now)), float32(k.inFlight), shorten(k.reports * report), shorten(k.reported * report),
 			shorten(k.usualReports), shorten(k.usualLogPace),
-			shorten(k.samples * pace), shorten(k.logPace * pace),
+			shorten(k.samples * pace), shorten(k.logPace * pace), shorten(k.answers * ends), shorten(k.failures * ends),
 		}
 		if !isZero(f) {
 			own[k.key] = f
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -100,7 +100,7 @@
 	peers := Figures{}
 	for i, u := range upstreams {
 		if i > 0 {
-			peers[lifetimeKey(u)] = []float32{300, 4, 0, 0, 0, 0, 0, 0}
+			peers[lifetimeKey(u)] = []float32{300, 4, 0, 0, 0, 0, 0, 0, 0, 0}
 		}
 	}
 	for _, c := range []struct {
@@ -117,7 +117,7 @@
 			p.SetPeers(peers, start)
 			for n := range 5 {
 				// What each of the instances usually sends.
-				send(t, p, newCall(fmt.Sprint("before ", i, n), fmt.Sprint(i, n), 0, c.own, start), upstreams, start).End()
+				send(t, p, newCall(fmt.Sprint("before ", i, n), fmt.Sprint(i, n), 0, c.own, start), upstreams, start).End(false, start)
 			}
 			choice, _ := p.Choose(newCall(fmt.Sprint(i), fmt.Sprint("subject ", i), 0, c.own, start), upstreams, start+50)
 			got[choice.Upstream.Name]++
@@ -170,7 +170,7 @@
 		first, _ := p.Choose(newCall("r", "subject", 5000, 500, start), upstreams, start)
 		peers := Figures{}
 		for _, u := range upstreams {
-			peers[lifetimeKey(u)] = []float32{0, 0, 5, 5, 0, 0, 0, 0}
+			peers[lifetimeKey(u)] = []float32{0, 0, 5, 5, 0, 0, 0, 0, 0, 0}
 		}
 		c.change(first.Upstream, peers)
 		p.peers, p.peersAt = peers, start
@@ -213,7 +213,7 @@
 		now += 100
 		st := send(t, p, newCall(fmt.Sprint(i), "hot", 5000, 500, now), upstreams, now)
 		st.Begin(now + 60)
-		st.End()
+		st.End(false, start)
 	}
 	got = append(got, homes(now))
 	got = append(got, homes(now+10*rateTime))
@@ -245,6 +245,26 @@
 	}
 }
 
+// Failure: the home of a prompt has crashed, which other instances have seen; it has nothing in flight.
+func TestCrashedUpstreamIsAvoided(t *testing.T) {
+	upstreams := newUpstreams(30)
+	seen, heard := newPlanner(2, upstreams), newPlanner(2, upstreams)
+	c := newCall("r", "subject", 5000, 500, start)
+	home, _ := seen.Choose(c, upstreams, start)
+	for range 2 {
+		send(t, seen, c, upstreams, start).End(true, start)
+	}
+	heard.SetPeers(seen.Own(start), start)
+	got := []bool{}
+	for _, at := range []clock.Millis{start + 100, start + 10*clock.Second} {
+		choice, _ := heard.Choose(newCall("next", "subject", 5000, 500, at), upstreams, at)
+		got = append(got, choice.Upstream == home.Upstream)
+	}
+	if diff := cmp.Diff([]bool{false, true}, got); diff != "" {
+		t.Errorf("placed at the crashed home at once, and 10 s later (-want +got):\n%s", diff)
+	}
+}
+
 // Failure: an upstream that reports a pace which makes no sense, and then none.
 func TestSenselessReportsFade(t *testing.T) {
 	k := newUpstream(newUpstreams(1)[0])
@@ -263,7 +283,7 @@
 func TestNewsOfPeersFade(t *testing.T) {
 	upstreams := newUpstreams(1)
 	p := newPlanner(3, upstreams)
-	p.SetPeers(Figures{lifetimeKey(upstreams[0]): {400, 9, 0, 0, 0, 0, 0, 0}}, start)
+	p.SetPeers(Figures{lifetimeKey(upstreams[0]): {400, 9, 0, 0, 0, 0, 0, 0, 0, 0}}, start)
 	got := []UpstreamState{}
 	for _, at := range []clock.Millis{start, start + 20*clock.Second} {
 		p.SetPeers(nil, at)
@@ -328,7 +348,7 @@
 				p := newPlanner(330, upstreams)
 				peers := Figures{}
 				for i, u := range upstreams {
-					peers[lifetimeKey(u)] = []float32{float32(i), 4, 1, 1, 5, 1, 5, 1}
+					peers[lifetimeKey(u)] = []float32{float32(i), 4, 1, 1, 5, 1, 5, 1, 3, 1}
 				}
 				p.SetPeers(peers, start)
 				calls := make([]*request.Call, 64)
--- a/pkg/placement/query.go
+++ b/pkg/placement/query.go
@@ -100,7 +100,8 @@
 	if u.Zone != p.Zone {
 		o.firstToken += otherZone
 	}
-	o.score = q.callerCost(o.firstToken) + crowdShare*o.work
+	failure := k.failureChance(peers, q.now-p.peersAt, q.now)
+	o.score = q.callerCost(o.firstToken) + crowdShare*o.work + failure*float64(q.call.Route.Target)
 	return o
 }
 
--- a/pkg/placement/stay.go
+++ b/pkg/placement/stay.go
@@ -102,6 +102,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	st.leaveQueue()
+	st.upstream.ended(true, now)
 	p.learn(st, float64(now-st.sentAt), now)
 	if o := &st.option; p.OnFirstToken != nil && o.firstToken > 0 {
 		p.OnFirstToken(Placed{
@@ -111,8 +112,8 @@
 	}
 }
 
-// End records the end of the attempt.
-func (st *Stay) End() {
+// End records the end of the attempt; failed is true if it reached no upstream, or if that ended or was another one.
+func (st *Stay) End(failed bool, now clock.Millis) {
 	if st == nil {
 		return
 	}
@@ -121,6 +122,9 @@
 	defer p.mu.Unlock()
 	st.leaveQueue()
 	st.upstream.inFlight--
+	if failed {
+		st.upstream.ended(false, now)
+	}
 }
 
 // leaveQueue removes the attempt from those whose answer hasn't begun.
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -20,6 +20,10 @@
 	maxReportedPace = 10.0
 	// newsTTL is the age from which the requests that other instances told of count for less.
 	newsTTL clock.Millis = 1500
+	// failureTime is the same as reportTime for the ends of attempts.
+	failureTime = 2 * clock.Second
+	// soundWeight is the number of answers that count for an upstream before anything is known of it.
+	soundWeight = 0.5
 	// paceTime is the same as reportTime for the samples of the pace of an upstream itself.
 	paceTime = 60 * clock.Second
 	// kindWeight is the number of samples at which an upstream's own pace counts as much as that of its kind.
@@ -48,7 +52,11 @@
 	// samples and logPace are the weight and the weighted sum of the logarithms of the upstream's own pace, both faded to sampledAt.
 	samples, logPace float64
 	sampledAt        clock.Millis
-	kept             map[uint64]clock.Millis
+	// answers and failures count the attempts of this instance that were answered, and those that reached no upstream or broke off, both faded to
+	// endedAt.
+	answers, failures float64
+	endedAt           clock.Millis
+	kept              map[uint64]clock.Millis
 }
 
 func newUpstream(u *catalogue.Upstream) *upstream {
@@ -117,3 +125,27 @@
 	}
 	return n
 }
+
+// ended counts an attempt that was answered or failed.
+func (k *upstream) ended(answered bool, now clock.Millis) {
+	f := fade(now-k.endedAt, failureTime)
+	k.answers, k.failures, k.endedAt = k.answers*f, k.failures*f, now
+	if answered {
+		k.answers++
+	} else {
+		k.failures++
+	}
+}
+
+// failureChance returns the chance that an attempt at the upstream fails, by what all instances have seen there lately. One that has crashed
+// has nothing in flight, and would look like the best.
+func (k *upstream) failureChance(peers []float32, peersAge, now clock.Millis) float64 {
+	f := fade(now-k.endedAt, failureTime)
+	answers, failures := k.answers*f, k.failures*f
+	if len(peers) == figureCount {
+		f = fade(peersAge, failureTime)
+		answers += float64(peers[figureAnswers]) * f
+		failures += float64(peers[figureFailures]) * f
+	}
+	return failures / (answers + failures + soundWeight)
+}
--- a/pkg/request/outcome.go
+++ b/pkg/request/outcome.go
@@ -78,6 +78,8 @@
 	Full, GivenUp bool
 	// Unreached is true if no connection to the upstream could be made.
 	Unreached bool
+	// WrongUpstream is true if another upstream answered at the address.
+	WrongUpstream bool
 }
 
 // Error returns reason, outcome, field, detail and cause in one line.
