Placement: the work of a prompt counts twice for those behind it

Cause: shared parts were read again for savings of time that no caller needs. Change: the weight of the work against the own time is 2, since all streams there wait while a prompt is read.

--- a/pkg/placement/query.go
+++ b/pkg/placement/query.go
@@ -15,7 +15,7 @@
 	// defaultSlots is the assumed number of concurrent requests of an upstream that reports none.
 	defaultSlots = 8
 	// crowdShare is the weight of the work of a prompt, which others at its upstream wait for, against the time of its own caller.
-	crowdShare = 1.0
+	crowdShare = 2.0
 	// otherZone is the time that a call to another availability zone takes longer.
 	otherZone = 2.0
 )
