--- a/pkg/placement/query.go
+++ b/pkg/placement/query.go
@@ -15,7 +15,7 @@
 	// defaultSlots is the assumed number of concurrent requests of an upstream that reports none.
 	defaultSlots = 8
 	// crowdShare is the weight of the work of a prompt, which others at its upstream wait for, against the time of its own caller.
-	crowdShare = 1.0
+	crowdShare = 2.0
 	// otherZone is the time that a call to another availability zone takes longer.
 	otherZone = 2.0
 )
@@ -100,7 +100,8 @@
 	if u.Zone != p.Zone {
 		o.firstToken += otherZone
 	}
-	o.score = q.callerCost(o.firstToken) + crowdShare*o.work
+	failure := k.failureChance(peers, q.now-p.peersAt, q.now)
+	o.score = q.callerCost(o.firstToken) + crowdShare*o.work + failure*float64(q.call.Route.Target)
 	return o
 }
 
