--- a/review/driver/instance.go
+++ b/review/driver/instance.go
@@ -71,7 +71,6 @@
 	if err != nil {
 		return nil, err
 	}
-	text := strings.NewReplacer("{{ip}}", ip, "{{internalPortRange.0}}", ports[2]).Replace(dropSections(string(b)))
 	text := strings.NewReplacer("{{ip}}", ip, "{{internalPortRange.0}}", ports[2]).Replace(withoutSections(string(b)))
 	for field, value := range fields {
 		text = strings.ReplaceAll(text, "{{"+field+"|json}}", value)
@@ -83,8 +82,6 @@
 	return in, err
 }
 
-// dropSections removes the sections of a template, whose values these machines don't have; the platform renders nothing for them either.
-func dropSections(text string) string {
 // withoutSections removes the sections of a template: the platform of the cases sets none of the values on which they depend.
 func withoutSections(text string) string {
 	for {
@@ -93,7 +90,6 @@
 			return text
 		}
 		name, rest, _ := strings.Cut(rest, "}}")
-		_, after, _ := strings.Cut(rest, "{{/"+name+"}}")
 		_, after, closed := strings.Cut(rest, "{{/"+name+"}}")
 		if !closed {
 			return text
