Rollouts: writes of a status are spaced while the store doesn't take them

Excluded: the condition of the writes; the refusals came from the store's disturbance, not from 412. Change: a pause that doubles from 100 to 800 ms after each failure, by service, and ends with the first success. Measured: TestWritesOfAStatusAreSpacedWhileTheStoreFails, 100 writes in 10 s before, at most 16 after.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -131,12 +131,13 @@
 	// registrationLost receives a value when the members' topic lacks this instance although it was registered.
 	registrationLost chan struct{}
 
-	// mu guards the fields below; the keys of the first three are services, and writtenStatuses has the statuses that the store has or had,
+	// mu guards the fields below; the keys of the first four are services, and writtenStatuses has the statuses that the store has or had,
 	// also those that it has lost.
 	mu              sync.Mutex
 	comparisons     map[string]*comparison
 	writtenStatuses map[string]catalogue.ReleaseStatus
 	pendingStatuses map[string]pendingStatus
+	statusPauses    map[string]statusPause
 	statusTopic     statusTopic
 	// awaited has the attempts under way at services with a running rollout.
 	awaited map[*request.Call]awaited
--- a/pkg/gateway/rollout.go
+++ b/pkg/gateway/rollout.go
@@ -108,7 +108,7 @@
 	now := in.Clock.Now()
 	s := in.control.Snapshot()
 	for service, rollout := range s.Moves {
-		if rollout.State != catalogue.ReleaseRunning {
+		if rollout.State != catalogue.ReleaseRunning || in.isStatusPaused(service) {
 			continue
 		}
 		k := in.comparisonOf(service, rollout.Target)
--- a/pkg/gateway/status.go
+++ b/pkg/gateway/status.go
@@ -143,7 +143,7 @@
 			delete(in.pendingStatuses, service)
 			continue
 		}
-		if in.Clock.Now() >= p.notBefore {
+		if in.Clock.Now() >= max(p.notBefore, in.statusPauses[service].until) {
 			due = append(due, p)
 		}
 	}
@@ -163,6 +163,43 @@
 	}
 }
 
+const (
+	// initialStatusPause is how long a status is not written again after the store didn't take it, in milliseconds; it doubles with each
+	// failure up to maxStatusPause, which is short against the end of a rollout's span.
+	initialStatusPause clock.Millis = 100
+	maxStatusPause     clock.Millis = 800
+)
+
+// statusPause is the pause before the next write of the status of a service.
+type statusPause struct {
+	pause, until clock.Millis
+}
+
+// isStatusPaused reports whether the status of a service isn't to be written yet.
+func (in *Instance) isStatusPaused(service string) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.Clock.Now() < in.statusPauses[service].until
+}
+
+// pauseStatus delays the next write of the status of a service after a failure.
+func (in *Instance) pauseStatus(service string) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.statusPauses == nil {
+		in.statusPauses = map[string]statusPause{}
+	}
+	pause := min(max(initialStatusPause, 2*in.statusPauses[service].pause), maxStatusPause)
+	in.statusPauses[service] = statusPause{pause: pause, until: in.Clock.Now() + pause}
+}
+
+// resumeStatus ends the pause of a service.
+func (in *Instance) resumeStatus(service string) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	delete(in.statusPauses, service)
+}
+
 // statusTries is how often a status is written when the topic has changed since it was read.
 const statusTries = 2
 
@@ -187,6 +224,7 @@
 		var end int64
 		if end, err = in.Status.PutStatus(ctx, st, at); err == nil {
 			in.recordStatuses(archive.Batch[catalogue.ReleaseStatus]{Items: []catalogue.ReleaseStatus{st}, Next: end})
+			in.resumeStatus(st.Service)
 			in.Log.Info("rollout status written", "service", st.Service, "target", st.Target, "state", state)
 			return true
 		}
@@ -196,6 +234,7 @@
 		}
 		in.forgetStatusEnd()
 	}
+	in.pauseStatus(st.Service)
 	in.Log.Info("rollout status not written", "service", st.Service, "target", st.Target, "state", state, "error", err.Error())
 	return false
 }
--- a/pkg/gateway/status_test.go
+++ b/pkg/gateway/status_test.go
@@ -157,6 +157,22 @@
 	}
 }
 
+// Guards against instances that the store turns away and that ask it again all the while.
+func TestWritesOfAStatusAreSpacedWhileTheStoreFails(t *testing.T) {
+	m := clock.NewManual(100_000)
+	store := &statusStore{fail: 1 << 20}
+	in := newStatusInstance(t, m, "edge-1", store, catalogue.ReleaseReverted)
+	in.recordStatuses(store.statuses(true))
+	in.queueRevert(in.control.Snapshot().Moves["lm"])
+	for range 100 {
+		m.Advance(rolloutPeriod)
+		in.writeDue()
+	}
+	if most := 10*clock.Second/maxStatusPause + 4; store.writes == 0 || clock.Millis(store.writes) > most {
+		t.Errorf("%d writes in 10 s, want some and at most %d", store.writes, most)
+	}
+}
+
 // Guards against each instance writing the same lost status at the same moment.
 func TestLostStatusIsWrittenByFewInstances(t *testing.T) {
 	m := clock.NewManual(100_000)
