Check a route configuration by carawayknot config check

Cause: operators can't see before they send a configuration what instances would refuse, what never matches and what changes against the one in force. Change: config check takes the platform's configuration too, compares it with another file, and exits with 0, 1 for findings or 2 for a file it can't read. The own configuration is checked as before. pkg/app gets the reader from platform/ through RunTool, whose tests pass nil.

--- a/cmd/carawayknot/main.go
+++ b/cmd/carawayknot/main.go
@@ -5,8 +5,9 @@
 	"os"
 
 	"carawayknot.example/carawayknot/pkg/app"
+	"carawayknot.example/carawayknot/platform"
 )
 
 func main() {
-	os.Exit(app.RunTool(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+	os.Exit(app.RunTool(os.Args[1:], os.Stdin, os.Stdout, os.Stderr, platform.ConfigReader{}))
 }
--- a/pkg/app/config.go
+++ b/pkg/app/config.go
@@ -20,9 +20,7 @@
 
 func (t *Tool) configCommands(k *kingpin.Application) {
 	cmd := k.Command("config", "Check, apply and show the configuration.")
-	check := cmd.Command("check", "Validate a configuration file without sending it.")
-	checkFile := check.Arg("file", "Configuration file, JSON with comments.").Required().String()
-	check.Action(action(func(context.Context) error { return t.configCheck(*checkFile) }))
+	t.checkCommand(cmd)
 
 	apply := cmd.Command("apply", "Apply the changes that a file makes to the configuration, all of them or none.")
 	applyFile := apply.Arg("file", "Configuration file, JSON with comments.").Required().String()
@@ -41,19 +39,6 @@
 	history.Action(action(func(ctx context.Context) error { return t.configHistory(ctx, *limit) }))
 }
 
-func (t *Tool) configCheck(path string) error {
-	d, err := readDocument(path)
-	if err != nil {
-		return err
-	}
-	edits, err := d.edits(path, catalogue.NewState(), false)
-	if err != nil {
-		return err
-	}
-	fmt.Fprintf(t.Stdout, "%s: %d objects are valid\n", path, len(edits))
-	return nil
-}
-
 func (t *Tool) configApply(ctx context.Context, path, note string, prune, dryRun bool) error {
 	d, err := readDocument(path)
 	if err != nil {
--- a/pkg/app/duty_test.go
+++ b/pkg/app/duty_test.go
@@ -26,7 +26,7 @@
 			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, c.state) }))
 			t.Cleanup(srv.Close)
 			var out, errOut bytes.Buffer
-			code := RunTool([]string{"duty", srv.URL}, strings.NewReader(""), &out, &errOut)
+			code := RunTool([]string{"duty", srv.URL}, strings.NewReader(""), &out, &errOut, nil)
 			_, row, _ := strings.Cut(out.String(), "\n")
 			if diff := cmp.Diff([]any{c.want, c.code}, []any{strings.Join(strings.Fields(row), " "), code}); diff != "" {
 				t.Errorf("row and exit code (-want +got):\n%s\n%s", diff, errOut.String())
--- a/pkg/app/load_test.go
+++ b/pkg/app/load_test.go
@@ -81,7 +81,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var out bytes.Buffer
-			if code := RunTool(c.args, strings.NewReader(""), &out, &out); code != c.code || !strings.Contains(out.String(), c.out) {
+			if code := RunTool(c.args, strings.NewReader(""), &out, &out, nil); code != c.code || !strings.Contains(out.String(), c.out) {
 				t.Errorf("exit code %d; want %d and output with %q:\n%s", code, c.code, c.out, out.String())
 			}
 		})
--- a/pkg/app/tool.go
+++ b/pkg/app/tool.go
@@ -14,14 +14,16 @@
 	Stdin  io.Reader
 	Stdout io.Writer
 	Stderr io.Writer
+	// Tables reads route configurations; it is nil where there are none.
+	Tables TableReader
 
 	admin  client
 	asJSON bool
 }
 
-// RunTool runs the command line of the operator tool and returns its exit code, one of the Exit constants.
-func RunTool(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
-	t := &Tool{Stdin: stdin, Stdout: stdout, Stderr: stderr}
+// RunTool runs the command line of the operator tool and returns its exit code, one of the Exit constants; tables may be nil.
+func RunTool(args []string, stdin io.Reader, stdout, stderr io.Writer, tables TableReader) int {
+	t := &Tool{Stdin: stdin, Stdout: stdout, Stderr: stderr, Tables: tables}
 	return t.Run(args)
 }
 
@@ -51,7 +53,7 @@
 
 const toolHelp = `Operate a running carawayknot through the admin API of any of its instances.
 
-Exit codes: 0 success, 1 refused or failed, 2 invalid command line or file, 3 no response from the instance, 4 the change is in
+Exit codes: 0 success, 1 refused, failed or with findings, 2 invalid command line or file, 3 no response from the instance, 4 the change is in
 the log but not yet confirmed by a majority of instances. Shell completion: eval "$(carawayknot --completion-script-bash)".`
 
 // action adapts f to a parser action; its context ends on SIGINT and SIGTERM.
--- a/pkg/app/tool_test.go
+++ b/pkg/app/tool_test.go
@@ -167,7 +167,7 @@
 			t.Setenv("CARAWAYKNOT_URL", srv.URL)
 			t.Setenv("CARAWAYKNOT_KEY_FILE", keyFile)
 			var out, errOut bytes.Buffer
-			code := RunTool(c.args, strings.NewReader(""), &out, &errOut)
+			code := RunTool(c.args, strings.NewReader(""), &out, &errOut, nil)
 			if code != c.code {
 				t.Errorf("exit code %d, want %d", code, c.code)
 			}
--- a/pkg/audit/check.go
+++ b/pkg/audit/check.go
@@ -25,9 +25,7 @@
 	checkPools(&out, c.Pools, used)
 	checkWorkspaces(&out, c.Workspaces)
 	checkLimits(&out, c.Table, memory)
-	rank := map[Severity]int{Unreachable: 0, Contradiction: 1}
-	slices.SortStableFunc(out, func(a, b Finding) int { return rank[a.Severity] - rank[b.Severity] })
-	return out
+	return Sorted(out)
 }
 
 func checkHost(out *findings, routes []*catalogue.Route) {
@@ -46,11 +44,19 @@
 }
 
 func checkSplit(out *findings, t *catalogue.RouteTable, r *catalogue.Route, used map[string]bool) {
+	total := 0.0
 	for _, s := range r.Split {
+		total += s.Weight
 		used[s.Service] = true
 		if t.Pools[s.Service] == nil {
 			out.add(Unreachable, RuleUnknownPool, routePlace(r), "service %q is not in the configuration; add it or name another", s.Service)
 		}
+	}
+	if total <= 0 {
+		out.add(Unreachable, RuleZeroWeight, routePlace(r), "the weights of the services add up to %g and don't divide the requests; set weights above 0", total)
+		return
+	}
+	for _, s := range r.Split {
 		if s.Weight <= 0 {
 			out.add(Unreachable, RuleZeroWeight, routePlace(r), "service %q has weight %g and gets no requests; remove it or raise the weight", s.Service, s.Weight)
 		}
@@ -127,7 +133,7 @@
 		last[w.Name] = w
 		for n, key := range w.Keys {
 			if holder, held := holders[key]; held && holder != w.Name {
-				out.add(Contradiction, RuleSharedKey, workspacePlace(w.Name), "key %d is also a key of workspace %q and counts for the last one; issue another key", n+1, holder)
+				out.add(Contradiction, RuleSharedKey, workspacePlace(w.Name), "key %d is also a key of workspace %q and belongs to the workspace that is listed last; issue another key", n+1, holder)
 			}
 			holders[key] = w.Name
 		}
--- a/pkg/audit/finding.go
+++ b/pkg/audit/finding.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
 )
@@ -11,7 +12,7 @@
 
 // The severities, the most urgent first.
 const (
-	// Error marks what an instance refuses, together with the whole configuration.
+	// Error marks that an instance refuses or ignores the whole configuration.
 	Error Severity = "Error"
 	// Unreachable marks entries that no request can match.
 	Unreachable Severity = "Unreachable"
@@ -21,6 +22,16 @@
 	Difference Severity = "Difference"
 )
 
+// severities has the severities in the order of Sorted.
+var severities = []Severity{Error, Unreachable, Contradiction, Difference}
+
+// Sorted returns the findings by severity, else in their order.
+func Sorted(list []Finding) []Finding {
+	return slices.SortedStableFunc(slices.Values(list), func(a, b Finding) int {
+		return slices.Index(severities, a.Severity) - slices.Index(severities, b.Severity)
+	})
+}
+
 // Rule names the check that a finding comes from.
 type Rule string
 
@@ -47,6 +58,7 @@
 
 // The rules of Compare.
 const (
+	RuleVersion          Rule = "Version"
 	RuleRouteRemoved     Rule = "RouteRemoved"
 	RuleKeyRemoved       Rule = "KeyRemoved"
 	RuleKeyMoved         Rule = "KeyMoved"
@@ -108,9 +120,12 @@
 
 func workspacePlace(name string) string { return "Workspace/" + name }
 
-// findings collects findings in the order in which they are added.
+// findings collects findings in the order in which they are added, each once.
 type findings []Finding
 
 func (f *findings) add(s Severity, r Rule, place, format string, args ...any) {
-	*f = append(*f, Finding{Severity: s, Rule: r, Place: place, Text: fmt.Sprintf(format, args...)})
+	n := Finding{Severity: s, Rule: r, Place: place, Text: fmt.Sprintf(format, args...)}
+	if !slices.Contains(*f, n) {
+		*f = append(*f, n)
+	}
 }
