--- a/pkg/app/config_check.go
+++ b/pkg/app/config_check.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
@@ -94,7 +95,7 @@
 		return nil, damaged(c.file, b, errs)
 	}
 	found := audit.Refusals(c.file, b, errs)
-	if errors.HasType(errors.Join(errs...), (*json.UnmarshalTypeError)(nil)) {
+	if slices.ContainsFunc(errs, isTypeError) {
 		// A value of the wrong type is missing in the table, so that further findings could be due to that alone.
 		return found, nil
 	}
@@ -113,6 +114,11 @@
 	return audit.Sorted(append(found, audit.Compare(from.Table, cfg.Table)...)), nil
 }
 
+func isTypeError(err error) bool {
+	var typeErr *json.UnmarshalTypeError
+	return errors.As(err, &typeErr)
+}
+
 func (c *configCheck) json() bool { return c.output == outputJSON || c.tool.asJSON }
 
 func (c *configCheck) print(found []audit.Finding) error {
--- a/pkg/audit/refusal.go
+++ b/pkg/audit/refusal.go
@@ -6,8 +6,19 @@
 	"fmt"
 
 	"github.com/cockroachdb/errors"
+
+	"carawayknot.example/carawayknot/pkg/catalogue"
 )
 
+// RouteError says why a decoder refuses a route.
+type RouteError struct {
+	Route   string
+	Problem string
+}
+
+// Error names the route and the problem.
+func (e *RouteError) Error() string { return fmt.Sprintf("route %s has %s", e.Route, e.Problem) }
+
 // Refusals returns a finding for each error of a decoder; its place has the line and column in b where the error has an offset.
 func Refusals(path string, b []byte, errs []error) []Finding {
 	var out findings
@@ -17,8 +28,12 @@
 	return out
 }
 
-// Place returns path:line:column of a JSON error in b, both counted from 1, or the path alone for other errors.
+// Place returns the route of a RouteError, path:line:column of a JSON error in b, both counted from 1, or else the path alone.
 func Place(path string, b []byte, err error) string {
+	var routeErr *RouteError
+	if errors.As(err, &routeErr) {
+		return routePlace(&catalogue.Route{Name: routeErr.Route})
+	}
 	offset := int64(-1)
 	var syntaxErr *json.SyntaxError
 	var typeErr *json.UnmarshalTypeError
