Duty: later members stand in where only scaling is asked for

Cause: members beyond the first three by rank became candidates for the lease only where counts of usage are asked for; with the scaling duty alone nobody stepped in once the first three were gone for good. Change: they are candidates there too, in longer steps, as each further one reads the store. Tests: TestLeaseCandidates (fails without: nobody asks for counts for long), TestFirstCandidatesAreOfDifferentZones.

--- a/pkg/gateway/duties.go
+++ b/pkg/gateway/duties.go
@@ -26,6 +26,8 @@
 	// unaskedStep, in milliseconds.
 	unaskedTimeout              = 20 * clock.Second
 	unaskedStep    clock.Millis = 200
+	// unheardStep takes the place of unaskedStep where no holder asks for counts.
+	unheardStep = 5 * clock.Second
 	// countsKept is how long counts are kept beyond the time at which their report is due, in milliseconds.
 	countsKept = 20 * clock.Second
 	// tellPeriod is the time between two messages with the counts of a draining instance, and tellTimeout bounds the last one, in
@@ -125,7 +127,12 @@
 	if rank < 0 {
 		return false
 	}
-	return rank < leaseCandidates || in.duties.service != nil && now-heardAt >= unaskedTimeout+clock.Millis(rank)*unaskedStep
+	step := unaskedStep
+	if in.duties.service == nil {
+		// Nobody hears of a holder then, and each further candidate reads the store.
+		step = unheardStep
+	}
+	return rank < leaseCandidates || now-heardAt >= unaskedTimeout+clock.Millis(rank)*step
 }
 
 // leaseOrder returns members in the order in which they are candidates for the lease: first the first one of each zone by rank, then the others.
