--- a/pkg/custody/evict.go
+++ b/pkg/custody/evict.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// patience is how long a client may neither send nor read before its connection may make room for others, in milliseconds.
-	patience clock.Millis = 1000
+	// stallTime is how long a client may neither send nor read before its connection may make room for others, in milliseconds.
+	stallTime clock.Millis = 1000
 	// minBytesPerSecond is the average pace of a request below which the same holds.
 	minBytesPerSecond = 16 << 10
 	// evictPause is the time for which a vain search for slow connections isn't repeated, in milliseconds.
@@ -66,17 +66,17 @@
 	still := now - c.movedAt
 	switch {
 	case c.phase == phaseIdle || c.phase == phaseOpaque:
-		if still < patience {
+		if still < stallTime {
 			return 0
 		}
 		return still
 	case c.phase == phaseServing && !c.writing:
 		return 0
-	case still >= patience:
+	case still >= stallTime:
 		return waitingRank + still
 	}
 	elapsed := now - c.since
-	if c.phase != phaseServing && elapsed >= patience && c.moved*int64(clock.Second) < minBytesPerSecond*int64(elapsed) {
+	if c.phase != phaseServing && elapsed >= stallTime && c.moved*int64(clock.Second) < minBytesPerSecond*int64(elapsed) {
 		return waitingRank
 	}
 	return 0
