Dispatch: the work of the idlest upstream is found without a list

Cause: the gate asks for the wait at the idlest upstream for each prompt; since the share was added, that built a list of all upstreams' work, where a running minimum stood before. Change: a running minimum again, which ends with the first upstream without work. What it returns is the same. Tests: pkg/dispatch (but for the known red one), admission, pricing and gateway pass.

--- a/pkg/dispatch/choose_upstream.go
+++ b/pkg/dispatch/choose_upstream.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"strconv"
 
@@ -226,13 +227,25 @@
 
 // workAt returns the pending work of the upstream that is busier than this share of them.
 func (f *Dispatch) workAt(upstreams []*catalogue.Upstream, share float64) float64 {
+	if share <= 0 {
+		return f.minWork(upstreams)
+	}
 	works := make([]float64, len(upstreams))
 	for i, u := range upstreams {
 		works[i] = f.Loads.Work(u.Name)
 	}
-	if share <= 0 {
-		return slices.Min(works)
-	}
 	slices.Sort(works)
 	return works[min(int(share*float64(len(works))), len(works)-1)]
 }
+
+// minWork returns the pending work of the idlest upstream; each prompt is weighed by it before it is sent, so that the first one without work
+// ends the search.
+func (f *Dispatch) minWork(upstreams []*catalogue.Upstream) float64 {
+	least := math.Inf(1)
+	for _, u := range upstreams {
+		if least = min(least, f.Loads.Work(u.Name)); least <= 0 {
+			break
+		}
+	}
+	return least
+}
