Placement: a service is forecast where its upstreams report a pace, and by no other switch

Cause: Planner.Forecasts was made for admission, which didn't use it; nothing set it, in the product or in a test. Change: the field and isForecast are gone; service.paced says it. Tests: placement, gateway and pricing pass.

--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -33,7 +33,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	q := p.query(c, modelOf(c), upstreams, now)
-	if q == nil || !q.service.paced {
+	if q == nil {
 		return Choice{}, false
 	}
 	var best option
--- a/pkg/placement/exchange.go
+++ b/pkg/placement/exchange.go
@@ -61,7 +61,7 @@
 	defer p.mu.Unlock()
 	own := Figures{}
 	for _, k := range p.upstreams {
-		if s := p.services[k.service]; s == nil || !p.isForecast(s) {
+		if s := p.services[k.service]; s == nil || !s.paced {
 			continue
 		}
 		report, pace, ends := fade(now-k.reportedAt, reportTime), fade(now-k.sampledAt, paceTime), fade(now-k.endedAt, failureTime)
@@ -75,7 +75,7 @@
 		}
 	}
 	for _, s := range p.services {
-		if !p.isForecast(s) {
+		if !s.paced {
 			continue
 		}
 		for _, m := range s.models {
--- a/pkg/placement/learn.go
+++ b/pkg/placement/learn.go
@@ -34,7 +34,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.services[c.Upstream.Service]
-	if s == nil || !p.isForecast(s) {
+	if s == nil || !s.paced {
 		return
 	}
 	k, m := p.upstream(c.Upstream), s.model(modelOf(c))
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -16,8 +16,6 @@
 	Zone string
 	// Members returns the number of instances, including this one.
 	Members func() int
-	// Forecasts reports whether the calls of a service are forecast although its upstreams report no pace; nil means that none are.
-	Forecasts func(service string) bool
 	// OnFirstToken is called when an answer begins, with what was predicted of it; it is optional and must not call the planner.
 	OnFirstToken func(placed Placed)
 
@@ -51,11 +49,6 @@
 	parts            partTable
 }
 
-// isForecast reports whether first tokens of a service are predicted.
-func (p *Planner) isForecast(s *service) bool {
-	return s.paced || p.Forecasts != nil && p.Forecasts(s.name)
-}
-
 // InTime returns the chance that the answer of a model to the call would begin within the target latency of its route if the call was sent
 // now, and false while nothing is known of the upstreams.
 func (p *Planner) InTime(c *request.Call, model string, upstreams []*catalogue.Upstream, now clock.Millis) (chance float64, ok bool) {
--- a/pkg/placement/query.go
+++ b/pkg/placement/query.go
@@ -60,7 +60,7 @@
 // query returns the query of a call, or nil while too little is known of its service. The caller must hold mu.
 func (p *Planner) query(c *request.Call, model string, upstreams []*catalogue.Upstream, now clock.Millis) *query {
 	s := p.services[upstreams[0].Service]
-	if s == nil || !p.isForecast(s) || !s.model(model).known {
+	if s == nil || !s.paced || !s.model(model).known {
 		return nil
 	}
 	q := p.newQuery(c, s, model, now)
--- a/pkg/placement/state.go
+++ b/pkg/placement/state.go
@@ -24,7 +24,7 @@
 	defer p.mu.Unlock()
 	states := map[string]UpstreamState{}
 	for name, k := range p.upstreams {
-		if s := p.services[k.service]; s == nil || !p.isForecast(s) {
+		if s := p.services[k.service]; s == nil || !s.paced {
 			continue
 		}
 		peers := p.peers[k.key]
--- a/pkg/placement/stay.go
+++ b/pkg/placement/stay.go
@@ -66,10 +66,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.services[c.Upstream.Service]
-	if s == nil && p.Forecasts != nil && p.Forecasts(c.Upstream.Service) {
-		s = p.service(c.Upstream.Service)
-	}
-	if s == nil || !p.isForecast(s) {
+	if s == nil || !s.paced {
 		return nil
 	}
 	k, name, o := p.upstream(c.Upstream), modelOf(c), choice.option
