--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -22,7 +22,8 @@
 
 // cases has the cases by name. Each returns what broke the rule, or an error when it couldn't run.
 var cases = map[string]func(ctx context.Context, r *Record, trouble bool) (broken []string, err error){
-	"backlog": playBacklog,
+	"backlog":        playBacklog,
+	"late-heartbeat": playLateHeartbeat,
 }
 
 func main() { os.Exit(run()) }
