--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(ctx context.Context, r *Record, trouble bool) (broken []string, err error){
 	"backlog":        playBacklog,
 	"late-heartbeat": playLateHeartbeat,
+	"resume":         playResume,
 }
 
 func main() { os.Exit(run()) }
