--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -25,6 +25,7 @@
 	"backlog":        playBacklog,
 	"late-heartbeat": playLateHeartbeat,
 	"resume":         playResume,
+	"target":         playTarget,
 }
 
 func main() { os.Exit(run()) }
