--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -26,6 +26,7 @@
 	"late-heartbeat": playLateHeartbeat,
 	"resume":         playResume,
 	"target":         playTarget,
+	"leaving":        playLeaving,
 }
 
 func main() { os.Exit(run()) }
