--- a/review/driver2/backlog.go
+++ b/review/driver2/backlog.go
@@ -73,21 +73,31 @@
 	}
 	defer server.Close()
 	store.Put("keyed.servers", rep.ID, upstreamEntry("desk", server.Address, "ready", 1, 1700000000000))
-	front := &StoreFront{Store: store, OnRead: func(records, more int) {
-		if records > 0 {
-			r.Log("edge-0 reads %d configurations, %d more follow them in the store", records, more)
+	var front *StoreFront
+	var in *Instance
+	for i, zone := range zones {
+		f := &StoreFront{Store: store}
+		if i == 0 {
+			f.OnRead = func(records, more int) {
+				if records > 0 {
+					r.Log("edge-0 reads %d configurations, %d more follow them in the store", records, more)
+				}
+			}
+		}
+		frontServer := httptest.NewServer(f)
+		defer frontServer.Close()
+		defer frontServer.CloseClientConnections()
+		instance, err := StartInstance(dir, fmt.Sprintf("edge-%d", i), zone, strings.TrimPrefix(frontServer.URL, "http://"))
+		if err != nil {
+			return nil, err
+		}
+		defer instance.Kill()
+		if err := instance.AwaitReady(ctx); err != nil {
+			return nil, err
+		}
+		if i == 0 {
+			front, in = f, instance
 		}
-	}}
-	frontServer := httptest.NewServer(front)
-	defer frontServer.Close()
-	defer frontServer.CloseClientConnections()
-	in, err := StartInstance(dir, "edge-0", zones[0], strings.TrimPrefix(frontServer.URL, "http://"))
-	if err != nil {
-		return nil, err
-	}
-	defer in.Kill()
-	if err := in.AwaitReady(ctx); err != nil {
-		return nil, err
 	}
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
--- a/review/driver2/resume.go
+++ b/review/driver2/resume.go
@@ -18,7 +18,7 @@
 const (
 	// failedShare is the share of its requests that the failing replica answers with 500, as 1 in 3.
 	failedShare = 3
-	bookings    = 60
+	bookings    = 160
 )
 
 // resumableConfig has a non-idempotent route on which streamResume is set.
@@ -37,7 +37,7 @@
 	defer storeServer.Close()
 	store.Put("keyed.op", "config", resumableConfig)
 	var replicas []*standin.Replica
-	for i := range 3 {
+	for i := range 8 {
 		rep := &standin.Replica{ID: fmt.Sprintf("i-desk%d", i)}
 		server, err := standin.NewServer(rep, "127.0.0.1:0")
 		if err != nil {
