Catalogue: only streaming routes can be resumed

Cause: Route.MayRepeat was Repeatable || Resumable, and the flag was read without the type of the route. The outcome of the first attempt was Ran, so that only this decided. The flag also let a second answer follow the beginning of the first one on idempotent routes, and had calls that may run once cancelled, given up when silent and refused falsely.

Change: MayResume asks for the type and the flag; MayRepeat and all readers of the flag use it. The configuration check names the flag where it has no effect. Fixtures of the pricing tests that mean streams say so now; their checks are the same.

Before: TestResumableFlagCountsForStreamsAlone failed in its three rows (sent to three upstreams, one wanted).

--- a/pkg/audit/audit_test.go
+++ b/pkg/audit/audit_test.go
@@ -77,6 +77,7 @@
 		{"time limit below the target", func(c *Configuration) { c.plan().TimeLimit = 1999 }, "Contradiction TimeLimit Route/plan"},
 		{"no time limit", func(c *Configuration) { c.plan().TimeLimit = 0 }, "Contradiction TimeLimit Route/plan"},
 		{"attempts of a route without repetition", func(c *Configuration) { c.plan().Resumable = false }, "Contradiction UnusedAttempts Route/plan"},
+		{"resumption of a route without streams", func(c *Configuration) { c.plan().Streaming, c.plan().Repeatable = false, true }, "Contradiction UnusedResumption Route/plan"},
 		{"last attempt at the time limit", func(c *Configuration) { c.plan().TimeLimit = 4000 }, "Contradiction AttemptsExceedLimit Route/plan"},
 		{"last attempt within the time limit", func(c *Configuration) { c.plan().TimeLimit = 4001 }, ""},
 		{"no header limit", func(c *Configuration) { c.Table.MaxHeaderBytes = 0 }, "Contradiction Unbounded Limits"},
--- a/pkg/audit/check.go
+++ b/pkg/audit/check.go
@@ -85,6 +85,9 @@
 		out.add(Contradiction, RuleTimeLimit, routePlace(r), "the time limit of %d ms is below the target latency of %d ms; raise the limit or lower the target",
 			r.TimeLimit, r.Target)
 	}
+	if r.Resumable && !r.Streaming {
+		out.add(Contradiction, RuleUnusedResumption, routePlace(r), "the route isn't streaming, so that its answers are never resumed; remove the setting or change the type")
+	}
 	if r.MaxAttempts <= 1 {
 		return
 	}
--- a/pkg/audit/finding.go
+++ b/pkg/audit/finding.go
@@ -50,6 +50,7 @@
 	RuleModelWithoutCost     Rule = "ModelWithoutCost"
 	RuleTimeLimit            Rule = "TimeLimit"
 	RuleUnusedAttempts       Rule = "UnusedAttempts"
+	RuleUnusedResumption     Rule = "UnusedResumption"
 	RuleAttemptsExceedLimit  Rule = "AttemptsExceedLimit"
 	RuleScaling              Rule = "Scaling"
 	RuleUnbounded            Rule = "Unbounded"
--- a/pkg/catalogue/route.go
+++ b/pkg/catalogue/route.go
@@ -16,7 +16,8 @@
 	Repeatable bool
 	// Streaming is true when the response is an event stream.
 	Streaming bool
-	// Resumable is true when another upstream can continue a broken stream after the last event that was forwarded.
+	// Resumable is true when another upstream can continue a broken stream after the last event that was forwarded. It says nothing of
+	// routes that aren't streaming.
 	Resumable bool
 	// Affinity is true when requests list the parts of their prompt, by which an upstream is chosen that may have a prefix cached.
 	Affinity bool
@@ -40,7 +41,10 @@
 }
 
 // MayRepeat reports whether a request may be retried even though it may have run already.
-func (r *Route) MayRepeat() bool { return r.Repeatable || r.Resumable }
+func (r *Route) MayRepeat() bool { return r.Repeatable || r.MayResume() }
+
+// MayResume reports whether an answer that has begun may be continued by another upstream.
+func (r *Route) MayResume() bool { return r.Streaming && r.Resumable }
 
 // MinPatience is how long callers wait for the next event of any stream, in milliseconds.
 const MinPatience = 2 * clock.Second
--- a/pkg/delivery/stream.go
+++ b/pkg/delivery/stream.go
@@ -171,7 +171,7 @@
 }
 
 func (a *relayAttempt) resetPauseTimer(t *time.Timer) {
-	if a.call.Route.Resumable {
+	if a.call.Route.MayResume() {
 		t.Reset(pauseLimit(a.call.Route).Duration())
 	}
 }
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -113,6 +113,34 @@
 	}
 }
 
+// Guards against a booking that runs at two upstreams, and a second answer behind the beginning of the first, where a route that isn't
+// streaming has the flag of resumable streams.
+func TestResumableFlagCountsForStreamsAlone(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		route catalogue.Route
+		err   error
+		begun bool
+	}{
+		{"booking that ran and failed", catalogue.Route{}, newRefusal(request.Ran, request.ReasonUpstreamFailed), false},
+		{"booking that may have run", catalogue.Route{}, newRefusal(request.MayHaveRun, request.ReasonUpstreamFailed), false},
+		{"look-up whose answer has begun", catalogue.Route{Repeatable: true}, newRefusal(request.MayHaveRun, request.ReasonAnswerIncomplete), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			c.route.Resumable, c.route.MaxAttempts, c.route.Target = true, 3, 300
+			r := newDispatchHarness(newUpstream("u1"), newUpstream("u2"), newUpstream("u3"))
+			r.answer = func(call *request.Call) error {
+				call.HeadWritten = c.begun
+				return c.err
+			}
+			_, _ = r.call("r1", c.route)
+			if len(r.sent) != 1 {
+				t.Errorf("sent to %v, want one attempt", r.sent)
+			}
+		})
+	}
+}
+
 // testBurst is the number of retries that the budget of a dispatchHarness allows regardless of traffic.
 const testBurst = 3
 
--- a/pkg/pricing/confidence_test.go
+++ b/pkg/pricing/confidence_test.go
@@ -48,7 +48,7 @@
 			}
 			call := &request.Call{
 				Request: &request.Request{ID: "r", Prompt: &request.Prompt{}, Deadline: 12_000}, Writer: &headRecorder{}, Pool: &catalogue.Pool{Name: "lm"},
-				Route: &catalogue.Route{Sizes: []string{"small", "large"}, Resumable: true, MaxAttempts: 3, Target: target},
+				Route: &catalogue.Route{Sizes: []string{"small", "large"}, Streaming: true, Resumable: true, MaxAttempts: 3, Target: target},
 			}
 			var models []string
 			if err := f.Filter(context.Background(), call, request.HandlerFunc(func(ctx context.Context, call *request.Call) error {
@@ -102,7 +102,7 @@
 			w := &headRecorder{confidence: -2}
 			call := &request.Call{
 				Request: &request.Request{ID: "r", Prompt: &request.Prompt{Model: c.model}}, Writer: w, Pool: &catalogue.Pool{Name: "lm"},
-				Route: &catalogue.Route{Sizes: c.sizes, Resumable: true, MaxAttempts: 3}, Runs: c.runsBefore,
+				Route: &catalogue.Route{Sizes: c.sizes, Streaming: true, Resumable: true, MaxAttempts: 3}, Runs: c.runsBefore,
 			}
 			if c.costs != nil {
 				call.Pool.ModelCosts = c.costs
@@ -150,7 +150,7 @@
 			f := &ConfidenceCascade{Log: logr.Discard(), Clock: clock.NewManual(0), LeastSuccess: leastSuccess, Calibration: &Calibration{}, Budgets: budgets}
 			call := &request.Call{
 				Request: &request.Request{ID: "r", Prompt: &request.Prompt{}}, Writer: &headRecorder{}, Pool: &catalogue.Pool{Name: "lm"},
-				Route: &catalogue.Route{Sizes: []string{"small", "large"}, Resumable: true, MaxAttempts: 3},
+				Route: &catalogue.Route{Sizes: []string{"small", "large"}, Streaming: true, Resumable: true, MaxAttempts: 3},
 			}
 			var models []string
 			err := f.Filter(context.Background(), call, request.HandlerFunc(func(ctx context.Context, call *request.Call) error {
--- a/pkg/pricing/ways_back_test.go
+++ b/pkg/pricing/ways_back_test.go
@@ -35,7 +35,7 @@
 	t.Helper()
 	call := &request.Call{
 		Request: &request.Request{ID: "r", Prompt: &request.Prompt{}}, Writer: &headRecorder{}, Pool: &catalogue.Pool{Name: "lm"},
-		Route: &catalogue.Route{Sizes: []string{"small", "large"}, Resumable: true, MaxAttempts: 3},
+		Route: &catalogue.Route{Sizes: []string{"small", "large"}, Streaming: true, Resumable: true, MaxAttempts: 3},
 	}
 	err := m.cascade.Filter(context.Background(), call, request.HandlerFunc(func(ctx context.Context, call *request.Call) error {
 		models = append(models, call.Model)
