Store: a read that doesn't reach the end of its topic counts for nothing

Cause: a response of the log begins with the end of the topic, and one read returns about 1 MB. The records of the first read counted as all changes up to the time of the call, so that the view was current with a configuration from the middle of the backlog. The stand-in shows it: the requests ran between the read of 9 configurations, with 6 to follow, and the next read. All followed topics, and the ages that instances pass on, had the same fault.

Change: such a read gives ErrBacklog and no records; the follower reads the newest record of each key, which is whole up to its own time.

--- a/pkg/archive/follower.go
+++ b/pkg/archive/follower.go
@@ -12,6 +12,12 @@
 // ErrTrimmed means that the requested records are no longer retained.
 var ErrTrimmed = errors.New("the records are no longer retained")
 
+// ErrBacklog means that more records follow than one read returns; the newest record of each key is less to read.
+var ErrBacklog = errors.New("more records follow than one read returns")
+
+// MustReload reports whether err of a read asks for the newest record of each key instead.
+func MustReload(err error) bool { return errors.Is(err, ErrTrimmed) || errors.Is(err, ErrBacklog) }
+
 // ErrRefused marks errors with which the store rejects a single call; other calls may still succeed.
 var ErrRefused = errors.New("the store rejected the call")
 
@@ -36,7 +42,7 @@
 type Topic[T any] interface {
 	// Newest returns the newest item of each key.
 	Newest(ctx context.Context) (Batch[T], error)
-	// Read returns the items from a position on, and waits for the first one for up to wait; it can fail with ErrTrimmed.
+	// Read returns all items from a position on, and waits for the first one for up to wait; it can fail with ErrTrimmed and ErrBacklog.
 	Read(ctx context.Context, from int64, wait clock.Millis) (Batch[T], error)
 }
 
@@ -79,9 +85,9 @@
 			if ctx.Err() != nil {
 				break
 			}
-			reload = reload || errors.Is(err, ErrTrimmed)
+			reload = reload || MustReload(err)
 			f.markFailed(err)
-			if !errors.Is(err, ErrTrimmed) {
+			if !MustReload(err) {
 				_ = clock.Sleep(ctx, f.Clock, retryPause)
 			}
 			continue
--- a/pkg/archive/source.go
+++ b/pkg/archive/source.go
@@ -31,7 +31,7 @@
 type Source interface {
 	// Newest returns the newest record of each key.
 	Newest(ctx context.Context, topic TopicName) (Batch[Record], error)
-	// Read returns the records from a position on, and waits for the first one for up to wait; it can fail with ErrTrimmed.
+	// Read returns all records from a position on, and waits for the first one for up to wait; it can fail with ErrTrimmed and ErrBacklog.
 	Read(ctx context.Context, topic TopicName, from int64, wait clock.Millis) (Batch[Record], error)
 }
 
--- a/pkg/membership/storebackoff.go
+++ b/pkg/membership/storebackoff.go
@@ -44,7 +44,7 @@
 func (b *storeBackoff) record(topic archive.TopicName, err error, now clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if err == nil || errors.Is(err, archive.ErrTrimmed) {
+	if err == nil || archive.MustReload(err) {
 		delete(b.pauses, topic)
 		delete(b.pauses, allTopics)
 		return
