Listings: an older entry of an upstream never replaces a newer one

The store had executed a heartbeat late, one from before the report.

Cause: start and sequence were compared only once the store had come back from an older copy; else the entry that was read last held. Entries of earlier starts, and entries after a removal, went the same way.

Change: an entry is outdated by a later start, by a higher sequence of the same start, and by a report of leaving with the same sequence. The line of a listed upstream has its sequence.

Before: TestViewIgnoresHeartbeatsThatComeLate failed in 12 of 16 rows.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -242,6 +242,6 @@
 			continue
 		}
 		c.Log.Info("upstream listed", "upstream", l.Name, "service", l.Upstream.Service, "release", l.Upstream.Release,
-			"zone", l.Upstream.Zone, "leaving", l.Upstream.Leaving, "coldMs", l.ColdFor, "incarnation", l.Upstream.Incarnation)
+			"zone", l.Upstream.Zone, "leaving", l.Upstream.Leaving, "coldMs", l.ColdFor, "incarnation", l.Upstream.Incarnation, "sequence", l.Sequence)
 	}
 }
--- a/pkg/gateway/listings.go
+++ b/pkg/gateway/listings.go
@@ -22,33 +22,51 @@
 	removedAt clock.Millis
 }
 
-// outdates reports whether an entry after a later return of the store is older than the record: one of an earlier start of the
-// upstream, or one by which an upstream that was leaving or removed would get new work.
+// doubtfulListing is an entry of an upstream that was removed, which counts from the given time on unless a removal follows.
+type doubtfulListing struct {
+	catalogue.Listing
+	from clock.Millis
+}
+
+// outdates reports whether the record is newer than an entry, which the store may have executed late or have in an older copy.
 func (r upstreamRecord) outdates(l catalogue.Listing, restores int) bool {
+	if r.restores != restores {
+		return r.outdatesCopied(l)
+	}
 	switch {
-	case r.restores == restores:
+	case r.incarnation == 0:
+		// Nothing tells a late entry from one of another start.
 		return false
-	case l.Upstream.Incarnation != r.incarnation:
+	case l.Upstream.Incarnation != 0 && l.Upstream.Incarnation != r.incarnation:
+		return l.Upstream.Incarnation < r.incarnation
+	}
+	return l.Sequence < r.sequence || r.leaving && !l.Upstream.Leaving && l.Sequence == r.sequence
+}
+
+// outdatesCopied is the same for an entry after a later return of the store: one of an earlier start is outdated, and one by which an upstream
+// that was leaving or removed would get new work.
+func (r upstreamRecord) outdatesCopied(l catalogue.Listing) bool {
+	if l.Upstream.Incarnation != r.incarnation {
 		return l.Upstream.Incarnation < r.incarnation
 	}
 	return (r.leaving || r.removed) && !l.Upstream.Leaving && l.Sequence <= r.sequence
 }
 
-// ApplyListings applies a batch of the upstream list and returns the names of the upstreams that were removed. After the store came
-// back from an older copy, upstreams that it lacks stay for listingGrace, and what was known of leaving and removed ones holds.
+// ApplyListings applies a batch of the upstream list and returns the names of the upstreams that were removed. What is known of leaving and
+// removed ones holds against older entries. After the store came back from an older copy, upstreams that it lacks stay for listingGrace.
 func (v *View) ApplyListings(b archive.Batch[catalogue.Listing], now clock.Millis) (removed []string) {
 	restored := observe(&v.listingsEra, b)
 	if v.upstreamRecords == nil {
 		v.upstreamRecords = map[string]upstreamRecord{}
 		v.missingUpstreams = map[string]bool{}
 	}
-	old := v.upstreams
+	old, doubtful := v.upstreams, v.doubtfulListings
 	if b.Whole || old == nil {
 		v.upstreams = map[string]*catalogue.Upstream{}
-		v.doubtfulListings = map[string]catalogue.Listing{}
+		v.doubtfulListings = map[string]doubtfulListing{}
 	}
 	if restored {
-		v.missingUntil, v.doubtfulUntil = now+listingGrace, now+restoreGrace
+		v.missingUntil = now + listingGrace
 	}
 	v.listRead = true
 	for _, l := range b.Items {
@@ -58,13 +76,17 @@
 			removed = append(removed, l.Name)
 		case !known || !record.outdates(l, v.listingsEra.restores):
 			v.addUpstream(l, now)
-		case record.removed && l.Upstream.Incarnation == record.incarnation:
-			// A record after the return of the store is one of an upstream that is still there.
-			if b.Whole {
-				v.doubtfulListings[l.Name] = l
-			} else {
+		case record.removed && (l.Upstream.Incarnation == 0 || l.Upstream.Incarnation == record.incarnation):
+			if !b.Whole && record.restores != v.listingsEra.restores {
+				// A record after the return of the store is one of an upstream that is still there.
 				v.addUpstream(l, now)
+				break
+			}
+			earlier, found := doubtful[l.Name]
+			if !found || restored {
+				earlier.from = now + restoreGrace
 			}
+			v.doubtfulListings[l.Name] = doubtfulListing{Listing: l, from: earlier.from}
 		case b.Whole && old[l.Name] != nil:
 			v.upstreams[l.Name] = old[l.Name]
 		}
@@ -98,7 +120,12 @@
 		u.ColdUntil = now + l.ColdFor
 	}
 	v.upstreams[l.Name] = &u
-	v.upstreamRecords[l.Name] = upstreamRecord{incarnation: u.Incarnation, sequence: l.Sequence, leaving: u.Leaving, restores: v.listingsEra.restores}
+	incarnation := u.Incarnation
+	if incarnation == 0 {
+		// An entry without its start begins no other lifetime.
+		incarnation = v.upstreamRecords[l.Name].incarnation
+	}
+	v.upstreamRecords[l.Name] = upstreamRecord{incarnation: incarnation, sequence: l.Sequence, leaving: u.Leaving, restores: v.listingsEra.restores}
 	delete(v.missingUpstreams, l.Name)
 	delete(v.doubtfulListings, l.Name)
 }
@@ -118,7 +145,7 @@
 	}
 }
 
-// expireListings removes upstreams that did not register again in time, and takes entries of the copy that no removal followed.
+// expireListings removes upstreams that did not register again in time, and takes doubtful entries that no removal followed.
 func (v *View) expireListings(now clock.Millis) (removed []string) {
 	if len(v.missingUpstreams) > 0 && now >= v.missingUntil {
 		for name := range v.missingUpstreams {
@@ -126,9 +153,9 @@
 			removed = append(removed, name)
 		}
 	}
-	if len(v.doubtfulListings) > 0 && now >= v.doubtfulUntil {
-		for _, l := range v.doubtfulListings {
-			v.addUpstream(l, now)
+	for _, l := range v.doubtfulListings {
+		if now >= l.from {
+			v.addUpstream(l.Listing, now)
 		}
 	}
 	return removed
--- a/pkg/gateway/listings_test.go
+++ b/pkg/gateway/listings_test.go
@@ -80,6 +80,55 @@
 	}
 }
 
+// Guards against work for an upstream that leaves, or is gone, after the store has executed one of its heartbeats late.
+func TestViewIgnoresHeartbeatsThatComeLate(t *testing.T) {
+	const incarnation = 1000
+	ready := func(sequence int64) catalogue.Listing { return entry("u", incarnation, sequence, false) }
+	leaving := func(sequence int64) catalogue.Listing { return entry("u", incarnation, sequence, true) }
+	gone := catalogue.Listing{Name: "u", Removed: true}
+	lapsed := 100 + restoreGrace
+	for _, c := range []struct {
+		name  string
+		known []catalogue.Listing
+		// late is read at time 100, and whole is true if it is read with the whole list.
+		late   catalogue.Listing
+		whole  bool
+		at     clock.Millis
+		serves bool
+	}{
+		{name: "leaving", known: []catalogue.Listing{ready(3), leaving(7)}, late: ready(4), at: 9000},
+		{name: "leaving, in a read of the whole list", known: []catalogue.Listing{ready(3), leaving(7)}, late: ready(4), whole: true, at: 9000},
+		{name: "leaving, with the same sequence", known: []catalogue.Listing{leaving(7)}, late: ready(7), at: 9000},
+		{name: "leaving, without its start", known: []catalogue.Listing{leaving(7)}, late: entry("u", 0, 4, false), at: 9000},
+		{name: "leaving, and an earlier start was ready", known: []catalogue.Listing{leaving(7)}, late: entry("u", incarnation-1, 9, false), at: 9000},
+		{name: "leaving was told without its start", known: []catalogue.Listing{ready(3), entry("u", 0, 7, true)}, late: ready(4), at: 9000},
+		{name: "ready, and an earlier start was leaving", known: []catalogue.Listing{ready(3)}, late: entry("u", incarnation-1, 9, true), at: 9000, serves: true},
+		{name: "ready, and was leaving before", known: []catalogue.Listing{leaving(4), ready(7)}, late: leaving(5), at: 9000, serves: true},
+		{name: "gone", known: []catalogue.Listing{ready(7), gone}, late: ready(4), at: lapsed - 1},
+		{name: "gone, in a read of the whole list", known: []catalogue.Listing{ready(7), gone}, late: ready(4), whole: true, at: lapsed - 1},
+		{name: "gone, and the entry doesn't lapse", known: []catalogue.Listing{ready(7), gone}, late: ready(4), at: lapsed, serves: true},
+		{name: "left and gone", known: []catalogue.Listing{leaving(7), gone}, late: ready(7), at: lapsed - 1},
+		{name: "gone, and an earlier start was ready", known: []catalogue.Listing{ready(2), gone}, late: entry("u", incarnation-1, 9, false), at: 9000},
+		{name: "the entry lapsed and is written again", known: []catalogue.Listing{ready(7), gone}, late: ready(7), at: 100, serves: true},
+		{name: "started again", known: []catalogue.Listing{leaving(7)}, late: entry("u", incarnation+1, 1, false), at: 100, serves: true},
+		{name: "starts are unknown", known: []catalogue.Listing{entry("u", 0, 7, true)}, late: entry("u", 0, 1, false), at: 100, serves: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v := &View{}
+			v.ApplyListings(listings(1, true), 0)
+			for _, l := range c.known {
+				v.ApplyListings(listings(1, false, l), 10)
+			}
+			v.ApplyListings(listings(1, c.whole, c.late), 100)
+			v.Expire(c.at)
+			serves := slices.ContainsFunc(v.Snapshot(false).Pools["lm"], func(u *catalogue.Upstream) bool { return u.Name == "u" })
+			if serves != c.serves {
+				t.Errorf("the upstream gets work: %t, want %t", serves, c.serves)
+			}
+		})
+	}
+}
+
 func TestViewReportsUpstreamsThatDidNotRegisterAgain(t *testing.T) {
 	v := &View{}
 	v.ApplyListings(listings(1, true, entry("a", 1, 1, false), entry("b", 1, 1, false)), 0)
--- a/pkg/gateway/restored.go
+++ b/pkg/gateway/restored.go
@@ -131,6 +131,11 @@
 func (v *View) NextExpiry() (clock.Millis, bool) {
 	var next clock.Millis
 	found := false
+	for _, l := range v.doubtfulListings {
+		if !found || l.from < next {
+			next, found = l.from, true
+		}
+	}
 	for _, e := range []struct {
 		due bool
 		at  clock.Millis
@@ -139,7 +144,6 @@
 		{v.table != nil && !v.tableConfirmed, v.tableConfirmedFrom},
 		{v.doubted, v.doubtedUntil},
 		{len(v.missingUpstreams) > 0, v.missingUntil},
-		{len(v.doubtfulListings) > 0, v.doubtfulUntil},
 		{len(v.missingMembers) > 0, v.missingMembersUntil},
 	} {
 		if e.due && (!found || e.at < next) {
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -41,9 +41,8 @@
 	// missingUpstreams are upstreams that a store back from an older copy lacks; they are removed at missingUntil.
 	missingUpstreams map[string]bool
 	missingUntil     clock.Millis
-	// doubtfulListings are entries that such a store has of upstreams that were removed; they count from doubtfulUntil on.
-	doubtfulListings map[string]catalogue.Listing
-	doubtfulUntil    clock.Millis
+	// doubtfulListings are entries of upstreams that were removed, which are older than what was known before.
+	doubtfulListings map[string]doubtfulListing
 	members          map[string]catalogue.Member
 	membersEra       topicEra
 	// missingMembers are members that a store back from an older copy lacks; they are removed at missingMembersUntil.
