Membership: newest records of an instance that has read less are not taken

An instance that reads the newest records of a topic from another one took them whatever position they ended at, so that a zone that is out, a rollout order or the removal of an upstream was undone until the next read.

Change: the reader compares the position with its own within an era, and asks the store.

Before: TestNewestRecordsNeverComeFromAnInstanceThatHasReadLess failed (position 4 where 5 was read). After: it passes.

--- a/pkg/archive/source.go
+++ b/pkg/archive/source.go
@@ -161,6 +161,16 @@
 	return 0
 }
 
+// Position returns the position behind what was read of a topic, and 0 if nothing was.
+func (c *Cache) Position(topic TopicName) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.topics[topic]; t != nil {
+		return t.next
+	}
+	return 0
+}
+
 // ErrBehind means that a cache has not reached the requested position.
 var ErrBehind = errors.New("the topic has not been read up to this position")
 
--- a/pkg/membership/peer_source.go
+++ b/pkg/membership/peer_source.go
@@ -66,7 +66,7 @@
 
 // Newest returns the newest record of each key, from another instance or the store.
 func (s *PeerSource) Newest(ctx context.Context, topic archive.TopicName) (archive.Batch[archive.Record], error) {
-	b, err := s.readPeers(ctx, ReadArgs{Topic: topic, Whole: true, Era: s.Cache.Era(), Wait: newestWait})
+	b, err := s.readPeers(ctx, ReadArgs{Topic: topic, Whole: true, From: s.Cache.Position(topic), Era: s.Cache.Era(), Wait: newestWait})
 	if errors.Is(err, errNoPeer) {
 		b, err = s.readStore(ctx, topic, func() (archive.Batch[archive.Record], error) { return s.Store.Newest(ctx, topic) })
 	}
@@ -191,7 +191,7 @@
 	var serverErr rpc.ServerError
 	var staleErr *catalogue.StaleError
 	var eraErr *archive.EraError
-	if errors.As(err, &serverErr) || errors.As(err, &staleErr) || errors.As(err, &eraErr) {
+	if errors.As(err, &serverErr) || errors.As(err, &staleErr) || errors.As(err, &eraErr) || errors.Is(err, archive.ErrBehind) {
 		s.cooldowns.start(topicKey(peer, topic), s.Clock.Now()+topicCooldown)
 		return
 	}
@@ -214,6 +214,9 @@
 		// The other instance doesn't know eras, or has not noticed the current one.
 		return archive.Batch[archive.Record]{}, &archive.EraError{Era: reply.Era, Current: args.Era}
 	}
+	if args.Whole && reply.Era == s.Cache.TopicEra(args.Topic) && reply.Next < args.From {
+		return archive.Batch[archive.Record]{}, errors.Wrapf(archive.ErrBehind, "position %d, %d read here", reply.Next, args.From)
+	}
 	if limit := s.drainFraction(maxAgeFraction); reply.Age > limit && isTimeCritical(args.Topic) {
 		return archive.Batch[archive.Record]{}, &catalogue.StaleError{Age: reply.Age, Horizon: limit}
 	}
--- a/pkg/membership/peer_source_test.go
+++ b/pkg/membership/peer_source_test.go
@@ -155,6 +155,33 @@
 	}
 }
 
+// Guards against changes that are undone when the newest records come from an instance that has read less.
+func TestNewestRecordsNeverComeFromAnInstanceThatHasReadLess(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// own is the position up to which the reader has read, peer that of the older instance.
+		own, peer  int64
+		storeReads int
+	}{
+		{"less", 5, 4, 1},
+		{"as much", 4, 4, 0},
+		{"more", 4, 5, 0},
+		{"the reader has read nothing", 0, 4, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPeerPair(t)
+			p.cache.Update(archive.TopicOperations, archive.Batch[archive.Record]{Whole: true, Next: c.peer, AsOf: 10_000})
+			if c.own > 0 {
+				p.source.Cache.Update(archive.TopicOperations, archive.Batch[archive.Record]{Whole: true, Next: c.own, AsOf: 9500})
+			}
+			b, err := p.source.Newest(t.Context(), archive.TopicOperations)
+			if err != nil || b.Next < c.own || p.store.reads != c.storeReads {
+				t.Errorf("got position %d and %v with %d reads of the store, want at least %d and %d reads", b.Next, err, p.store.reads, c.own, c.storeReads)
+			}
+		})
+	}
+}
+
 func TestPeerSourceReturnsTrimmedOfPeer(t *testing.T) {
 	p := newPeerPair(t)
 	p.cache.Update(archive.TopicListings, archive.Batch[archive.Record]{Whole: true, Next: 5, AsOf: 10_000})
--- a/pkg/membership/reader.go
+++ b/pkg/membership/reader.go
@@ -20,7 +20,8 @@
 type ReadArgs struct {
 	Topic archive.TopicName
 	Whole bool
-	From  int64
+	// From is the position of the read, or for Whole the one up to which the sender has read.
+	From int64
 	// Era is that of From, or for Whole the newest one that the sender has seen; 0 when unknown.
 	Era  int64
 	Wait clock.Millis
