Custody: a request that arrives as its connection's rest ends is served

Cause: the check of the time limits closes idle connections. A read that already has a request waits for the account while the check runs, is then no connection of the account any more, and is dropped. Each fall of the limit makes many connections overdue at once that callers still use by the old limit, so that the check is long and likely to meet a request. Connections that make room for others ended the same way, and answers that a slow caller was reading were cut by the new limit.

Change: an idle connection ends by its read deadline, which a read that has bytes survives; its account is taken up again. The limits under which a rest or a request began hold to its end.

--- a/pkg/custody/account.go
+++ b/pkg/custody/account.go
@@ -124,6 +124,13 @@
 		a.stats.Refused++
 		return nil
 	}
+	c.limits = a.limits()
+	a.insert(c)
+	return c
+}
+
+// insert accounts for a connection that holds nothing yet.
+func (a *Account) insert(c *Conn) {
 	u := a.addresses[c.address]
 	if u == nil {
 		u = &usage{}
@@ -133,7 +140,6 @@
 	a.conns[c] = struct{}{}
 	u.count++
 	a.add(c, ConnBytes)
-	return c
 }
 
 func (a *Account) hasRoom(c *Conn) bool {
--- a/pkg/custody/conn.go
+++ b/pkg/custody/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -40,6 +41,10 @@
 	// The fields below are guarded by the mutex of the account.
 
 	phase phase
+	// limits are those in force when the phase began that is not phaseHead.
+	limits Limits
+	// ended is true once the rest of an idle connection has ended and nothing was received since; it isn't accounted for any more.
+	ended bool
 	// since is when the phase began, deadline when a body must have ended, and movedAt when the client last sent or read something.
 	since, deadline, movedAt clock.Millis
 	// moved is the number of bytes received in the phase.
@@ -64,12 +69,28 @@
 	return n, err
 }
 
+// SetReadDeadline sets the deadline of reads, unless the rest of the connection has ended.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	if c.ended {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 func (c *Conn) received(p []byte) bool {
 	a := c.account
 	now := a.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	c.movedAt = now
+	if c.ended {
+		// The bytes arrived before the end of the rest.
+		c.ended = false
+		a.insert(c)
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
 	if c.phase == phaseIdle {
 		c.phase, c.since, c.moved = phaseHead, now, 0
 	}
@@ -219,13 +240,14 @@
 		return
 	}
 	c.since, c.moved, c.movedAt = now, 0, now
+	c.limits = a.limits()
 	if state == http.StateIdle {
 		c.phase = phaseIdle
 		a.release(c, ConnBytes)
 		return
 	}
 	c.phase, c.deadline = phaseBody, 0
-	if l := a.limits(); l.Body > 0 {
-		c.deadline = now + l.Body
+	if c.limits.Body > 0 {
+		c.deadline = now + c.limits.Body
 	}
 }
--- a/pkg/custody/custody_test.go
+++ b/pkg/custody/custody_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/google/go-cmp/cmp"
@@ -19,11 +20,12 @@
 	sent strings.Reader
 }
 
-func (c *client) RemoteAddr() net.Addr        { return &net.TCPAddr{IP: net.ParseIP(c.ip)} }
-func (c *client) Close() error                { return nil }
-func (c *client) Read(p []byte) (int, error)  { return c.sent.Read(p) }
-func (c *client) Write(p []byte) (int, error) { return len(p), nil }
-func (c *client) open(a *Account) *Conn       { return a.admit(c, phaseIdle) }
+func (c *client) RemoteAddr() net.Addr            { return &net.TCPAddr{IP: net.ParseIP(c.ip)} }
+func (c *client) Close() error                    { return nil }
+func (c *client) SetReadDeadline(time.Time) error { return nil }
+func (c *client) Read(p []byte) (int, error)      { return c.sent.Read(p) }
+func (c *client) Write(p []byte) (int, error)     { return len(p), nil }
+func (c *client) open(a *Account) *Conn           { return a.admit(c, phaseIdle) }
 func (c *client) send(conn *Conn, text string) error {
 	c.sent.Reset(text)
 	_, err := conn.Read(make([]byte, len(text)))
--- a/pkg/custody/evict.go
+++ b/pkg/custody/evict.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"time"
 
 	"carawayknot.example/carawayknot/pkg/clock"
 )
@@ -82,9 +83,15 @@
 	return 0
 }
 
-// closeLocked drops a connection at once; its goroutines end with their next read or write.
+// closeLocked drops a connection at once; its goroutines end with their next read or write. An idle one goes on if a request has just arrived.
 func (a *Account) closeLocked(c *Conn) {
 	a.remove(c)
+	if c.phase == phaseIdle {
+		// A read that has bytes already returns them whatever the deadline is.
+		c.ended = true
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		return
+	}
 	// Closing may wait for other goroutines of the connection.
 	go func() { _ = c.Conn.Close() }()
 }
@@ -141,12 +148,13 @@
 	}
 }
 
+// overdue reports whether the client takes longer than the present limits allow, and those in force when its rest or its request began.
 func (c *Conn) overdue(now clock.Millis, l Limits) bool {
 	switch {
 	case c.writing, c.phase == phaseIdle:
-		return l.Idle > 0 && now-c.movedAt > l.Idle
+		return l.Idle > 0 && now-c.movedAt > max(l.Idle, c.limits.Idle)
 	case c.phase == phaseHead:
-		return l.Head > 0 && now-c.since > l.Head
+		return l.Head > 0 && now-c.since > max(l.Head, c.limits.Head)
 	case c.phase == phaseBody:
 		return c.deadline > 0 && now > c.deadline
 	}
