Custody: a request with a small head is refused instead of cut where no memory is left

Cause: the head of a request is counted while it is read, and a connection that goes over the bound is closed. What a refusal needs was never held.

Change: a head that counts up to 8 KB is read without room; its request is then denied and gets 503. Larger heads end the connection as before.

--- a/pkg/custody/account.go
+++ b/pkg/custody/account.go
@@ -18,6 +18,8 @@
 	RequestBytes = 64 << 10
 	// fieldBytes is what a header field counts besides its text: the entries in the maps of the request and of its copies.
 	fieldBytes = 350
+	// smallHeadBytes is what a head may count although no room is left.
+	smallHeadBytes = 8 << 10
 	// textCopies is the number of copies of the text of a head.
 	textCopies = 2
 	// bodyShare is the part of the bytes that bodies may take, so that requests without one are served beside many of them.
@@ -224,6 +226,18 @@
 	return true
 }
 
+// takeHead counts n bytes for the head of c, and reports whether it may be read on: without room a small one may, so that its request is refused.
+func (a *Account) takeHead(c *Conn, n int64) bool {
+	if a.take(c, n, false) {
+		return true
+	}
+	if _, found := a.conns[c]; !found || c.held-ConnBytes+n > smallHeadBytes {
+		return false
+	}
+	a.add(c, n)
+	return true
+}
+
 func (a *Account) fits(c *Conn, n int64, body bool) bool {
 	if body {
 		// A body that is the only one is taken whatever its length, which the configuration bounds.
--- a/pkg/custody/conn.go
+++ b/pkg/custody/conn.go
@@ -95,7 +95,7 @@
 		c.phase, c.since, c.moved = phaseHead, now, 0
 	}
 	c.moved += int64(len(p))
-	return c.phase != phaseHead || a.take(c, headCost(p), false)
+	return c.phase != phaseHead || a.takeHead(c, headCost(p))
 }
 
 // Write writes p in parts, each of which shows that the client reads.
