Delivery: an unframed answer whose request could not be sent whole is cut

Cause: the end of the connection ends such an answer, and the kernel reports a reset once. Where the writer of the request meets it first, the reader gets an ordinary end of file.

Change: an end of file counts as the end of an unframed answer only once the request was sent without an error, for routed calls and for those of the own interface.

--- a/pkg/delivery/attempt.go
+++ b/pkg/delivery/attempt.go
@@ -134,7 +134,7 @@
 
 // do sends one HTTP request of the attempt; permit is called right before its first byte.
 func (a *attempt) do(req *http.Request, permit func() error) (*http.Response, error) {
-	ex := &exchange{permit: permit}
+	ex := newExchange(permit)
 	a.mu.Lock()
 	a.exchange = ex
 	a.mu.Unlock()
--- a/pkg/delivery/conn.go
+++ b/pkg/delivery/conn.go
@@ -1,7 +1,9 @@
 package delivery
 
 import (
+	"context"
 	"net"
+	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 
@@ -20,6 +22,9 @@
 	permit func() error
 	// connected is true once the exchange had a connection.
 	connected atomic.Bool
+	// sent is closed once the request was sent or sending it has failed.
+	sent     chan struct{}
+	sentOnce sync.Once
 
 	mu     sync.Mutex
 	conn   *gatedConn
@@ -27,6 +32,33 @@
 	wrote  bool
 	sealed bool
 	denied error
+	// sendErr is the error of sending the request.
+	sendErr error
+}
+
+// newExchange returns an exchange for one request.
+func newExchange(permit func() error) *exchange {
+	return &exchange{permit: permit, sent: make(chan struct{})}
+}
+
+// setSent records the end of sending the request.
+func (e *exchange) setSent(info httptrace.WroteRequestInfo) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sendErr = info.Err
+	e.sentOnce.Do(func() { close(e.sent) })
+}
+
+// awaitSent waits until the request was sent, and returns the error if that failed or ctx has ended.
+func (e *exchange) awaitSent(ctx context.Context) error {
+	select {
+	case <-e.sent:
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.sendErr
 }
 
 // admit is called before each write; it binds the exchange to the connection of its first byte.
--- a/pkg/delivery/framing.go
+++ b/pkg/delivery/framing.go
@@ -2,8 +2,12 @@
 
 import (
 	"bytes"
+	"context"
+	"io"
 	"mime"
 	"net/http"
+
+	"github.com/cockroachdb/errors"
 )
 
 // isUnframed reports whether only the end of its connection ends the response, so that an orderly end may be a cut.
@@ -11,6 +15,25 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
+// unframedBody is the body of an unframed response. An end of file doesn't tell whether the connection was reset, since the kernel reports a reset once:
+// it may have told the writer of the request.
+type unframedBody struct {
+	io.ReadCloser
+	ctx      context.Context
+	exchange *exchange
+}
+
+// Read returns an error in place of the end of the body unless the request was sent whole.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if sendErr := b.exchange.awaitSent(b.ctx); sendErr != nil {
+			err = errors.Wrap(sendErr, "unframed response ended before its request was sent")
+		}
+	}
+	return n, err
+}
+
 // eventBoundary follows the bytes of an event stream and tells whether they end with an event.
 type eventBoundary struct{ tail []byte }
 
--- a/pkg/delivery/relay.go
+++ b/pkg/delivery/relay.go
@@ -151,7 +151,7 @@
 		// A non-repeatable call runs to completion even if the caller leaves, so that its outcome is known.
 		ctx = context.WithoutCancel(ctx)
 	}
-	a := &relayAttempt{Relay: r, call: c, startedAt: now, mayAbort: c.MayAbort(), ex: &exchange{permit: func() error { return r.Permit(c) }}}
+	a := &relayAttempt{Relay: r, call: c, startedAt: now, mayAbort: c.MayAbort(), ex: newExchange(func() error { return r.Permit(c) })}
 	a.ctx, a.stop = context.WithCancelCause(ctx)
 	defer a.stop(context.Canceled)
 	timer := time.AfterFunc(timeLeft.Duration(), func() { a.stop(errRequestTimeout) })
--- a/pkg/delivery/transport.go
+++ b/pkg/delivery/transport.go
@@ -54,12 +54,15 @@
 // roundTrip sends the request once: the exchange rejects a second connection after the first byte, and GetBody is nil, so
 // that the HTTP transport cannot retry the request by itself.
 func (t *transports) roundTrip(req *http.Request, e *exchange, repeatable bool) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*gatedConn); ok {
-			c.owner.Store(e)
-			e.connected.Store(true)
-		}
-	}}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*gatedConn); ok {
+				c.owner.Store(e)
+				e.connected.Store(true)
+			}
+		},
+		WroteRequest: e.setSent,
+	}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	req.GetBody = nil
 	tr := t.pooled
@@ -73,6 +76,9 @@
 		}
 		return nil, errors.Wrap(err, "HTTP round trip")
 	}
+	if isUnframed(resp) {
+		resp.Body = &unframedBody{ReadCloser: resp.Body, ctx: req.Context(), exchange: e}
+	}
 	return resp, nil
 }
 
--- a/pkg/delivery/unframed_test.go
+++ b/pkg/delivery/unframed_test.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/google/go-cmp/cmp"
@@ -79,6 +80,64 @@
 	}
 }
 
+// uploadWire is a plainWire that sends the body of the call.
+type uploadWire struct{ plainWire }
+
+func (uploadWire) Request(c *request.Call, _ clock.Millis) *http.Request {
+	req, err := http.NewRequest(http.MethodPost, "http://"+c.Upstream.Address+"/", bytes.NewReader(c.Request.Body))
+	if err != nil {
+		panic(err)
+	}
+	return req
+}
+
+// Guards against a part of an answer that passes for all of it because the writer of a long upload met the reset first.
+func TestUnframedAnswerThatIsResetDuringAnUploadIsCut(t *testing.T) {
+	const uploads, part = 40, "HTTP/1.1 200 OK\r\n\r\npart of the answer"
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.ReadFull(conn, make([]byte, 64<<10))
+			_, _ = io.WriteString(conn, part)
+			// The part arrives before the reset does.
+			time.Sleep(5 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	}()
+	f := &Relay{
+		Clock: clock.NewReal(), Log: logr.Discard(), Wire: uploadWire{}, Dial: (&net.Dialer{}).DialContext,
+		Permit: func(*request.Call) error { return nil },
+	}
+	f.Open()
+	defer f.Close()
+	body := make([]byte, 8<<20)
+	complete := 0
+	for range uploads {
+		rec := &recorder{}
+		err := f.Filter(t.Context(), &request.Call{
+			Request:  &request.Request{ID: "r", Deadline: f.Clock.Now() + 20*clock.Second, Body: body},
+			Route:    &catalogue.Route{},
+			Upstream: &catalogue.Upstream{Name: "u", Address: l.Addr().String()},
+			Writer:   rec,
+		}, nil)
+		if err == nil || rec.end != nil {
+			complete++
+		}
+	}
+	if complete > 0 {
+		t.Errorf("%d of %d answers that were cut look complete", complete, uploads)
+	}
+}
+
 // The log couldn't tell an answer that ends with its connection from others.
 func TestRelayRecordsFraming(t *testing.T) {
 	for _, c := range []struct {
