Delivery: an answer without a final status is invalid

On other systems callers got an answer whose status was 000.

Cause: net/http accepts any three digits as a status, and nothing else checked it.

Change: a response whose status isn't from 200 to 599 counts as a mismatch of a request that may have run, so that idempotent calls are retried and others get 502. It holds for routed calls, calls through other instances and the own interface.

--- a/pkg/delivery/framing.go
+++ b/pkg/delivery/framing.go
@@ -10,6 +10,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// isFinalStatus reports whether a status belongs to a class of final responses.
+func isFinalStatus(status int) bool { return status >= 200 && status < 600 }
+
 // isUnframed reports whether only the end of its connection ends the response, so that an orderly end may be a cut.
 func isUnframed(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
--- a/pkg/delivery/transport.go
+++ b/pkg/delivery/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 
@@ -76,6 +77,10 @@
 		}
 		return nil, errors.Wrap(err, "HTTP round trip")
 	}
+	if !isFinalStatus(resp.StatusCode) {
+		_ = resp.Body.Close()
+		return nil, &InvalidResponseError{Detail: "its status is " + strconv.Itoa(resp.StatusCode)}
+	}
 	if isUnframed(resp) {
 		resp.Body = &unframedBody{ReadCloser: resp.Body, ctx: req.Context(), exchange: e}
 	}
