Drain: a request that arrives as the connections are closed is served

Callers with kept connections could get neither an answer nor a refusal.

Cause: a server that shuts down closes the connections that it takes for idle, and it does until the head of a request is parsed: one that was read by then is dropped.

Change: the listener is closed, then idle connections end by their read deadline, as at the end of a rest, until none is left; the server shuts down after that.

Before: TestRequestThatArrivesAsConnectionsCloseIsServed failed without Account.Drain. After: it passes.

--- a/pkg/custody/account.go
+++ b/pkg/custody/account.go
@@ -66,6 +66,8 @@
 	// bodyBytes is the part of stats.HeldBytes that bodies hold.
 	bodyBytes int64
 	stats     Stats
+	// ended is the number of connections whose rest has ended and that aren't closed yet.
+	ended int
 	// noneSlowUntil is the time until which no slow connection is looked for again.
 	noneSlowUntil clock.Millis
 	// logged has the counts of the last log line; only Run uses it.
@@ -173,6 +175,14 @@
 	}
 }
 
+// leaveEnded drops c from the connections whose rest has ended.
+func (a *Account) leaveEnded(c *Conn) {
+	if c.ended {
+		c.ended = false
+		a.ended--
+	}
+}
+
 // release gives back what c holds beyond keep bytes.
 func (a *Account) release(c *Conn, keep int64) {
 	a.bodyBytes -= c.body
--- a/pkg/custody/conn.go
+++ b/pkg/custody/conn.go
@@ -87,7 +87,7 @@
 	c.movedAt = now
 	if c.ended {
 		// The bytes arrived before the end of the rest.
-		c.ended = false
+		a.leaveEnded(c)
 		a.insert(c)
 		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
@@ -129,6 +129,7 @@
 func (c *Conn) Close() error {
 	c.account.mu.Lock()
 	c.account.remove(c)
+	c.account.leaveEnded(c)
 	c.account.mu.Unlock()
 	return c.Conn.Close()
 }
--- a/pkg/gateway/drain.go
+++ b/pkg/gateway/drain.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
@@ -19,6 +21,19 @@
 	cancelledAnswerTimeout clock.Millis = 400
 )
 
+// onceListener is a listener that both the drain and its server close.
+type onceListener struct {
+	net.Listener
+	once sync.Once
+	err  error
+}
+
+// Close closes the listener the first time.
+func (l *onceListener) Close() error {
+	l.once.Do(func() { l.err = l.Listener.Close() })
+	return l.err
+}
+
 // drain reports the instance as not ready, serves until the load balancer has noticed, and then shuts the server down. Requests that
 // are still in flight near the end of the grace time are cancelled.
 func (in *Instance) drain(s *http.Server) error {
@@ -37,6 +52,11 @@
 	ctx, cancel := clock.WithTimeout(context.Background(), in.Clock, in.Settings.Bounds.Grace()-exitMargin)
 	defer cancel()
 	_ = clock.Sleep(ctx, in.Clock, loadBalancerNoticeTime)
+	if in.callerListener != nil {
+		_ = in.callerListener.Close()
+	}
+	// The server would also close idle connections on which a request has just arrived.
+	in.accounts.callers.Drain(ctx)
 	err := s.Shutdown(ctx)
 	drained()
 	if err == nil {
--- a/pkg/gateway/drain_test.go
+++ b/pkg/gateway/drain_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 
 	"carawayknot.example/carawayknot/pkg/archive"
 	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/custody"
 	"carawayknot.example/carawayknot/pkg/desk"
 	"carawayknot.example/carawayknot/pkg/settings"
 )
@@ -101,3 +103,78 @@
 		})
 	}
 }
+
+// arrivingListener accepts connections that pause, once they have bytes, before they hand them over.
+type arrivingListener struct {
+	*pipeListener
+	pause func()
+}
+
+type arrivingConn struct {
+	net.Conn
+	pause func()
+}
+
+func (l *arrivingListener) Accept() (net.Conn, error) {
+	conn, err := l.pipeListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &arrivingConn{Conn: conn, pause: l.pause}, nil
+}
+
+func (c *arrivingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.pause()
+	}
+	return n, err
+}
+
+// Guards against a request that ends without an answer because it arrives on a kept connection as the instance closes those.
+func TestRequestThatArrivesAsConnectionsCloseIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := settings.DefaultEntry()
+		in := &Instance{Settings: &e, Clock: clock.NewReal(), Log: logr.Discard(), Records: noRecords{}, inFlight: &desk.InFlight{}}
+		in.control = &Control{Clock: in.Clock, Log: logr.Discard()}
+		in.control.Run()
+		defer in.control.Stop()
+		in.cancelRequests = func() {}
+		in.accounts.callers = &custody.Account{Clock: in.Clock, Log: logr.Discard(), Conns: 10, Bytes: 10 << 20}
+		l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		arrivals := 0
+		crossing := &arrivingListener{pipeListener: l, pause: func() {
+			if arrivals++; arrivals == 2 {
+				time.Sleep(100 * time.Millisecond)
+			}
+		}}
+		s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") })}
+		in.callerListener = &onceListener{Listener: crossing}
+		in.serve("caller", s, in.callerListener, in.accounts.callers)
+		conn := l.connect()
+		br := bufio.NewReader(conn)
+		request := func() error {
+			if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+				return err
+			}
+			resp, err := http.ReadResponse(br, nil)
+			if err != nil {
+				return err
+			}
+			_, err = io.ReadAll(resp.Body)
+			return err
+		}
+		if err := request(); err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan error)
+		go func() { done <- in.drain(s) }()
+		time.Sleep(loadBalancerNoticeTime.Duration() - 10*time.Millisecond)
+		if err := request(); err != nil {
+			t.Errorf("the request that arrived as the connections closed got no answer: %v", err)
+		}
+		if err := <-done; err != nil {
+			t.Errorf("drain() = %v", err)
+		}
+	})
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -117,7 +117,9 @@
 	inFlight    *desk.InFlight
 	accounts    accounts
 	draining    atomic.Bool
-	planner     *placement.Planner
+	// callerListener is that of callerServer.
+	callerListener net.Listener
+	planner        *placement.Planner
 	// placed counts the answers that were placed by predictions.
 	placed atomic.Int64
 	// cancelRequests cancels the context of the callers' requests in flight.
@@ -176,7 +178,8 @@
 	loops, groupCtx := in.startLoops(backgroundCtx, peer)
 	in.serve("admin", adminServer, admin, in.accounts.admin)
 	in.serve("ready", readyServer, ready, in.accounts.ready)
-	go in.serveCallers(ctx, callerServer, caller)
+	in.callerListener = &onceListener{Listener: caller}
+	go in.serveCallers(ctx, callerServer, in.callerListener)
 	in.Log.Info("started", "caller", in.Settings.CallerAddress, "store", in.Settings.StoreAddress, "zone", in.Settings.Zone)
 	var err error
 	select {
@@ -280,7 +283,7 @@
 func (in *Instance) serve(name string, s *http.Server, l net.Listener, a *custody.Account) {
 	custody.Attach(s)
 	go func() {
-		if err := s.Serve(&custody.Listener{Listener: l, Account: a}); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(&custody.Listener{Listener: l, Account: a}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			in.Log.Error(err, "listener failed", "listener", name)
 		}
 	}()
