Drain: requests that come late and can't end in time are refused

On other systems, in a planned stop, requests that came late in the grace time were passed on and cut at its end, among them some that may not be repeated. Here no connection is accepted after 3 s, but a request that began before and is whole only then was passed on: a stream was cut after four of eight events.

Cause: nothing compared the time that a request may take with the time until the instance cancels what is left.

Change: once no more connections are accepted, a call whose time ends after that is refused with 503, which says that it hasn't run; others are served.

Before: TestRequestsThatComeLateInTheGraceTimeAreAnsweredOrRefused failed for the stream (200, cut, one run). After: 503 and no run; a booking that ends in time is served, as before.

--- a/pkg/gateway/drain.go
+++ b/pkg/gateway/drain.go
@@ -5,10 +5,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
 	"carawayknot.example/carawayknot/pkg/clock"
+	"carawayknot.example/carawayknot/pkg/request"
 )
 
 const (
@@ -34,6 +36,22 @@
 	return l.err
 }
 
+// lateCalls is a filter that refuses calls that begin when the instance accepts no more connections and whose time ends after it cancels what is
+// left, so that none is cut that could run elsewhere.
+type lateCalls struct {
+	Clock clock.Clock
+	// ClosingAt is the monotonic time at which the calls in flight are cancelled, or 0 while all calls are taken.
+	ClosingAt *atomic.Int64
+}
+
+// Filter refuses late calls, and passes on any other.
+func (f *lateCalls) Filter(ctx context.Context, c *request.Call, next request.Handler) error {
+	if at := clock.Millis(f.ClosingAt.Load()); at > 0 && (c.Request.Deadline == 0 || c.Request.Deadline > at) {
+		return request.Refuse(request.ReasonDraining, 0, "the instance cancels its calls in %d ms", at-f.Clock.Now())
+	}
+	return next.Handle(ctx, c)
+}
+
 // drain reports the instance as not ready, serves until the load balancer has noticed, and then shuts the server down. Requests that
 // are still in flight near the end of the grace time are cancelled.
 func (in *Instance) drain(s *http.Server) error {
@@ -52,6 +70,7 @@
 	ctx, cancel := clock.WithTimeout(context.Background(), in.Clock, in.Settings.Bounds.Grace()-exitMargin)
 	defer cancel()
 	_ = clock.Sleep(ctx, in.Clock, loadBalancerNoticeTime)
+	in.closingAt.Store(int64(start + in.Settings.Bounds.Grace() - exitMargin))
 	if in.callerListener != nil {
 		_ = in.callerListener.Close()
 	}
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -78,6 +78,7 @@
 	filters := []request.Filter{
 		delivery.FinalOutcome{},
 		&desk.ResolveRoute{Snapshot: in.control.Snapshot, Clock: in.Clock, Age: in.control.Age, MaxDenialAge: in.Settings.Bounds.ConfigApply, MaxKeyAge: in.maxKeyAge()},
+		&lateCalls{Clock: in.Clock, ClosingAt: &in.closingAt},
 		&admission.Gate{
 			Clock: in.Clock, Log: in.Log.WithName("admission"), Pool: in.pool, Urgency: in.urgency, ExpectedWait: d.ExpectedWait,
 			OnRefused: in.metrics.ObserveGaveWay,
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -117,6 +117,8 @@
 	inFlight    *desk.InFlight
 	accounts    accounts
 	draining    atomic.Bool
+	// closingAt is lateCalls.ClosingAt.
+	closingAt atomic.Int64
 	// callerListener is that of callerServer.
 	callerListener net.Listener
 	planner        *placement.Planner
