Detour: what an upstream says of leaving is noted by the instance that hands a request over

Cause: the relay to other instances drops what upstreams say of themselves, and an answer that comes that way doesn't tell whose it is.

Change: an answer to a request that was handed over names its upstream and the start of it. Limits and room are told with the loads already; a time to come back concerns the instance that was answered.

Before: TestLeavingUpstreamIsKnownThroughOthers failed (1 of 20 requests, none wanted).

--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -55,6 +55,10 @@
 		BufferBytes:  in.relay.BufferBytes,
 		Memory:       in.accounts.callers,
 		MaxIdleConns: int(idleInstanceConns * float64(maxInFlight(&in.Settings.Machine))),
+		OnNotice: func(_ *catalogue.Upstream, notice request.Notice) {
+			u := &catalogue.Upstream{Name: notice.Upstream, Incarnation: notice.Incarnation}
+			in.notices.Observe(u, request.Notice{Leaving: notice.Leaving}, in.Clock.Now())
+		},
 	}
 	in.through.Open()
 	d := &dispatch.Dispatch{
--- a/pkg/request/limit.go
+++ b/pkg/request/limit.go
@@ -17,4 +17,7 @@
 type Notice struct {
 	Leaving  bool
 	PauseFor clock.Millis
+	// Upstream and Incarnation name the upstream if the answer came through another instance; Upstream is empty otherwise.
+	Upstream    string
+	Incarnation int64
 }
