--- a/pkg/delivery/status_test.go
+++ b/pkg/delivery/status_test.go
@@ -7,7 +7,6 @@
 	"testing"
 
 	"github.com/cockroachdb/errors"
-	"github.com/go-logr/logr"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
@@ -39,12 +38,7 @@
 				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s Trouble\r\nContent-Length: 2\r\n\r\nok", c.status)
 				_, _ = io.Copy(io.Discard, conn)
 			}()
-			f := &Relay{
-				Clock: clock.NewReal(), Log: logr.Discard(), Wire: plainWire{}, Dial: (&net.Dialer{}).DialContext,
-				Permit: func(*request.Call) error { return nil },
-			}
-			f.Open()
-			defer f.Close()
+			f := openRelay(t, plainWire{})
 			rec := &recorder{}
 			call := &request.Call{
 				Request: &request.Request{ID: "r", Deadline: f.Clock.Now() + 20*clock.Second}, Route: &catalogue.Route{},
--- a/pkg/delivery/unframed_test.go
+++ b/pkg/delivery/unframed_test.go
@@ -80,6 +80,18 @@
 	}
 }
 
+// openRelay returns a relay that permits all calls.
+func openRelay(t *testing.T, wire Wire) *Relay {
+	t.Helper()
+	f := &Relay{
+		Clock: clock.NewReal(), Log: logr.Discard(), Wire: wire, Dial: (&net.Dialer{}).DialContext,
+		Permit: func(*request.Call) error { return nil },
+	}
+	f.Open()
+	t.Cleanup(f.Close)
+	return f
+}
+
 // uploadWire is a plainWire that sends the body of the call.
 type uploadWire struct{ plainWire }
 
@@ -113,12 +125,7 @@
 			_ = conn.Close()
 		}
 	}()
-	f := &Relay{
-		Clock: clock.NewReal(), Log: logr.Discard(), Wire: uploadWire{}, Dial: (&net.Dialer{}).DialContext,
-		Permit: func(*request.Call) error { return nil },
-	}
-	f.Open()
-	defer f.Close()
+	f := openRelay(t, uploadWire{})
 	body := make([]byte, 8<<20)
 	complete := 0
 	for range uploads {
@@ -156,12 +163,7 @@
 				_, _ = io.WriteString(w, "booked")
 			}))
 			defer server.Close()
-			f := &Relay{
-				Clock: clock.NewReal(), Log: logr.Discard(), Wire: plainWire{}, Dial: (&net.Dialer{}).DialContext,
-				Permit: func(*request.Call) error { return nil },
-			}
-			f.Open()
-			defer f.Close()
+			f := openRelay(t, plainWire{})
 			rec := &recorder{}
 			call := &request.Call{
 				Request:  &request.Request{ID: "r", Deadline: f.Clock.Now() + 20*clock.Second},
