--- a/pkg/gateway/drain_test.go
+++ b/pkg/gateway/drain_test.go
@@ -61,6 +61,16 @@
 	return 0, nil
 }
 
+// newDrainInstance returns an instance that only drains; its control has to be stopped.
+func newDrainInstance() *Instance {
+	e := settings.DefaultEntry()
+	in := &Instance{Settings: &e, Clock: clock.NewReal(), Log: logr.Discard(), Records: noRecords{}, inFlight: &desk.InFlight{}}
+	in.control = &Control{Clock: in.Clock, Log: logr.Discard()}
+	in.control.Run()
+	in.cancelRequests = func() {}
+	return in
+}
+
 // The load balancer goes on sending callers for a while: an instance that closes at once refuses them.
 func TestDrainServesUntilTheLoadBalancerHasNoticed(t *testing.T) {
 	for _, c := range []struct {
@@ -74,12 +84,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				e := settings.DefaultEntry()
-				in := &Instance{Settings: &e, Clock: clock.NewReal(), Log: logr.Discard(), Records: noRecords{}, inFlight: &desk.InFlight{}}
-				in.control = &Control{Clock: in.Clock, Log: logr.Discard()}
-				in.control.Run()
+				in := newDrainInstance()
 				defer in.control.Stop()
-				in.cancelRequests = func() {}
 				l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
 				s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") })}
 				go func() { _ = s.Serve(l) }()
@@ -134,12 +140,8 @@
 // Guards against a request that ends without an answer because it arrives on a kept connection as the instance closes those.
 func TestRequestThatArrivesAsConnectionsCloseIsServed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		e := settings.DefaultEntry()
-		in := &Instance{Settings: &e, Clock: clock.NewReal(), Log: logr.Discard(), Records: noRecords{}, inFlight: &desk.InFlight{}}
-		in.control = &Control{Clock: in.Clock, Log: logr.Discard()}
-		in.control.Run()
+		in := newDrainInstance()
 		defer in.control.Stop()
-		in.cancelRequests = func() {}
 		in.accounts.callers = &custody.Account{Clock: in.Clock, Log: logr.Discard(), Conns: 10, Bytes: 10 << 20}
 		l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
 		arrivals := 0
