Custody: a request that arrived during the response before it is served in a drain

Callers saw a request without an answer at a planned stop: a client that sends its next request as soon as it has a response, or pipelines, could have it read by the instance, in part or whole, and its connection reset.

Cause: net/http reads one byte ahead while a handler runs, and keeps pipelined requests in its buffer. The account learns of neither: when the response ended the connection counted as idle, Drain ended its rest, and the deadline in the past failed the read of what was missing. The pipelined request needs no read, so nothing took the connection back: it was refused with no room left, and its context was cancelled by the failed background read.

Bytes that arrive while a request is served make the rest that follows a head under way, and a request that becomes active after its rest ended is accounted for again, as one that is read already was.

--- a/pkg/custody/account.go
+++ b/pkg/custody/account.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -183,6 +184,16 @@
 	}
 }
 
+// resume accounts for c again if its rest has ended although a request had arrived before.
+func (a *Account) resume(c *Conn) {
+	if !c.ended {
+		return
+	}
+	a.leaveEnded(c)
+	a.insert(c)
+	_ = c.Conn.SetReadDeadline(time.Time{})
+}
+
 // release gives back what c holds beyond keep bytes.
 func (a *Account) release(c *Conn, keep int64) {
 	a.bodyBytes -= c.body
--- a/pkg/custody/conn.go
+++ b/pkg/custody/conn.go
@@ -45,6 +45,8 @@
 	limits Limits
 	// ended is true once the rest of an idle connection has ended and nothing was received since; it isn't accounted for any more.
 	ended bool
+	// ahead is true if bytes of the next request were received before the response has ended.
+	ahead bool
 	// since is when the phase began, deadline when a body must have ended, and movedAt when the client last sent or read something.
 	since, deadline, movedAt clock.Millis
 	// moved is the number of bytes received in the phase.
@@ -85,14 +87,12 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	c.movedAt = now
-	if c.ended {
-		// The bytes arrived before the end of the rest.
-		a.leaveEnded(c)
-		a.insert(c)
-		_ = c.Conn.SetReadDeadline(time.Time{})
-	}
-	if c.phase == phaseIdle {
+	a.resume(c)
+	switch c.phase {
+	case phaseIdle:
 		c.phase, c.since, c.moved = phaseHead, now, 0
+	case phaseServing:
+		c.ahead = true
 	}
 	c.moved += int64(len(p))
 	return c.phase != phaseHead || a.takeHead(c, headCost(p))
@@ -237,13 +237,22 @@
 	now := a.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if state == http.StateActive {
+		// A pipelined request needs no read.
+		a.resume(c)
+	}
 	if _, found := a.conns[c]; !found {
 		return
 	}
+	ahead := c.ahead
+	c.ahead = false
 	c.since, c.moved, c.movedAt = now, 0, now
 	c.limits = a.limits()
 	if state == http.StateIdle {
 		c.phase = phaseIdle
+		if ahead {
+			c.phase = phaseHead
+		}
 		a.release(c, ConnBytes)
 		return
 	}
--- a/pkg/custody/idle_test.go
+++ b/pkg/custody/idle_test.go
@@ -110,6 +110,82 @@
 	}
 }
 
+// Guards against a request that is lost in a drain because it arrived, whole or in part, before the response to the request before it had ended.
+func TestRequestThatArrivesDuringAResponseIsServedInADrain(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	for _, c := range []struct {
+		name string
+		// first is what the client sends at once, and second what it sends while the first request is served.
+		first, second string
+	}{
+		{"read ahead", request, request},
+		{"pipelined", request + request, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := &Account{Clock: clock.NewManual(1000), Log: logr.Discard(), Bytes: ample, Conns: 10}
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			arrived := make(chan struct{}, 10)
+			crossing := &arrivingListener{Listener: l, onRead: func() { arrived <- struct{}{} }}
+			served, serving := 0, make(chan struct{}, 2)
+			s := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				conn := FromContext(r.Context())
+				if !conn.BeginRequest(0, "", 1000) {
+					t.Error("no room was left for a request")
+				}
+				conn.EndBody()
+				served++
+				serving <- struct{}{}
+				switch {
+				case served == 2:
+					select {
+					case <-r.Context().Done():
+						t.Error("the request was canceled")
+					case <-time.After(100 * time.Millisecond):
+					}
+				case c.second != "":
+					<-arrived
+				}
+			})}
+			Attach(s)
+			follow := s.ConnState
+			s.ConnState = func(conn net.Conn, state http.ConnState) {
+				follow(conn, state)
+				if state == http.StateIdle {
+					a.endRests()
+				}
+			}
+			go func() { _ = s.Serve(&Listener{Listener: crossing, Account: a}) }()
+			t.Cleanup(func() { _ = s.Close() })
+			conn, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if _, err := conn.Write([]byte(c.first)); err != nil {
+				t.Fatal(err)
+			}
+			<-arrived
+			<-serving
+			if _, err := conn.Write([]byte(c.second)); err != nil {
+				t.Fatal(err)
+			}
+			br := bufio.NewReader(conn)
+			for i := range 2 {
+				resp, err := http.ReadResponse(br, nil)
+				if err != nil || resp.StatusCode != http.StatusOK {
+					t.Fatalf("request %d got no answer: %v", i, err)
+				}
+			}
+			if _, err := br.ReadByte(); err == nil {
+				t.Error("the connection goes on after the second response")
+			}
+		})
+	}
+}
+
 // Guards against connections that end before callers know of a new limit.
 func TestALowerIdleLimitHoldsFromTheNextRestOn(t *testing.T) {
 	limits := Limits{Head: 3000, Idle: 15_000, Body: 10_000}
