Tests: crashes at an instance that is cut off are held to what it has seen itself

Traced: 5 ended at the instances in touch, all begun within 320 ms, and 3 at the one that is cut off, whose second and third requests were under way at once (77 ms apart; an upstream ends 80 ms after it has begun).

The test now holds each side by itself: at most 5 upstreams end at the instances in touch, where up to 7 could, and an instance that is cut off sends nothing once upstreams have ended at it under two requests, more than sameCrashWindow apart.

--- a/pkg/dispatch/crash_simulation_test.go
+++ b/pkg/dispatch/crash_simulation_test.go
@@ -83,16 +83,24 @@
 	started   int
 	// crashing has the parts of prompts and the bodies under which upstreams crash.
 	crashing map[string]bool
-	// ends has the times at which upstreams ended under a part or body, sends those at which requests with it reached upstreams.
-	ends  map[string][]clock.Millis
+	// ends has the upstreams that ended under a part or body, sends the requests with it that reached upstreams.
+	ends  map[string][]crashEnd
 	sends map[string][]crashSend
 	sound []soundRequest
 }
 
-// crashSend is a request with a crashing part that reached an upstream; inTouch is true if its instance has been so for contact.
+// crashSend is a request with a crashing part that reached an upstream; inTouch is true if its instance has been so for contact, isolated if it
+// exchanged nothing.
 type crashSend struct {
-	at      clock.Millis
-	inTouch bool
+	at                clock.Millis
+	instance, request string
+	inTouch, isolated bool
+}
+
+// crashEnd is an upstream that ended under a request.
+type crashEnd struct {
+	at   clock.Millis
+	send crashSend
 }
 
 // soundRequest is a request without a crashing part; begun is true if its first attempt had a first event, quarantined if it was refused
@@ -114,7 +122,7 @@
 func newCrashFleet(t *testing.T, seed uint64, instances, upstreams int) *crashFleet {
 	f := &crashFleet{
 		t: t, clock: bubbleClock{start: time.Now()}, seed: seed, countedCrashes: maxCrashes, upstreams: map[string]*crashUpstream{},
-		crashing: map[string]bool{}, ends: map[string][]clock.Millis{}, sends: map[string][]crashSend{},
+		crashing: map[string]bool{}, ends: map[string][]crashEnd{}, sends: map[string][]crashSend{},
 	}
 	s := &catalogue.Snapshot{
 		Routes: &catalogue.RouteTable{Pools: map[string]*catalogue.Pool{"lm": {Name: "lm", ColdRate: 23}}},
@@ -224,8 +232,8 @@
 	f.snapshot.Store(&s)
 }
 
-// end ends an upstream, which is listed for some time and then starts again under another name.
-func (f *crashFleet) end(u *crashUpstream, part string) {
+// end ends an upstream under a crashing part, if there is one; it is listed for some time and then starts again under another name.
+func (f *crashFleet) end(u *crashUpstream, part string, send crashSend) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if u.down {
@@ -234,7 +242,7 @@
 	u.down = true
 	close(u.ended)
 	if part != "" {
-		f.ends[part] = append(f.ends[part], f.clock.Now())
+		f.ends[part] = append(f.ends[part], crashEnd{at: f.clock.Now(), send: send})
 	}
 	time.AfterFunc(listedAfterEnd, func() {
 		f.mu.Lock()
@@ -260,7 +268,7 @@
 		f.mu.Lock()
 		up := f.upstreams[u.Name]
 		f.mu.Unlock()
-		f.end(up, "")
+		f.end(up, "", crashSend{})
 	}
 }
 
@@ -285,23 +293,25 @@
 	return append(keys, string(q.Body))
 }
 
-// arrive returns the upstream of an attempt, or nil if it is down, and the crashing part or body of the call.
-func (f *crashFleet) arrive(in *crashInstance, c *request.Call) (*crashUpstream, string) {
+// arrive returns the upstream of an attempt, or nil if it is down, and the crashing part or body of the call with what is noted of it.
+func (f *crashFleet) arrive(in *crashInstance, c *request.Call) (*crashUpstream, string, crashSend) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	u := f.upstreams[c.Upstream.Name]
 	if u == nil || u.down {
-		return nil, ""
+		return nil, "", crashSend{}
 	}
 	for _, key := range crashKeys(c.Request) {
 		if f.crashing[key] {
 			now := f.clock.Now()
-			inTouch := !in.isolated.Load() && now-clock.Millis(in.contactSince.Load()) >= contact
-			f.sends[key] = append(f.sends[key], crashSend{at: now, inTouch: inTouch})
-			return u, key
+			isolated := in.isolated.Load()
+			inTouch := !isolated && now-clock.Millis(in.contactSince.Load()) >= contact
+			send := crashSend{at: now, instance: in.name, request: c.Request.ID, inTouch: inTouch, isolated: isolated}
+			f.sends[key] = append(f.sends[key], send)
+			return u, key, send
 		}
 	}
-	return u, ""
+	return u, "", crashSend{}
 }
 
 // noticeEnd waits until an instance notices the end of an upstream, at another moment for each request.
@@ -311,7 +321,7 @@
 
 func (f *crashFleet) serve(in *crashInstance, c *request.Call) error {
 	c.Attempts++
-	u, crashing := f.arrive(in, c)
+	u, crashing, send := f.arrive(in, c)
 	if u == nil {
 		return &request.Refusal{Outcome: request.NotRun, Reason: request.ReasonUpstreamFailed}
 	}
@@ -324,7 +334,7 @@
 	}
 	if crashing != "" {
 		time.Sleep(crashDelay)
-		f.end(u, crashing)
+		f.end(u, crashing, send)
 		return &request.Refusal{Outcome: request.MayHaveRun, Reason: request.ReasonUpstreamFailed, Cause: fmt.Errorf("round trip: %w", io.EOF), UpstreamDown: true}
 	}
 	if c.OnFirstEvent != nil {
@@ -421,20 +431,20 @@
 	from := clock.Millis(0)
 	for part := range f.crashing {
 		ends := f.ends[part]
-		if len(ends) > maxEnds {
-			f.t.Errorf("%s ended %d upstreams, want at most %d", part, len(ends), maxEnds)
+		if n := f.checkIsolated(part); len(ends)-n > maxEnds {
+			f.t.Errorf("%s ended %d upstreams, %d of them at isolated instances, want at most %d at the others", part, len(ends), n, maxEnds)
 		}
 		if len(ends) == 0 {
 			continue
 		}
 		n := min(len(ends), f.countedCrashes) - 1
-		from = max(from, ends[n]+2*contact)
+		from = max(from, ends[n].at+2*contact)
 		if n < f.countedCrashes-1 {
 			continue
 		}
 		late := 0
 		for _, send := range f.sends[part] {
-			if send.inTouch && send.at > ends[n]+contact {
+			if send.inTouch && send.at > ends[n].at+contact {
 				late++
 			}
 		}
@@ -456,6 +466,34 @@
 	}
 }
 
+// checkIsolated asserts that an isolated instance sends nothing with the part once upstreams have ended at it under two requests, not at one moment,
+// which shows what they crash under; it returns the number of upstreams that ended at isolated instances.
+func (f *crashFleet) checkIsolated(part string) int {
+	f.t.Helper()
+	last, shownAt := map[string]crashEnd{}, map[string]clock.Millis{}
+	n := 0
+	for _, e := range f.ends[part] {
+		if !e.send.isolated {
+			continue
+		}
+		n++
+		before, found := last[e.send.instance]
+		if found && e.at-before.at <= sameCrashWindow {
+			continue
+		}
+		last[e.send.instance] = e
+		if found && e.send.request != before.send.request && shownAt[e.send.instance] == 0 {
+			shownAt[e.send.instance] = e.at
+		}
+	}
+	for _, send := range f.sends[part] {
+		if shown := shownAt[send.instance]; send.isolated && shown > 0 && send.at > shown {
+			f.t.Errorf("%s: %s, which is isolated, sent a request %d ms after upstreams had ended at it under two", part, send.instance, send.at-shown)
+		}
+	}
+	return n
+}
+
 // play runs a scenario on virtual time.
 func play(t *testing.T, seed uint64, scenario func(f *crashFleet)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -503,7 +541,7 @@
 				f.startInstance(fmt.Sprint("late-", i))
 			}
 		}},
-		{"an instance is cut off meanwhile", maxCrashes + suspectCrashes, func(f *crashFleet) {
+		{"an instance is cut off meanwhile", maxCrashes, func(f *crashFleet) {
 			f.crashUnder("poison")
 			f.instances[3].isolated.Store(true)
 			f.sendEvery(5, 30*time.Second, false, crashingRequest("poison"))
