Custody: a head counts up to its end

Callers saw their connection closed without a refusal, with a small request, while others held all the memory of an instance.

Cause: a small head may be read without room, so that its request is refused; but all that one read returned counted as a head, also the first part of a body of many lines and the pipelined requests behind it. 100 pipelined requests or 3.5 KB of lines in a body were over the bound of a small head.

TestSmallHeadIsReadWithoutRoom has both as cases now, which failed before; a head of very many fields is refused as before, also with requests behind it. What follows a head lies in the server's buffer, which counts with the connection, and BeginRequest counts the rest of the next head.

--- a/pkg/custody/conn.go
+++ b/pkg/custody/conn.go
@@ -1,6 +1,7 @@
 package custody
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -194,8 +195,16 @@
 	c.phase = phaseServing
 }
 
-// headCost returns what a part of a head counts.
-func headCost(p []byte) int64 { return HeadCost(int64(len(p)), countLines(p)) }
+// headCost returns what the part of a head counts that p has before the body or the next request.
+func headCost(p []byte) int64 {
+	if i := bytes.Index(p, headEnd); i >= 0 {
+		p = p[:i+len(headEnd)]
+	}
+	return HeadCost(int64(len(p)), countLines(p))
+}
+
+// headEnd ends a head. One that ends otherwise counts with what follows it.
+var headEnd = []byte("\r\n\r\n")
 
 // HeadCost returns what a head of that many bytes and fields counts.
 func HeadCost(bytes, fields int64) int64 { return textCopies*bytes + fieldBytes*fields }
--- a/pkg/custody/custody_test.go
+++ b/pkg/custody/custody_test.go
@@ -186,6 +186,9 @@
 	}{
 		{"small", "POST / HTTP/1.1\r\n" + strings.Repeat("Name: value\r\n", 12), true},
 		{"very many fields", strings.Repeat("a:\r\n", 100), false},
+		{"small, with requests behind it", strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 100), true},
+		{"small, with its body", "POST / HTTP/1.1\r\nHost: h\r\n\r\n" + strings.Repeat("line\n", 700), true},
+		{"very many fields, with requests behind it", strings.Repeat("a:\r\n", 100) + "\r\nGET / HTTP/1.1\r\n", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newScene(1<<20, 10, "10.0.0.1", "10.0.0.2")
