Delivery: figures are kept for listed models only

A caller whose Model isn't UTF-8 saw its answer cut: the model became the label of carawayknot_first_token_seconds as the attempt ended, and the metrics library panics at such a label. Any other name that an upstream answered left a time series, latencies and forecasts of its own, so that a caller could fill the memory of an instance.

The models of the metrics, of the latencies and of the forecasts are those that the configuration lists for the route or the service; all others count together, as plain calls do. What is sent to upstreams stays as the caller named it.

--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -105,12 +105,12 @@
 	return request.Refuse(request.ReasonOverloaded, d.RetryAfter, "the upstreams of %s are busy for %d ms (%s)", pool.Name, wait, d.Cause)
 }
 
-// firstModel returns the model that runs the call first.
+// firstModel returns the model that runs the call first, or "" if it isn't listed.
 func firstModel(c *request.Call) string {
 	if len(c.Route.Sizes) > 0 && c.Request.Prompt.Model == "" {
 		return c.Route.Sizes[0]
 	}
-	return c.Request.Prompt.Model
+	return c.ListedModel(c.Request.Prompt.Model)
 }
 
 // log logs a refusal with the figures behind it, at most one each logPeriod.
--- a/pkg/delivery/relay.go
+++ b/pkg/delivery/relay.go
@@ -387,7 +387,7 @@
 		RequestID:  a.call.Request.ID,
 		Workspace:  a.call.Request.Workspace,
 		Upstream:   a.call.Upstream.Name,
-		Version:    catalogue.VersionID(a.call.Model),
+		Version:    catalogue.VersionID(a.call.ListedModel(a.call.Model)),
 		Result:     resultOf(err),
 		FirstToken: a.firstByte,
 		Gap:        lowerQuartileGap(a.gaps),
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -67,7 +67,7 @@
 
 // latencyKey returns the model or route by which the latency of a call's answer is known, and the tokens that are read before it begins.
 func latencyKey(c *request.Call) (model string, tokens int) {
-	model = c.Model
+	model = c.ListedModel(c.Model)
 	if model == "" {
 		model = c.Route.Name
 	}
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -70,15 +70,15 @@
 // spread is the standard deviation of the logarithm of the time to the first token around the predicted one.
 const spread = 0.5
 
-// modelOf returns the model of a call, or the smallest of its route while none is chosen.
+// modelOf returns the model of a call, or the smallest of its route while none is chosen; one that isn't listed counts as none.
 func modelOf(c *request.Call) string {
 	switch {
 	case c.Request.Prompt == nil:
 		return ""
 	case c.Model != "":
-		return c.Model
+		return c.ListedModel(c.Model)
 	case c.Request.Prompt.Model != "" || len(c.Route.Sizes) == 0:
-		return c.Request.Prompt.Model
+		return c.ListedModel(c.Request.Prompt.Model)
 	}
 	return c.Route.Sizes[0]
 }
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
@@ -176,6 +177,21 @@
 	return c.AttemptID
 }
 
+// ListedModel returns the model if the configuration lists it for the route or the pool of the call, and "" otherwise: callers may name any, and
+// figures are kept by model.
+func (c *Call) ListedModel(model string) string {
+	if c.Route != nil && slices.Contains(c.Route.Sizes, model) {
+		return model
+	}
+	if c.Pool == nil {
+		return ""
+	}
+	if _, listed := c.Pool.ModelCosts[model]; listed {
+		return model
+	}
+	return ""
+}
+
 // CheckBeforeSend calls BeforeSend and returns its refusal, or nil if the call may be sent at now, a monotonic time in
 // milliseconds.
 func (c *Call) CheckBeforeSend(now clock.Millis) *Refusal {
