Custody: idle connections expire (names only)

Nothing that callers see changes. The account spoke of the rest of a connection that ends; a reader looks for idle connections that expire, as net/http calls them.

--- a/pkg/custody/account.go
+++ b/pkg/custody/account.go
@@ -67,8 +67,8 @@
 	// bodyBytes is the part of stats.HeldBytes that bodies hold.
 	bodyBytes int64
 	stats     Stats
-	// ended is the number of connections whose rest has ended and that aren't closed yet.
-	ended int
+	// expired is the number of idle connections that were given up and aren't closed yet.
+	expired int
 	// noneSlowUntil is the time until which no slow connection is looked for again.
 	noneSlowUntil clock.Millis
 	// logged has the counts of the last log line; only Run uses it.
@@ -176,20 +176,20 @@
 	}
 }
 
-// leaveEnded drops c from the connections whose rest has ended.
-func (a *Account) leaveEnded(c *Conn) {
-	if c.ended {
-		c.ended = false
-		a.ended--
+// leaveExpired drops c from the expired connections.
+func (a *Account) leaveExpired(c *Conn) {
+	if c.expired {
+		c.expired = false
+		a.expired--
 	}
 }
 
-// resume accounts for c again if its rest has ended although a request had arrived before.
+// resume accounts for c again if it has expired although a request had arrived before.
 func (a *Account) resume(c *Conn) {
-	if !c.ended {
+	if !c.expired {
 		return
 	}
-	a.leaveEnded(c)
+	a.leaveExpired(c)
 	a.insert(c)
 	_ = c.Conn.SetReadDeadline(time.Time{})
 }
--- a/pkg/custody/conn.go
+++ b/pkg/custody/conn.go
@@ -44,8 +44,8 @@
 	phase phase
 	// limits are those in force when the phase began that is not phaseHead.
 	limits Limits
-	// ended is true once the rest of an idle connection has ended and nothing was received since; it isn't accounted for any more.
-	ended bool
+	// expired is true once an idle connection was given up, unless something is received after all; it isn't accounted for any more.
+	expired bool
 	// ahead is true if bytes of the next request were received before the response has ended.
 	ahead bool
 	// since is when the phase began, deadline when a body must have ended, and movedAt when the client last sent or read something.
@@ -72,11 +72,11 @@
 	return n, err
 }
 
-// SetReadDeadline sets the deadline of reads, unless the rest of the connection has ended.
+// SetReadDeadline sets the deadline of reads, unless the connection has expired.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.account.mu.Lock()
 	defer c.account.mu.Unlock()
-	if c.ended {
+	if c.expired {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -130,7 +130,7 @@
 func (c *Conn) Close() error {
 	c.account.mu.Lock()
 	c.account.remove(c)
-	c.account.leaveEnded(c)
+	c.account.leaveExpired(c)
 	c.account.mu.Unlock()
 	return c.Conn.Close()
 }
--- a/pkg/custody/evict.go
+++ b/pkg/custody/evict.go
@@ -88,8 +88,8 @@
 	a.remove(c)
 	if c.phase == phaseIdle {
 		// A read that has bytes already returns them whatever the deadline is.
-		c.ended = true
-		a.ended++
+		c.expired = true
+		a.expired++
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 		return
 	}
@@ -152,21 +152,21 @@
 // drainPeriod is the time between two checks of Drain, in milliseconds.
 const drainPeriod clock.Millis = 20
 
-// Drain ends the rests of all idle connections, also of those that become idle, until no connection is left or ctx ends; on a nil Account it does
+// Drain closes all idle connections, also those that become idle, until no connection is left or ctx ends; on a nil Account it does
 // nothing.
 func (a *Account) Drain(ctx context.Context) {
 	if a == nil {
 		return
 	}
-	for a.endRests() > 0 {
+	for a.closeIdle() > 0 {
 		if clock.Sleep(ctx, a.Clock, drainPeriod) != nil {
 			return
 		}
 	}
 }
 
-// endRests ends the rests of all idle connections, and returns the number of connections that aren't closed yet.
-func (a *Account) endRests() int {
+// closeIdle gives up all idle connections, and returns the number of connections that aren't closed yet.
+func (a *Account) closeIdle() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for c := range a.conns {
@@ -174,10 +174,10 @@
 			a.closeLocked(c)
 		}
 	}
-	return len(a.conns) + a.ended
+	return len(a.conns) + a.expired
 }
 
-// overdue reports whether the client takes longer than the present limits allow, and those in force when its rest or its request began.
+// overdue reports whether the client takes longer than the present limits allow, and those in force when its idle time or its request began.
 func (c *Conn) overdue(now clock.Millis, l Limits) bool {
 	switch {
 	case c.writing, c.phase == phaseIdle:
--- a/pkg/custody/idle_test.go
+++ b/pkg/custody/idle_test.go
@@ -39,8 +39,8 @@
 	return n, err
 }
 
-// awaitRest waits until the only connection rests, so that what arrives next can't be read while the response before is written.
-func awaitRest(t *testing.T, a *Account) {
+// awaitIdle waits until the only connection is idle, so that what arrives next can't be read while the response before is written.
+func awaitIdle(t *testing.T, a *Account) {
 	t.Helper()
 	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
 		a.mu.Lock()
@@ -94,7 +94,7 @@
 			defer conn.Close()
 			br := bufio.NewReader(conn)
 			for i := range 3 {
-				awaitRest(t, a)
+				awaitIdle(t, a)
 				if _, err := conn.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n")); err != nil {
 					t.Fatalf("request %d: %v", i, err)
 				}
@@ -155,7 +155,7 @@
 			s.ConnState = func(conn net.Conn, state http.ConnState) {
 				follow(conn, state)
 				if state == http.StateIdle {
-					a.endRests()
+					a.closeIdle()
 				}
 			}
 			go func() { _ = s.Serve(&Listener{Listener: crossing, Account: a}) }()
@@ -192,20 +192,20 @@
 	s := newScene(ample, 10)
 	s.account.Limits = func() Limits { return limits }
 	s.open("10.0.0.1")
-	sweepAfter := func(rest clock.Millis) bool {
-		s.clock.Advance(rest)
+	sweepAfter := func(idle clock.Millis) bool {
+		s.clock.Advance(idle)
 		s.account.sweep(s.clock.Now())
 		return s.alive()[0]
 	}
 	limits.Idle = 2000
 	if !sweepAfter(12_000) {
-		t.Fatal("the connection ended within the limit under which its rest began")
+		t.Fatal("the connection ended within the limit under which its idle time began")
 	}
 	s.begin(0)
 	s.conns[0].EndBody()
 	s.conns[0].setState(http.StateIdle)
 	if !sweepAfter(2000) || sweepAfter(1) {
-		t.Error("the connection doesn't end by the limit under which its second rest began")
+		t.Error("the connection doesn't end by the limit under which its second idle time began")
 	}
 }
 
