--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts of cases 11 to 15 start.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go build -o target/review-driver3 ./review/driver3
--- /dev/null
+++ b/review/driver3/doc.go
@@ -0,0 +1,3 @@
+// Command driver3 runs the cases of the third review: it starts instances with the command of the deploy file, on stand-ins of the
+// platform, and judges what callers and upstreams see.
+package main
