--- a/review/driver3/bulk.go
+++ b/review/driver3/bulk.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
 
-// bulkReplica is a stand-in of a replica that answers each request at once, with a long body.
+// bulkReplica is a stand-in of a replica that answers requests at once, with a long body.
 type bulkReplica struct {
 	id   string
 	body []byte
@@ -27,12 +29,24 @@
 	b.mu.Lock()
 	b.runs[id]++
 	b.mu.Unlock()
+	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set("Attempt-Id", id)
 	w.Header().Set("Response-Seal", "seal-"+b.id)
+	if strings.HasSuffix(r.URL.Path, uploadPath) {
+		time.Sleep(uploadTime)
+		_, _ = io.WriteString(w, "stored")
+		return
+	}
 	w.Header().Set("Content-Length", fmt.Sprint(len(b.body)))
 	_, _ = w.Write(b.body)
 }
 
+const (
+	// uploadPath ends the path of requests that get a short answer, after uploadTime.
+	uploadPath = "/upload"
+	uploadTime = 2 * time.Second
+)
+
 func (b *bulkReplica) runsOf(id string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/review/driver3/main.go
+++ b/review/driver3/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(r *run) (broken bool, err error){
 	"revocation":  runRevocation,
 	"slow-reader": runSlowReader,
+	"eviction":    runEviction,
 }
 
 func main() { os.Exit(execute(os.Args[1:])) }
