--- a/review/driver3/main.go
+++ b/review/driver3/main.go
@@ -15,9 +15,10 @@
 
 // cases has the cases by name. Each reports whether the rule was broken; an error means that the case could not run.
 var cases = map[string]func(r *run) (broken bool, err error){
-	"revocation":  runRevocation,
-	"slow-reader": runSlowReader,
-	"eviction":    runEviction,
+	"revocation":   runRevocation,
+	"slow-reader":  runSlowReader,
+	"eviction":     runEviction,
+	"early-answer": runEarlyAnswer,
 }
 
 func main() { os.Exit(execute(os.Args[1:])) }
