--- a/review/driver3/main.go
+++ b/review/driver3/main.go
@@ -19,6 +19,7 @@
 	"slow-reader":  runSlowReader,
 	"eviction":     runEviction,
 	"early-answer": runEarlyAnswer,
+	"cold":         runCold,
 }
 
 func main() { os.Exit(execute(os.Args[1:])) }
