--- a/review/driver3/main.go
+++ b/review/driver3/main.go
@@ -20,6 +20,7 @@
 	"eviction":     runEviction,
 	"early-answer": runEarlyAnswer,
 	"cold":         runCold,
+	"rollouts":     runRollouts,
 }
 
 func main() { os.Exit(execute(os.Args[1:])) }
