--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of cases 11 to 15 start.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-driver3 ./review/driver3
+go build -tags review -o target/review-driver3 ./review/driver3
--- a/review/driver3/bulk.go
+++ b/review/driver3/bulk.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/driver3/eviction.go
+++ b/review/driver3/eviction.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -14,13 +16,14 @@
 	// bookingBytes is the length of the answers to bookings, and readPause the pause of their callers after the first part.
 	bookingBytes = 800 << 10
 	readPause    = 2 * time.Second
-	// readers is the number of callers that read slowly, and uploaders that of callers that send bodies of uploadBytes for uploadSpan.
-	readers     = 8
-	uploaders   = 32
+	// readers is the number of callers that read slowly.
+	readers = 8
+	// uploads is the number of bodies of uploadBytes that are sent, one after each uploadPause from uploadLead before the bookings on: 52 MB a second,
+	// 0.42 of a machine's link.
+	uploads     = 36
 	uploadBytes = 4 << 20
-	uploadSpan  = 500 * time.Millisecond
-	// uploadDelay is the time from the bookings to the first of them.
-	uploadDelay = 1100 * time.Millisecond
+	uploadPause = 80 * time.Millisecond
+	uploadLead  = 900 * time.Millisecond
 	// bookingConfig has the route of the site for bookings.
 	bookingConfig = `{"version":10,"routes":[{"name":"book-table","host":"shop.example","pathPrefix":"/book/","routeType":"non_idempotent","timeoutMs":3000,
  "targetLatencyMs":300,"service":"booking-desk","maxAttempts":3,"priority":0}],"services":[{"name":"booking-desk","healthPath":"/healthz","maxConnections":110}],
@@ -77,6 +80,7 @@
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	cut := 0
+	var conns []*keptConn
 	for i := range readers {
 		conn, err := dialKept(in)
 		if err != nil {
@@ -86,6 +90,13 @@
 		if status, length, err := conn.post(fmt.Sprint("first-", i), "/book/table", []byte("x"), 0); status != http.StatusOK || length != bookingBytes {
 			return false, fmt.Errorf("the first request on the connection got status %d, %d bytes, %w", status, length, err)
 		}
+		conns = append(conns, conn)
+	}
+	if r.trouble {
+		wg.Go(func() { r.upload(in) })
+		time.Sleep(uploadLead)
+	}
+	for i, conn := range conns {
 		wg.Go(func() {
 			id, sentAt := fmt.Sprint("booking-", i), time.Now()
 			status, length, err := conn.post(id, "/book/table", []byte("x"), readPause)
@@ -102,37 +113,30 @@
 			}
 		})
 	}
-	if r.trouble {
-		time.Sleep(uploadDelay)
-		r.upload(in)
-	}
 	wg.Wait()
 	r.log("%d of %d answers to bookings that ran were cut before their time limit of 3 s, though no replica broke off", cut, readers)
 	return cut > allowedCuts, nil
 }
 
-// upload has many callers send long bodies to an instance, and logs their answers.
+// upload has one caller after the other send a long body to an instance, and logs their answers.
 func (r *run) upload(in *instance) {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	answers := map[string]int{}
-	end := time.Now().Add(uploadSpan)
 	body := bytes.Repeat([]byte("u"), uploadBytes)
-	for i := range uploaders {
+	for i := range uploads {
 		wg.Go(func() {
-			for n := 0; time.Now().Before(end); n++ {
-				conn, err := dialKept(in)
-				if err != nil {
-					return
-				}
-				status, _, err := conn.post(fmt.Sprintf("upload-%d-%d", i, n), "/book"+uploadPath, body, 0)
-				_ = conn.Close()
-				mu.Lock()
-				answers[fmt.Sprintf("status %d, whole %t", status, err == nil)]++
-				mu.Unlock()
-				time.Sleep(50 * time.Millisecond)
+			conn, err := dialKept(in)
+			if err != nil {
+				return
 			}
+			defer conn.Close()
+			status, _, err := conn.post(fmt.Sprint("upload-", i), "/book"+uploadPath, body, 0)
+			mu.Lock()
+			defer mu.Unlock()
+			answers[fmt.Sprintf("status %d, whole %t", status, err == nil)]++
 		})
+		time.Sleep(uploadPause)
 	}
 	wg.Wait()
 	for text, n := range answers {
