Revision: each new era of the store is doubted until others were heard

Cause: a read in a new era renewed the age of the view where the copy had the instance's own version. It tells nothing of what was confirmed between the last read before and the return. Others were asked only by a view older than 3 s, and the check ended with the first settled answer, also of one that had been turned away itself or had not read the new era.

Change: every new era keeps the age at the last read before, until other instances were asked. Answers name their era. An instance with a view of its own hears all that it can, in three rounds where there are more than eight others, and takes over what it finds after each round. A finding names its question, so that a second return during a check isn't settled by the first.

In TestOlderCopyIsDoubted the scenario "current until the store came back" asked for the fault: it wanted the age renewed and nobody asked. A check of 330 instances may take 24 calls where nobody has settled, 8 as before where somebody has.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -20,9 +20,8 @@
 	Clock clock.Clock
 	Log   logr.Logger
 	// OnDoubt is called when a store that came back from an older copy, and the view, may lack a newer configuration that other instances
-	// have; it is nil if there are none. That needs a view older than MaxAge, since a younger one saw what was confirmed some time before.
-	OnDoubt func()
-	MaxAge  clock.Millis
+	// have; it is nil if there are none.
+	OnDoubt func(q revision.Question)
 	// DecodeOperation decodes the configurations of other instances.
 	DecodeOperation func(r archive.Record) (catalogue.Operation, error)
 	// OnMembersChanged is called with all entry instances when they change.
@@ -40,6 +39,8 @@
 	currentAt atomic.Int64
 	// asOf is the monotonic time of the last read of the operators' changes.
 	asOf clock.Millis
+	// question is the latest one for which other instances were asked.
+	question revision.Question
 	// known is what this instance tells others of its configuration.
 	known atomic.Pointer[revision.Reply]
 	// listReadAt is the monotonic time of the last read of the upstream list.
@@ -156,7 +157,7 @@
 			c.Log.Info("upstream removed, it did not register again", "upstream", name)
 		}
 		if doubted && !c.view.doubted {
-			c.Log.Info("no other instance told of its configuration, the store counts as current")
+			c.Log.Info("no other instance told of its configuration in time, the store counts as current")
 		}
 		if !confirmed && c.view.tableConfirmed {
 			c.Log.Info("the active configuration was not written again and holds without the store", "version", c.view.table.Version)
--- a/pkg/gateway/doubt.go
+++ b/pkg/gateway/doubt.go
@@ -24,11 +24,13 @@
 		c.currentAt.Store(int64(c.asOf))
 	}
 	if c.view.table != nil {
-		c.known.Store(&revision.Reply{Version: c.view.table.Version, Settled: !c.view.doubted, Record: c.view.tableRecord})
+		c.known.Store(&revision.Reply{
+			Version: c.view.table.Version, Settled: !c.view.doubted, Era: c.view.operationsEra.era, Record: c.view.tableRecord,
+		})
 	}
 }
 
-// applyFinding ends the doubt whether other instances have a newer configuration, and takes over what one of them has.
+// applyFinding takes over a newer configuration of another instance, and ends the doubt at the end of the check for it.
 func (c *Control) applyFinding(f revision.Finding, now clock.Millis) {
 	if f.Record.Key != "" {
 		op, err := c.DecodeOperation(f.Record)
@@ -43,24 +45,50 @@
 			}
 		}
 	}
-	c.view.doubted = false
+	if !f.Partial && f.Question == c.question {
+		c.endDoubt(f)
+	}
 	c.renew()
 	c.publish()
 }
 
-// applyOperations applies a batch of operators' changes, and has other instances asked when they may know newer ones.
+// endDoubt ends the doubt after a check, unless nobody answered an instance that knows an earlier era: its view may lack what was confirmed
+// after its last read in that era, and its age bounds for how long that matters.
+func (c *Control) endDoubt(f revision.Finding) {
+	if f.Heard > 0 || !f.Question.Known {
+		c.view.doubted = false
+		return
+	}
+	if f.Others > 0 && c.view.doubted {
+		c.OnDoubt(c.question)
+	}
+}
+
+// applyOperations applies a batch of operators' changes, and has other instances asked for a newer configuration when the store came back
+// from an older copy: no read of the copy tells what was confirmed between the last read before and the return.
 func (c *Control) applyOperations(b archive.Batch[catalogue.Operation], now clock.Millis) {
-	first, restores, outdated := !c.view.operationsEra.read, c.view.operationsEra.restores, c.Age(now) > c.MaxAge
+	first, restores := !c.view.operationsEra.read, c.view.operationsEra.restores
 	c.view.ApplyOperations(b, now)
-	if c.OnDoubt != nil && (first && b.Era > 0 || outdated && c.view.operationsEra.restores > restores) {
-		c.Log.Info("the store came back from an older copy, asking other instances for a newer configuration", "era", b.Era)
-		c.view.doubt(now)
-		c.OnDoubt()
+	if c.OnDoubt != nil && (first && b.Era > 0 || c.view.operationsEra.restores > restores) {
+		c.doubt(now)
 	}
 	c.asOf = b.AsOf
 	c.renew()
 }
 
+// doubt makes the store count as current only once other instances were asked for a newer configuration, or after a while.
+func (c *Control) doubt(now clock.Millis) {
+	known := c.currentAt.Load() != neverCurrent
+	c.question = revision.Question{Number: c.question.Number + 1, Era: c.view.operationsEra.era, Known: known}
+	c.Log.Info("the store came back from an older copy, asking other instances for a newer configuration", "era", c.question.Era, "known", known)
+	grace := doubtGrace
+	if known {
+		grace = confirmGrace
+	}
+	c.view.doubt(now + grace)
+	c.OnDoubt(c.question)
+}
+
 // buildRevisions creates the check whether other instances have a newer configuration than a store that came back from an older copy.
 func (in *Instance) buildRevisions() error {
 	in.revisions = &revision.Checker{
@@ -68,6 +96,6 @@
 		Members: func() []catalogue.Member { return in.control.Snapshot().Members }, Own: in.control.Known,
 		Report: func(f revision.Finding) { in.control.Send(f) },
 	}
-	in.control.OnDoubt, in.control.MaxAge, in.control.DecodeOperation = in.revisions.Wake, in.maxReadyAge(), in.decodeOperation
+	in.control.OnDoubt, in.control.DecodeOperation = in.revisions.Wake, in.decodeOperation
 	return in.network.Register(revision.ServiceName, in.revisions)
 }
--- a/pkg/gateway/doubt_test.go
+++ b/pkg/gateway/doubt_test.go
@@ -11,16 +11,31 @@
 	"carawayknot.example/carawayknot/pkg/revision"
 )
 
-// Guards against an instance that starts, or comes back, on a store from an older copy and takes keys that were revoked since.
+// Guards against an instance that takes keys that were revoked since the copy from which the store came back: one that starts, one that the
+// store had turned away for however short a time, and one that only an earlier check allowed to trust the store.
 func TestOlderCopyIsDoubted(t *testing.T) {
-	const maxAge clock.Millis = 3000
+	// earlier is how long before the first read in the other era the one before that was.
+	const earlier clock.Millis = 3000
 	read := func(asOf clock.Millis, b archive.Batch[catalogue.Operation]) archive.Batch[catalogue.Operation] {
 		b.AsOf = asOf
 		return b
 	}
-	newer := revision.Finding{Newest: 5, Heard: 1, Record: archive.Record{Key: "config", Value: []byte{5}}, Current: true, AsOf: -800}
-	unsettled := newer
+	// first and second are the questions of an instance that starts, again those of one that was in touch.
+	first, second := revision.Question{Number: 1, Era: 1}, revision.Question{Number: 2, Era: 2, Known: true}
+	again := revision.Question{Number: 1, Era: 1, Known: true}
+	found := func(q revision.Question, version int64, heard int) revision.Finding {
+		f := revision.Finding{Question: q, Newest: version, Heard: heard, Others: 3}
+		if version == 5 {
+			f.Record, f.Current, f.AsOf = archive.Record{Key: "config", Value: []byte{5}}, true, -800
+		}
+		return f
+	}
+	newer := found(first, 5, 1)
+	unsettled, partial := newer, found(again, 5, 1)
 	unsettled.Current, unsettled.AsOf = false, 0
+	partial.Partial = true
+	alone := found(again, 0, 0)
+	alone.Others = 0
 	type result struct {
 		Version, Known int64
 		Age            clock.Millis
@@ -35,7 +50,7 @@
 	}{
 		{"first era", []any{read(900, ofEra(0, operations(true, table(4))))}, 0, result{4, 4, 100, 0}},
 		{"started in a later era", []any{read(900, ofEra(1, operations(true, table(4))))}, 0, result{4, 4, unknownAge, 1}},
-		{"nobody knows more", []any{read(900, ofEra(1, operations(true, table(4)))), revision.Finding{Newest: 4, Heard: 3}}, 0, result{4, 4, 100, 1}},
+		{"nobody knows more", []any{read(900, ofEra(1, operations(true, table(4)))), found(first, 4, 3)}, 0, result{4, 4, 100, 1}},
 		{"another instance knows more", []any{read(900, ofEra(1, operations(true, table(4)))), newer}, 0, result{5, 5, 1800, 1}},
 		{"it knows not whether that is current", []any{read(900, ofEra(1, operations(true, table(4)))), unsettled}, 0, result{5, 5, unknownAge, 1}},
 		{"read again without it", []any{
@@ -46,22 +61,64 @@
 		}, 0, result{5, 5, 50, 1}},
 		{"the store knows more", []any{read(900, ofEra(1, operations(true, table(6)))), newer}, 0, result{6, 6, 100, 1}},
 		{"nobody answers", []any{read(900, ofEra(1, operations(true, table(4))))}, doubtGrace, result{4, 4, 100 + doubtGrace, 1}},
-		{"current until the store came back", []any{
+		{"nobody to ask", []any{read(900, ofEra(1, operations(true, table(4)))), found(first, 0, 0)}, 0, result{4, 4, 100, 1}},
+		{"in touch until the store came back", []any{
+			read(900, ofEra(0, operations(true, table(4)))), read(950, ofEra(1, operations(true, table(4)))),
+		}, 0, result{4, 4, 100, 1}},
+		{"in touch, read again", []any{
+			read(900, ofEra(0, operations(true, table(4)))), read(950, ofEra(1, operations(true, table(4)))), read(980, ofEra(1, operations(false))),
+		}, 0, result{4, 4, 100, 1}},
+		{"in touch, nobody knows more", []any{
+			read(900, ofEra(0, operations(true, table(4)))), read(950, ofEra(1, operations(true, table(4)))), found(again, 4, 3),
+		}, 0, result{4, 4, 50, 1}},
+		{"in touch, another instance knows more", []any{
+			read(900, ofEra(0, operations(true, table(4)))), read(950, ofEra(1, operations(true, table(4)))), found(again, 5, 3),
+		}, 0, result{5, 5, 100, 1}},
+		{"in touch, the copy has a part of it", []any{
+			read(900, ofEra(0, operations(true, table(3)))), read(950, ofEra(1, operations(true, table(4)))), found(again, 5, 3),
+		}, 0, result{5, 5, 100, 1}},
+		{"in touch, the check goes on", []any{
+			read(900, ofEra(0, operations(true, table(4)))), read(950, ofEra(1, operations(true, table(4)))), partial,
+			read(960, ofEra(1, operations(false))),
+		}, 0, result{5, 5, 100, 1}},
+		{"in touch, nobody answers", []any{
+			read(900, ofEra(0, operations(true, table(4)))), read(950, ofEra(1, operations(true, table(4)))), found(again, 0, 0),
+		}, confirmGrace - 1, result{4, 4, 100 + confirmGrace - 1, 2}},
+		{"in touch, nobody to ask", []any{
+			read(900, ofEra(0, operations(true, table(4)))), read(950, ofEra(1, operations(true, table(4)))), alone,
+		}, confirmGrace - 1, result{4, 4, 100 + confirmGrace - 1, 1}},
+		{"in touch, nobody answered for long", []any{
+			read(900, ofEra(0, operations(true, table(4)))), read(950, ofEra(1, operations(true, table(4)))), alone,
+		}, confirmGrace, result{4, 4, 50 + confirmGrace, 1}},
+		{"in touch, written again", []any{
+			read(900, ofEra(0, operations(true, table(4)))), read(950, ofEra(1, operations(true, table(4)))),
+			read(960, ofEra(1, operations(false, table(4)))),
+		}, 0, result{4, 4, 40, 1}},
+		{"the store comes back twice, nobody knew more the first time", []any{
+			read(900, ofEra(0, operations(true, table(4)))), read(950, ofEra(1, operations(true, table(4)))),
+			read(960, ofEra(2, operations(true, table(4)))), found(again, 4, 3),
+		}, 0, result{4, 4, 100, 2}},
+		{"the store comes back twice, nobody knows more", []any{
+			read(900, ofEra(0, operations(true, table(4)))), read(950, ofEra(1, operations(true, table(4)))),
+			read(960, ofEra(2, operations(true, table(4)))), found(again, 4, 3), found(second, 4, 3),
+		}, 0, result{4, 4, 40, 2}},
+		{"the store comes back twice, another instance knew more the first time", []any{
 			read(900, ofEra(0, operations(true, table(4)))), read(950, ofEra(1, operations(true, table(4)))),
-		}, 0, result{4, 4, 50, 0}},
+			read(960, ofEra(2, operations(true, table(4)))), found(again, 5, 3),
+		}, 0, result{5, 5, 100, 2}},
 		{"cut off until the store came back", []any{
-			read(900-maxAge, ofEra(0, operations(true, table(4)))), read(950, ofEra(1, operations(true, table(4)))),
-		}, 0, result{4, 4, 100 + maxAge, 1}},
+			read(900-earlier, ofEra(0, operations(true, table(4)))), read(950, ofEra(1, operations(true, table(4)))),
+		}, 0, result{4, 4, 100 + earlier, 1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			asked := 0
 			control := newTestControl(t, func(c *Control) {
-				c.MaxAge, c.OnDoubt = maxAge, func() { asked++ }
+				c.OnDoubt = func(revision.Question) { asked++ }
 				c.DecodeOperation = func(r archive.Record) (catalogue.Operation, error) {
 					return table(int64(r.Value[0])), nil
 				}
 			})
-			control.clock.Advance(maxAge)
+			control.clock.Advance(earlier)
 			start := control.clock.Now()
 			for _, m := range c.messages {
 				if b, ok := m.(archive.Batch[catalogue.Operation]); ok {
--- a/pkg/gateway/restored.go
+++ b/pkg/gateway/restored.go
@@ -15,8 +15,8 @@
 // configuration again by then, nobody will: it was never acknowledged, and refusing for its sake would have no end.
 const confirmGrace = 2 * restoreGrace
 
-// doubtGrace is how long an instance whose configuration may be older than that of others waits for one of them to tell. Without any, the store
-// is all there is.
+// doubtGrace is how long an instance that knows no earlier era waits for another one to tell of a newer configuration; without any, the store is
+// all there is. One that knows an earlier era waits for confirmGrace.
 const doubtGrace = revision.MaxWait + membersTimeout
 
 // topicEra is the era of what was read of a topic, and the position behind it.
@@ -111,8 +111,8 @@
 // hasUnconfirmed reports whether any order or zone out is unconfirmed.
 func (v *View) hasUnconfirmed() bool { return len(v.unconfirmed.orders)+len(v.unconfirmed.zones) > 0 }
 
-// doubt makes the store count as current only once other instances were asked for a newer configuration, or after doubtGrace.
-func (v *View) doubt(now clock.Millis) { v.doubted, v.doubtedUntil = true, now+doubtGrace }
+// doubt makes the store count as current only once doubted is false, or at until.
+func (v *View) doubt(until clock.Millis) { v.doubted, v.doubtedUntil = true, until }
 
 // AdoptTable takes over a configuration of another instance, which the store lacks, and reports whether it is newer than the active one.
 func (v *View) AdoptTable(op catalogue.Operation, now clock.Millis) bool {
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -70,7 +70,8 @@
 				v.table, v.tableRecord = op.Table, archive.Record{Key: op.Key, Value: op.Value}
 			}
 			if op.Table.Version == v.table.Version {
-				v.tableConfirmed = true
+				// One that the operator writes after the return of the store is the newest there is.
+				v.tableConfirmed, v.doubted = true, v.doubted && b.Whole
 			} else if b.Whole && v.tableConfirmed {
 				v.tableConfirmed, v.tableConfirmedFrom = false, now+confirmGrace
 			}
--- a/pkg/revision/checker.go
+++ b/pkg/revision/checker.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/go-logr/logr"
 
@@ -18,7 +20,7 @@
 const ServiceName = "Revisions"
 
 const (
-	// MaxWait bounds a check, in milliseconds: without any other instance that answers, the store is all there is.
+	// MaxWait bounds a check, in milliseconds.
 	MaxWait = 2 * clock.Second
 	// askTimeout limits one call, and askPause is the pause between calls of an instance that didn't answer, both in milliseconds.
 	askTimeout clock.Millis = 350
@@ -26,27 +28,44 @@
 	// oldestAsked and othersAsked are the numbers of instances asked: the longest running ones of the own availability zone, and any others.
 	oldestAsked = 3
 	othersAsked = 5
+	// rounds is the number of rounds in which instances are selected; what one of them learns in a round spreads with the next one.
+	rounds = 3
 )
 
+// Question is why a check is made.
+type Question struct {
+	// Number tells the questions of an instance apart.
+	Number int64
+	// Era is that of the store about which this instance is in doubt.
+	Era int64
+	// Known is true if this instance had the configuration of an earlier era.
+	Known bool
+}
+
 // Args asks for the version of the active configuration, and for its record if Record is set.
 type Args struct{ Record bool }
 
 // Reply has the version of an instance's active configuration, 0 if it has none.
 type Reply struct {
 	Version int64
-	// Settled is false while that instance doubts itself whether others have a newer one.
+	// Settled is false while that instance doubts itself whether others have a newer one than the store in its era Era.
 	Settled bool
+	Era     int64
 	// Current is true if the configuration was known to be current once, and Age how long before the reply that was last so.
 	Current bool
 	Age     clock.Millis
 	Record  archive.Record
 }
 
-// Finding is the result of a check.
+// Finding is the result of a check, or of a part of it.
 type Finding struct {
-	// Newest is the newest version of the instances that answered, and Heard their number.
+	Question Question
+	// Partial is true while the check goes on.
+	Partial bool
+	// Newest is the newest version of the instances that answered, Heard their number, and Others that of all other instances.
 	Newest int64
 	Heard  int
+	Others int
 	// Record is the configuration of that version, if it is newer than that of this instance.
 	Record archive.Record
 	// Current is true if it was current once, and AsOf the last monotonic time when it was, which is negative before the start of this instance.
@@ -70,16 +89,19 @@
 	AwaitMembers func(ctx context.Context)
 	// Own returns what this instance replies to others.
 	Own func(a Args) Reply
-	// Report receives the result of each check.
+	// Report receives the result of each check, and each newer configuration that is found before its end.
 	Report func(f Finding)
 
 	once sync.Once
 	wake chan struct{}
+	// question is the latest one.
+	question atomic.Pointer[Question]
 }
 
-// Wake starts a check; it does not block.
-func (c *Checker) Wake() {
+// Wake starts a check for a question, which replaces one whose check has not begun; it does not block.
+func (c *Checker) Wake(q Question) {
 	c.init()
+	c.question.Store(&q)
 	select {
 	case c.wake <- struct{}{}:
 	default:
@@ -98,38 +120,85 @@
 			return ctx.Err()
 		}
 		c.AwaitMembers(ctx)
-		f := c.Check(ctx)
+		f := c.Check(ctx, *c.question.Load())
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		c.Log.Info("other instances asked for their configuration", "newest", f.Newest, "heard", f.Heard, "fetched", f.Record.Key != "")
+		c.Log.Info("other instances asked for their configuration", "era", f.Question.Era, "newest", f.Newest, "heard", f.Heard, "others", f.Others,
+			"fetched", f.Record.Key != "")
 		c.Report(f)
 	}
 }
 
-// Check asks some instances until a settled one or all of them have answered, at most for MaxWait, and fetches a newer configuration.
-func (c *Checker) Check(ctx context.Context) Finding {
+// Check asks some instances for a newer configuration, at most for MaxWait, and fetches it. An instance that knows no earlier era asks until
+// one that has settled in the same era, or all, have answered. Any other one hears as many as it can: who was away from the store as well
+// answers like those who were not.
+func (c *Checker) Check(ctx context.Context, q Question) Finding {
 	end := c.Clock.Now() + MaxWait
-	unheard, heard := c.selectPeers(), map[string]Reply{}
-	for len(unheard) > 0 {
+	f, heard := Finding{Question: q, Others: c.countOthers()}, map[string]Reply{}
+	var unheard []catalogue.Member
+	for round := 0; ; round++ {
+		if round < rounds {
+			unheard = appendMissing(unheard, c.selectPeers(round))
+		}
+		replies := c.ask(ctx, unheard)
 		settled := false
-		for name, reply := range c.ask(ctx, unheard) {
+		for name, reply := range replies {
 			heard[name] = reply
-			settled = settled || reply.Settled
+			f.Newest = max(f.Newest, reply.Version)
+			settled = settled || reply.Settled && q.Era != 0 && reply.Era == q.Era
+		}
+		unheard = slices.DeleteFunc(unheard, func(m catalogue.Member) bool { _, found := replies[m.Name]; return found })
+		f.Heard = len(heard)
+		if f.Newest > c.Own(Args{}).Version {
+			c.fetch(ctx, &f, heard)
 		}
-		unheard = slices.DeleteFunc(unheard, func(m catalogue.Member) bool { _, found := heard[m.Name]; return found })
-		if settled || len(unheard) == 0 || c.Clock.Now()+askPause >= end || clock.Sleep(ctx, c.Clock, askPause) != nil {
-			break
+		if c.isDone(&f, round, settled, len(unheard)) || c.Clock.Now()+askPause >= end {
+			return f
 		}
+		if f.Record.Key != "" {
+			partial := f
+			partial.Partial = true
+			c.Report(partial)
+		}
+		if clock.Sleep(ctx, c.Clock, askPause) != nil {
+			return f
+		}
+	}
+}
+
+// isDone reports whether a check ends with a round after which some of the selected instances have not answered.
+func (c *Checker) isDone(f *Finding, round int, settled bool, unheard int) bool {
+	switch {
+	case settled && !f.Question.Known:
+		return true
+	case round+1 < rounds && f.Heard < f.Others:
+		return false
+	case unheard == 0:
+		return true
 	}
-	f := Finding{Heard: len(heard)}
-	for _, reply := range heard {
-		f.Newest = max(f.Newest, reply.Version)
+	return f.Question.Known && f.Heard > 0
+}
+
+// appendMissing appends those members that are not in the list yet.
+func appendMissing(list, members []catalogue.Member) []catalogue.Member {
+	for _, m := range members {
+		if !slices.ContainsFunc(list, func(o catalogue.Member) bool { return o.Name == m.Name }) {
+			list = append(list, m)
+		}
 	}
-	if f.Newest > c.Own(Args{}).Version {
-		c.fetch(ctx, &f, heard)
+	return list
+}
+
+// countOthers returns the number of other instances.
+func (c *Checker) countOthers() int {
+	n := 0
+	for _, m := range c.Members() {
+		if m.Name != c.Self.Name {
+			n++
+		}
 	}
-	return f
+	return n
 }
 
 // fetch adds the newest configuration to the finding, from one of the instances that have it.
@@ -144,7 +213,7 @@
 			continue
 		}
 		f.Newest, f.Record = full.Version, full.Record
-		if full.Settled && full.Current {
+		if full.Current {
 			f.Current, f.AsOf = true, sentAt-full.Age
 		}
 		return
@@ -179,13 +248,14 @@
 	return err
 }
 
-// selectPeers returns the instances to ask.
-func (c *Checker) selectPeers() []catalogue.Member {
+// selectPeers returns the instances to ask in a round: the longest running ones of the own availability zone, which newer ones of the
+// zone read from, and any others in the first round; any in the later ones.
+func (c *Checker) selectPeers(round int) []catalogue.Member {
 	var zone, others []catalogue.Member
-	for _, m := range membership.Rank("revision "+c.Self.Name, c.Members()) {
+	for _, m := range membership.Rank(fmt.Sprintf("revision %s %d", c.Self.Name, round), c.Members()) {
 		switch {
 		case m.Name == c.Self.Name:
-		case m.Zone == c.Self.Zone:
+		case m.Zone == c.Self.Zone && round == 0:
 			zone = append(zone, m)
 		default:
 			others = append(others, m)
@@ -194,7 +264,7 @@
 	slices.SortStableFunc(zone, func(a, b catalogue.Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
 	oldest := min(oldestAsked, len(zone))
 	others = append(others, zone[oldest:]...)
-	return append(zone[:oldest:oldest], others[:min(othersAsked, len(others))]...)
+	return append(zone[:oldest:oldest], others[:min(oldestAsked+othersAsked-oldest, len(others))]...)
 }
 
 // Ask replies with what this instance knows of the configuration.
