Delivery: a connection carries each request id of callers once

Callers of the own interface were told NotRun (UpstreamRefused) for a request that the service was running, or got the answer to another request with their id: what an upstream wrote once more on a kept connection was taken for the answer to the next request with the same id.

Cause: service calls carry the id that the caller chose, callers send one again after a refusal, and two workspaces may choose the same. The id tells an earlier response from the right one only where no two requests on a connection share it. Repeatable calls use kept connections. Chat completions have an id for each attempt; calls on the users' platform have a connection for each attempt.

Change: a connection remembers the ids of the service calls that it carried, 256 at most. A call whose id it knows isn't written there, and gets a new connection.

--- a/pkg/delivery/attempt.go
+++ b/pkg/delivery/attempt.go
@@ -135,6 +135,10 @@
 // do sends one HTTP request of the attempt; permit is called right before its first byte.
 func (a *attempt) do(req *http.Request, permit func() error) (*http.Response, error) {
 	ex := newExchange(permit)
+	if a.call.Version == nil {
+		// Callers choose the ids of service calls, and use them again.
+		ex.id = a.id
+	}
 	a.mu.Lock()
 	a.exchange = ex
 	a.mu.Unlock()
--- a/pkg/delivery/conn.go
+++ b/pkg/delivery/conn.go
@@ -14,12 +14,18 @@
 	errSealed  = errors.New("exchange was aborted before its first byte")
 	errResend  = errors.New("exchange was already written to another connection")
 	errNoOwner = errors.New("connection is not assigned to an exchange")
+	errUsedID  = errors.New("connection may deliver the response to an earlier exchange with the same id")
 )
 
+// maxConnIDs bounds the ids that a connection remembers, and so the exchanges with an id that it carries.
+const maxConnIDs = 256
+
 // exchange is one HTTP request to an upstream; it records whether any byte was handed to a connection.
 type exchange struct {
 	// permit is called right before the first byte; its error stops the exchange.
 	permit func() error
+	// id identifies the response unless an earlier exchange on the connection had the same; it is empty for ids that are never used twice.
+	id string
 	// connected is true once the exchange had a connection.
 	connected atomic.Bool
 	// sent is closed once the request was sent or sending it has failed.
@@ -32,6 +38,8 @@
 	wrote  bool
 	sealed bool
 	denied error
+	// usedID is true once a connection was rejected because it had carried the id.
+	usedID bool
 	// sendErr is the error of sending the request.
 	sendErr error
 }
@@ -74,6 +82,10 @@
 	if e.sealed {
 		return errSealed
 	}
+	if e.id != "" && !c.takeID(e.id) {
+		e.usedID = true
+		return errUsedID
+	}
 	if err := e.permit(); err != nil {
 		e.denied = err
 		return err
@@ -93,6 +105,13 @@
 	}
 }
 
+// mayResend reports whether the exchange was not written because its connection had carried the id.
+func (e *exchange) mayResend() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.usedID && !e.wrote && !e.sealed && e.denied == nil
+}
+
 // seal keeps an unwritten exchange from ever being sent and reports whether bytes of it may have been sent.
 func (e *exchange) seal() (wrote bool, denied error) {
 	e.mu.Lock()
@@ -126,6 +145,24 @@
 type gatedConn struct {
 	net.Conn
 	owner atomic.Pointer[exchange]
+
+	mu sync.Mutex
+	// ids are those of the exchanges that the connection carried.
+	ids map[string]bool
+}
+
+// takeID notes the id of the next exchange, and reports whether no earlier one had it.
+func (c *gatedConn) takeID(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ids[id] || len(c.ids) >= maxConnIDs {
+		return false
+	}
+	if c.ids == nil {
+		c.ids = map[string]bool{}
+	}
+	c.ids[id] = true
+	return true
 }
 
 // Write writes b if the owning exchange admits it.
--- a/pkg/delivery/transport.go
+++ b/pkg/delivery/transport.go
@@ -53,7 +53,7 @@
 }
 
 // roundTrip sends the request once: the exchange rejects a second connection after the first byte, and GetBody is nil, so
-// that the HTTP transport cannot retry the request by itself.
+// that the HTTP transport cannot retry the request by itself. A request that no pooled connection may carry gets a new one.
 func (t *transports) roundTrip(req *http.Request, e *exchange, repeatable bool) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
@@ -64,6 +64,7 @@
 		},
 		WroteRequest: e.setSent,
 	}
+	getBody := req.GetBody
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	req.GetBody = nil
 	tr := t.pooled
@@ -71,6 +72,11 @@
 		tr = t.singleUse
 	}
 	resp, err := tr.RoundTrip(req)
+	if err != nil && getBody != nil && e.mayResend() {
+		if req.Body, err = getBody(); err == nil {
+			resp, err = t.singleUse.RoundTrip(req)
+		}
+	}
 	if err != nil {
 		if cause := context.Cause(req.Context()); cause != nil {
 			err = cause
