Dispatch: a begun answer that is no stream isn't continued

Callers of routes whose streams may be resumed got the events of a second upstream behind the begun body of the first one's answer (MIXED): a 404 of more than 1 MiB that broke off was continued by a stream.

Cause: an attempt may follow a begun answer if the route's streams may be resumed; what was begun wasn't looked at. Answers with another status than 200 are held up to 1 MiB, and what is beyond is passed on as it comes.

Change: the call notes that a response other than an event stream was begun, and isn't sent again then.

Tests: TestBegunAnswerIsNotContinuedByAStream failed before, at the instance itself and through another one (1,573,032 bytes that end with "piece-8").

--- a/pkg/delivery/relay.go
+++ b/pkg/delivery/relay.go
@@ -435,7 +435,7 @@
 	if err := c.Writer.WriteHead(ctx, c, head); err != nil {
 		return &writeError{cause: err}
 	}
-	c.HeadWritten = true
+	c.HeadWritten, c.Unresumable = true, true
 	if err := c.Writer.WriteBytes(ctx, c, body); err != nil {
 		return &writeError{cause: err}
 	}
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -197,7 +197,7 @@
 		return "upstreams crashed under the " + suspect
 	case p.crashes >= maxCrashesPerRequest && !c.HeadWritten:
 		return "upstreams crashed under the request"
-	case c.HeadWritten && !c.Route.MayResume():
+	case c.HeadWritten && (c.Unresumable || !c.Route.MayResume()):
 		return "answer has begun and is not resumable"
 	case !retry.isReserved() && f.tooLate(c.Request.Deadline, c.Route):
 		return "too little time before the deadline"
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -151,6 +151,8 @@
 	Fallback Fallback
 	// HeadWritten is true once the response head was written to the caller.
 	HeadWritten bool
+	// Unresumable is true once a response was begun that is no event stream, so that no other attempt can continue it.
+	Unresumable bool
 	// TokensAhead is the work that was pending at the upstream when the current attempt was sent, in prompt tokens of the call's model.
 	TokensAhead int
 	// FirstByteTimeout bounds the time to the first byte of the response to a repeatable call, in milliseconds; 0 means no bound.
