Dispatch: requests to cold upstreams are spread over intervals

Cause: the limiter waited for the phase of its instance only when it was new. Later its next time lay in the past at all instances, after an earlier cold time or after any pause in the requests.

Change: an instance has a request for each interval of its own phase, to be sent within the first 500 ms of it; intervals that began before the cold time don't count. All instances together send at most what falls into that window, whatever they did before.

--- a/pkg/dispatch/choose_upstream.go
+++ b/pkg/dispatch/choose_upstream.go
@@ -123,7 +123,7 @@
 func (f *Dispatch) chooseCold(s *catalogue.Snapshot, pool *catalogue.Pool, cold []*catalogue.Upstream, now clock.Millis) *catalogue.Upstream {
 	rate := coldRateShare * pool.ColdRate / float64(max(minMembers, len(s.Members)))
 	for _, u := range cold {
-		if f.Loads.AllowCold(u.Name, now, rate) {
+		if f.Loads.AllowCold(u.Name, now, u.ColdUntil, rate) {
 			return u
 		}
 	}
--- a/pkg/dispatch/load_tracker.go
+++ b/pkg/dispatch/load_tracker.go
@@ -36,21 +36,45 @@
 	// otherRequests counts the requests of other instances as of reportedAt, according to the upstream's load report.
 	otherRequests float64
 	reportedAt    clock.Millis
-	// coldLimiter limits the rate of sends while the upstream is cold.
-	coldLimiter intervalLimiter
+	// cold limits the rate of sends while the upstream is cold.
+	cold coldLimiter
 }
 
-// intervalLimiter is a token bucket with a capacity of one token.
-type intervalLimiter struct {
-	nextAt float64
+const (
+	// coldWindow is the time after the start of an interval in which the request of that interval may be sent. It bounds what all instances
+	// together send at once after a pause, since each has intervals of its own.
+	coldWindow clock.Millis = 500
+	// minColdSpacing is the least time between two requests, as a fraction of the interval.
+	minColdSpacing = 0.8
+)
+
+// coldLimiter allows one request in each interval of a cold time.
+type coldLimiter struct {
+	// since and until are the beginning of the cold time, as far as known here, and its end.
+	since, until clock.Millis
+	nextAt       float64
+}
+
+// observe notes the end of the cold time in which the upstream is.
+func (l *coldLimiter) observe(now, until clock.Millis) {
+	if now >= l.until {
+		l.since = now
+	}
+	l.until = until
 }
 
-// allow takes the token if it is available at a rate of perSecond, and reports whether it did.
-func (l *intervalLimiter) allow(now clock.Millis, perSecond float64) bool {
+// allow takes the request of the current interval if it is left, and reports whether it did. Intervals begin at the phase, which is a
+// fraction of one, and those that began before the cold time don't count: many instances learn of it at the same moment.
+func (l *coldLimiter) allow(now clock.Millis, perSecond, phase float64) bool {
 	if perSecond <= 0 || float64(now) < l.nextAt {
 		return false
 	}
-	l.nextAt = float64(now) + 1000/perSecond
+	interval := float64(clock.Second) / perSecond
+	start := (math.Floor(float64(now)/interval-phase) + phase) * interval
+	if start < float64(l.since) || float64(now)-start > float64(coldWindow) {
+		return false
+	}
+	l.nextAt = max(start+interval, float64(now)+minColdSpacing*interval)
 	return true
 }
 
@@ -145,17 +169,13 @@
 	return float64(s.ownRequests) + s.otherRequests*math.Exp2(-age/reportHalfLifeMillis)
 }
 
-// AllowCold reports whether this instance may send one more request to a cold upstream, at most perSecond of them.
-func (l *LoadTracker) AllowCold(upstream string, now clock.Millis, perSecond float64) bool {
+// AllowCold reports whether this instance may send one more request to an upstream that is cold until a time, at most perSecond of them.
+func (l *LoadTracker) AllowCold(upstream string, now, until clock.Millis, perSecond float64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	limiter := &l.upstream(upstream).coldLimiter
-	if limiter.nextAt == 0 && perSecond > 0 {
-		// Many instances learn of a cold upstream at the same moment; each starts at its own phase of the interval, so that they don't
-		// all send at once.
-		limiter.nextAt = float64(now) + request.HashFraction("cold "+upstream, l.Self)*1000/perSecond
-	}
-	return limiter.allow(now, perSecond)
+	limiter := &l.upstream(upstream).cold
+	limiter.observe(now, until)
+	return limiter.allow(now, perSecond, request.HashFraction("cold "+upstream, l.Self))
 }
 
 // Forget drops the state of a removed upstream, unless requests are still in flight there.
