Delivery: the timer of the first byte ends with the first byte

Cause: the timer that aborts an attempt whose response doesn't begin went on while the part beyond the buffer was passed on, at the pace of the caller. An answer that has begun can't be tried again.

Change: the timer ends when the buffered part was read. The time limit of the request, and what the instance does about callers that read nothing, bound the rest as before.

Test: TestFirstByteTimerEndsWithTheFirstByte, before: 1,048,576 of 2,097,152 bytes, "upstream did not start its response in time".

--- a/pkg/delivery/relay.go
+++ b/pkg/delivery/relay.go
@@ -209,8 +209,7 @@
 	if a.call.Route.Streaming && head.Status == http.StatusOK {
 		return a.stream(resp, head, stopTimer)
 	}
-	defer stopTimer()
-	return a.forwardBuffered(resp, head)
+	return a.forwardBuffered(resp, head, stopTimer)
 }
 
 // isFalseRefusal reports whether the caller would take a response for a promise that the call hasn't run, and send it again although it may
@@ -297,11 +296,13 @@
 	return &incompleteError{cause: err}
 }
 
-// forwardBuffered reads the response to its end before forwarding it; the part beyond what may be buffered is streamed.
-func (a *relayAttempt) forwardBuffered(resp *http.Response, head request.Head) error {
+// forwardBuffered reads the response to its end before forwarding it; the part beyond what may be buffered is streamed. The timer of the first
+// byte ends with the reading: from then on the caller sets the pace.
+func (a *relayAttempt) forwardBuffered(resp *http.Response, head request.Head, stopFirstByteTimer func()) error {
 	buffer := &responseBuffer{limit: &a.buffers, most: maxBufferedBytes}
 	defer buffer.release()
 	complete, err := a.readBody(resp, buffer)
+	stopFirstByteTimer()
 	if err != nil {
 		return err
 	}
