--- a/pkg/delivery/transport.go
+++ b/pkg/delivery/transport.go
@@ -29,6 +29,15 @@
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
+// bodyBytesKey is the key of the context value for BodyBytes.
+type bodyBytesKey struct{}
+
+// BodyBytes returns the length of the body of the request for which a connection is dialled with ctx, and 0 if it is unknown.
+func BodyBytes(ctx context.Context) int64 {
+	n, _ := ctx.Value(bodyBytesKey{}).(int64)
+	return n
+}
+
 // newTransports returns transports that keep at most maxIdle idle connections to all upstreams together; 0 means no bound.
 func newTransports(dial dialFunc, maxIdle int) *transports {
 	return &transports{pooled: newTransport(dial, false, maxIdle), singleUse: newTransport(dial, true, maxIdle)}
@@ -65,7 +74,8 @@
 		WroteRequest: e.setSent,
 	}
 	getBody := req.GetBody
-	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
+	ctx := context.WithValue(req.Context(), bodyBytesKey{}, req.ContentLength)
+	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
 	req.GetBody = nil
 	tr := t.pooled
 	if !repeatable {
