Dispatch: sessions remember the name of their release

Cause: a session was remembered as being on the new release of the rollout of its service, without its name. In the next rollout that counted as being on the next one.

Change: a session remembers the service and the release that served it last.

Test: TestSessionsOfACompletedRolloutKeepTheirReleaseInTheNextOne, before: 200 of 200 sessions change in the canary phase, none is shared as pinned.

--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -367,6 +367,55 @@
 	}
 }
 
+// Guards against sessions that change to the next release at once, and give a bad one far more than its share, because they had been on the new release
+// of the rollout before.
+func TestSessionsOfACompletedRolloutKeepTheirReleaseInTheNextOne(t *testing.T) {
+	const sessions = 200
+	upstreams := map[string]*catalogue.Upstream{}
+	for _, release := range []string{"v1", "v2", "v3"} {
+		u := newUpstream(release)
+		u.Release = release
+		upstreams[release] = u
+	}
+	r := newDispatchHarness(upstreams["v1"], upstreams["v2"])
+	rollout := func(target string, state catalogue.ReleaseState) *catalogue.ReleaseRollout {
+		return &catalogue.ReleaseRollout{
+			ReleaseOrder: catalogue.ReleaseOrder{Service: "lm", Target: target, Span: 20_000}, State: state, Canary: 0.06, StartedAt: r.clock.Now(),
+		}
+	}
+	route := catalogue.Route{MaxAttempts: 3, Target: 2000, Streaming: true, Resumable: true, Split: []catalogue.Split{{Service: "lm", Weight: 1}}}
+	send := func(session string) string {
+		c := &request.Call{Request: &request.Request{ID: "r" + session, Session: session, Deadline: r.clock.Now() + 9000}, Route: &route}
+		if err := r.Filter(context.Background(), c, request.HandlerFunc(func(context.Context, *request.Call) error { return nil })); err != nil {
+			t.Fatal(err)
+		}
+		return c.Upstream.Release
+	}
+	r.snapshot.Moves = map[string]*catalogue.ReleaseRollout{"lm": rollout("v2", catalogue.ReleaseCompleted)}
+	r.snapshot.Pools["lm"] = []*catalogue.Upstream{upstreams["v2"]}
+	for i := range sessions {
+		send(fmt.Sprint("before", i))
+	}
+	next := rollout("v3", catalogue.ReleaseRunning)
+	r.snapshot.Moves = map[string]*catalogue.ReleaseRollout{"lm": next}
+	r.snapshot.Pools["lm"] = []*catalogue.Upstream{upstreams["v2"], upstreams["v3"]}
+	items := map[string]float32{}
+	r.Releases.AddOwnSessions(next, r.clock.Now(), items)
+	if len(items) < 4 || len(items) > 40 {
+		t.Errorf("%d pinned sessions are shared, want 4 to 40 (those whose hash selects the new release)", len(items))
+	}
+	r.clock.Advance(2500)
+	changed := 0
+	for i := range sessions {
+		if send(fmt.Sprint("before", i)) != "v2" {
+			changed++
+		}
+	}
+	if changed > 0 {
+		t.Errorf("%d of %d sessions changed to the next release in its canary phase, want none", changed, sessions)
+	}
+}
+
 func TestFirstTokenLatency(t *testing.T) {
 	l := &LatencyTracker{}
 	if got := l.FirstByteTimeout("m", 1000, 0, 1400); got != 1400 {
--- a/pkg/dispatch/releases.go
+++ b/pkg/dispatch/releases.go
@@ -47,7 +47,7 @@
 	pinned := r.pinnedSessions(rollout)
 	if rollout.Preparing(now) {
 		for session, s := range r.sessions {
-			if !s.onTarget && now-s.lastSeen < r.SessionTimeout && request.HashFraction("release", session) < rollout.Canary {
+			if !s.isOn(rollout) && now-s.lastSeen < r.SessionTimeout && request.HashFraction("release", session) < rollout.Canary {
 				pinned[session] = true
 			}
 		}
@@ -131,8 +131,13 @@
 
 // sessionRelease is the release on which the last request of a session ran.
 type sessionRelease struct {
-	onTarget bool
-	lastSeen clock.Millis
+	service, release string
+	lastSeen         clock.Millis
+}
+
+// isOn reports whether that is the new release of the rollout.
+func (s sessionRelease) isOn(rollout *catalogue.ReleaseRollout) bool {
+	return s.service == rollout.Service && s.release == rollout.Target
 }
 
 // UseTarget reports whether the call goes to the new release of the rollout.
@@ -154,14 +159,14 @@
 	if rollout.KeepsSessions(now) && r.pinned[rolloutKey(rollout)][key] {
 		return false
 	}
-	if known && now-last.lastSeen < r.SessionTimeout && (last.onTarget || rollout.KeepsSessions(now)) {
-		return last.onTarget
+	if onTarget := last.isOn(rollout); known && now-last.lastSeen < r.SessionTimeout && (onTarget || rollout.KeepsSessions(now)) {
+		return onTarget
 	}
 	return request.HashFraction("release", key) < share
 }
 
-// RecordSession records the release on which a request of a session ran; rollout is nil if the service has no rollout.
-func (r *Releases) RecordSession(rollout *catalogue.ReleaseRollout, c *request.Call, now clock.Millis) {
+// RecordSession records the release on which a request of a session ran. It is known by its name, since a later rollout has another target.
+func (r *Releases) RecordSession(c *request.Call, now clock.Millis) {
 	key := c.Request.Session
 	if key == "" {
 		return
@@ -178,5 +183,5 @@
 			}
 		}
 	}
-	r.sessions[key] = sessionRelease{onTarget: rollout != nil && c.Upstream.Release == rollout.Target, lastSeen: now}
+	r.sessions[key] = sessionRelease{service: c.Upstream.Service, release: c.Upstream.Release, lastSeen: now}
 }
