Gateway: the list is read on at once after a change of state

Cause: after each read of the list that brings records, the next one waits for 0.7 s, so that heartbeats come together. Entries of upstreams that become cold at one moment were read in part: two of three before the pause, the third after it. Meanwhile that one counted as the only warm one.

Change: a record that is new, removed, of another start, or says for the first time that its upstream is cold, warm or leaves, ends the pause. Heartbeats keep it.

--- a/pkg/gateway/loops.go
+++ b/pkg/gateway/loops.go
@@ -33,7 +33,9 @@
 	g.Go(func() error {
 		return followTopic(ctx, in, archive.TopicOperations, operationsWait(in.Settings.Bounds.Revocation), in.decodeOperation, in.signalRollout)
 	})
-	g.Go(func() error { return followTopic(ctx, in, archive.TopicListings, listWait, in.Decoders.Listing, nil) })
+	g.Go(func() error {
+		return followTopic(ctx, in, archive.TopicListings, listWait, in.Decoders.Listing, in.observeListings())
+	})
 	g.Go(func() error { return in.followMembers(ctx) })
 	g.Go(func() error { return in.register(ctx) })
 	g.Go(func() error { return in.network.Serve(ctx, peer) })
--- a/pkg/membership/peer_source.go
+++ b/pkg/membership/peer_source.go
@@ -141,6 +141,9 @@
 	return zone >= minZoneSize && len(olderPeers) > 0
 }
 
+// EndListingsPause has the list read on without waiting for the end of the pause after its last changes.
+func (s *PeerSource) EndListingsPause() { s.listingsPausedUntil.Store(0) }
+
 // awaitListingsPause waits for the end of the pause after changes of the list.
 func (s *PeerSource) awaitListingsPause(ctx context.Context) error {
 	remaining := clock.Millis(s.listingsPausedUntil.Load()) - s.Clock.Now()
