Revision: orders and zones out are learned from others as well

Those that knew the order dropped it 5 s after the return, before an operator who takes 6 s.

Cause: the copy was compared with what the instance itself knew of the earlier era; nobody was asked for operations.

Change: an answer also has the orders and zones out and the position up to which its instance had read before the new era. Those of the one that had read most are taken over by instances that had read less; they hold like own ones. Operators have 10 s to write them again, as for the configuration.

TestViewKeepsOperationsOfAnEarlierEra and the test after it go by confirmGrace now, since orders hold longer; their scenarios are the same.

--- a/pkg/gateway/doubt.go
+++ b/pkg/gateway/doubt.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
+
 	"carawayknot.example/carawayknot/pkg/archive"
 	"carawayknot.example/carawayknot/pkg/catalogue"
 	"carawayknot.example/carawayknot/pkg/clock"
@@ -24,8 +27,11 @@
 		c.currentAt.Store(int64(c.asOf))
 	}
 	if c.view.table != nil {
+		era := &c.view.operationsEra
 		c.known.Store(&revision.Reply{
-			Version: c.view.table.Version, Settled: !c.view.doubted, Era: c.view.operationsEra.era, Record: c.view.tableRecord,
+			Version: c.view.table.Version, Settled: !c.view.doubted, Era: era.era, Record: c.view.tableRecord,
+			Next: era.next, Before: era.before,
+			Orders: slices.Collect(maps.Values(c.view.orders)), ZonesOut: slices.Collect(maps.Keys(c.view.zonesOut)),
 		})
 	}
 }
@@ -45,6 +51,11 @@
 			}
 		}
 	}
+	if f.Question == c.question && f.Before.After(c.view.operationsEra.before) {
+		if n := c.view.AdoptOperations(f.Orders, f.ZonesOut, now); n > 0 {
+			c.Log.Info("the store lacks operations of another instance, taken over", "operations", n)
+		}
+	}
 	if !f.Partial && f.Question == c.question {
 		c.endDoubt(f)
 	}
--- a/pkg/gateway/doubt_test.go
+++ b/pkg/gateway/doubt_test.go
@@ -142,3 +142,57 @@
 		})
 	}
 }
+
+// Guards against orders and zones out that an instance doesn't know because the store had turned it away when they were written, and came back
+// from a copy without them.
+func TestOperationsOfOthersAreTakenOver(t *testing.T) {
+	type state struct {
+		Target string
+		Zone   bool
+	}
+	op := func(era, next int64, b archive.Batch[catalogue.Operation]) archive.Batch[catalogue.Operation] {
+		b.Era, b.Next = era, next
+		return b
+	}
+	q := revision.Question{Number: 1, Era: 2, Known: true}
+	found := func(next int64) revision.Finding {
+		return revision.Finding{
+			Question: q, Newest: 4, Heard: 3, Others: 3, Before: revision.Position{Next: next},
+			Orders: []catalogue.ReleaseOrder{{Service: "lm", Target: "v3"}}, ZonesOut: []string{"z"},
+		}
+	}
+	late := found(9)
+	late.Question.Number = 7
+	before := []any{op(0, 6, operations(true, table(4), order("v2", false))), op(2, 5, operations(true, table(4)))}
+	for _, c := range []struct {
+		name     string
+		messages []any
+		// later is how much later the state is observed.
+		later clock.Millis
+		want  state
+	}{
+		{"not asked", before, 0, state{Target: "v2"}},
+		{"another instance had read more", append(before[:2:2], found(9)), 0, state{"v3", true}},
+		{"it had read as much", append(before[:2:2], found(6)), 0, state{Target: "v2"}},
+		{"answers to another question", append(before[:2:2], late), 0, state{Target: "v2"}},
+		{"not written again", append(before[:2:2], found(9)), confirmGrace, state{}},
+		{"written again", append(before[:2:2], found(9), op(2, 7, operations(false, order("v3", false), zoneOut("z", false)))), confirmGrace, state{"v3", true}},
+		{"removed", append(before[:2:2], found(9), op(2, 7, operations(false, order("v3", true), zoneOut("z", true)))), 0, state{}},
+		{"the copy has an earlier order", []any{
+			op(0, 6, operations(true, table(4))), op(2, 5, operations(true, table(4), order("v1", false))), found(9),
+		}, confirmGrace, state{Target: "v1"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			control := newTestControl(t, func(c *Control) { c.OnDoubt = func(revision.Question) {} })
+			control.sendAll(c.messages...)
+			if c.later > 0 {
+				control.clock.Advance(c.later)
+				control.sendAll(expiryDue{})
+			}
+			got := state{Target: control.view.orders["lm"].Target, Zone: control.view.zonesOut["z"]}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/pkg/gateway/restored.go
+++ b/pkg/gateway/restored.go
@@ -7,12 +7,13 @@
 	"carawayknot.example/carawayknot/pkg/revision"
 )
 
-// restoreGrace is how long operators and instances have to write again what a store that came back from an older copy lacks; what
-// was known before holds so long.
+// restoreGrace is how long instances and upstreams have to write again what a store that came back from an older copy lacks; what was known
+// before holds so long.
 const restoreGrace = 5 * clock.Second
 
-// confirmGrace is how long an answer of such a store that lacks the active configuration doesn't count as current. If nobody has written the
-// configuration again by then, nobody will: it was never acknowledged, and refusing for its sake would have no end.
+// confirmGrace is how long operators have to write again what such a store lacks. Orders and zones out hold so long, and an answer that lacks the
+// active configuration doesn't count as current. If nobody has written the configuration again by then, nobody will: it was never acknowledged,
+// and refusing for its sake would have no end.
 const confirmGrace = 2 * restoreGrace
 
 // doubtGrace is how long an instance that knows no earlier era waits for another one to tell of a newer configuration; without any, the store is
@@ -24,14 +25,18 @@
 	era  int64
 	next int64
 	read bool
-	// restores counts the returns from an older copy that were noticed.
+	// restores counts the returns from an older copy that were noticed, and before is what had been read before the last one.
 	restores int
+	before   revision.Position
 }
 
 // observe notes the era of a batch and reports whether the batch replaces what was read in another era. Where the era is unknown, a
 // topic that ends before the position tells it.
 func observe[T any](e *topicEra, b archive.Batch[T]) (restored bool) {
 	restored = b.Whole && e.read && (b.IsOtherEra(e.era) || b.Era == 0 && b.Next < e.next)
+	if restored {
+		e.before = revision.Position{Era: e.era, Next: e.next}
+	}
 	e.next = b.Next
 	if b.Era != 0 {
 		e.era = b.Era
@@ -54,7 +59,7 @@
 
 // unconfirm makes all known orders and zones out unconfirmed.
 func (v *View) unconfirm(now clock.Millis) {
-	v.unconfirmed = unconfirmedOperations{orders: map[string]*catalogue.ReleaseOrder{}, zones: map[string]bool{}, until: now + restoreGrace}
+	v.unconfirmed = unconfirmedOperations{orders: map[string]*catalogue.ReleaseOrder{}, zones: map[string]bool{}, until: now + confirmGrace}
 	for service := range v.orders {
 		v.unconfirmed.orders[service] = nil
 	}
@@ -108,6 +113,39 @@
 	v.updateRollouts(now)
 }
 
+// AdoptOperations takes over rollout orders and zones out that another instance knows and the store, back from an older copy, lacks. They are
+// unconfirmed like own ones.
+func (v *View) AdoptOperations(orders []catalogue.ReleaseOrder, zones []string, now clock.Millis) (adopted int) {
+	if !v.hasUnconfirmed() {
+		v.unconfirmed = unconfirmedOperations{orders: map[string]*catalogue.ReleaseOrder{}, zones: map[string]bool{}, until: now + confirmGrace}
+	}
+	for _, order := range orders {
+		known, found := v.orders[order.Service]
+		if known == order {
+			continue
+		}
+		if _, unconfirmed := v.unconfirmed.orders[order.Service]; !unconfirmed {
+			v.unconfirmed.orders[order.Service] = nil
+			if found {
+				v.unconfirmed.orders[order.Service] = &known
+			}
+		}
+		v.orders[order.Service] = order
+		adopted++
+	}
+	for _, zone := range zones {
+		if v.zonesOut[zone] {
+			continue
+		}
+		v.unconfirmed.zones[zone], v.zonesOut[zone] = true, true
+		adopted++
+	}
+	if adopted > 0 {
+		v.updateRollouts(now)
+	}
+	return adopted
+}
+
 // hasUnconfirmed reports whether any order or zone out is unconfirmed.
 func (v *View) hasUnconfirmed() bool { return len(v.unconfirmed.orders)+len(v.unconfirmed.zones) > 0 }
 
--- a/pkg/gateway/restored_test.go
+++ b/pkg/gateway/restored_test.go
@@ -35,37 +35,37 @@
 		at   clock.Millis
 		want state
 	}{
-		{"kept for a while", func(*View) {}, 100 + restoreGrace - 1, running},
-		{"not written again", func(*View) {}, 100 + restoreGrace, state{Rollout: catalogue.ReleaseReverted, Target: "v2", StartedAt: 10}},
+		{"kept for a while", func(*View) {}, 100 + confirmGrace - 1, running},
+		{"not written again", func(*View) {}, 100 + confirmGrace, state{Rollout: catalogue.ReleaseReverted, Target: "v2", StartedAt: 10}},
 		{"written again in time", func(v *View) {
 			v.ApplyOperations(operations(false, order("v2", false), zoneOut("z", false)), 200)
-		}, 100 + restoreGrace, running},
+		}, 100 + confirmGrace, running},
 		{"removed", func(v *View) {
 			v.ApplyOperations(operations(false, order("v2", true), zoneOut("z", true)), 200)
 		}, 300, state{Rollout: catalogue.ReleaseReverted, Target: "v2", StartedAt: 10}},
 		{"written again too late", func(v *View) {
-			v.Expire(100 + restoreGrace)
-			v.ApplyOperations(operations(false, order("v2", false)), 9000)
-		}, 9000, state{Rollout: catalogue.ReleaseRunning, Target: "v2", StartedAt: 10}},
+			v.Expire(100 + confirmGrace)
+			v.ApplyOperations(operations(false, order("v2", false)), 19000)
+		}, 19000, state{Rollout: catalogue.ReleaseRunning, Target: "v2", StartedAt: 10}},
 		{"another order too late", func(v *View) {
-			v.Expire(100 + restoreGrace)
-			v.ApplyOperations(operations(false, order("v3", false)), 9000)
-		}, 9000, state{Rollout: catalogue.ReleaseRunning, Target: "v3", StartedAt: 9000}},
+			v.Expire(100 + confirmGrace)
+			v.ApplyOperations(operations(false, order("v3", false)), 19000)
+		}, 19000, state{Rollout: catalogue.ReleaseRunning, Target: "v3", StartedAt: 19000}},
 		{"found by another whole read", func(v *View) {
 			v.ApplyOperations(ofEra(2, operations(true, table(1), order("v2", false), zoneOut("z", false))), 200)
-		}, 100 + restoreGrace, running},
+		}, 100 + confirmGrace, running},
 		{"not found by another whole read", func(v *View) {
 			v.ApplyOperations(ofEra(2, operations(true, table(1))), 200)
 		}, 300, running},
 		{"the store goes back once more", func(v *View) {
 			v.ApplyOperations(ofEra(3, operations(true, table(1))), 1100)
-		}, 100 + restoreGrace, running},
+		}, 100 + confirmGrace, running},
 		{"the store goes back to an earlier order", func(v *View) {
 			v.ApplyOperations(ofEra(3, operations(true, table(1), order("v1", false))), 1100)
-		}, 1100 + restoreGrace - 1, running},
+		}, 1100 + confirmGrace - 1, running},
 		{"the earlier order is not replaced again", func(v *View) {
 			v.ApplyOperations(ofEra(3, operations(true, table(1), order("v1", false))), 1100)
-		}, 1100 + restoreGrace, state{Rollout: catalogue.ReleaseRunning, Target: "v1", StartedAt: 1100 + restoreGrace}},
+		}, 1100 + confirmGrace, state{Rollout: catalogue.ReleaseRunning, Target: "v1", StartedAt: 1100 + confirmGrace}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			v := &View{}
@@ -84,7 +84,7 @@
 
 // Guards against a bad release that begins anew because its order was lost and written again.
 func TestViewKeepsRevertedRolloutWhenItsOrderIsWrittenAgain(t *testing.T) {
-	for _, after := range []clock.Millis{1000, restoreGrace + 1000} {
+	for _, after := range []clock.Millis{1000, confirmGrace + 1000} {
 		v := &View{}
 		v.ApplyOperations(ofEra(1, operations(true, table(1), order("v2", false))), 10)
 		v.SetRolloutState("lm", "v2", catalogue.ReleaseReverted)
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -54,7 +54,7 @@
 }
 
 // ApplyOperations applies a batch of operators' changes; a configuration older than the active one is ignored. What a store that came
-// back from an older copy lacks holds for restoreGrace.
+// back from an older copy lacks holds for confirmGrace.
 func (v *View) ApplyOperations(b archive.Batch[catalogue.Operation], now clock.Millis) {
 	if observe(&v.operationsEra, b) {
 		v.unconfirm(now)
--- a/pkg/revision/checker.go
+++ b/pkg/revision/checker.go
@@ -42,6 +42,12 @@
 	Known bool
 }
 
+// Position is a position in the operators' topic, in an era of the store.
+type Position struct{ Era, Next int64 }
+
+// After reports whether more of the topic was read up to p than up to o.
+func (p Position) After(o Position) bool { return p.Era > o.Era || p.Era == o.Era && p.Next > o.Next }
+
 // Args asks for the version of the active configuration, and for its record if Record is set.
 type Args struct{ Record bool }
 
@@ -55,6 +61,20 @@
 	Current bool
 	Age     clock.Millis
 	Record  archive.Record
+	// Next is the position up to which that instance has read in its era, and Before the one up to which it had read in the era before.
+	Next   int64
+	Before Position
+	// Orders and ZonesOut are the rollout orders and the availability zones out of service that it knows.
+	Orders   []catalogue.ReleaseOrder
+	ZonesOut []string
+}
+
+// knownBefore returns the position up to which the instance had read before the given era.
+func (r *Reply) knownBefore(era int64) Position {
+	if r.Era == era {
+		return r.Before
+	}
+	return Position{r.Era, r.Next}
 }
 
 // Finding is the result of a check, or of a part of it.
@@ -71,6 +91,18 @@
 	// Current is true if it was current once, and AsOf the last monotonic time when it was, which is negative before the start of this instance.
 	Current bool
 	AsOf    clock.Millis
+	// Before is the latest position up to which one of them had read before the era of the question, and Orders and ZonesOut are what it knows.
+	Before   Position
+	Orders   []catalogue.ReleaseOrder
+	ZonesOut []string
+}
+
+// add adds the reply of an instance.
+func (f *Finding) add(r *Reply) {
+	f.Newest = max(f.Newest, r.Version)
+	if before := r.knownBefore(f.Question.Era); before.After(f.Before) {
+		f.Before, f.Orders, f.ZonesOut = before, r.Orders, r.ZonesOut
+	}
 }
 
 // Caller calls methods of other members.
@@ -145,7 +177,7 @@
 		settled := false
 		for name, reply := range replies {
 			heard[name] = reply
-			f.Newest = max(f.Newest, reply.Version)
+			f.add(&reply)
 			settled = settled || reply.Settled && q.Era != 0 && reply.Era == q.Era
 		}
 		unheard = slices.DeleteFunc(unheard, func(m catalogue.Member) bool { _, found := replies[m.Name]; return found })
--- a/pkg/revision/checker_test.go
+++ b/pkg/revision/checker_test.go
@@ -114,6 +114,9 @@
 					replies[name] = reply
 				}
 				c.want.Question, c.want.Others = q, len(members)-1
+				if c.earlier {
+					c.want.Before = Position{Era: q.Era - 1}
+				}
 				start := time.Now()
 				checker := &Checker{
 					Clock: bubbleClock{clock.NewReal(), start}, Own: func(Args) Reply { return Reply{Version: own} }, Log: logr.Discard(), Self: members[0], Members: func() []catalogue.Member { return members },
@@ -228,3 +231,25 @@
 		})
 	}
 }
+
+// Guards against operations that are taken over from an instance that had read less than another one before the store came back.
+func TestOperationsComeFromWhoHadReadMost(t *testing.T) {
+	order := func(target string) []catalogue.ReleaseOrder {
+		return []catalogue.ReleaseOrder{{Service: "lm", Target: target}}
+	}
+	f := Finding{Question: Question{Era: 3}}
+	for _, r := range []Reply{
+		// Instances that have read the new era, know only that, or have not noticed it yet.
+		{Era: 3, Next: 4, Before: Position{2, 7}, Orders: order("v7")},
+		{Era: 3, Next: 4, Orders: order("v4")},
+		{Era: 2, Next: 9, Before: Position{1, 50}, Orders: order("v9"), ZonesOut: []string{"a"}},
+		{Era: 1, Next: 60, Orders: order("v60")},
+		{Era: 2, Next: 8, Orders: order("v8")},
+	} {
+		f.add(&r)
+	}
+	want := Finding{Question: f.Question, Before: Position{2, 9}, Orders: order("v9"), ZonesOut: []string{"a"}}
+	if diff := cmp.Diff(want, f); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
