Gateway: operations that were taken over are passed on

An instance that learned orders and zones out from another one still told the position up to which it had read itself, so that others with less took nothing from it. It tells the position of what it knows now; in deployments where an instance asks only some of the others they spread with each round, like the configuration. TestOperationsOfOthersAreTakenOver looks at what is told.

--- a/pkg/gateway/doubt.go
+++ b/pkg/gateway/doubt.go
@@ -52,6 +52,8 @@
 		}
 	}
 	if f.Question == c.question && f.Before.After(c.view.operationsEra.before) {
+		// Others that ask this instance learn them as well.
+		c.view.operationsEra.before = f.Before
 		if n := c.view.AdoptOperations(f.Orders, f.ZonesOut, now); n > 0 {
 			c.Log.Info("the store lacks operations of another instance, taken over", "operations", n)
 		}
--- a/pkg/gateway/doubt_test.go
+++ b/pkg/gateway/doubt_test.go
@@ -150,6 +150,8 @@
 		Target string
 		Zone   bool
 	}
+	// told is what the instance tells others after it has taken over operations.
+	told := revision.Reply{Before: revision.Position{Next: 9}, Orders: []catalogue.ReleaseOrder{{Service: "lm", Target: "v3"}}, ZonesOut: []string{"z"}}
 	op := func(era, next int64, b archive.Batch[catalogue.Operation]) archive.Batch[catalogue.Operation] {
 		b.Era, b.Next = era, next
 		return b
@@ -189,6 +191,12 @@
 				control.clock.Advance(c.later)
 				control.sendAll(expiryDue{})
 			}
+			if c.name == "another instance had read more" {
+				known := control.Known(revision.Args{})
+				if diff := cmp.Diff(told, revision.Reply{Before: known.Before, Orders: known.Orders, ZonesOut: known.ZonesOut}); diff != "" {
+					t.Errorf("told to others (-want +got):\n%s", diff)
+				}
+			}
 			got := state{Target: control.view.orders["lm"].Target, Zone: control.view.zonesOut["z"]}
 			if diff := cmp.Diff(c.want, got); diff != "" {
 				t.Errorf("(-want +got):\n%s", diff)
