Dispatch: sessions remember the rollout, not any release by its name

By reading: an instance that sends a session to the new release before it has read the order remembered that release by its name, and kept the session there; other instances didn't.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -253,7 +253,7 @@
 // recordAttempt records the outcome of an attempt for session affinity and outlier detection.
 func (f *Dispatch) recordAttempt(c *request.Call, u *catalogue.Upstream, err error) {
 	now := f.Clock.Now()
-	f.Releases.RecordSession(c, now)
+	f.Releases.RecordSession(f.Snapshot().Moves[u.Service], c, now)
 	if err == nil {
 		f.Outliers.RecordSuccess(u.Name)
 		return
--- a/pkg/dispatch/releases.go
+++ b/pkg/dispatch/releases.go
@@ -129,15 +129,16 @@
 // maxRollouts is the number of rollouts after which the pinned sessions of all are dropped.
 const maxRollouts = 64
 
-// sessionRelease is the release on which the last request of a session ran.
+// sessionRelease tells whether the last request of a session ran on the new release of a rollout.
 type sessionRelease struct {
-	service, release string
-	lastSeen         clock.Millis
+	// service and target are those of the rollout; they are empty if the request ran on another release, or without a rollout.
+	service, target string
+	lastSeen        clock.Millis
 }
 
-// isOn reports whether that is the new release of the rollout.
+// isOn reports whether the request ran on the new release of this rollout.
 func (s sessionRelease) isOn(rollout *catalogue.ReleaseRollout) bool {
-	return s.service == rollout.Service && s.release == rollout.Target
+	return s.service == rollout.Service && s.target == rollout.Target
 }
 
 // UseTarget reports whether the call goes to the new release of the rollout.
@@ -165,8 +166,8 @@
 	return request.HashFraction("release", key) < share
 }
 
-// RecordSession records the release on which a request of a session ran. It is known by its name, since a later rollout has another target.
-func (r *Releases) RecordSession(c *request.Call, now clock.Millis) {
+// RecordSession records the release on which a request of a session ran; rollout is nil if the service has no rollout.
+func (r *Releases) RecordSession(rollout *catalogue.ReleaseRollout, c *request.Call, now clock.Millis) {
 	key := c.Request.Session
 	if key == "" {
 		return
@@ -183,5 +184,9 @@
 			}
 		}
 	}
-	r.sessions[key] = sessionRelease{service: c.Upstream.Service, release: c.Upstream.Release, lastSeen: now}
+	s := sessionRelease{lastSeen: now}
+	if rollout != nil && c.Upstream.Release == rollout.Target {
+		s.service, s.target = rollout.Service, rollout.Target
+	}
+	r.sessions[key] = s
 }
