Gateway: only an upstream that becomes cold ends the pause of the list

The change before read the list at once after each new, removed, leaving, cold or warm entry.

Change: only the entry of a known, warm upstream that has become cold ends the pause. The others were never the cause: an upstream that isn't known gets no requests.

--- a/pkg/gateway/listed.go
+++ b/pkg/gateway/listed.go
@@ -5,33 +5,32 @@
 	"carawayknot.example/carawayknot/pkg/catalogue"
 )
 
-// listedState is what an entry of an upstream says beside its liveness.
+// listedState is what an entry of an upstream says of its cold start.
 type listedState struct {
-	incarnation   int64
-	leaving, cold bool
+	incarnation int64
+	cold        bool
 }
 
 // listedStates are the states of the listed upstreams by name; only the follower of the list uses them.
 type listedStates map[string]listedState
 
-// update notes the states of a batch and reports whether one of them is new or has changed, or an upstream was removed.
-func (s listedStates) update(b archive.Batch[catalogue.Listing]) (changed bool) {
+// update notes the states of a batch and reports whether an upstream that was warm has become cold.
+func (s listedStates) update(b archive.Batch[catalogue.Listing]) (cooled bool) {
 	for _, l := range b.Items {
-		before, known := s[l.Name]
 		if l.Removed {
-			changed = changed || known
 			delete(s, l.Name)
 			continue
 		}
-		state := listedState{incarnation: l.Upstream.Incarnation, leaving: l.Upstream.Leaving, cold: l.ColdFor > 0}
-		changed = changed || !known || before != state
+		before, known := s[l.Name]
+		state := listedState{incarnation: l.Upstream.Incarnation, cold: l.ColdFor > 0}
+		cooled = cooled || known && before.incarnation == state.incarnation && !before.cold && state.cold
 		s[l.Name] = state
 	}
-	return changed
+	return cooled
 }
 
-// observeListings has the list read on without a pause after a change: others often follow at once, and until they are known their upstreams get the
-// requests of those that are known to be cold or to leave.
+// observeListings has the list read on without a pause once an upstream has become cold: others often become cold at once, and until that is known
+// they get the requests of those that are known to be.
 func (in *Instance) observeListings() func(b archive.Batch[catalogue.Listing]) {
 	states := listedStates{}
 	return func(b archive.Batch[catalogue.Listing]) {
