--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -295,19 +295,23 @@
 	}
 }
 
+// sendSession sends a request of a session and returns the release that served it.
+func (r *dispatchHarness) sendSession(t *testing.T, session string) string {
+	t.Helper()
+	route := catalogue.Route{MaxAttempts: 3, Target: 2000, Streaming: true, Resumable: true, Split: []catalogue.Split{{Service: "lm", Weight: 1}}}
+	c := &request.Call{Request: &request.Request{ID: "r" + session, Session: session, Deadline: r.clock.Now() + 9000}, Route: &route}
+	if err := r.Filter(context.Background(), c, request.HandlerFunc(func(context.Context, *request.Call) error { return nil })); err != nil {
+		t.Fatal(err)
+	}
+	return c.Upstream.Release
+}
+
 func TestSessionsKeepTheirRelease(t *testing.T) {
 	old, target := newUpstream("old"), newUpstream("new")
 	old.Release, target.Release = "v1", "v2"
 	r := newDispatchHarness(old, target)
 	rollout := &catalogue.ReleaseRollout{ReleaseOrder: catalogue.ReleaseOrder{Service: "lm", Target: "v2", Span: 20_000}, State: catalogue.ReleaseRunning, Canary: 0.06}
-	route := catalogue.Route{MaxAttempts: 3, Target: 2000, Streaming: true, Resumable: true, Split: []catalogue.Split{{Service: "lm", Weight: 1}}}
-	send := func(session string) string {
-		c := &request.Call{Request: &request.Request{ID: "r" + session, Session: session, Deadline: r.clock.Now() + 9000}, Route: &route}
-		if err := r.Filter(context.Background(), c, request.HandlerFunc(func(context.Context, *request.Call) error { return nil })); err != nil {
-			t.Fatal(err)
-		}
-		return c.Upstream.Release
-	}
+	send := func(session string) string { return r.sendSession(t, session) }
 	r.Releases.PinPeerSessions(rollout, map[string]float32{"lm v2 keep elsewhere1": 1, "lm v2 keep elsewhere2": 1, "lm v3 keep after1": 1})
 	// Sessions that began before the rollout stay on the old release, even if their hash selects the new one.
 	for i := range 200 {
@@ -383,14 +387,7 @@
 			ReleaseOrder: catalogue.ReleaseOrder{Service: "lm", Target: target, Span: 20_000}, State: state, Canary: 0.06, StartedAt: r.clock.Now(),
 		}
 	}
-	route := catalogue.Route{MaxAttempts: 3, Target: 2000, Streaming: true, Resumable: true, Split: []catalogue.Split{{Service: "lm", Weight: 1}}}
-	send := func(session string) string {
-		c := &request.Call{Request: &request.Request{ID: "r" + session, Session: session, Deadline: r.clock.Now() + 9000}, Route: &route}
-		if err := r.Filter(context.Background(), c, request.HandlerFunc(func(context.Context, *request.Call) error { return nil })); err != nil {
-			t.Fatal(err)
-		}
-		return c.Upstream.Release
-	}
+	send := func(session string) string { return r.sendSession(t, session) }
 	r.snapshot.Moves = map[string]*catalogue.ReleaseRollout{"lm": rollout("v2", catalogue.ReleaseCompleted)}
 	r.snapshot.Pools["lm"] = []*catalogue.Upstream{upstreams["v2"]}
 	for i := range sessions {
--- a/pkg/gateway/restored.go
+++ b/pkg/gateway/restored.go
@@ -57,9 +57,14 @@
 	until clock.Millis
 }
 
+// newUnconfirmedOperations returns none, with the end of those that are added.
+func newUnconfirmedOperations(now clock.Millis) unconfirmedOperations {
+	return unconfirmedOperations{orders: map[string]*catalogue.ReleaseOrder{}, zones: map[string]bool{}, until: now + confirmGrace}
+}
+
 // unconfirm makes all known orders and zones out unconfirmed.
 func (v *View) unconfirm(now clock.Millis) {
-	v.unconfirmed = unconfirmedOperations{orders: map[string]*catalogue.ReleaseOrder{}, zones: map[string]bool{}, until: now + confirmGrace}
+	v.unconfirmed = newUnconfirmedOperations(now)
 	for service := range v.orders {
 		v.unconfirmed.orders[service] = nil
 	}
@@ -117,7 +122,7 @@
 // unconfirmed like own ones.
 func (v *View) AdoptOperations(orders []catalogue.ReleaseOrder, zones []string, now clock.Millis) (adopted int) {
 	if !v.hasUnconfirmed() {
-		v.unconfirmed = unconfirmedOperations{orders: map[string]*catalogue.ReleaseOrder{}, zones: map[string]bool{}, until: now + confirmGrace}
+		v.unconfirmed = newUnconfirmedOperations(now)
 	}
 	for _, order := range orders {
 		known, found := v.orders[order.Service]
--- a/pkg/revision/checker.go
+++ b/pkg/revision/checker.go
@@ -163,8 +163,8 @@
 }
 
 // Check asks some instances for a newer configuration, at most for MaxWait, and fetches it. An instance that knows no earlier era asks until
-// one that has settled in the same era, or all, have answered. Any other one hears as many as it can: who was away from the store as well
-// answers like those who were not.
+// one that has settled in the same era, or all, have answered. Any other one hears as many as it can, because an answer doesn't tell whether its
+// instance had been turned away by the store as well.
 func (c *Checker) Check(ctx context.Context, q Question) Finding {
 	end := c.Clock.Now() + MaxWait
 	f, heard := Finding{Question: q, Others: c.countOthers()}, map[string]Reply{}
